Reducers, sheet, weights plan and wire between processes

Cause: the system needs its decisions before its bytes.

Change: workspace with one noun to a component. `sheet` parses, checks, packs into sections and accepts whole or not at all; `weights` ranks who draws a piece from the origin and reduces transfer events; `protocol` and `wire` carry typed messages over h2 and bincode; `record` chains decision lines; `control` holds the follower, the agent and the entry as pure reducers.

--- /dev/null
+++ b/components/control/src/entry/hints.rs
@@ -0,0 +1,178 @@
+//! What an entry believes of targets. Every item may be wrong; the agents decide.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use protocol::{
+    Phase,
+    Refusal,
+    TargetStatus, //
+};
+use utils::Name;
+
+/// How long a report of a target counts.
+const REPORT_AGE: Duration = Duration::from_secs(2);
+
+/// How long a target that cannot take work rests before it is tried again.
+const REST: Duration = Duration::from_millis(500);
+
+/// The first rest of a target that cannot be reached; doubles with each further failure.
+const FIRST_UNREACHABLE_REST: Duration = Duration::from_millis(500);
+
+/// The longest rest of a target that cannot be reached.
+const LONGEST_REST: Duration = Duration::from_secs(8);
+
+/// Hints older than this with nothing in flight are dropped.
+const HINT_AGE: Duration = Duration::from_secs(30);
+
+/// The load assumed of a target of which nothing is known.
+const UNKNOWN_LOAD: f64 = 0.5;
+
+#[derive(Clone, Debug, Default)]
+struct Hint {
+    in_flight: u32,
+    status: Option<TargetStatus>,
+    status_at: Duration,
+    /// Requests sent since the status was made.
+    sent_since: u32,
+    failures: u32,
+    rests_until: Duration,
+    touched: Duration,
+}
+
+/// Hints by target. Their number follows the entry's own traffic, not the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Hints(BTreeMap<Name, Hint>);
+
+impl Hints {
+    /// Targets that something is believed of.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether nothing is believed.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Whether the target is better left alone now.
+    pub fn rests(&self, now: Duration, target: &str) -> bool {
+        self.0
+            .get(target)
+            .is_some_and(|hint| now < hint.rests_until)
+    }
+
+    /// The part of the target's limit that is in use, above one if requests wait.
+    ///
+    /// A report lags, so what this entry sent since counts on top of it.
+    pub fn load(&self, now: Duration, target: &str) -> f64 {
+        let Some(hint) = self.0.get(target) else {
+            return UNKNOWN_LOAD;
+        };
+        let fresh = hint
+            .status
+            .as_ref()
+            .filter(|_| now.saturating_sub(hint.status_at) <= REPORT_AGE);
+        let Some(status) = fresh else {
+            return UNKNOWN_LOAD + f64::from(hint.in_flight) / 8.0;
+        };
+        if !status.ready {
+            return f64::INFINITY;
+        }
+        let busy = (status.running + status.queued + hint.sent_since).max(hint.in_flight);
+        let cold_penalty = if status.phase == Phase::Cold {
+            1.5
+        } else {
+            1.0
+        };
+        f64::from(busy) * cold_penalty / f64::from(status.limit.max(1))
+    }
+
+    /// Whether a report of the target counts now.
+    pub fn is_fresh(&self, now: Duration, target: &str) -> bool {
+        self.0.get(target).is_some_and(|hint| {
+            hint.status.is_some() && now.saturating_sub(hint.status_at) <= REPORT_AGE / 4
+        })
+    }
+
+    /// A request goes to the target.
+    pub fn sent(&mut self, now: Duration, target: &Name) {
+        let hint = self.touch(now, target);
+        hint.in_flight += 1;
+        hint.sent_since += 1;
+    }
+
+    /// A request at the target ended, however.
+    pub fn ended(&mut self, now: Duration, target: &Name) {
+        let hint = self.touch(now, target);
+        hint.in_flight = hint.in_flight.saturating_sub(1);
+    }
+
+    /// The target answered.
+    pub fn worked(&mut self, now: Duration, target: &Name) {
+        let hint = self.touch(now, target);
+        hint.failures = 0;
+        hint.rests_until = Duration::ZERO;
+    }
+
+    /// The target's agent did not take a request.
+    pub fn refused(&mut self, now: Duration, target: &Name, refusal: Refusal) {
+        let rest = match refusal {
+            Refusal::Busy { retry_after_ms } => Duration::from_millis(retry_after_ms.min(500)) / 4,
+            Refusal::SuspectRunning | Refusal::NotHome | Refusal::KeysFull => Duration::ZERO,
+            _ => REST,
+        };
+        let hint = self.touch(now, target);
+        hint.failures = 0;
+        hint.rests_until = now + rest;
+    }
+
+    /// The target's agent could not be reached.
+    pub fn unreachable(&mut self, now: Duration, target: &Name) {
+        let hint = self.touch(now, target);
+        let rest = FIRST_UNREACHABLE_REST * (1 << hint.failures.min(8));
+        hint.failures += 1;
+        hint.status = None;
+        hint.rests_until = now + rest.min(LONGEST_REST);
+    }
+
+    /// The target's agent reported.
+    pub fn report(&mut self, now: Duration, target: &Name, status: TargetStatus) {
+        let hint = self.touch(now, target);
+        if status.ready {
+            hint.failures = 0;
+        }
+        hint.status = Some(status);
+        hint.status_at = now;
+        hint.sent_since = 0;
+    }
+
+    /// The last report of a target.
+    pub fn status(&self, target: &str) -> Option<&TargetStatus> {
+        self.0.get(target)?.status.as_ref()
+    }
+
+    /// Requests of this entry at the target.
+    pub fn in_flight(&self, target: &str) -> u32 {
+        self.0.get(target).map_or(0, |hint| hint.in_flight)
+    }
+
+    /// Drops what is old.
+    pub fn expire(&mut self, now: Duration) {
+        self.0
+            .retain(|_, hint| hint.in_flight > 0 || now.saturating_sub(hint.touched) < HINT_AGE);
+    }
+
+    /// Forgets rests, since a new sheet may have ended their cause.
+    pub fn wake(&mut self) {
+        for hint in self.0.values_mut().filter(|hint| hint.failures == 0) {
+            hint.rests_until = Duration::ZERO;
+        }
+    }
+
+    fn touch(&mut self, now: Duration, target: &Name) -> &mut Hint {
+        let hint = self.0.entry(target.clone()).or_default();
+        hint.touched = now;
+        hint
+    }
+}
--- /dev/null
+++ b/components/control/src/suspects.rs
@@ -0,0 +1,170 @@
+//! Requests that may crash the target that runs them.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::time::Duration;
+
+use protocol::{
+    Crash,
+    Fingerprint, //
+};
+use utils::Name;
+
+/// Crashes after which a request is not run any more.
+const QUARANTINE_CRASHES: usize = 2;
+
+/// How long a request stays suspect after the last crash.
+const MEMORY: Duration = Duration::from_secs(600);
+
+/// How long a crash is told to neighbours.
+const NEWS_AGE: Duration = Duration::from_secs(30);
+
+/// Crashes told in one heartbeat.
+const NEWS_COUNT: usize = 64;
+
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    crashes: BTreeSet<(Name, u64)>,
+    learned: Duration,
+}
+
+/// Requests that were running when a target crashed, and on how many targets.
+///
+/// The crashes of one request form a set that only grows, so hearing of one twice, late or in
+/// another order makes no difference.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects(BTreeMap<Fingerprint, Suspect>);
+
+impl Suspects {
+    /// Takes a crash. Returns whether it is news.
+    pub fn note(&mut self, now: Duration, crash: &Crash) -> bool {
+        let suspect = self.0.entry(crash.fingerprint).or_default();
+        let is_new = suspect.crashes.insert((crash.target.clone(), crash.start));
+        if is_new {
+            suspect.learned = now;
+        }
+        is_new
+    }
+
+    /// Whether a target crashed while the request ran there.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.0.contains_key(&fingerprint)
+    }
+
+    /// Whether the request is not run any more.
+    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        self.0
+            .get(&fingerprint)
+            .is_some_and(|suspect| suspect.crashes.len() >= QUARANTINE_CRASHES)
+    }
+
+    /// Takes the request off the list after it ran to its end.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        if !self.is_quarantined(fingerprint) {
+            self.0.remove(&fingerprint);
+        }
+    }
+
+    /// Forgets crashes that happened long ago.
+    pub fn expire(&mut self, now: Duration) {
+        self.0
+            .retain(|_, suspect| now.saturating_sub(suspect.learned) < MEMORY);
+    }
+
+    /// The latest crashes, to tell neighbours.
+    pub fn news(&self, now: Duration) -> Vec<Crash> {
+        let mut recent: Vec<(Duration, Crash)> = Vec::new();
+        for (fingerprint, suspect) in &self.0 {
+            if now.saturating_sub(suspect.learned) >= NEWS_AGE {
+                continue;
+            }
+            recent.extend(suspect.crashes.iter().map(|(target, start)| {
+                let crash = Crash {
+                    fingerprint: *fingerprint,
+                    target: target.clone(),
+                    start: *start,
+                };
+                (suspect.learned, crash)
+            }));
+        }
+        recent.sort_by(|a, b| b.cmp(a));
+        recent.truncate(NEWS_COUNT);
+        recent.into_iter().map(|(_, crash)| crash).collect()
+    }
+
+    /// The requests that are not run any more.
+    pub fn quarantined(&self) -> Vec<Fingerprint> {
+        let all = self.0.keys().copied();
+        all.filter(|f| self.is_quarantined(*f)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn crash(target: &str, start: u64) -> Crash {
+        Crash {
+            fingerprint: 7,
+            target: target.into(),
+            start,
+        }
+    }
+
+    struct Case {
+        name: &'static str,
+        crashes: Vec<Crash>,
+        quarantined: bool,
+    }
+
+    #[test]
+    fn two_different_crashes_quarantine() {
+        let cases = [
+            Case {
+                name: "one crash",
+                crashes: vec![crash("a", 1)],
+                quarantined: false,
+            },
+            Case {
+                name: "one crash heard twice",
+                crashes: vec![crash("a", 1), crash("a", 1)],
+                quarantined: false,
+            },
+            Case {
+                name: "one target crashed twice",
+                crashes: vec![crash("a", 1), crash("a", 2)],
+                quarantined: true,
+            },
+            Case {
+                name: "two targets",
+                crashes: vec![crash("b", 1), crash("a", 1)],
+                quarantined: true,
+            },
+        ];
+        for case in cases {
+            let mut suspects = Suspects::default();
+            for crash in &case.crashes {
+                suspects.note(Duration::ZERO, crash);
+            }
+            assert!(suspects.is_suspect(7), "{}", case.name);
+            let found = suspects.is_quarantined(7);
+            assert_eq!(found, case.quarantined, "{}", case.name);
+        }
+    }
+
+    #[test]
+    fn a_request_that_ran_to_its_end_is_cleared_but_not_out_of_quarantine() {
+        let mut suspects = Suspects::default();
+        suspects.note(Duration::ZERO, &crash("a", 1));
+        suspects.clear(7);
+        assert!(!suspects.is_suspect(7));
+        suspects.note(Duration::ZERO, &crash("a", 1));
+        suspects.note(Duration::ZERO, &crash("b", 1));
+        suspects.clear(7);
+        assert!(suspects.is_quarantined(7));
+        suspects.expire(MEMORY);
+        assert!(!suspects.is_suspect(7));
+    }
+}
--- /dev/null
+++ b/components/protocol/src/lib.rs
@@ -0,0 +1,39 @@
+//! Messages between the system's processes, and the outcomes of requests.
+
+mod message;
+mod outcome;
+mod serve;
+mod status;
+mod suspects;
+
+pub use message::{
+    Envelope,
+    Heartbeat,
+    Instance,
+    InstanceState,
+    News,
+    Reply,
+    Request,
+    Role, //
+};
+pub use outcome::{
+    KeyState,
+    Outcome,
+    Refusal, //
+};
+pub use serve::{
+    Frame,
+    Guard,
+    Head,
+    Serve,
+    Ticket,
+    Work, //
+};
+pub use status::{
+    Phase,
+    TargetStatus, //
+};
+pub use suspects::{
+    Crash,
+    Fingerprint, //
+};
--- /dev/null
+++ b/components/protocol/src/message.rs
@@ -0,0 +1,146 @@
+//! Requests and replies between processes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use utils::digest::Digest;
+use utils::Name;
+use weights::{
+    Denial,
+    Piece,
+    Report, //
+};
+
+use crate::serve::{
+    Serve,
+    Ticket, //
+};
+use crate::status::TargetStatus;
+use crate::suspects::Crash;
+
+/// A message and what every message says of its sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope<T> {
+    /// The sender's instance.
+    pub from: Name,
+    /// The version of the sheet in force at the sender.
+    pub sheet: u64,
+    /// The revision of the list of instances at the sender.
+    pub list: u64,
+    /// The message.
+    pub body: T,
+}
+
+/// What processes tell their neighbours.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's part in spreading weights.
+    pub report: Option<Report>,
+    /// Crashes that the sender learned of lately.
+    pub crashes: Vec<Crash>,
+}
+
+/// A question to another process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Tells and asks for news.
+    Heartbeat(Heartbeat),
+    /// Asks for the index of the sheet in force.
+    Index,
+    /// Asks for a section of the sheet.
+    Section(Digest),
+    /// Asks for changes of the list of instances after a revision.
+    List(u64),
+    /// Asks for a piece of weights.
+    Piece {
+        /// The manifest.
+        manifest: Digest,
+        /// The piece.
+        piece: Piece,
+        /// Whether to wait until the piece is there.
+        wait: bool,
+    },
+    /// Asks for the state of the target.
+    Status,
+    /// Asks for a ticket.
+    Ticket,
+    /// Hands over a caller's request.
+    Serve(Serve),
+}
+
+/// The answer to a [`Request`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// News.
+    Heartbeat(Heartbeat),
+    /// The text of the index in force, if there is one.
+    Index(Option<Bytes>),
+    /// The text of the section, if it is held.
+    Section(Option<Bytes>),
+    /// Changes of the list of instances.
+    List(News),
+    /// The length of the piece, whose bytes follow.
+    Piece(u64),
+    /// The piece is not handed over.
+    Denied(Denial),
+    /// The state of the target.
+    Status(TargetStatus),
+    /// A ticket.
+    Ticket(Ticket),
+    /// The request is taken; frames follow.
+    Serving,
+    /// The process does not answer such requests.
+    Unsupported,
+}
+
+/// The role of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Serves callers.
+    Entry,
+    /// Stands beside a target.
+    Agent,
+}
+
+/// What the platform says of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    /// It is there.
+    Live,
+    /// The platform is about to take it away.
+    Leaving,
+    /// It is gone.
+    Gone,
+}
+
+/// One instance in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its name.
+    pub name: Name,
+    /// The address of the system's process there.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// The role of the system's process there.
+    pub role: Role,
+    /// What the platform says of it.
+    pub state: InstanceState,
+    /// The list's revision at the last change.
+    pub revision: u64,
+}
+
+/// Changes of the list of instances.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The list's revision.
+    pub revision: u64,
+    /// The instances that changed, those that are gone included.
+    pub instances: Vec<Instance>,
+}
--- /dev/null
+++ b/components/protocol/src/outcome.rs
@@ -0,0 +1,125 @@
+//! What came of a request.
+
+use displaydoc::Display;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use thiserror::Error;
+
+/// Why a request was not run. No byte of it reached a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, Error)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// the target has no room, come back in {retry_after_ms} ms
+    Busy {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+    /// the target runs no whole version
+    NotReady,
+    /// the process is shutting down
+    Draining,
+    /// the data centre is out of service
+    DataCentreOut,
+    /// the instance is leaving
+    Leaving,
+    /// the sheet places other work on this instance
+    WrongTarget,
+    /// the process woke from a pause and has not yet compared its sheet
+    Resuming,
+    /// the deadline passed before the request could start
+    Expired,
+    /// requests like this one crashed several targets
+    Quarantined,
+    /// another request that may crash the target runs there
+    SuspectRunning,
+    /// this instance is not the home of the key
+    NotHome,
+    /// the key was issued later than the sheet vouches for its home
+    SheetTooOld,
+    /// the key was issued in the future
+    StampAhead,
+    /// the table of keys is full
+    KeysFull,
+    /// no target is in service
+    NoTarget,
+    /// the home of the key cannot be reached
+    HomeUnreachable,
+    /// the budget for retries is spent
+    RetryBudget,
+}
+
+impl Refusal {
+    /// The word for the refusal in answers and records.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::Busy { .. } => "busy",
+            Self::NotReady => "not_ready",
+            Self::Draining => "draining",
+            Self::DataCentreOut => "data_centre_out",
+            Self::Leaving => "leaving",
+            Self::WrongTarget => "wrong_target",
+            Self::Resuming => "resuming",
+            Self::Expired => "expired",
+            Self::Quarantined => "quarantined",
+            Self::SuspectRunning => "suspect_running",
+            Self::NotHome => "not_home",
+            Self::SheetTooOld => "sheet_too_old",
+            Self::StampAhead => "stamp_ahead",
+            Self::KeysFull => "keys_full",
+            Self::NoTarget => "no_target",
+            Self::HomeUnreachable => "home_unreachable",
+            Self::RetryBudget => "retry_budget",
+        }
+    }
+
+    /// Whether another target may well take the request.
+    pub fn try_elsewhere(&self) -> bool {
+        !matches!(
+            self,
+            Self::Expired
+                | Self::Quarantined
+                | Self::SheetTooOld
+                | Self::StampAhead
+                | Self::NoTarget
+                | Self::HomeUnreachable
+                | Self::RetryBudget
+        )
+    }
+}
+
+/// What an agent knows of a request that may run once only and was sent before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyState {
+    /// It runs now.
+    Running,
+    /// It ran and the target answered with this HTTP status.
+    Ran {
+        /// The target's status.
+        status: u16,
+    },
+    /// It may have run.
+    Unknown,
+}
+
+/// What came of a request that was handed to an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The target answered whole.
+    Ran {
+        /// The target's status.
+        status: u16,
+    },
+    /// It was not run.
+    NotRun(Refusal),
+    /// It was sent before, and this is what became of it.
+    Before(KeyState),
+    /// Bytes went to the target and no whole answer came back.
+    Unknown {
+        /// Whether the target crashed.
+        crashed: bool,
+    },
+}
--- /dev/null
+++ b/components/record/src/lib.rs
@@ -0,0 +1,15 @@
+//! The record: one line for each decision, chained by hash, and the audit that reads it back.
+
+mod chain;
+mod decision;
+
+pub use chain::{
+    Chain,
+    Line,
+    LineError, //
+};
+pub use decision::{
+    Decision,
+    RouteRule,
+    SwitchStep, //
+};
--- /dev/null
+++ b/components/weights/src/plan.rs
@@ -0,0 +1,188 @@
+//! Who may draw a piece from the origin, who brings it into a region, and who exchanges with whom.
+//!
+//! Every choice is a pure function of the model's section of the sheet, so that processes that
+//! hold the same section agree without talking. The live list plays no part: it lags, and two
+//! views of it would yield two sets of ranks and so more copies from the origin.
+
+use sheet::Sheet;
+use utils::digest::Digest;
+use utils::{
+    rank,
+    Name, //
+};
+
+use crate::Piece;
+
+/// How many instances may draw one piece from the origin, and how many may bring it into a region.
+pub const RANKS: usize = 4;
+
+/// Remote holders that a gateway asks beyond the origin ranks.
+const MORE_REMOTE_SOURCES: usize = 4;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Member {
+    name: Name,
+    data_centre: Name,
+    region: Name,
+}
+
+/// The roles of a model's instances in spreading one manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    manifest: Digest,
+    origin_region: Name,
+    region: Name,
+    members: Vec<Member>,
+}
+
+impl Plan {
+    /// Makes the plan for `me`, or `None` if the sheet names no such instance of the model.
+    pub fn new(sheet: &Sheet, model: &str, me: &str) -> Option<Self> {
+        let model = sheet.models.get(model)?;
+        let mut members = Vec::new();
+        for (data_centre, names) in &model.instances {
+            let region = sheet.region(data_centre)?;
+            members.extend(names.iter().map(|name| Member {
+                name: name.clone(),
+                data_centre: data_centre.clone(),
+                region: region.clone(),
+            }));
+        }
+        let region = members.iter().find(|m| &*m.name == me)?.region.clone();
+        Some(Self {
+            manifest: model.manifest,
+            origin_region: sheet.origin_region.clone(),
+            region,
+            members,
+        })
+    }
+
+    /// The manifest that is spread.
+    pub fn manifest(&self) -> &Digest {
+        &self.manifest
+    }
+
+    /// Whether `name` stands in the same region as this instance.
+    pub fn is_near(&self, name: &str) -> bool {
+        self.region_of(name) == Some(&self.region)
+    }
+
+    /// Whether this instance stands in the origin's region.
+    pub fn in_origin_region(&self) -> bool {
+        self.region == self.origin_region
+    }
+
+    /// The region of `name`.
+    pub fn region_of(&self, name: &str) -> Option<&Name> {
+        let member = self.members.iter().find(|m| &*m.name == name)?;
+        Some(&member.region)
+    }
+
+    /// How many instances share this instance's region.
+    pub fn region_size(&self) -> usize {
+        self.members
+            .iter()
+            .filter(|m| m.region == self.region)
+            .count()
+    }
+
+    /// The instances that may draw `piece` from the origin, in rank order.
+    ///
+    /// The first two stand in the origin's region, in two data centres if there are two; the
+    /// others elsewhere, so that neither a data centre nor a region takes all ranks with it.
+    pub fn origin_ranks(&self, piece: Piece) -> Vec<Name> {
+        let mut rest = self.by_weight(piece, |_| true);
+        let origin = &self.origin_region;
+        let mut chosen: Vec<&Member> = Vec::with_capacity(RANKS);
+        for rank in 0..RANKS {
+            let used = |m: &Member| chosen.iter().any(|c| c.data_centre == m.data_centre);
+            let home = |m: &&Member| m.region == *origin;
+            let pick = match rank {
+                0 => rest.iter().position(home),
+                1 => rest
+                    .iter()
+                    .position(|m| home(m) && !used(m))
+                    .or_else(|| rest.iter().position(home)),
+                2 => rest.iter().position(|m| !home(m)),
+                _ => rest.iter().position(|m| !used(m)),
+            };
+            if rest.is_empty() {
+                break;
+            }
+            chosen.push(rest.remove(pick.unwrap_or(0)));
+        }
+        chosen.into_iter().map(|m| m.name.clone()).collect()
+    }
+
+    /// The instances that may bring `piece` into this instance's region, in rank order.
+    pub fn gateways(&self, piece: Piece) -> Vec<Name> {
+        let mut rest = self.by_weight(piece, |m| m.region == self.region);
+        let mut chosen: Vec<&Member> = Vec::with_capacity(RANKS);
+        while chosen.len() < RANKS && !rest.is_empty() {
+            let used = |m: &Member| chosen.iter().any(|c| c.data_centre == m.data_centre);
+            let pick = rest.iter().position(|m| !used(m)).unwrap_or(0);
+            chosen.push(rest.remove(pick));
+        }
+        chosen.into_iter().map(|m| m.name.clone()).collect()
+    }
+
+    /// Instances in other regions that a gateway asks for `piece`, in the order to ask.
+    pub fn remote_sources(&self, piece: Piece) -> Vec<Name> {
+        let far = |name: &Name| !self.is_near(name);
+        let mut sources: Vec<Name> = self.origin_ranks(piece);
+        sources.retain(far);
+        let more = self.by_weight(piece, |m| {
+            m.region == self.origin_region && m.region != self.region
+        });
+        for member in more.into_iter().take(MORE_REMOTE_SOURCES + RANKS) {
+            if sources.len() < RANKS + MORE_REMOTE_SOURCES && !sources.contains(&member.name) {
+                sources.push(member.name.clone());
+            }
+        }
+        sources
+    }
+
+    /// The instances of the region with which `me` exchanges pieces.
+    pub fn neighbours(&self, me: &str) -> Vec<Name> {
+        let key = rank::key(self.manifest.as_bytes());
+        let near = self.members.iter().filter(|m| m.region == self.region);
+        rank::ring_neighbours(key, near.map(|m| &m.name), me, rank::RING_STEPS)
+    }
+
+    /// Other instances of the region, in an order of this piece's own.
+    pub fn region_peers(&self, piece: Piece) -> Vec<Name> {
+        let near = self.by_weight(piece, |m| m.region == self.region);
+        near.into_iter().map(|m| m.name.clone()).collect()
+    }
+
+    /// Names by data centre, for the switch of version.
+    pub fn data_centre_peers(&self, me: &str) -> Vec<Name> {
+        let Some(mine) = self.members.iter().find(|m| &*m.name == me) else {
+            return Vec::new();
+        };
+        let peers = self
+            .members
+            .iter()
+            .filter(|m| m.data_centre == mine.data_centre);
+        rank::ranked(rank::key(self.manifest.as_bytes()), peers.map(|m| &m.name))
+    }
+
+    fn by_weight(&self, piece: Piece, keep: impl Fn(&Member) -> bool) -> Vec<&Member> {
+        let key = self.piece_key(piece);
+        let mut members: Vec<(u64, &Member)> = self
+            .members
+            .iter()
+            .filter(|m| keep(m))
+            .map(|m| (rank::weight(key, &m.name), m))
+            .collect();
+        members.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| b.1.name.cmp(&a.1.name)));
+        members.into_iter().map(|(_, m)| m).collect()
+    }
+
+    fn piece_key(&self, piece: Piece) -> u64 {
+        let mut bytes = [0; 36];
+        bytes[..32].copy_from_slice(self.manifest.as_bytes());
+        bytes[32..].copy_from_slice(&piece.to_be_bytes());
+        rank::key(&bytes)
+    }
+}
