The whole path: entry, agent, stand-ins, a fleet in one process and the demo

Cause: the reducers had no bytes to decide about.

Change: `proxy` runs each reducer on its own control thread and carries bytes on a runtime; `standins` fakes the platform, the weight store, engines and plain services with fault switches and true counts; `fleet` arranges them on loopback with paced links; `settings` loads and checks YAML; the binary has `entry`, `agent`, `check`, `pack` and `demo`.

--- a/components/control/src/agent/mod.rs
+++ b/components/control/src/agent/mod.rs
@@ -90,16 +90,19 @@
     Follow(follow::Effect),
     /// Spread the weights of the manifest.
     Transfer(weights::Effect),
-    /// Run a request at the target.
-    Run(u64),
+    /// Run a request at the target, which answers from this version if it is a model.
+    Run(u64, Option<Name>),
     /// Stop a request whose caller went away.
     Cancel(u64),
     /// Answer a request without running it.
     Refuse(u64, Outcome),
     /// Hand out a ticket.
     Ticket(u64, Ticket),
-    /// Ask the engine what it runs.
-    ReadEngine,
+    /// Ask the target whether it is there, and what it runs if it is a model engine.
+    ReadTarget {
+        /// Whether it is a model engine.
+        is_engine: bool,
+    },
     /// Hand every piece to the engine.
     Stage(Version),
     /// Order the engine to load.
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -205,12 +205,16 @@
         let waits = self
             .engine_asked
             .is_some_and(|asked| at.saturating_sub(asked) < ENGINE_PATIENCE);
-        if waits || at < self.engine_at || self.placed.is_none() {
+        let Some(placed) = &self.placed else {
+            return;
+        };
+        if waits || at < self.engine_at {
             return;
         }
+        let is_engine = placed.is_model;
         self.engine_asked = Some(at);
         self.engine_at = at + ENGINE_EVERY;
-        out.push(Effect::ReadEngine);
+        out.push(Effect::ReadTarget { is_engine });
     }
 
     fn tick_rollout(&mut self, at: Duration, out: &mut Vec<Effect>) {
--- a/components/control/src/agent/work.rs
+++ b/components/control/src/agent/work.rs
@@ -26,6 +26,10 @@
     },
     /// Nothing reached the target, since no connection could be made.
     NotSent,
+    /// The target declined before it started, since it cannot serve now.
+    Declined,
+    /// The target sent the answer to another request.
+    Crossed,
     /// The connection broke after the request went out.
     Lost,
     /// The caller went away and the target was told to stop.
@@ -35,12 +39,13 @@
 }
 
 impl Ended {
-    fn outcome(self) -> Outcome {
+    /// What came of the request.
+    pub fn outcome(self) -> Outcome {
         match self {
             Self::Answered { status } => Outcome::Ran { status },
-            Self::NotSent => Outcome::NotRun(Refusal::NotReady),
+            Self::NotSent | Self::Declined => Outcome::NotRun(Refusal::NotReady),
             Self::Lost => Outcome::Unknown { crashed: true },
-            Self::Cancelled | Self::TimedOut => Outcome::Unknown { crashed: false },
+            Self::Crossed | Self::Cancelled | Self::TimedOut => Outcome::Unknown { crashed: false },
         }
     }
 }
@@ -154,7 +159,7 @@
                 running: self.admission.running(),
                 limit,
             }));
-            out.push(Effect::Run(offered.token));
+            out.push(Effect::Run(offered.token, version.clone()));
         }
     }
 
@@ -206,7 +211,7 @@
         }));
         match ended {
             Ended::Lost => self.crashed(at, &running.offered, running.start, out),
-            Ended::NotSent => self.admission.turn_cold(at),
+            Ended::NotSent | Ended::Declined => self.admission.turn_cold(at),
             Ended::Answered { .. } if good => self.suspects.clear(running.offered.fingerprint),
             _ => {}
         }
--- a/components/control/src/follow.rs
+++ b/components/control/src/follow.rs
@@ -78,13 +78,24 @@
 /// The longest wait after the service failed.
 const LONGEST_SERVICE_BACKOFF: Duration = Duration::from_secs(10);
 
+/// What came of a read or watch of the index at the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The text of the index.
+    Index(Bytes),
+    /// A watch ended without news.
+    Unchanged,
+    /// The service could not be reached or did not answer.
+    Failed,
+}
+
 /// What reaches a follower.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// Time passed.
     Tick,
     /// The service answered a read or watch of the index, or could not.
-    Index(Option<Bytes>),
+    Index(Answer),
     /// The service answered a read of a section, or could not.
     Section(Digest, Option<Bytes>),
     /// The platform answered a read of the list, or could not.
@@ -235,7 +246,7 @@
         self.notice_pause(now, &mut effects);
         match event {
             Event::Tick => self.tick(now, &mut effects),
-            Event::Index(text) => self.service_index(now, text, &mut effects),
+            Event::Index(answer) => self.service_index(now, &answer, &mut effects),
             Event::Section(digest, text) => {
                 self.asked.remove(&Question::Section(digest));
                 self.service_result(now, text.is_some());
@@ -346,12 +357,14 @@
         self.read_at = now + self.jittered(backoff.min(LONGEST_SERVICE_BACKOFF));
     }
 
-    fn service_index(&mut self, now: Duration, text: Option<Bytes>, effects: &mut Vec<Effect>) {
+    fn service_index(&mut self, now: Duration, answer: &Answer, effects: &mut Vec<Effect>) {
         self.watching = false;
-        self.service_result(now, text.is_some());
-        // Not the version: a refused index would come back at once, again and again.
-        self.seen = text.as_deref().map(Digest::of).or(self.seen);
-        self.take_index(text.as_deref(), effects);
+        self.service_result(now, *answer != Answer::Failed);
+        if let Answer::Index(text) = answer {
+            // Not the version: a refused index would come back at once, again and again.
+            self.seen = Some(Digest::of(text));
+            self.take_index(Some(text), effects);
+        }
         self.ask_missing(now, effects);
     }
 
--- /dev/null
+++ b/components/proxy/src/entry/answer.rs
@@ -0,0 +1,157 @@
+//! What callers are told when there is no answer of a target.
+
+use std::io;
+
+use bytes::Bytes;
+use control::entry::Rejection;
+use gotham::helpers::http::Body;
+use http::header::{
+    CONTENT_TYPE,
+    RETRY_AFTER, //
+};
+use http::{
+    Response,
+    StatusCode, //
+};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use protocol::{
+    KeyState,
+    Outcome,
+    Refusal, //
+};
+use serde::Serialize;
+
+use super::request::BadRequest;
+
+/// The body of every answer that is not a target's.
+#[derive(Debug, Serialize)]
+pub(super) struct ErrorBody {
+    pub error: ErrorText,
+}
+
+/// What went wrong.
+#[derive(Debug, Serialize)]
+pub(super) struct ErrorText {
+    /// A word for programs.
+    pub code: &'static str,
+    /// `not_run`, `running`, `ran` or `unknown`.
+    pub outcome: &'static str,
+    /// A sentence for people.
+    pub message: String,
+    /// The status of the earlier run, if the request ran.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub earlier_status: Option<u16>,
+    /// When to send the request again.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+/// When to come back after a refusal that names no time.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// The answer to a request that cannot be taken.
+pub(super) fn bad_request(e: &BadRequest) -> Response<Body> {
+    let (status, code) = e.status();
+    let text = ErrorText {
+        code,
+        outcome: "not_run",
+        message: e.to_string(),
+        earlier_status: None,
+        retry_after_ms: (status == 503).then_some(RETRY_AFTER_MS),
+    };
+    respond(status, text)
+}
+
+/// The answer to a request that no target answered.
+pub(super) fn rejected(rejection: &Rejection) -> Response<Body> {
+    respond(rejection_status(rejection), rejection_text(rejection))
+}
+
+/// The words for a rejection, also used within a stream that has begun.
+pub(super) fn rejection_text(rejection: &Rejection) -> ErrorText {
+    let (outcome, message, earlier_status) = match rejection.outcome {
+        Outcome::NotRun(refusal) if rejection.not_run => ("not_run", refusal.to_string(), None),
+        Outcome::NotRun(refusal) => (
+            "unknown",
+            format!("{refusal}; whether an earlier sending ran is not known"),
+            None,
+        ),
+        Outcome::Before(KeyState::Running) => {
+            ("running", "an earlier sending runs now".to_owned(), None)
+        }
+        Outcome::Before(KeyState::Ran { status }) | Outcome::Ran { status } => {
+            ("ran", "an earlier sending ran".to_owned(), Some(status))
+        }
+        Outcome::Before(KeyState::Unknown) => (
+            "unknown",
+            "an earlier sending may have run".to_owned(),
+            None,
+        ),
+        Outcome::Unknown { crashed: true } => (
+            "unknown",
+            "the target broke off while the request ran".to_owned(),
+            None,
+        ),
+        Outcome::Unknown { crashed: false } => (
+            "unknown",
+            "no whole answer came from the target".to_owned(),
+            None,
+        ),
+    };
+    ErrorText {
+        code: rejection.code(),
+        outcome,
+        message,
+        earlier_status,
+        retry_after_ms: retry_after(rejection),
+    }
+}
+
+fn rejection_status(rejection: &Rejection) -> u16 {
+    match rejection.outcome {
+        Outcome::NotRun(Refusal::Busy { .. }) => 429,
+        Outcome::NotRun(Refusal::Quarantined) => 422,
+        Outcome::NotRun(Refusal::StampAhead | Refusal::NotHome) => 400,
+        Outcome::NotRun(Refusal::Expired) => 504,
+        Outcome::NotRun(_) => 503,
+        Outcome::Before(_) | Outcome::Ran { .. } => 409,
+        Outcome::Unknown { .. } => 502,
+    }
+}
+
+fn retry_after(rejection: &Rejection) -> Option<u64> {
+    match rejection.outcome {
+        Outcome::NotRun(Refusal::Busy { retry_after_ms }) => Some(retry_after_ms),
+        Outcome::NotRun(Refusal::Quarantined | Refusal::NotHome | Refusal::Expired) => None,
+        Outcome::NotRun(_) | Outcome::Before(KeyState::Running) => Some(RETRY_AFTER_MS),
+        _ => None,
+    }
+}
+
+fn respond(status: u16, text: ErrorText) -> Response<Body> {
+    let retry_after_ms = text.retry_after_ms;
+    let body = ErrorBody { error: text };
+    let json = serde_json::to_vec(&body).unwrap_or_default();
+    let mut response = Response::new(full(json.into()));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    if let Some(millis) = retry_after_ms {
+        // The header knows whole seconds only; the body has the exact time.
+        headers.insert(RETRY_AFTER, millis.div_ceil(1000).max(1).into());
+    }
+    response
+}
+
+/// A body of known bytes.
+pub(super) fn full(data: Bytes) -> Body {
+    UnsyncBoxBody::new(Full::new(data).map_err(|never| -> io::Error { match never {} }))
+}
--- /dev/null
+++ b/components/proxy/src/error.rs
@@ -0,0 +1,23 @@
+//! What can go wrong while a process starts or talks to the platform.
+
+use displaydoc::Display;
+use thiserror::Error;
+
+/// An error of the traffic side.
+#[derive(Debug, Display, Error)]
+pub enum ProxyError {
+    /// cannot listen on {0}: {1}
+    Listen(std::net::SocketAddr, std::io::Error),
+    /// cannot start a thread: {0}
+    Thread(std::io::Error),
+    /// the settings have no section for this role
+    NoRole,
+    /// no connection to {0}
+    Connect(String),
+    /// the exchange broke: {0}
+    Broken(String),
+    /// unexpected status {0}
+    Status(u16),
+    /// cannot be read: {0}
+    Decode(String),
+}
--- a/components/weights/src/plan.rs
+++ b/components/weights/src/plan.rs
@@ -62,6 +62,11 @@
         &self.manifest
     }
 
+    /// The region of this instance.
+    pub fn region(&self) -> &Name {
+        &self.region
+    }
+
     /// Whether `name` stands in the same region as this instance.
     pub fn is_near(&self, name: &str) -> bool {
         self.region_of(name) == Some(&self.region)
--- a/components/weights/src/transfer.rs
+++ b/components/weights/src/transfer.rs
@@ -50,6 +50,8 @@
     pub origin_tries: u32,
     /// Bytes of weights that this instance may hold.
     pub memory_bytes: u64,
+    /// Draw every piece from the origin, as a plain download would; for comparison only.
+    pub origin_only: bool,
 }
 
 impl Default for Limits {
@@ -67,6 +69,7 @@
             park_for: Duration::from_secs(2),
             origin_tries: 4,
             memory_bytes: 64 << 30,
+            origin_only: false,
         }
     }
 }
@@ -198,7 +201,11 @@
 impl Transfer {
     /// Starts a transfer for the instance `me`.
     pub fn new(me: Name, plan: Plan, limits: Limits, now: Duration) -> Self {
-        let neighbours = plan.neighbours(&me);
+        let neighbours = if limits.origin_only {
+            Vec::new()
+        } else {
+            plan.neighbours(&me)
+        };
         let uploads = Uploads::new(limits.upload_slots, limits.upload_queue);
         let mut transfer = Self {
             me,
@@ -365,6 +372,9 @@
     /// Widens the circle while no piece arrives, for the case that every neighbour is gone.
     fn more_neighbours(&self, now: Duration) -> Vec<Name> {
         let idle = now.saturating_sub(self.gained);
+        if self.limits.origin_only {
+            return Vec::new();
+        }
         if idle < self.limits.rank_timeout {
             return Vec::new();
         }
@@ -673,6 +683,12 @@
     }
 
     fn duty(&self, piece: Piece) -> Duty {
+        if self.limits.origin_only {
+            return Duty {
+                before_origin: Some(Vec::new()),
+                before_gateway: None,
+            };
+        }
         let before = |ranks: Vec<Name>| {
             let at = ranks.iter().position(|name| *name == self.me)?;
             Some(ranks[..at].to_vec())
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,112 @@
+//! The arguments of the command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Brings new model weights to hundreds of instances while live requests keep flowing.
+#[derive(Debug, FromArgs)]
+pub(crate) struct Arguments {
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Entry(EntryArguments),
+    Agent(AgentArguments),
+    Check(CheckArguments),
+    Pack(PackArguments),
+    Demo(DemoArguments),
+}
+
+/// Serve callers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub(crate) struct EntryArguments {
+    /// the settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
+/// Stand beside a target.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "agent")]
+pub(crate) struct AgentArguments {
+    /// the settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
+/// Check a document without using it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct CheckArguments {
+    #[argh(subcommand)]
+    pub document: CheckDocument,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum CheckDocument {
+    Settings(CheckSettings),
+    Sheet(CheckSheet),
+}
+
+/// Check a settings file.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub(crate) struct CheckSettings {
+    /// the settings file
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Check a sheet.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "sheet")]
+pub(crate) struct CheckSheet {
+    /// the sheet
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// the sheet that is in force now, to check that the new one may follow it
+    #[argh(option)]
+    pub after: Option<PathBuf>,
+}
+
+/// Split a sheet into the values that operators publish.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "pack")]
+pub(crate) struct PackArguments {
+    /// the sheet
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// the folder for the index and the sections
+    #[argh(option)]
+    pub out: PathBuf,
+    /// the sheet that is in force now, to check that the new one may follow it
+    #[argh(option)]
+    pub after: Option<PathBuf>,
+}
+
+/// Run a whole fleet in this process, before stand-ins.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct DemoArguments {
+    /// end after the burst instead of staying up
+    #[argh(switch)]
+    pub once: bool,
+    /// print one JSON object as the last line
+    #[argh(switch)]
+    pub json: bool,
+    /// the number of model targets
+    #[argh(option, default = "12")]
+    pub targets: usize,
+    /// a file for the record of every process
+    #[argh(option)]
+    pub record: Option<PathBuf>,
+    /// the least important level of the log: error, warn, info, debug or trace
+    #[argh(option, default = "String::from(\"warn\")")]
+    pub log: String,
+}
--- /dev/null
+++ b/src/cmd/agent.rs
@@ -0,0 +1,74 @@
+//! `medlarproxy agent`: stands beside a target.
+
+use std::sync::Arc;
+
+use proxy::agent::{
+    Agent,
+    Setup, //
+};
+use proxy::{
+    http_client,
+    Links,
+    Pacer,
+    ProxyError, //
+};
+use settings::{
+    AgentOptions,
+    Settings, //
+};
+use tokio::net::TcpListener;
+use utils::clock::{
+    Clock,
+    SystemClock, //
+};
+use wire::PoolOptions;
+
+use super::{
+    process,
+    Outcome, //
+};
+use crate::cli::AgentArguments;
+use crate::logs;
+
+pub(crate) fn run(arguments: &AgentArguments) -> Outcome {
+    let settings = settings::load(&arguments.settings)?;
+    let Some(agent) = settings.agent.clone() else {
+        return Err(ProxyError::NoRole.into());
+    };
+    logs::start(&settings.log.level, std::io::stdout())?;
+    process::runtime(&settings)?.block_on(serve(&settings, &agent))
+}
+
+async fn serve(settings: &Settings, options: &AgentOptions) -> Outcome {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let listener = TcpListener::bind(settings.peer_address)
+        .await
+        .map_err(|e| ProxyError::Listen(settings.peer_address, e))?;
+    let setup = Setup {
+        identity: process::identity(settings, &*clock),
+        options: settings.agent_options(options),
+        target: options.target,
+        origin: options.origin,
+        service: settings.configuration_service,
+        list: settings.instance_list,
+        tick: settings.tick,
+        links: links(options, &clock),
+        clock,
+        pool: PoolOptions::default(),
+        sink: process::sink(),
+    };
+    let agent = Agent::start(setup, listener, http_client())?;
+    process::asked_to_stop().await?;
+    agent.drain().await;
+    Ok(())
+}
+
+fn links(options: &AgentOptions, clock: &Arc<dyn Clock>) -> Links {
+    let pacer = |rate: f64| Arc::new(Pacer::new(clock.clone(), rate));
+    Links {
+        up: options.links.instance_bytes_per_second.map(pacer),
+        down: options.links.instance_bytes_per_second.map(pacer),
+        region: options.links.region_bytes_per_second.map(pacer),
+        ..Links::default()
+    }
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,70 @@
+//! `medlarproxy entry`: serves callers.
+
+use std::sync::Arc;
+
+use proxy::entry::{
+    CallerOptions,
+    Entry,
+    Setup, //
+};
+use proxy::{
+    http_client,
+    ProxyError, //
+};
+use settings::{
+    EntryOptions,
+    Settings, //
+};
+use tokio::net::TcpListener;
+use utils::clock::{
+    Clock,
+    SystemClock, //
+};
+use wire::PoolOptions;
+
+use super::{
+    process,
+    Outcome, //
+};
+use crate::cli::EntryArguments;
+use crate::logs;
+
+pub(crate) fn run(arguments: &EntryArguments) -> Outcome {
+    let settings = settings::load(&arguments.settings)?;
+    let Some(entry) = settings.entry.clone() else {
+        return Err(ProxyError::NoRole.into());
+    };
+    logs::start(&settings.log.level, std::io::stdout())?;
+    process::runtime(&settings)?.block_on(serve(&settings, &entry))
+}
+
+async fn serve(settings: &Settings, options: &EntryOptions) -> Outcome {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let listen = |address| async move {
+        let listener = TcpListener::bind(address).await;
+        listener.map_err(|e| ProxyError::Listen(address, e))
+    };
+    let peers = listen(settings.peer_address).await?;
+    let callers = listen(options.caller_address).await?;
+    let setup = Setup {
+        identity: process::identity(settings, &*clock),
+        options: settings.entry_options(options),
+        callers: CallerOptions {
+            body_limit: options.body_limit_bytes,
+            receive_timeout: options.receive_timeout,
+            default_timeout: options.request_timeout,
+            longest_timeout: options.longest_timeout,
+            prefix_bytes: options.prefix_bytes,
+        },
+        service: settings.configuration_service,
+        list: settings.instance_list,
+        tick: settings.tick,
+        clock,
+        pool: PoolOptions::default(),
+        sink: process::sink(),
+    };
+    let entry = Entry::start(setup, peers, callers, http_client())?;
+    process::asked_to_stop().await?;
+    entry.drain().await;
+    Ok(())
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,18 @@
-//! x
-fn main() {}
+//! Brings new model weights to hundreds of instances while live requests keep flowing.
+
+mod cli;
+mod cmd;
+mod logs;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: cli::Arguments = argh::from_env();
+    match cmd::run(arguments.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("medlarproxy: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
