--- a/components/control/src/agent/rollout.rs
+++ b/components/control/src/agent/rollout.rs
@@ -172,8 +172,10 @@
     }
 
     /// Whether the pieces of the wanted version are needed here.
+    ///
+    /// Not before the engine has said what it runs: it may have the version already.
     pub fn needs_pieces(&self) -> bool {
-        self.wanted.is_some() && !matches!(self.stage, Stage::Done { .. })
+        self.wanted.is_some() && self.met && !matches!(self.stage, Stage::Done { .. })
     }
 
     /// Takes the version that the sheet names and the fencing number of that sheet.
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -193,6 +193,10 @@
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) {
         let at = now.elapsed;
         self.follow(at, follow::Event::Tick, out);
+        let wanted = self.rollout.needs_pieces() && !self.draining;
+        if let Some(transfer) = &mut self.transfer {
+            transfer.set_wanted(at, wanted);
+        }
         self.transfer(at, weights::Event::Tick, out);
         self.tick_requests(at, out);
         self.once.expire(at);
--- a/components/control/src/follow.rs
+++ b/components/control/src/follow.rs
@@ -109,10 +109,10 @@
         /// The revision of its list.
         list: u64,
     },
-    /// Another process sent its index.
-    PeerIndex(Option<Bytes>),
-    /// Another process sent a section.
-    PeerSection(Option<Bytes>),
+    /// Another process sent its index, or has none.
+    PeerIndex(Name, Option<Bytes>),
+    /// Another process sent a section, or does not hold it.
+    PeerSection(Digest, Option<Bytes>),
     /// Another process sent changes of the list.
     PeerList(News),
     /// Another process did not answer.
@@ -165,7 +165,7 @@
     watching: bool,
     seen: Option<Digest>,
     service_failures: u32,
-    asked: BTreeMap<Question, Duration>,
+    asked: BTreeMap<Question, Asked>,
     heard_at: Option<Duration>,
     settling_since: Option<Duration>,
     answers: usize,
@@ -179,6 +179,14 @@
     List,
 }
 
+/// A question that was not answered yet.
+#[derive(Clone, Debug)]
+struct Asked {
+    at: Duration,
+    /// The process that was asked, or nothing for the service.
+    of: Option<Name>,
+}
+
 impl Follow {
     /// Makes the state of the process on instance `me`.
     pub fn new(me: Name, data_centre: Name, intervals: Intervals, seed: u64) -> Self {
@@ -259,19 +267,24 @@
             Event::Heard { from, sheet, list } => {
                 self.heard(now, &from, sheet, list, &mut effects);
             }
-            Event::PeerIndex(text) => {
+            Event::PeerIndex(from, text) => {
                 self.asked.remove(&Question::Index);
                 self.take_index(text.as_deref(), &mut effects);
-                self.ask_missing(now, &mut effects);
+                // Who has the index in force has its sections too.
+                self.ask_missing_of(now, &from, &mut effects);
             }
-            Event::PeerSection(text) => {
+            Event::PeerSection(digest, text) => {
+                self.asked.remove(&Question::Section(digest));
                 self.take_section(text.as_deref(), &mut effects);
             }
             Event::PeerList(news) => {
                 self.asked.remove(&Question::List);
                 self.take_list(news, &mut effects);
             }
-            Event::Silent(_) => {}
+            Event::Silent(name) => {
+                let silent = |asked: &Asked| asked.of.as_ref() == Some(&name);
+                self.asked.retain(|_, asked| !silent(asked));
+            }
         }
         self.settle(now);
         effects
@@ -371,10 +384,10 @@
     fn heard(&mut self, now: Duration, from: &Name, sheet: u64, list: u64, out: &mut Vec<Effect>) {
         self.heard_at = Some(now);
         self.answers += 1;
-        if sheet > self.acceptance.version() && self.may_ask(now, Question::Index) {
+        if sheet > self.acceptance.version() && self.may_ask(now, Question::Index, Some(from)) {
             out.push(Effect::AskIndex(from.clone()));
         }
-        if list > self.members.revision() && self.may_ask(now, Question::List) {
+        if list > self.members.revision() && self.may_ask(now, Question::List, Some(from)) {
             out.push(Effect::AskList(from.clone(), self.members.revision()));
         }
         if sheet >= self.acceptance.version() {
@@ -383,13 +396,14 @@
     }
 
     /// Whether `question` is due; notes that it is asked.
-    fn may_ask(&mut self, now: Duration, question: Question) -> bool {
+    fn may_ask(&mut self, now: Duration, question: Question, of: Option<&Name>) -> bool {
         let due = self
             .asked
             .get(&question)
-            .is_none_or(|at| now.saturating_sub(*at) >= ASK_AGAIN);
+            .is_none_or(|asked| now.saturating_sub(asked.at) >= ASK_AGAIN);
         if due {
-            self.asked.insert(question, now);
+            let of = of.cloned();
+            self.asked.insert(question, Asked { at: now, of });
         }
         due
     }
@@ -398,23 +412,26 @@
     fn ask_missing(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let from_service = self.is_watcher() || self.neighbours.is_empty();
         for digest in self.acceptance.missing() {
-            let asks_before = self.asked.contains_key(&Question::Section(digest));
-            if !self.may_ask(now, Question::Section(digest)) {
+            let question = Question::Section(digest);
+            let asked_before = self.asked.contains_key(&question);
+            // A second try goes to the other side, in case the first does not have it.
+            if from_service != asked_before || self.neighbours.is_empty() {
+                if self.may_ask(now, question, None) {
+                    effects.push(Effect::ReadSection(digest));
+                }
                 continue;
             }
-            // A second try goes to the other side, in case the first does not have it.
-            if from_service != asks_before || self.neighbours.is_empty() {
-                effects.push(Effect::ReadSection(digest));
-            } else {
-                let at = self.rng.random_range(0..self.neighbours.len());
-                effects.push(Effect::AskSection(self.neighbours[at].clone(), digest));
+            let at = self.rng.random_range(0..self.neighbours.len());
+            let name = self.neighbours[at].clone();
+            if self.may_ask(now, question, Some(&name)) {
+                effects.push(Effect::AskSection(name, digest));
             }
         }
     }
 
     fn ask_missing_of(&mut self, now: Duration, from: &Name, effects: &mut Vec<Effect>) {
         for digest in self.acceptance.missing() {
-            if self.may_ask(now, Question::Section(digest)) {
+            if self.may_ask(now, Question::Section(digest), Some(from)) {
                 effects.push(Effect::AskSection(from.clone(), digest));
             }
         }
@@ -429,7 +446,6 @@
 
     fn take_section(&mut self, text: Option<&[u8]>, effects: &mut Vec<Effect>) {
         if let Some(text) = text {
-            self.asked.remove(&Question::Section(Digest::of(text)));
             let offer = self.acceptance.offer_section(text);
             self.offered(offer, effects);
         }
--- a/components/fleet/src/nodes.rs
+++ b/components/fleet/src/nodes.rs
@@ -379,7 +379,7 @@
         statuses
     }
 
-    /// Waits until every living target serves `version` and every entry is ready.
+    /// Waits until every living target is warm at `version` and every entry is ready.
     pub async fn wait_ready(&self, version: &str, patience: Duration) -> bool {
         let until = self.clock.now().elapsed + patience;
         while self.clock.now().elapsed < until {
@@ -399,8 +399,7 @@
             .filter(|n| n.agent.is_some())
             .count();
         let serves = |status: &TargetStatus| {
-            let done = matches!(status.phase, Phase::Cold | Phase::Warm);
-            done && status.version.as_deref() == Some(version)
+            status.phase == Phase::Warm && status.version.as_deref() == Some(version)
         };
         if statuses.len() < living || !statuses.values().all(serves) {
             return false;
--- a/components/proxy/src/node.rs
+++ b/components/proxy/src/node.rs
@@ -280,11 +280,15 @@
     }
 
     async fn pull(self, name: Name, request: Request) {
+        let section = match &request {
+            Request::Section(digest) => Some(*digest),
+            _ => None,
+        };
         let event = match self.ask(&name, request, PATIENCE).await {
-            Ok(call) => match call.reply.body {
-                Reply::Index(text) => follow::Event::PeerIndex(text),
-                Reply::Section(text) => follow::Event::PeerSection(text),
-                Reply::List(news) => follow::Event::PeerList(news),
+            Ok(call) => match (call.reply.body, section) {
+                (Reply::Index(text), _) => follow::Event::PeerIndex(name, text),
+                (Reply::Section(text), Some(digest)) => follow::Event::PeerSection(digest, text),
+                (Reply::List(news), _) => follow::Event::PeerList(news),
                 _ => return,
             },
             Err(e) => {
--- a/components/weights/src/peers.rs
+++ b/components/weights/src/peers.rs
@@ -18,6 +18,8 @@
 pub struct Report {
     /// The manifest it spreads.
     pub manifest: Digest,
+    /// Whether it wants every piece for itself.
+    pub wants: bool,
     /// The pieces it holds.
     pub have: FixedBitSet,
     /// The pieces that it has a rank for and does not try to draw any more.
--- a/components/weights/src/transfer.rs
+++ b/components/weights/src/transfer.rs
@@ -177,7 +177,10 @@
     fetching: BTreeMap<Piece, Fetch>,
     peers: Peers,
     uploads: Uploads,
-    started: Duration,
+    /// Since when the pieces are wanted here.
+    wanted_since: Option<Duration>,
+    /// Until when pieces are drawn for others, by the ranks of this instance.
+    demand_until: Duration,
     gained: Duration,
     exchanged: Option<Duration>,
     halted: bool,
@@ -195,7 +198,13 @@
 /// How long the origin rests after it refused or failed.
 const ORIGIN_BACKOFF: Duration = Duration::from_millis(200);
 
-/// Silent instances of lower rank asked at once, for each exchange.
+/// How long pieces are drawn for an instance that asked.
+const DEMAND_TIME: Duration = Duration::from_secs(5);
+
+/// Missing pieces whose ranks are looked up, for each exchange.
+const LOOKED_UP: usize = 32;
+
+/// Instances with a rank asked at once, for each exchange.
 const WATCHED_AT_ONCE: usize = 16;
 
 impl Transfer {
@@ -221,7 +230,8 @@
             fetching: BTreeMap::new(),
             peers: Peers::default(),
             uploads,
-            started: now,
+            wanted_since: None,
+            demand_until: Duration::ZERO,
             gained: now,
             exchanged: None,
             halted: false,
@@ -256,10 +266,22 @@
         self.uploads.running()
     }
 
+    /// Tells whether this instance wants the pieces for itself. A target that runs the version
+    /// already does not, but draws what it has a rank for when another instance asks.
+    pub fn set_wanted(&mut self, now: Duration, wanted: bool) {
+        if !wanted {
+            self.wanted_since = None;
+        } else if self.wanted_since.is_none() {
+            self.wanted_since = Some(now);
+            self.gained = now;
+        }
+    }
+
     /// What this instance says to peers.
     pub fn report(&self) -> Report {
         Report {
             manifest: *self.plan.manifest(),
+            wants: self.wanted_since.is_some() && !self.is_complete(),
             have: self.have.clone(),
             given_up: self.given_up.clone(),
         }
@@ -282,6 +304,9 @@
             }
             Event::Failed(piece, source, cause) => self.fail(now, piece, &source, cause),
             Event::Report(name, report) => {
+                if report.wants && report.manifest == *self.plan.manifest() {
+                    self.demand_until = now + DEMAND_TIME;
+                }
                 self.peers.hears(now, &name, &report, self.plan.manifest());
             }
             Event::Answered(name) => self.peers.answers(now, &name),
@@ -350,7 +375,7 @@
         let due = self
             .exchanged
             .is_none_or(|at| now.saturating_sub(at) >= self.limits.exchange_every);
-        if !due || self.is_complete() || self.halted {
+        if !due || self.is_complete() || self.halted || self.wanted_since.is_none() {
             return;
         }
         self.exchanged = Some(now);
@@ -388,20 +413,26 @@
             .collect()
     }
 
-    /// Instances of lower rank for pieces that are overdue, to learn whether they live.
+    /// Instances with a rank for pieces that are overdue: to learn whether they live, and to let
+    /// them know that the pieces are wanted.
     fn watched(&self, now: Duration) -> Vec<Name> {
-        if now.saturating_sub(self.started) < self.limits.rank_timeout / 2 {
+        let waited = self.wanted_since.map(|since| now.saturating_sub(since));
+        if self.limits.origin_only || waited.is_none_or(|w| w < self.limits.rank_timeout / 2) {
             return Vec::new();
         }
         let mut watched: Vec<Name> = Vec::new();
-        for piece in self.missing() {
-            let Some(duty) = self.duties.get(piece as usize) else {
-                continue;
+        let overdue = self.missing().filter(|piece| !self.is_near(now, *piece));
+        for piece in overdue.take(LOOKED_UP) {
+            let ranks = if self.plan.in_origin_region() {
+                self.plan.origin_ranks(piece)
+            } else {
+                self.plan.gateways(piece)
             };
-            let before = duty.before_origin.iter().chain(&duty.before_gateway);
-            for name in before.flatten() {
-                if !watched.contains(name) && !self.neighbours.contains(name) {
-                    watched.push(name.clone());
+            let duty = self.duties.get(piece as usize);
+            let before = duty.and_then(|duty| duty.before_origin.clone());
+            for name in ranks.into_iter().chain(before.unwrap_or_default()) {
+                if name != self.me && !watched.contains(&name) {
+                    watched.push(name);
                 }
             }
             if watched.len() >= WATCHED_AT_ONCE {
@@ -541,13 +572,14 @@
 
     /// Starts as many draws as the limits allow.
     fn draw(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        if self.halted {
+        let is_wanted = self.wanted_since.is_some();
+        if self.halted || (!is_wanted && now >= self.demand_until) {
             return;
         }
         loop {
             let choice = self
                 .choose_origin(now)
-                .or_else(|| self.choose_near(now))
+                .or_else(|| self.choose_near(now).filter(|_| is_wanted))
                 .or_else(|| self.choose_remote(now));
             let Some((piece, source, wait)) = choice else {
                 return;
@@ -631,10 +663,9 @@
     }
 
     fn is_near(&self, now: Duration, piece: Piece) -> bool {
-        self.neighbours.iter().any(|name| {
-            let peer = self.peers.get(name);
-            peer.is_some_and(|peer| peer.has(piece) && !peer.rests(now))
-        })
+        self.peers
+            .iter()
+            .any(|(name, peer)| peer.has(piece) && !peer.rests(now) && self.plan.is_near(name))
     }
 
     /// The rarest missing piece that a near peer holds, from the peer with the least to do.
