Resumed streams, signs of life, cold time, and the audit

Change: the entry passes on whole events only, counts them, and has a cut stream gone on with by another target at the same version. An agent says every 500 ms that it is alive, but not while its control thread stands still; an entry that hears nothing for 2 s asks elsewhere. Killing a process cuts its connections. The sheet has a cold time for each model, within which the limit stays at the cold limit. `medlarproxy audit` checks collected lines against the sheets.

Ruled out: a shorter queue in cold start; the fall came from the limit.

--- a/components/control/src/agent/admission.rs
+++ b/components/control/src/agent/admission.rs
@@ -1,7 +1,9 @@
 //! How much work a target bears.
 //!
-//! The limit starts at the sheet's cold limit and rises with answers that come in good time. Any
-//! sign of a new cold start takes it back to the cold limit at once.
+//! The limit starts at the sheet's cold limit, stays there for the cold time of the sheet, and then
+//! rises with answers that come in good time. Any sign of a new cold start takes it back to the
+//! cold limit at once. Answers do not raise it earlier: a target in cold start answers the few
+//! requests that it bears as well as a warm one, and falls over under the next.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -25,8 +27,6 @@
     pub queue_time: Duration,
     /// Requests that may wait for each one that may run.
     pub queue_per_slot: u32,
-    /// How long a target that did not fall back stays in cold start at most.
-    pub warm_after: Duration,
     /// How long a report of the engine counts; after that only the cold limit is used.
     pub report_age: Duration,
 }
@@ -36,7 +36,6 @@
         Self {
             queue_time: Duration::from_secs(1),
             queue_per_slot: 1,
-            warm_after: Duration::from_secs(30),
             report_age: Duration::from_secs(2),
         }
     }
@@ -78,6 +77,8 @@
     pub fingerprint: Fingerprint,
     /// Whether a target crashed while it ran.
     pub suspect: bool,
+    /// The version that must go on with an answer that was cut.
+    pub version: Option<Name>,
 }
 
 /// A request that runs.
@@ -99,6 +100,7 @@
     options: AdmissionOptions,
     cold: u32,
     full: u32,
+    cold_time: Duration,
     limit: f64,
     cold_since: Duration,
     reported: Option<Duration>,
@@ -117,6 +119,7 @@
             options,
             cold: 0,
             full: 0,
+            cold_time: Duration::ZERO,
             limit: 0.0,
             cold_since: Duration::ZERO,
             reported: None,
@@ -130,7 +133,8 @@
     }
 
     /// Takes the limits of the sheet.
-    pub fn set_limits(&mut self, now: Duration, cold: u32, full: u32) {
+    pub fn set_limits(&mut self, now: Duration, cold: u32, full: u32, cold_time: Duration) {
+        self.cold_time = cold_time;
         if (cold, full) == (self.cold, self.full) {
             return;
         }
@@ -156,10 +160,9 @@
         self.reported = Some(now);
     }
 
-    /// Whether the target bears its full load.
+    /// Whether the cold start is over.
     pub fn is_warm(&self, now: Duration) -> bool {
-        let full = self.limit >= f64::from(self.full);
-        full || now.saturating_sub(self.cold_since) >= self.options.warm_after
+        now.saturating_sub(self.cold_since) >= self.cold_time
     }
 
     /// Requests that may run at once now.
@@ -278,7 +281,7 @@
         let took = now.saturating_sub(running.started).as_secs_f64();
         let usual = *self.usual_time.get_or_insert(took);
         self.usual_time = Some(usual + AVERAGE_GAIN * (took - usual));
-        if good && self.slow == 0 {
+        if good && self.slow == 0 && self.is_warm(now) {
             self.limit = (self.limit + RISE).min(f64::from(self.full));
         }
         Some(running)
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -339,9 +339,10 @@
         };
         if let Some(model) = sheet.models.get(&placed.name).filter(|_| placed.is_model) {
             self.admission
-                .set_limits(at, model.cold_limit, model.full_limit);
+                .set_limits(at, model.cold_limit, model.full_limit, model.cold_time);
         } else if let Some(service) = sheet.services.get(&placed.name) {
-            self.admission.set_limits(at, service.limit, service.limit);
+            self.admission
+                .set_limits(at, service.limit, service.limit, Duration::ZERO);
         }
     }
 
--- a/components/control/src/agent/work.rs
+++ b/components/control/src/agent/work.rs
@@ -119,6 +119,9 @@
         if !placed_here {
             return Err(Outcome::NotRun(Refusal::WrongTarget));
         }
+        if offered.version.is_some() && offered.version.as_ref() != self.rollout.serving() {
+            return Err(Outcome::NotRun(Refusal::OtherVersion));
+        }
         if offered.deadline <= at {
             return Err(Outcome::NotRun(Refusal::Expired));
         }
@@ -155,6 +158,7 @@
                 work: offered.work,
                 team: offered.team,
                 guard: offered.guard,
+                fingerprint: offered.fingerprint,
                 version: version.clone(),
                 running: self.admission.running(),
                 limit,
--- a/components/control/src/entry/calls.rs
+++ b/components/control/src/entry/calls.rs
@@ -62,6 +62,7 @@
     target: Option<Name>,
     tried: Vec<Name>,
     committed: bool,
+    resumable: bool,
     suspect: bool,
     /// Whether an attempt reached a target and broke.
     broke: bool,
@@ -80,6 +81,7 @@
             target: None,
             tried: Vec::new(),
             committed: false,
+            resumable: false,
             broke: false,
             suspect: self.suspects.is_suspect(arrived.fingerprint),
             last_refusal: Refusal::NoTarget,
@@ -93,9 +95,10 @@
         self.send(now, token, out);
     }
 
-    pub(super) fn committed(&mut self, now: Duration, token: u64) {
+    pub(super) fn committed(&mut self, now: Duration, token: u64, resumable: bool) {
         if let Some(call) = self.calls.get_mut(&token) {
             call.committed = true;
+            call.resumable = resumable;
             if let Some(target) = &call.target {
                 self.hints.worked(now, target);
             }
@@ -205,7 +208,7 @@
         call.suspect |= crashed;
         call.broke = true;
         let repeatable = call.arrived.guard == Guard::Repeatable;
-        if repeatable && !call.committed {
+        if repeatable && (!call.committed || call.resumable) {
             self.retry(now, token, out);
         } else {
             self.reject(token, Outcome::Unknown { crashed }, false, out);
--- a/components/control/src/entry/hints.rs
+++ b/components/control/src/entry/hints.rs
@@ -119,7 +119,10 @@
     pub fn refused(&mut self, now: Duration, target: &Name, refusal: Refusal) {
         let rest = match refusal {
             Refusal::Busy { retry_after_ms } => Duration::from_millis(retry_after_ms.min(500)) / 4,
-            Refusal::SuspectRunning | Refusal::NotHome | Refusal::KeysFull => Duration::ZERO,
+            Refusal::SuspectRunning
+            | Refusal::OtherVersion
+            | Refusal::NotHome
+            | Refusal::KeysFull => Duration::ZERO,
             _ => REST,
         };
         let hint = self.touch(now, target);
--- a/components/control/src/entry/mod.rs
+++ b/components/control/src/entry/mod.rs
@@ -53,8 +53,14 @@
     Silent(Name),
     /// A caller sent a request.
     Arrive(Arrived),
-    /// The first byte of the answer went to the caller, so nothing else can be answered.
-    Committed(u64),
+    /// The first byte of the answer went to the caller, so no other answer can be given. It may
+    /// be gone on with by another target if `resumable`.
+    Committed {
+        /// The request.
+        token: u64,
+        /// Whether the answer is a stream of a known version.
+        resumable: bool,
+    },
     /// The agent could not be reached; nothing was sent.
     NotSent(u64),
     /// The agent said what came of the request, or its connection broke.
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -105,7 +105,7 @@
             Event::Heartbeat(_, news) => self.heartbeat(at, &news, &mut out),
             Event::Silent(name) => self.follow(at, follow::Event::Silent(name), &mut out),
             Event::Arrive(arrived) => self.arrive(at, arrived, &mut out),
-            Event::Committed(token) => self.committed(at, token),
+            Event::Committed { token, resumable } => self.committed(at, token, resumable),
             Event::NotSent(token) => self.not_sent(at, token, &mut out),
             Event::Outcome(token, outcome) => self.outcome(at, token, outcome, &mut out),
             Event::Gone(token) => self.gone(at, token, &mut out),
--- a/components/fleet/src/layout.rs
+++ b/components/fleet/src/layout.rs
@@ -54,6 +54,8 @@
     pub max_out_percent: u32,
     /// Requests at once that a target bears in cold start, by the sheet.
     pub cold_limit: u32,
+    /// How long a cold start takes, by the sheet.
+    pub cold_time: Duration,
     /// Requests at once that a target bears, by the sheet.
     pub full_limit: u32,
     /// Requests at once that a service bears.
@@ -76,7 +78,6 @@
         let mut agent = agent::Options::default();
         agent.intervals.heartbeat = Duration::from_millis(500);
         agent.intervals.settle = Duration::from_secs(1);
-        agent.admission.warm_after = Duration::from_millis(700);
         agent.rollout.ask_every = Duration::from_millis(100);
         agent.rollout.failed_after = Duration::from_secs(3);
         agent.limits.rank_timeout = Duration::from_millis(1500);
@@ -101,6 +102,7 @@
             links: Some(LinkShape::default()),
             max_out_percent: 50,
             cold_limit: 2,
+            cold_time: Duration::from_millis(600),
             full_limit: 16,
             service_limit: 32,
             engine: EngineOptions::default(),
--- a/components/fleet/src/nodes.rs
+++ b/components/fleet/src/nodes.rs
@@ -106,6 +106,7 @@
     origin: Origin,
     network: Network,
     sheet: Mutex<Sheet>,
+    published: Mutex<Vec<Sheet>>,
     targets: Mutex<BTreeMap<Name, TargetNode>>,
     services: Mutex<BTreeMap<Name, ServiceNode>>,
     entries: Mutex<BTreeMap<Name, EntryNode>>,
@@ -142,6 +143,7 @@
             platform,
             origin,
             network,
+            published: Mutex::new(vec![sheet.clone()]),
             sheet: Mutex::new(sheet),
             targets: Mutex::default(),
             services: Mutex::default(),
@@ -252,6 +254,12 @@
         sheet.version += 1;
         sheet.published = self.clock.now().wall;
         self.platform.publish(&sheet);
+        lock(&self.published).push(sheet.clone());
+    }
+
+    /// Every sheet that was published, the oldest first.
+    pub fn published(&self) -> Vec<Sheet> {
+        lock(&self.published).clone()
     }
 
     /// Stores a new version of the model and publishes a sheet that names it.
--- a/components/fleet/src/sheets.rs
+++ b/components/fleet/src/sheets.rs
@@ -54,6 +54,7 @@
         version: "v1".into(),
         manifest,
         cold_limit: layout.cold_limit,
+        cold_time: layout.cold_time,
         full_limit: layout.full_limit,
         max_out_percent: layout.max_out_percent,
         instances: instances(layout, layout.targets, target_name),
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -25,6 +25,7 @@
     Frame,
     Guard,
     Head,
+    Resume,
     Serve,
     Ticket,
     Work, //
--- a/components/protocol/src/outcome.rs
+++ b/components/protocol/src/outcome.rs
@@ -26,6 +26,8 @@
     Leaving,
     /// the sheet places other work on this instance
     WrongTarget,
+    /// the target runs another version than the one that began the answer
+    OtherVersion,
     /// the process woke from a pause and has not yet compared its sheet
     Resuming,
     /// the deadline passed before the request could start
@@ -60,6 +62,7 @@
             Self::DataCentreOut => "data_centre_out",
             Self::Leaving => "leaving",
             Self::WrongTarget => "wrong_target",
+            Self::OtherVersion => "other_version",
             Self::Resuming => "resuming",
             Self::Expired => "expired",
             Self::Quarantined => "quarantined",
--- a/components/protocol/src/serve.rs
+++ b/components/protocol/src/serve.rs
@@ -102,6 +102,15 @@
     Unmarked,
 }
 
+/// Where a streamed answer was cut, so that another target can go on with it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resume {
+    /// The version that made the answer so far.
+    pub version: Name,
+    /// Whole events that the caller has.
+    pub events: u64,
+}
+
 /// A request that an entry hands to an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Serve {
@@ -123,6 +132,8 @@
     pub fingerprint: Fingerprint,
     /// Whether the entry knows that a target crashed while the request ran.
     pub suspect: bool,
+    /// Where to go on with an answer that was cut.
+    pub resume: Option<Resume>,
     /// The HTTP method.
     pub method: String,
     /// The HTTP path and query at the target.
@@ -144,13 +155,16 @@
     pub version: Option<Name>,
 }
 
-/// One part of the answer to a [`Serve`], in this order: head, any data, end.
+/// One part of the answer to a [`Serve`], in this order: head, any data, end. Signs of life may
+/// stand anywhere before the end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
     /// The start of the answer.
     Head(Head),
     /// Bytes of the answer.
     Data(Bytes),
+    /// The agent is alive and waits for its target.
+    Alive,
     /// The end. An answer is whole only if this says that the request ran, and `bytes` came.
     End {
         /// The request's id.
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -33,6 +33,7 @@
 use super::{
     lock,
     Inner,
+    Pending,
     Verdict, //
 };
 use crate::error::ProxyError;
@@ -41,6 +42,9 @@
 /// The last event of a streamed answer of a model engine.
 const STREAM_END: &[u8] = b"data: [DONE]";
 
+/// How often an entry that waits hears that the agent is alive.
+const ALIVE_EVERY: Duration = Duration::from_millis(500);
+
 /// The content type of streamed answers.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -61,6 +65,14 @@
         }
     }
 
+    /// Tells the entry that the agent is alive. Not said while the control thread stands still:
+    /// the entry then asks elsewhere, as it would if the whole process did.
+    async fn alive(&mut self, inner: &Inner) {
+        if inner.node.control.is_awake(&*inner.node.clock) {
+            self.send(&Frame::Alive).await;
+        }
+    }
+
     async fn finish(mut self, id: u64, outcome: Outcome) {
         let bytes = self.bytes;
         let end = Frame::End { id, outcome, bytes };
@@ -121,18 +133,8 @@
         }
         let offered = offered(token, deadline, &serve);
         self.node.control.send(Event::Offer(offered));
-        let mut withdrawn = false;
-        let verdict = loop {
-            tokio::select! {
-                verdict = &mut pending.rx => break verdict.ok(),
-                () = responder.closed(), if !withdrawn => {
-                    // The control thread still answers, since the request may just have started.
-                    withdrawn = true;
-                    self.node.control.send(Event::Withdraw(token));
-                }
-            }
-        };
-        let answer = Answer::new(responder);
+        let mut answer = Answer::new(responder);
+        let verdict = self.await_verdict(&mut pending, &mut answer).await;
         match verdict {
             Some(Verdict::Run(version)) => {
                 self.run(token, serve, version, deadline, answer).await;
@@ -142,6 +144,21 @@
         }
     }
 
+    async fn await_verdict(&self, pending: &mut Pending, answer: &mut Answer) -> Option<Verdict> {
+        let mut withdrawn = false;
+        loop {
+            tokio::select! {
+                verdict = &mut pending.rx => return verdict.ok(),
+                () = answer.closed(), if !withdrawn => {
+                    // The control thread still answers, since the request may just have started.
+                    withdrawn = true;
+                    self.node.control.send(Event::Withdraw(pending.token));
+                }
+                () = tokio::time::sleep(ALIVE_EVERY) => answer.alive(self).await,
+            }
+        }
+    }
+
     async fn run(
         self: Arc<Self>,
         token: u64,
@@ -173,7 +190,14 @@
         version: Option<Name>,
         answer: &mut Answer,
     ) -> Ended {
-        let response = match self.target.run(serve).await {
+        let mut running = std::pin::pin!(self.target.run(serve));
+        let response = loop {
+            tokio::select! {
+                response = &mut running => break response,
+                () = tokio::time::sleep(ALIVE_EVERY) => answer.alive(self).await,
+            }
+        };
+        let response = match response {
             Ok(response) => response,
             Err(ProxyError::Connect(_) | ProxyError::Decode(_)) => return Ended::NotSent,
             Err(e) => {
@@ -219,7 +243,14 @@
         let mut head = Some(head);
         let mut tail = Vec::new();
         loop {
-            let data = match body.frame().await {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = tokio::time::sleep(ALIVE_EVERY) => {
+                    answer.alive(self).await;
+                    continue;
+                }
+            };
+            let data = match frame {
                 None => break,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(e)) => {
@@ -248,6 +279,14 @@
 }
 
 impl Answer {
+    /// Waits until the entry has gone away.
+    async fn closed(&mut self) {
+        match &mut self.responder {
+            Some(responder) => responder.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     fn new(responder: Responder) -> Self {
         Self {
             responder: Some(responder),
@@ -267,6 +306,7 @@
         guard: serve.guard.clone(),
         fingerprint: serve.fingerprint,
         suspect: serve.suspect,
+        version: serve.resume.as_ref().map(|resume| resume.version.clone()),
     }
 }
 
--- a/components/proxy/src/entry/pump.rs
+++ b/components/proxy/src/entry/pump.rs
@@ -24,9 +24,11 @@
     Outcome,
     Reply,
     Request,
+    Resume,
     Serve, //
 };
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 use utils::Name;
 use wire::{
     Frames,
@@ -52,8 +54,8 @@
 /// Names the request in the record.
 const REQUEST_ID: &str = "x-request-id";
 
-/// The part of a deadline that the agent gets before the entry gives up on it.
-const MARGIN: Duration = Duration::from_millis(500);
+/// An agent that gives no sign of life for this long is taken for gone.
+const SILENCE: Duration = Duration::from_secs(2);
 
 type BodySender = Sender<Bytes, io::Error>;
 
@@ -62,11 +64,60 @@
     /// Nothing was answered yet.
     Waiting(oneshot::Sender<Response<Body>>),
     /// The answer has begun.
-    Streaming { body: BodySender, is_events: bool },
+    Streaming {
+        body: BodySender,
+        /// The events so far, if it is a stream of events.
+        events: Option<Events>,
+    },
     /// The answer has ended, or the caller is gone.
     Ended,
 }
 
+/// A stream of events on its way to the caller, who gets whole ones only, so that another target
+/// can go on after the last.
+struct Events {
+    /// The version that makes the answer.
+    version: Option<Name>,
+    /// Whole events passed on.
+    passed: u64,
+    /// The start of an event that is not whole yet.
+    rest: Vec<u8>,
+}
+
+/// The end of an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+impl Events {
+    /// Takes bytes of the answer. Returns the events that became whole.
+    fn split(&mut self, data: &[u8]) -> Bytes {
+        // An end may lie across the old and the new bytes.
+        let from = self.rest.len().saturating_sub(EVENT_END.len() - 1);
+        self.rest.extend_from_slice(data);
+        let mut whole = 0;
+        let mut at = from;
+        while at + EVENT_END.len() <= self.rest.len() {
+            if self.rest[at..].starts_with(EVENT_END) {
+                at += EVENT_END.len();
+                whole = at;
+                self.passed += 1;
+            } else {
+                at += 1;
+            }
+        }
+        let rest = self.rest.split_off(whole);
+        std::mem::replace(&mut self.rest, rest).into()
+    }
+
+    /// Where another target must go on. What is not whole of an event is sent again by it.
+    fn resume(&mut self) -> Option<Resume> {
+        self.rest.clear();
+        Some(Resume {
+            version: self.version.clone()?,
+            events: self.passed,
+        })
+    }
+}
+
 /// How one sending ended.
 enum Sent {
     /// Nothing went out.
@@ -128,6 +179,10 @@
     async fn send_until_told(&mut self, target: Name, suspect: bool, timeout: Duration) -> bool {
         self.serve.target = target;
         self.serve.suspect = suspect;
+        self.serve.resume = match &mut self.caller {
+            Caller::Streaming { events, .. } => events.as_mut().and_then(Events::resume),
+            _ => None,
+        };
         self.serve.timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
         let Self {
             ongoing,
@@ -136,7 +191,7 @@
         } = self;
         let token = ongoing.token;
         let inner = ongoing.inner.clone();
-        let sending = send(&inner, serve, caller, token, timeout + MARGIN);
+        let sending = send(&inner, serve, caller, token);
         let sent = tokio::select! {
             sent = sending => sent,
             command = ongoing.rx.recv() => match command {
@@ -167,11 +222,8 @@
                 // A caller that left does not need the answer.
                 let _left = tx.send(response);
             }
-            Caller::Streaming {
-                mut body,
-                is_events,
-            } => {
-                if is_events {
+            Caller::Streaming { mut body, events } => {
+                if events.is_some() {
                     let error = rejection_text(rejection);
                     let json = serde_json::to_string(&ErrorBody { error }).unwrap_or_default();
                     let event = format!("event: error\ndata: {json}\n\n");
@@ -198,10 +250,9 @@
     serve: &Serve,
     caller: &mut Caller,
     token: u64,
-    patience: Duration,
 ) -> Sent {
     let request = Request::Serve(serve.clone());
-    let asking = inner.node.ask(&serve.target, request, patience);
+    let asking = inner.node.ask(&serve.target, request, SILENCE);
     let call = tokio::select! {
         call = asking => call,
         () = caller_gone(caller) => return Sent::CallerGone,
@@ -242,16 +293,21 @@
     let mut count = 0;
     loop {
         let frame = tokio::select! {
-            frame = frames.expect() => frame,
+            frame = timeout(SILENCE, frames.expect()) => frame,
             () = caller_gone(caller) => return Sent::CallerGone,
         };
-        match frame {
+        match frame.unwrap_or(Err(WireError::Timeout)) {
             Ok(Frame::Head(head)) => {
-                inner.node.control.send(Event::Committed(token));
-                if !begin_answer(caller, head, serve.id) {
-                    return Sent::CallerGone;
+                if serve.resume.is_none() {
+                    let resumable = is_events(&head) && head.version.is_some();
+                    let committed = Event::Committed { token, resumable };
+                    inner.node.control.send(committed);
+                    if !begin_answer(caller, head, serve.id) {
+                        return Sent::CallerGone;
+                    }
                 }
             }
+            Ok(Frame::Alive) => {}
             Ok(Frame::Data(data)) => {
                 count += data.len() as u64;
                 if !pass_on(caller, data).await {
@@ -260,6 +316,9 @@
             }
             Ok(Frame::End { id, outcome, bytes }) => {
                 let whole = id == serve.id && bytes == count;
+                if whole && !flush(caller).await {
+                    return Sent::CallerGone;
+                }
                 return Sent::Outcome(match outcome {
                     Outcome::Ran { .. } if !whole => Outcome::Unknown { crashed: false },
                     other => other,
@@ -286,19 +345,42 @@
     if let Some(value) = head.version.as_ref().and_then(|v| v.parse().ok()) {
         headers.insert(VERSION, value);
     }
-    let is_events = head
-        .content_type
-        .is_some_and(|value| value.starts_with("text/event-stream"));
-    *caller = Caller::Streaming { body, is_events };
+    let events = is_events(&head).then(|| Events {
+        version: head.version.clone(),
+        passed: 0,
+        rest: Vec::new(),
+    });
+    *caller = Caller::Streaming { body, events };
     tx.send(response).is_ok()
 }
 
 /// Passes bytes to the caller. Returns whether the caller is still there.
 async fn pass_on(caller: &mut Caller, data: Bytes) -> bool {
-    match caller {
-        Caller::Streaming { body, .. } => body.send_data(data).await.is_ok(),
-        Caller::Waiting(_) | Caller::Ended => false,
-    }
+    let Caller::Streaming { body, events } = caller else {
+        return false;
+    };
+    let part = match events {
+        Some(events) => events.split(&data),
+        None => data,
+    };
+    part.is_empty() || body.send_data(part).await.is_ok()
+}
+
+/// Passes on what follows the last whole event of an answer that ended.
+async fn flush(caller: &mut Caller) -> bool {
+    let Caller::Streaming { body, events } = caller else {
+        return true;
+    };
+    let rest = events
+        .as_mut()
+        .map(|events| std::mem::take(&mut events.rest));
+    let rest = rest.unwrap_or_default();
+    rest.is_empty() || body.send_data(rest.into()).await.is_ok()
+}
+
+fn is_events(head: &Head) -> bool {
+    let content_type = head.content_type.as_deref().unwrap_or_default();
+    content_type.starts_with("text/event-stream")
 }
 
 fn note_request(response: &mut Response<Body>, id: u64) {
--- a/components/proxy/src/entry/request.rs
+++ b/components/proxy/src/entry/request.rs
@@ -227,6 +227,7 @@
         guard,
         fingerprint,
         suspect: false,
+        resume: None,
         method: raw.method.to_string(),
         path,
         content_type,
--- a/components/proxy/src/reactor.rs
+++ b/components/proxy/src/reactor.rs
@@ -1,6 +1,10 @@
 //! The control thread: one reducer, fed by a channel.
 
 use std::fmt;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::sync::mpsc::{
     channel,
     Receiver,
@@ -27,15 +31,21 @@
     Stop,
 }
 
+/// A control thread that has not looked at the time for this long stands still.
+const ASLEEP_AFTER: Duration = Duration::from_secs(1);
+
 /// The way to the control thread of a process with state `S` and events `E`.
 pub struct Control<S, E> {
     tx: Sender<Message<S, E>>,
+    /// When the thread last looked at the time, in milliseconds.
+    ticked: Arc<AtomicU64>,
 }
 
 impl<S, E> Clone for Control<S, E> {
     fn clone(&self) -> Self {
         Self {
             tx: self.tx.clone(),
+            ticked: self.ticked.clone(),
         }
     }
 }
@@ -49,12 +59,18 @@
 /// The receiving end of a control thread.
 pub(crate) struct Inbox<S, E> {
     rx: Receiver<Message<S, E>>,
+    ticked: Arc<AtomicU64>,
 }
 
 /// Makes the channel to a control thread.
 pub(crate) fn control_channel<S, E>() -> (Control<S, E>, Inbox<S, E>) {
     let (tx, rx) = channel();
-    (Control { tx }, Inbox { rx })
+    let ticked = Arc::new(AtomicU64::new(0));
+    let control = Control {
+        tx,
+        ticked: ticked.clone(),
+    };
+    (control, Inbox { rx, ticked })
 }
 
 impl<S, E> Control<S, E> {
@@ -81,6 +97,12 @@
         let _ended = self.tx.send(Message::Pause(length));
     }
 
+    /// Whether the control thread has looked at the time lately.
+    pub fn is_awake(&self, clock: &dyn Clock) -> bool {
+        let ticked = Duration::from_millis(self.ticked.load(Ordering::Relaxed));
+        clock.now().elapsed.saturating_sub(ticked) < ASLEEP_AFTER
+    }
+
     /// Ends the control thread.
     pub fn stop(&self) {
         let _ended = self.tx.send(Message::Stop);
@@ -124,6 +146,8 @@
             let now = self.clock.now();
             if now.elapsed >= next_tick {
                 next_tick = now.elapsed + self.tick;
+                let millis = u64::try_from(now.elapsed.as_millis()).unwrap_or(u64::MAX);
+                inbox.ticked.store(millis, Ordering::Relaxed);
                 self.react(now, (self.tick_event)(), &mut apply);
             }
             let wait = next_tick.saturating_sub(self.clock.now().elapsed);
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -41,6 +41,9 @@
 /// Carries the request's id to the target; an engine that returns it lets answers be matched.
 pub(crate) const REQUEST_ID: &str = "x-request-id";
 
+/// Tells an engine how many events of the answer the caller has already.
+const RESUME_EVENTS: &str = "x-resume-events";
+
 /// How long a target may take to tell its state.
 const STATE_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -133,6 +136,9 @@
         if let Some(content_type) = &serve.content_type {
             builder = builder.header(CONTENT_TYPE, content_type);
         }
+        if let Some(resume) = &serve.resume {
+            builder = builder.header(RESUME_EVENTS, resume.events);
+        }
         let request = builder
             .body(Full::new(serve.body.clone()))
             .map_err(|e| ProxyError::Decode(e.to_string()))?;
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -100,6 +100,8 @@
         team: Name,
         /// How often it may run.
         guard: Guard,
+        /// Identifies requests with the same content.
+        fingerprint: Fingerprint,
         /// The version of the model that answers.
         version: Option<Name>,
         /// Requests running, this one included.
@@ -169,3 +171,24 @@
         paused_ms: u64,
     },
 }
+
+impl Decision {
+    /// The word for the kind of decision, as in the record.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Adopt { .. } => "adopt",
+            Self::RefuseSheet { .. } => "refuse_sheet",
+            Self::Route { .. } => "route",
+            Self::Reject { .. } => "reject",
+            Self::Run { .. } => "run",
+            Self::Refuse { .. } => "refuse",
+            Self::End { .. } => "end",
+            Self::Draw { .. } => "draw",
+            Self::Corrupt { .. } => "corrupt",
+            Self::Switch { .. } => "switch",
+            Self::Suspect { .. } => "suspect",
+            Self::Drain => "drain",
+            Self::Resume { .. } => "resume",
+        }
+    }
+}
--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -1,8 +1,15 @@
 //! The record: one line for each decision, chained by hash, and the audit that reads it back.
 
+mod audit;
 mod chain;
 mod decision;
 
+pub use audit::{
+    Audit,
+    Finding,
+    Report,
+    Rule, //
+};
 pub use chain::{
     Chain,
     Line,
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -211,7 +211,6 @@
         ("agent.weights.rank_timeout", weights.rank_timeout),
         ("agent.weights.stall_after", weights.stall_after),
         ("agent.queue_time", agent.queue_time),
-        ("agent.warm_after", agent.warm_after),
         ("agent.failed_after", agent.failed_after),
         ("agent.key_memory", agent.key_memory),
         ("agent.clock_skew", agent.clock_skew),
--- a/components/settings/src/options.rs
+++ b/components/settings/src/options.rs
@@ -133,9 +133,6 @@
     /// Requests that may wait for each one that may run.
     #[serde(default = "default_queue_per_slot")]
     pub queue_per_slot: u32,
-    /// How long a target stays in cold start at most, if nothing goes wrong.
-    #[serde(with = "humantime_serde", default = "default_warm_after")]
-    pub warm_after: Duration,
     /// How long a target must be silent to count as failed.
     #[serde(with = "humantime_serde", default = "default_failed_after")]
     pub failed_after: Duration,
@@ -239,7 +236,6 @@
             admission: agent::AdmissionOptions {
                 queue_time: agent.queue_time,
                 queue_per_slot: agent.queue_per_slot,
-                warm_after: agent.warm_after,
                 ..agent::AdmissionOptions::default()
             },
             once: agent::OnceOptions {
@@ -342,10 +338,6 @@
     agent::AdmissionOptions::default().queue_per_slot
 }
 
-fn default_warm_after() -> Duration {
-    agent::AdmissionOptions::default().warm_after
-}
-
 fn default_failed_after() -> Duration {
     agent::RolloutOptions::default().failed_after
 }
--- a/components/sheet/src/document.rs
+++ b/components/sheet/src/document.rs
@@ -53,6 +53,10 @@
     Duration::from_secs(15 * 60)
 }
 
+fn default_cold_time() -> Duration {
+    Duration::from_secs(30)
+}
+
 /// One data centre.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -83,6 +87,9 @@
     pub manifest: Digest,
     /// Requests at once that a target bears in cold start.
     pub cold_limit: u32,
+    /// How long a cold start takes, in which a target gets no more than `cold_limit`.
+    #[serde(with = "humantime_serde", default = "default_cold_time")]
+    pub cold_time: Duration,
     /// Requests at once that a warm target bears.
     pub full_limit: u32,
     /// Percent of the targets in a data centre that may be out for a switch of version.
--- a/components/sheet/src/index.rs
+++ b/components/sheet/src/index.rs
@@ -89,7 +89,7 @@
 }
 
 /// Serializing these types cannot fail: every key is a string and no value borrows.
-fn to_yaml(value: &impl Serialize) -> String {
+pub(crate) fn to_yaml(value: &impl Serialize) -> String {
     serde_yaml_ng::to_string(value).unwrap_or_default()
 }
 
--- a/components/sheet/src/lib.rs
+++ b/components/sheet/src/lib.rs
@@ -39,6 +39,11 @@
 };
 pub use validate::check_successor;
 
+/// The text of a sheet document.
+pub fn to_text(sheet: &Sheet) -> String {
+    index::to_yaml(sheet)
+}
+
 /// Parses and checks a whole sheet document.
 pub fn parse(text: &str) -> Result<Sheet, SheetError> {
     let sheet: Sheet = error::from_yaml("sheet", text)?;
--- a/components/sheet/src/validate.rs
+++ b/components/sheet/src/validate.rs
@@ -1,6 +1,7 @@
 //! Checks of a sheet that its types alone do not make.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use utils::Name;
 
@@ -13,6 +14,9 @@
 };
 use crate::error::SheetError;
 
+/// The longest cold start.
+const LONGEST_COLD_TIME: Duration = Duration::from_secs(3600);
+
 /// Checks one sheet by itself, so that every process accepts the same ones.
 pub(crate) fn check(sheet: &Sheet) -> Result<(), SheetError> {
     if sheet.version == 0 {
@@ -70,6 +74,13 @@
         1,
         model.full_limit,
     )?;
+    if model.cold_time > LONGEST_COLD_TIME {
+        return Err(SheetError::value(
+            format!("{path}.cold_time"),
+            humantime::format_duration(model.cold_time),
+            "up to 1h",
+        ));
+    }
     check_range(
         &format!("{path}.max_out_percent"),
         model.max_out_percent,
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -169,6 +169,9 @@
     max_tokens: u32,
     #[serde(default)]
     stream: bool,
+    /// Tokens that the caller has already.
+    #[serde(skip)]
+    first: u32,
 }
 
 fn default_tokens() -> u32 {
@@ -337,10 +340,13 @@
 
     async fn complete(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let id = request.headers().get("x-request-id").cloned();
+        let resumed = request.headers().get("x-resume-events");
+        let resumed = resumed.and_then(|v| v.to_str().ok()?.parse().ok());
         let body = collect(request).await?;
-        let Ok(completion) = serde_json::from_slice::<Completion>(&body) else {
+        let Ok(mut completion) = serde_json::from_slice::<Completion>(&body) else {
             return Ok(answer(StatusCode::BAD_REQUEST, "not a completion request"));
         };
+        completion.first = resumed.unwrap_or(0);
         let Some(running) = self.begin()? else {
             return Ok(answer(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -417,7 +423,7 @@
     ) {
         let mut text = String::new();
         let cut_at = completion.max_tokens / 2;
-        for number in 0..completion.max_tokens {
+        for number in completion.first..completion.max_tokens {
             let (label, cuts) = {
                 let held = self.lock();
                 let version = held.version.clone().unwrap_or_default();
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -1,6 +1,7 @@
 //! Answers to calls of other processes.
 
 use std::future::Future;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::server::SendResponse;
@@ -19,6 +20,7 @@
     TcpListener,
     TcpStream, //
 };
+use tokio::task::JoinSet;
 
 use crate::error::WireError;
 use crate::framing::{
@@ -28,21 +30,33 @@
 };
 use crate::WINDOW_BYTES;
 
+/// The pause after a connection could not be accepted, for want of file handles say.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Questions at once on one connection.
+const MOST_STREAMS: u32 = 4096;
+
 /// Accepts connections for as long as the future is polled, and hands each question to `answer`.
+/// Dropping the future cuts every connection.
 pub async fn serve<F>(
     listener: TcpListener,
     answer: impl Fn(Envelope<Request>, Responder) -> F + Clone + Send + Sync + 'static,
 ) where
     F: Future<Output = ()> + Send + 'static,
 {
+    let mut connections = JoinSet::new();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_ended) = connections.join_next() => continue,
+        };
+        match accepted {
             Ok((tcp, _)) => {
-                tokio::spawn(serve_connection(tcp, answer.clone()));
+                connections.spawn(serve_connection(tcp, answer.clone()));
             }
             Err(e) => {
                 log::warn!("cannot accept a connection: {e}");
-                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -59,7 +73,7 @@
     let handshake = h2::server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(4 * WINDOW_BYTES)
-        .max_concurrent_streams(4096)
+        .max_concurrent_streams(MOST_STREAMS)
         .handshake(tcp);
     let mut connection = match handshake.await {
         Ok(connection) => connection,
@@ -68,12 +82,17 @@
             return;
         }
     };
-    while let Some(accepted) = connection.accept().await {
-        let Ok((request, respond)) = accepted else {
+    let mut streams = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            Some(_ended) = streams.join_next() => continue,
+        };
+        let Some(Ok((request, respond))) = accepted else {
             return;
         };
         let answer = answer.clone();
-        tokio::spawn(async move {
+        streams.spawn(async move {
             if let Err(e) = serve_stream(request.into_body(), respond, answer).await {
                 log::debug!("a question could not be read: {e}");
             }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,7 @@
     Agent(AgentArguments),
     Check(CheckArguments),
     Pack(PackArguments),
+    Audit(AuditArguments),
     Demo(DemoArguments),
 }
 
@@ -90,6 +91,21 @@
     pub after: Option<PathBuf>,
 }
 
+/// Prove or refute from the record what the system promises.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "audit")]
+pub(crate) struct AuditArguments {
+    /// the folder with every sheet that was published, as YAML
+    #[argh(option)]
+    pub sheets: PathBuf,
+    /// print the report as JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// the collected logs
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Run a whole fleet in this process, before stand-ins.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "demo")]
@@ -106,6 +122,9 @@
     /// a file for the record of every process
     #[argh(option)]
     pub record: Option<PathBuf>,
+    /// a folder for the sheets that are published
+    #[argh(option)]
+    pub sheets: Option<PathBuf>,
     /// the least important level of the log: error, warn, info, debug or trace
     #[argh(option, default = "String::from(\"warn\")")]
     pub log: String,
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -39,7 +39,8 @@
     Ok(sheet)
 }
 
-fn parse_sheet(file: &Path) -> Result<Sheet, Box<dyn Error>> {
+/// Reads and checks the sheet in `file` by itself.
+pub(super) fn parse_sheet(file: &Path) -> Result<Sheet, Box<dyn Error>> {
     let text = std::fs::read_to_string(file)
         .map_err(|e| format!("{}: cannot be read: {e}", file.display()))?;
     let sheet = sheet::parse(&text).map_err(|e| format!("{}: {e}", file.display()))?;
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -92,6 +92,9 @@
     if !arguments.once {
         stay_up(&fleet).await?;
     }
+    if let Some(folder) = &arguments.sheets {
+        write_sheets(&fleet, folder)?;
+    }
     if arguments.json {
         println!("{}", summary(&fleet, &burst, &tally));
     }
@@ -207,6 +210,17 @@
     })
 }
 
+fn write_sheets(fleet: &Fleet, folder: &Path) -> Outcome {
+    std::fs::create_dir_all(folder)
+        .map_err(|e| format!("{}: cannot be made: {e}", folder.display()))?;
+    for sheet in fleet.published() {
+        let path = folder.join(format!("sheet-{}.yaml", sheet.version));
+        std::fs::write(&path, sheet::to_text(&sheet))
+            .map_err(|e| format!("{}: cannot be written: {e}", path.display()))?;
+    }
+    Ok(())
+}
+
 fn file_sink(path: &Path) -> Result<Sink, Box<dyn std::error::Error>> {
     let file =
         File::create(path).map_err(|e| format!("{}: cannot be written: {e}", path.display()))?;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One file for each subcommand.
 
 mod agent;
+mod audit;
 mod check;
 mod demo;
 mod entry;
@@ -20,6 +21,7 @@
         Command::Entry(arguments) => entry::run(&arguments),
         Command::Agent(arguments) => agent::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
+        Command::Audit(arguments) => audit::run(&arguments),
         Command::Pack(arguments) => pack::run(&arguments),
         Command::Demo(arguments) => demo::run(&arguments),
     }
