Runs and uploads are counted out when their task is dropped; property tests

Cause: with a paused agent 2 of 16 replicas never switched. An entry that waited in vain dropped its connection, the agent aborted the tasks on it, and no one told the control thread that their requests had ended; the drain before the switch waited for them for ever.

Change: a guard tells the control thread how each run and each waiting request ended, also when its task is dropped; a connection that ends leaves its tasks to end in order. Digests in a sheet are refused with their field.

--- a/components/control/src/agent/work.rs
+++ b/components/control/src/agent/work.rs
@@ -24,6 +24,8 @@
         /// The target's status.
         status: u16,
     },
+    /// Nothing reached the target, since whoever asked had left.
+    NotStarted,
     /// Nothing reached the target, since no connection could be made.
     NotSent,
     /// The target declined before it started, since it cannot serve now.
@@ -43,7 +45,7 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Self::Answered { status } => Outcome::Ran { status },
-            Self::NotSent | Self::Declined => Outcome::NotRun(Refusal::NotReady),
+            Self::NotStarted | Self::NotSent | Self::Declined => Outcome::NotRun(Refusal::NotReady),
             Self::Lost => Outcome::Unknown { crashed: true },
             Self::Crossed | Self::Cancelled | Self::TimedOut => Outcome::Unknown { crashed: false },
         }
--- /dev/null
+++ b/components/control/tests/admission.rs
@@ -0,0 +1,387 @@
+//! What an agent lets run: never more than its target bears, and nothing where it may not.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    agent,
+    at,
+    engine,
+    offered,
+    sheet,
+    sheet_events, //
+};
+use control::agent::{
+    Effect,
+    Ended,
+    Event,
+    Options,
+    State, //
+};
+use control::follow;
+use proptest::prelude::*;
+use protocol::{
+    Guard,
+    Outcome,
+    Refusal, //
+};
+
+fn offer(state: &mut State, millis: u64, token: u64) -> Vec<Effect> {
+    let offered = offered(token, "m", Guard::Repeatable);
+    state.step(at(millis), Event::Offer(offered))
+}
+
+fn runs(effects: &[Effect]) -> Vec<u64> {
+    let runs = effects.iter().filter_map(|effect| match effect {
+        Effect::Run(token, _) => Some(*token),
+        _ => None,
+    });
+    runs.collect()
+}
+
+fn refusals(effects: &[Effect]) -> Vec<Refusal> {
+    let refusals = effects.iter().filter_map(|effect| match effect {
+        Effect::Refuse(_, Outcome::NotRun(refusal)) => Some(*refusal),
+        _ => None,
+    });
+    refusals.collect()
+}
+
+struct Case {
+    name: &'static str,
+    before: Vec<Event>,
+    offered: control::agent::Offered,
+    refusal: Option<Refusal>,
+}
+
+#[test]
+fn requests_are_refused_for_a_stated_reason_and_otherwise_run() {
+    let model = |token| offered(token, "m", Guard::Repeatable);
+    let mut leaving = sheet(2, "in");
+    leaving.leaving.insert("m3".into());
+    let follow = |sheet: &sheet::Sheet| {
+        let events = sheet_events(sheet).into_iter();
+        events.map(Event::Follow).collect::<Vec<Event>>()
+    };
+    let mut late = model(1);
+    late.deadline = Duration::ZERO;
+    let mut resumed = model(1);
+    resumed.version = Some("v0".into());
+    let cases = [
+        Case {
+            name: "plain",
+            before: vec![],
+            offered: model(1),
+            refusal: None,
+        },
+        Case {
+            name: "data centre out",
+            before: follow(&sheet(2, "out")),
+            offered: model(1),
+            refusal: Some(Refusal::DataCentreOut),
+        },
+        Case {
+            name: "leaving",
+            before: follow(&leaving),
+            offered: model(1),
+            refusal: Some(Refusal::Leaving),
+        },
+        Case {
+            name: "other work",
+            before: vec![],
+            offered: offered(1, "s", Guard::Repeatable),
+            refusal: Some(Refusal::WrongTarget),
+        },
+        Case {
+            name: "deadline passed",
+            before: vec![],
+            offered: late,
+            refusal: Some(Refusal::Expired),
+        },
+        Case {
+            name: "answer begun by another version",
+            before: vec![],
+            offered: resumed,
+            refusal: Some(Refusal::OtherVersion),
+        },
+        Case {
+            name: "draining",
+            before: vec![Event::Drain],
+            offered: model(1),
+            refusal: Some(Refusal::Draining),
+        },
+        Case {
+            name: "engine without a version",
+            before: vec![Event::Engine(Some(control::agent::EngineState {
+                version: None,
+                loading: false,
+                start: 2,
+            }))],
+            offered: model(1),
+            refusal: Some(Refusal::NotReady),
+        },
+        Case {
+            name: "engine with a version that nobody ordered",
+            before: vec![Event::Engine(Some(engine("v9", 1)))],
+            offered: model(1),
+            refusal: Some(Refusal::NotReady),
+        },
+        Case {
+            name: "engine gone",
+            before: vec![Event::Engine(None)],
+            offered: model(1),
+            refusal: Some(Refusal::NotReady),
+        },
+    ];
+    for case in cases {
+        let mut state = agent("m3", 1, Options::default(), &sheet(1, "in"));
+        for event in case.before {
+            state.step(at(1), event);
+        }
+        let effects = state.step(at(1), Event::Offer(case.offered));
+        let found = refusals(&effects).first().copied();
+        assert_eq!(found, case.refusal, "{}", case.name);
+        let ran = !runs(&effects).is_empty();
+        assert_eq!(ran, case.refusal.is_none(), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_cold_target_gets_its_cold_limit_until_the_cold_time_is_over() {
+    let mut state = agent("m1", 1, Options::default(), &sheet(1, "in"));
+    let mut token = 0;
+    for millis in [10, 300, 600, 900] {
+        // Two run, two wait, one is refused; then all end well.
+        let mut ran = Vec::new();
+        for _ in 0..5 {
+            token += 1;
+            ran.extend(runs(&offer(&mut state, millis, token)));
+        }
+        assert_eq!(ran.len(), 2, "{millis}");
+        while let Some(token) = ran.pop() {
+            let ended = Event::Ended(token, Ended::Answered { status: 200 });
+            ran.extend(runs(&state.step(at(millis + 1), ended)));
+        }
+        state.step(at(millis + 2), Event::Engine(Some(engine("v1", 1))));
+    }
+    assert_eq!(state.status(at(1100).elapsed).limit, 2);
+    for token in 100..120 {
+        let millis = 1100 + token;
+        offer(&mut state, millis, token);
+        state.step(at(millis), Event::Engine(Some(engine("v1", 1))));
+        state.step(
+            at(millis),
+            Event::Ended(token, Ended::Answered { status: 200 }),
+        );
+    }
+    assert_eq!(state.status(at(1300).elapsed).limit, 6);
+}
+
+struct ColdSign {
+    name: &'static str,
+    sign: Event,
+}
+
+#[test]
+fn every_sign_of_a_new_cold_start_falls_back_at_once() {
+    let signs = [
+        ColdSign {
+            name: "another start",
+            sign: Event::Engine(Some(engine("v1", 2))),
+        },
+        ColdSign {
+            name: "broken connection",
+            sign: Event::Ended(1, Ended::Lost),
+        },
+        ColdSign {
+            name: "no connection",
+            sign: Event::Ended(1, Ended::NotSent),
+        },
+        ColdSign {
+            name: "declined",
+            sign: Event::Ended(1, Ended::Declined),
+        },
+    ];
+    for sign in signs {
+        let mut state = agent("m1", 1, Options::default(), &sheet(1, "in"));
+        for token in 10..30 {
+            offer(&mut state, 1500, token);
+            state.step(at(1500), Event::Engine(Some(engine("v1", 1))));
+            state.step(
+                at(1500),
+                Event::Ended(token, Ended::Answered { status: 200 }),
+            );
+        }
+        offer(&mut state, 1501, 1);
+        assert_eq!(state.status(at(1501).elapsed).limit, 6, "{}", sign.name);
+        state.step(at(1502), sign.sign);
+        assert_eq!(state.status(at(1502).elapsed).limit, 2, "{}", sign.name);
+    }
+}
+
+#[test]
+fn an_engine_that_has_said_nothing_for_long_gets_the_cold_limit() {
+    let mut state = agent("m1", 1, Options::default(), &sheet(1, "in"));
+    for token in 10..30 {
+        offer(&mut state, 1500, token);
+        state.step(at(1500), Event::Engine(Some(engine("v1", 1))));
+        state.step(
+            at(1500),
+            Event::Ended(token, Ended::Answered { status: 200 }),
+        );
+    }
+    assert_eq!(state.status(at(3000).elapsed).limit, 6);
+    assert_eq!(state.status(at(4000).elapsed).limit, 2);
+}
+
+#[test]
+fn a_process_that_wakes_takes_nothing_until_it_has_compared_versions() {
+    let mut state = agent("m1", 1, Options::default(), &sheet(1, "in"));
+    let effects = offer(&mut state, 60_000, 1);
+    assert_eq!(refusals(&effects), []);
+    let mut state = agent("m1", 1, Options::default(), &sheet(1, "in"));
+    state.step(at(60_000), Event::Tick);
+    state.step(at(60_000), Event::Engine(Some(engine("v1", 1))));
+    let effects = offer(&mut state, 60_001, 1);
+    assert_eq!(refusals(&effects), [Refusal::Resuming]);
+    let answer = follow::Answer::Unchanged;
+    state.step(at(60_002), Event::Follow(follow::Event::Index(answer)));
+    let effects = offer(&mut state, 60_003, 2);
+    assert_eq!(runs(&effects), [2]);
+}
+
+#[test]
+fn one_suspect_runs_on_a_target_at_once_and_two_crashes_quarantine() {
+    let mut state = agent("m1", 1, Options::default(), &sheet(1, "in"));
+    let suspect = |token| {
+        let mut offered = offered(token, "m", Guard::Repeatable);
+        offered.suspect = true;
+        offered.fingerprint = 77;
+        Event::Offer(offered)
+    };
+    assert_eq!(runs(&state.step(at(1), suspect(1))), [1]);
+    let effects = state.step(at(2), suspect(2));
+    assert_eq!(refusals(&effects), [Refusal::SuspectRunning]);
+    state.step(at(3), Event::Ended(1, Ended::Lost));
+    let crash = protocol::Crash {
+        fingerprint: 77,
+        target: "m2".into(),
+        start: 4,
+    };
+    let news = protocol::Heartbeat {
+        report: None,
+        crashes: vec![crash],
+    };
+    state.step(at(4), Event::Heartbeat("m2".into(), news));
+    let effects = state.step(at(5), suspect(3));
+    assert_eq!(refusals(&effects), [Refusal::Quarantined]);
+}
+
+#[test]
+fn a_drain_refuses_what_waits_and_exits_when_what_runs_has_ended() {
+    let mut state = agent("m1", 1, Options::default(), &sheet(1, "in"));
+    for token in 1..=3 {
+        offer(&mut state, 10, token);
+    }
+    let effects = state.step(at(11), Event::Drain);
+    assert_eq!(refusals(&effects), [Refusal::Draining]);
+    assert!(!effects.contains(&Effect::Exit));
+    let ended = |token| Event::Ended(token, Ended::Answered { status: 200 });
+    assert!(!state.step(at(12), ended(1)).contains(&Effect::Exit));
+    assert!(state.step(at(13), ended(2)).contains(&Effect::Exit));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer,
+    End(prop::sample::Index, u8),
+    Withdraw(prop::sample::Index),
+    Restart,
+    Wait(u64),
+    Out(bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => Just(Step::Offer),
+        6 => (any::<prop::sample::Index>(), 0_u8..5).prop_map(|(i, how)| Step::End(i, how)),
+        1 => any::<prop::sample::Index>().prop_map(Step::Withdraw),
+        1 => Just(Step::Restart),
+        3 => (1_u64..700).prop_map(Step::Wait),
+        1 => any::<bool>().prop_map(Step::Out),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn never_beyond_the_limit_and_every_request_ends_once(steps in prop::collection::vec(step(), 1..150)) {
+        let mut state = agent("m3", 1, Options::default(), &sheet(1, "in"));
+        let (mut now, mut token, mut start, mut version) = (1, 0, 1, 1);
+        let mut running: Vec<u64> = Vec::new();
+        let mut open = std::collections::BTreeSet::new();
+        let mut is_out = false;
+        for step in steps {
+            let event = match step {
+                Step::Offer => {
+                    token += 1;
+                    open.insert(token);
+                    vec![Event::Offer(offered(token, "m", Guard::Repeatable))]
+                }
+                Step::End(index, how) if !running.is_empty() => {
+                    let token = running.swap_remove(index.index(running.len()));
+                    open.remove(&token);
+                    let ended = match how {
+                        0 => Ended::Lost,
+                        1 => Ended::NotSent,
+                        2 => Ended::TimedOut,
+                        _ => Ended::Answered { status: 200 },
+                    };
+                    vec![Event::Ended(token, ended)]
+                }
+                Step::Withdraw(index) if token > 0 => {
+                    vec![Event::Withdraw(index.index(token as usize) as u64 + 1)]
+                }
+                Step::Restart => {
+                    start += 1;
+                    vec![Event::Engine(Some(engine("v1", start)))]
+                }
+                Step::Wait(millis) => {
+                    now += millis;
+                    vec![Event::Engine(Some(engine("v1", start))), Event::Tick]
+                }
+                Step::Out(out) => {
+                    version += 1;
+                    is_out = out;
+                    let sheet = sheet(version, if out { "out" } else { "in" });
+                    sheet_events(&sheet).into_iter().map(Event::Follow).collect()
+                }
+                _ => continue,
+            };
+            for event in event {
+                let limit_before = state.status(at(now).elapsed).limit;
+                let effects = state.step(at(now), event);
+                for effect in effects {
+                    match effect {
+                        Effect::Run(token, version) => {
+                            prop_assert!(!is_out);
+                            prop_assert!(open.contains(&token));
+                            prop_assert_eq!(version.as_deref(), Some("v1"));
+                            running.push(token);
+                            let limit = state.status(at(now).elapsed).limit;
+                            prop_assert!(running.len() <= limit.max(limit_before) as usize);
+                        }
+                        Effect::Refuse(token, _) => {
+                            prop_assert!(open.remove(&token), "{token} ended twice");
+                            prop_assert!(!running.contains(&token));
+                        }
+                        _ => {}
+                    }
+                }
+                let status = state.status(at(now).elapsed);
+                prop_assert_eq!(status.running as usize, running.len());
+                prop_assert_eq!(status.queued as usize, open.len() - running.len());
+            }
+        }
+    }
+}
--- a/components/proxy/src/agent/mod.rs
+++ b/components/proxy/src/agent/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use control::agent::{
+    Ended,
     Event,
     Options,
     State, //
@@ -250,21 +251,26 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// A request that waits for the control thread; dropping it takes it out again.
+/// A request that waits for the control thread. Dropping it tells the control thread so, with the
+/// event that is due then.
 struct Pending {
     inner: Arc<Inner>,
     token: u64,
     rx: oneshot::Receiver<Verdict>,
+    on_drop: Option<fn(u64) -> Event>,
 }
 
 impl Drop for Pending {
     fn drop(&mut self) {
         lock(&self.inner.waiting).remove(&self.token);
+        if let Some(event) = self.on_drop {
+            self.inner.node.control.send(event(self.token));
+        }
     }
 }
 
 impl Inner {
-    fn pend(self: &Arc<Self>) -> Pending {
+    fn pend(self: &Arc<Self>, on_drop: Option<fn(u64) -> Event>) -> Pending {
         let token = self.tokens.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
         lock(&self.waiting).insert(token, tx);
@@ -272,14 +278,22 @@
             inner: self.clone(),
             token,
             rx,
+            on_drop,
         }
     }
 
     /// Passes the control thread's word to the request that waits for it.
     fn decide(&self, token: u64, verdict: Verdict) {
-        if let Some(tx) = lock(&self.waiting).remove(&token) {
-            // A request that left has told the control thread so itself.
-            let _left = tx.send(verdict);
+        let waiting = lock(&self.waiting).remove(&token);
+        let left = match waiting {
+            Some(tx) => tx.send(verdict).err(),
+            None => Some(verdict),
+        };
+        if let Some(Verdict::Run(_)) = left {
+            // It left just before it was let in, so nothing went to the target.
+            self.node
+                .control
+                .send(Event::Ended(token, Ended::NotStarted));
         }
     }
 
@@ -304,7 +318,7 @@
                 }
             }
             Request::Ticket => {
-                let pending = self.pend();
+                let pending = self.pend(None);
                 self.node.control.send(Event::TicketAsked(pending.token));
                 self.answer_ticket(pending, responder).await;
             }
--- a/components/proxy/src/agent/pieces.rs
+++ b/components/proxy/src/agent/pieces.rs
@@ -233,7 +233,8 @@
         wait: bool,
         mut responder: Responder,
     ) {
-        let mut pending = self.pend();
+        let ended = |token| Event::Transfer(weights::Event::WantEnded(token));
+        let mut pending = self.pend(Some(ended));
         let token = pending.token;
         self.node
             .control
@@ -256,8 +257,6 @@
             }
             _ => {}
         }
-        let ended = weights::Event::WantEnded(token);
-        self.node.control.send(Event::Transfer(ended));
     }
 
     async fn upload(&self, to: &Name, manifest: Digest, piece: Piece, mut responder: Responder) {
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -110,10 +110,24 @@
     }
 }
 
+/// Tells the control thread how a run ended, also when the task that runs it is dropped.
+struct RunGuard {
+    inner: Arc<Inner>,
+    token: u64,
+    ended: Ended,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let event = Event::Ended(self.token, self.ended);
+        self.inner.node.control.send(event);
+    }
+}
+
 impl Inner {
     /// Answers an entry that hands over a caller's request.
     pub(super) async fn serve(self: Arc<Self>, serve: Serve, mut responder: Responder) {
-        let mut pending = self.pend();
+        let mut pending = self.pend(Some(Event::Withdraw));
         let token = pending.token;
         let now = self.node.clock.now().elapsed;
         let deadline = now + Duration::from_millis(serve.timeout_ms);
@@ -135,6 +149,7 @@
         self.node.control.send(Event::Offer(offered));
         let mut answer = Answer::new(responder);
         let verdict = self.await_verdict(&mut pending, &mut answer).await;
+        pending.on_drop = None;
         match verdict {
             Some(Verdict::Run(version)) => {
                 self.run(token, serve, version, deadline, answer).await;
@@ -168,6 +183,11 @@
         mut answer: Answer,
     ) {
         let cancel = CancelGuard::new(&self, token);
+        let mut run = RunGuard {
+            inner: self.clone(),
+            token,
+            ended: Ended::Cancelled,
+        };
         let left = deadline.saturating_sub(self.node.clock.now().elapsed);
         let may_cancel = serve.guard == Guard::Repeatable;
         let ended = {
@@ -178,7 +198,8 @@
                 () = cancel.notify.notified(), if may_cancel => Ended::Cancelled,
             }
         };
-        self.node.control.send(Event::Ended(token, ended));
+        run.ended = ended;
+        drop(run);
         answer.finish(serve.id, ended.outcome()).await;
     }
 
--- a/components/utils/src/digest.rs
+++ b/components/utils/src/digest.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::de::Error as _;
+use serde::de::Visitor;
 use serde::{
     Deserialize,
     Deserializer,
@@ -98,15 +98,29 @@
 impl<'de> Deserialize<'de> for Digest {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         if deserializer.is_human_readable() {
-            let text = String::deserialize(deserializer)?;
-            text.parse()
-                .map_err(|e| D::Error::custom(format!("{e}, got {text:?}")))
+            deserializer.deserialize_str(DigestVisitor)
         } else {
             <[u8; DIGEST_BYTES]>::deserialize(deserializer).map(Self)
         }
     }
 }
 
+/// Reads the text form. A visitor, so that the reader can name the field in its error.
+struct DigestVisitor;
+
+impl Visitor<'_> for DigestVisitor {
+    type Value = Digest;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{ParseDigestError}")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Digest, E> {
+        text.parse()
+            .map_err(|e| E::custom(format!("{e}, got {text:?}")))
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/components/weights/src/transfer.rs
+++ b/components/weights/src/transfer.rs
@@ -261,6 +261,13 @@
         (self.have.count_ones(..), total)
     }
 
+    /// Whether `piece` is being drawn from the instance `peer`.
+    pub fn is_drawing(&self, piece: Piece, peer: &str) -> bool {
+        self.fetching
+            .get(&piece)
+            .is_some_and(|fetch| matches!(&fetch.source, Source::Peer(name) if &**name == peer))
+    }
+
     /// How many uploads run.
     pub fn uploads_running(&self) -> usize {
         self.uploads.running()
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -89,6 +89,8 @@
             Some(_ended) = streams.join_next() => continue,
         };
         let Some(Ok((request, respond))) = accepted else {
+            // Whoever asked is gone, but what was begun must still be ended in order.
+            streams.detach_all();
             return;
         };
         let answer = answer.clone();
