--- a/components/control/src/agent/mod.rs
+++ b/components/control/src/agent/mod.rs
@@ -90,8 +90,15 @@
     Follow(follow::Effect),
     /// Spread the weights of the manifest.
     Transfer(weights::Effect),
-    /// Run a request at the target, which answers from this version if it is a model.
-    Run(u64, Option<Name>),
+    /// Run a request at the target.
+    Run {
+        /// The request.
+        token: u64,
+        /// The version that answers, if the target is a model engine.
+        version: Option<Name>,
+        /// How often the target has started.
+        start: u64,
+    },
     /// Stop a request whose caller went away.
     Cancel(u64),
     /// Answer a request without running it.
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -239,11 +239,16 @@
     }
 
     fn heartbeat(&mut self, at: Duration, from: Name, news: Heartbeat, out: &mut Vec<Effect>) {
+        let mut is_news = false;
         for crash in &news.crashes {
             if self.suspects.note(at, crash) {
+                is_news = true;
                 self.record_suspect(crash, out);
             }
         }
+        if is_news {
+            self.tell_neighbours(out);
+        }
         let event = match news.report {
             Some(report) => weights::Event::Report(from, report),
             None => weights::Event::Answered(from),
@@ -251,6 +256,12 @@
         self.transfer(at, event, out);
     }
 
+    /// Tells neighbours of crashes at once, since the caller may send the request again elsewhere.
+    pub(super) fn tell_neighbours(&self, out: &mut Vec<Effect>) {
+        let beats = self.follow.neighbours().iter().cloned();
+        out.extend(beats.map(follow::Effect::Heartbeat).map(Effect::Follow));
+    }
+
     pub(super) fn record_suspect(&self, crash: &protocol::Crash, out: &mut Vec<Effect>) {
         out.push(Effect::Record(Decision::Suspect {
             fingerprint: crash.fingerprint,
--- a/components/control/src/agent/work.rs
+++ b/components/control/src/agent/work.rs
@@ -165,7 +165,11 @@
                 running: self.admission.running(),
                 limit,
             }));
-            out.push(Effect::Run(offered.token, version.clone()));
+            out.push(Effect::Run {
+                token: offered.token,
+                version: version.clone(),
+                start,
+            });
         }
     }
 
@@ -235,13 +239,7 @@
             return;
         }
         self.record_suspect(&crash, out);
-        // Others learn at once, since the caller may send it again elsewhere.
-        let beats = self.follow.neighbours().iter().cloned();
-        out.extend(
-            beats
-                .map(crate::follow::Effect::Heartbeat)
-                .map(Effect::Follow),
-        );
+        self.tell_neighbours(out);
     }
 
     /// Refuses a request that waited too long or was shed.
--- a/components/control/src/entry/calls.rs
+++ b/components/control/src/entry/calls.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use protocol::{
+    Crash,
     Fingerprint,
     Guard,
     KeyState,
@@ -76,6 +77,7 @@
     pub(super) fn arrive(&mut self, now: Duration, arrived: Arrived, out: &mut Vec<Effect>) {
         self.budget.earn();
         let token = arrived.token;
+        let is_unsettled = self.suspects.is_unsettled(now, arrived.fingerprint);
         let call = Call {
             deadline: now + arrived.timeout,
             target: None,
@@ -92,6 +94,10 @@
             self.reject_untold(token, Refusal::Draining, out);
             return;
         }
+        if is_unsettled {
+            self.reject_untold(token, Refusal::SuspectRunning, out);
+            return;
+        }
         self.send(now, token, out);
     }
 
@@ -123,11 +129,13 @@
         now: Duration,
         token: u64,
         outcome: Outcome,
+        start: u64,
         out: &mut Vec<Effect>,
     ) {
         let Some(target) = self.release(now, token) else {
             return;
         };
+        self.note_crash(now, token, &target, outcome, start, out);
         match outcome {
             Outcome::Ran { .. } => {
                 self.hints.worked(now, &target);
@@ -142,6 +150,27 @@
         }
     }
 
+    fn note_crash(
+        &mut self,
+        now: Duration,
+        token: u64,
+        target: &Name,
+        outcome: Outcome,
+        start: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let (Outcome::Unknown { crashed: true }, Some(call)) = (outcome, self.calls.get(&token))
+        else {
+            return;
+        };
+        let crash = Crash {
+            fingerprint: call.arrived.fingerprint,
+            target: target.clone(),
+            start,
+        };
+        self.note_crashes(now, &[crash], out);
+    }
+
     pub(super) fn gone(&mut self, now: Duration, token: u64, out: &mut Vec<Effect>) {
         if self.release(now, token).is_some() {
             out.push(Effect::Abandon(token));
--- a/components/control/src/entry/mod.rs
+++ b/components/control/src/entry/mod.rs
@@ -64,7 +64,14 @@
     /// The agent could not be reached; nothing was sent.
     NotSent(u64),
     /// The agent said what came of the request, or its connection broke.
-    Outcome(u64, Outcome),
+    Outcome {
+        /// The request.
+        token: u64,
+        /// What came of it.
+        outcome: Outcome,
+        /// How often the target had started before the request ran.
+        start: u64,
+    },
     /// The caller went away.
     Gone(u64),
     /// A probe was answered, or not.
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use protocol::{
+    Crash,
     Heartbeat,
     TargetStatus, //
 };
@@ -107,7 +108,11 @@
             Event::Arrive(arrived) => self.arrive(at, arrived, &mut out),
             Event::Committed { token, resumable } => self.committed(at, token, resumable),
             Event::NotSent(token) => self.not_sent(at, token, &mut out),
-            Event::Outcome(token, outcome) => self.outcome(at, token, outcome, &mut out),
+            Event::Outcome {
+                token,
+                outcome,
+                start,
+            } => self.outcome(at, token, outcome, start, &mut out),
             Event::Gone(token) => self.gone(at, token, &mut out),
             Event::Status(name, status) => self.status(at, &name, status),
             Event::Drain => self.drain(&mut out),
@@ -166,8 +171,13 @@
     }
 
     fn heartbeat(&mut self, at: Duration, news: &Heartbeat, out: &mut Vec<Effect>) {
+        self.note_crashes(at, &news.crashes, out);
+    }
+
+    /// Takes crashes and passes news of them on at once, since the caller may come to any entry.
+    pub(super) fn note_crashes(&mut self, at: Duration, crashes: &[Crash], out: &mut Vec<Effect>) {
         let mut is_news = false;
-        for crash in &news.crashes {
+        for crash in crashes {
             if !self.suspects.note(at, crash) {
                 continue;
             }
@@ -179,7 +189,6 @@
             }));
         }
         if is_news {
-            // Passed on at once, since the caller may come to any entry.
             let beats = self.follow.neighbours().iter().cloned();
             out.extend(beats.map(follow::Effect::Heartbeat).map(Effect::Follow));
         }
--- a/components/control/src/follow.rs
+++ b/components/control/src/follow.rs
@@ -66,6 +66,9 @@
 /// Ring steps on each side among the processes of the data centre.
 const NEAR_STEPS: u32 = 2;
 
+/// The key of the ring over all entries, which must be the same everywhere.
+const ENTRY_RING: u64 = 0;
+
 /// Neighbours in other data centres.
 const FAR_NEIGHBOURS: usize = 2;
 
@@ -473,17 +476,21 @@
         effects.push(Effect::ListChanged);
     }
 
+    /// Processes of the data centre on a ring, a few elsewhere, and entries among themselves.
     fn choose_neighbours(&self) -> Vec<Name> {
         let key = rank::key(self.data_centre.as_bytes());
         let near = |i: &&Instance| i.data_centre == self.data_centre;
         let ring = self.members.present().filter(near).map(|i| &i.name);
         let mut chosen = rank::ring_neighbours(key, ring, &self.me, NEAR_STEPS);
         let far = self.members.present().filter(|i| !near(i)).map(|i| &i.name);
-        chosen.extend(rank::top(
-            rank::key(self.me.as_bytes()),
-            far,
-            FAR_NEIGHBOURS,
-        ));
+        let far = rank::top(rank::key(self.me.as_bytes()), far, FAR_NEIGHBOURS);
+        let entries = self.members.entries().map(|i| &i.name);
+        let entries = rank::ring_neighbours(ENTRY_RING, entries, &self.me, NEAR_STEPS);
+        for name in far.into_iter().chain(entries) {
+            if !chosen.contains(&name) {
+                chosen.push(name);
+            }
+        }
         chosen
     }
 }
--- a/components/control/src/suspects.rs
+++ b/components/control/src/suspects.rs
@@ -15,6 +15,9 @@
 /// Crashes after which a request is not run any more.
 const QUARANTINE_CRASHES: usize = 2;
 
+/// How long after a crash a request is tried only by the entry that has it already.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// How long a request stays suspect after the last crash.
 const MEMORY: Duration = Duration::from_secs(600);
 
@@ -53,6 +56,14 @@
         self.0.contains_key(&fingerprint)
     }
 
+    /// Whether a target crashed so lately that another entry may still be trying the request. A
+    /// second crash there would not be known here in time.
+    pub fn is_unsettled(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        let suspect = self.0.get(&fingerprint);
+        suspect.is_some_and(|s| now.saturating_sub(s.learned) < SETTLE_TIME)
+            && !self.is_quarantined(fingerprint)
+    }
+
     /// Whether the request is not run any more.
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.0
--- a/components/control/tests/admission.rs
+++ b/components/control/tests/admission.rs
@@ -34,7 +34,7 @@
 
 fn runs(effects: &[Effect]) -> Vec<u64> {
     let runs = effects.iter().filter_map(|effect| match effect {
-        Effect::Run(token, _) => Some(*token),
+        Effect::Run { token, .. } => Some(*token),
         _ => None,
     });
     runs.collect()
@@ -363,7 +363,7 @@
                 let effects = state.step(at(now), event);
                 for effect in effects {
                     match effect {
-                        Effect::Run(token, version) => {
+                        Effect::Run { token, version, .. } => {
                             prop_assert!(!is_out);
                             prop_assert!(open.contains(&token));
                             prop_assert_eq!(version.as_deref(), Some("v1"));
--- a/components/control/tests/once.rs
+++ b/components/control/tests/once.rs
@@ -63,7 +63,7 @@
     let offered = offered(token, "s", guard.clone());
     let effects = state.step(at(millis), Event::Offer(offered));
     let did = effects.iter().find_map(|effect| match effect {
-        Effect::Run(..) => Some(Did::Ran),
+        Effect::Run { .. } => Some(Did::Ran),
         Effect::Refuse(_, outcome) => Some(Did::Refused(*outcome)),
         _ => None,
     });
@@ -336,7 +336,7 @@
     reached: &mut BTreeMap<Guard, u32>,
 ) {
     for effect in effects {
-        if let Effect::Run(token, _) = effect {
+        if let Effect::Run { token, .. } = effect {
             running.push(*token);
             *reached.entry(sent[token].clone()).or_default() += 1;
         }
--- a/components/protocol/src/serve.rs
+++ b/components/protocol/src/serve.rs
@@ -173,5 +173,7 @@
         outcome: Outcome,
         /// Bytes in all data frames.
         bytes: u64,
+        /// How often the target had started before the request ran, zero if it did not run.
+        start: u64,
     },
 }
--- a/components/proxy/src/agent/effects.rs
+++ b/components/proxy/src/agent/effects.rs
@@ -35,7 +35,11 @@
         match effect {
             Effect::Follow(effect) => self.node.apply(state, now, effect),
             Effect::Transfer(effect) => self.apply_transfer(state, now, effect),
-            Effect::Run(token, version) => self.decide(token, Verdict::Run(version)),
+            Effect::Run {
+                token,
+                version,
+                start,
+            } => self.decide(token, Verdict::Run { version, start }),
             Effect::Refuse(token, outcome) => self.decide(token, Verdict::Refuse(outcome)),
             Effect::Ticket(token, ticket) => self.decide(token, Verdict::Ticket(ticket)),
             Effect::Cancel(token) => {
--- a/components/proxy/src/agent/mod.rs
+++ b/components/proxy/src/agent/mod.rs
@@ -100,7 +100,7 @@
 /// What a waiting request is told by the control thread.
 #[derive(Debug)]
 enum Verdict {
-    Run(Option<Name>),
+    Run { version: Option<Name>, start: u64 },
     Refuse(Outcome),
     Upload,
     Deny(Denial),
@@ -289,7 +289,7 @@
             Some(tx) => tx.send(verdict).err(),
             None => Some(verdict),
         };
-        if let Some(Verdict::Run(_)) = left {
+        if let Some(Verdict::Run { .. }) = left {
             // It left just before it was let in, so nothing went to the target.
             self.node
                 .control
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -52,6 +52,7 @@
 struct Answer {
     responder: Option<Responder>,
     bytes: u64,
+    start: u64,
 }
 
 impl Answer {
@@ -74,8 +75,12 @@
     }
 
     async fn finish(mut self, id: u64, outcome: Outcome) {
-        let bytes = self.bytes;
-        let end = Frame::End { id, outcome, bytes };
+        let end = Frame::End {
+            id,
+            outcome,
+            bytes: self.bytes,
+            start: self.start,
+        };
         self.send(&end).await;
         if let Some(responder) = self.responder.take() {
             if let Err(e) = responder.end() {
@@ -151,7 +156,8 @@
         let verdict = self.await_verdict(&mut pending, &mut answer).await;
         pending.on_drop = None;
         match verdict {
-            Some(Verdict::Run(version)) => {
+            Some(Verdict::Run { version, start }) => {
+                answer.start = start;
                 self.run(token, serve, version, deadline, answer).await;
             }
             Some(Verdict::Refuse(outcome)) => answer.finish(serve.id, outcome).await,
@@ -312,6 +318,7 @@
         Self {
             responder: Some(responder),
             bytes: 0,
+            start: 0,
         }
     }
 }
--- a/components/proxy/src/entry/pump.rs
+++ b/components/proxy/src/entry/pump.rs
@@ -123,7 +123,11 @@
     /// Nothing went out.
     Nothing,
     /// The agent said so, or its connection broke.
-    Outcome(Outcome),
+    Outcome {
+        outcome: Outcome,
+        /// How often the target had started.
+        start: u64,
+    },
     /// The caller went away.
     CallerGone,
 }
@@ -206,7 +210,11 @@
         };
         let event = match sent {
             Sent::Nothing => Event::NotSent(token),
-            Sent::Outcome(outcome) => Event::Outcome(token, outcome),
+            Sent::Outcome { outcome, start } => Event::Outcome {
+                token,
+                outcome,
+                start,
+            },
             Sent::CallerGone => return false,
         };
         inner.node.control.send(event);
@@ -279,7 +287,10 @@
 
 fn lost(serve: &Serve, e: &WireError) -> Sent {
     log::debug!("request {}: {} broke off: {e}", serve.id, serve.target);
-    Sent::Outcome(Outcome::Unknown { crashed: false })
+    Sent::Outcome {
+        outcome: Outcome::Unknown { crashed: false },
+        start: 0,
+    }
 }
 
 /// Passes the agent's frames on to the caller.
@@ -314,15 +325,21 @@
                     return Sent::CallerGone;
                 }
             }
-            Ok(Frame::End { id, outcome, bytes }) => {
+            Ok(Frame::End {
+                id,
+                outcome,
+                bytes,
+                start,
+            }) => {
                 let whole = id == serve.id && bytes == count;
                 if whole && !flush(caller).await {
                     return Sent::CallerGone;
                 }
-                return Sent::Outcome(match outcome {
+                let outcome = match outcome {
                     Outcome::Ran { .. } if !whole => Outcome::Unknown { crashed: false },
                     other => other,
-                });
+                };
+                return Sent::Outcome { outcome, start };
             }
             Err(e) => return lost(serve, &e),
         }
--- a/experiments/src/burst.rs
+++ b/experiments/src/burst.rs
@@ -127,7 +127,7 @@
         * if baseline {
             4 * arguments.agents as u32
         } else {
-            12
+            5
         };
     let watching = watch(&fleet, version, started, patience);
     let striking = async {
@@ -203,6 +203,12 @@
             .filter(|t| t.agent.is_some())
             .count();
         if watch.ready.len() >= living || elapsed > patience {
+            for (name, status) in statuses
+                .iter()
+                .filter(|(n, _)| !watch.ready.contains_key(*n))
+            {
+                eprintln!("experiments: {name} is not at {version}: {status:?}");
+            }
             return watch;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
