The interface for operators, metrics, and status and explain over it

Cause: an operator could not see what a process holds, decides or believes.

Change: `admin` serves status, sheet, targets, transfers, teams, quarantine, the last decisions, explain, metrics, health and readiness on a listener of its own, with a bearer token where a file is set; it changes nothing but this process's own shutdown and log level. `status` and `explain` read it for people or as JSON. The demo serves it for each of its processes.

--- /dev/null
+++ b/components/admin/src/lib.rs
@@ -0,0 +1,18 @@
+//! The interface for operators: what this process holds, decides and believes, over HTTP.
+//!
+//! It only reads, but for the process's own shutdown and log level.
+
+mod answer;
+mod client;
+mod routes;
+mod source;
+
+pub use client::{
+    get,
+    ClientError, //
+};
+pub use routes::serve;
+pub use source::{
+    Options,
+    Process, //
+};
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -170,6 +170,16 @@
         }
     }
 
+    /// The instance.
+    pub fn name(&self) -> &Name {
+        &self.me
+    }
+
+    /// Why the target takes no new work, if it does not.
+    pub fn why(&self, now: Duration) -> Option<&'static str> {
+        self.refusal(now).map(|refusal| refusal.code())
+    }
+
     /// The state of the target.
     pub fn status(&self, now: Duration) -> TargetStatus {
         let is_model = self.placed.as_ref().is_some_and(|p| p.is_model);
--- a/components/control/src/entry/hints.rs
+++ b/components/control/src/entry/hints.rs
@@ -50,6 +50,11 @@
         self.0.len()
     }
 
+    /// The targets that something is believed of.
+    pub fn iter(&self) -> impl Iterator<Item = &Name> {
+        self.0.keys()
+    }
+
     /// Whether nothing is believed.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/components/control/src/entry/mod.rs
+++ b/components/control/src/entry/mod.rs
@@ -16,6 +16,8 @@
 };
 pub use calls::{
     Arrived,
+    Candidate,
+    Explanation,
     Rejection, //
 };
 pub use hints::Hints;
--- a/components/proxy/src/agent/mod.rs
+++ b/components/proxy/src/agent/mod.rs
@@ -30,7 +30,7 @@
     Request,
     Ticket, //
 };
-use record::Chain;
+use record::Line;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::{
@@ -54,6 +54,7 @@
 use crate::node::{
     Hooks,
     Identity,
+    Journal,
     Node,
     Shared,
     Sink, //
@@ -146,7 +147,6 @@
     ) -> Result<Self, ProxyError> {
         let (control, inbox) = control_channel();
         let identity = setup.identity;
-        let chain = Chain::new(identity.instance.clone(), identity.incarnation);
         let state = State::new(
             identity.instance.clone(),
             identity.data_centre.clone(),
@@ -172,7 +172,7 @@
                 heartbeat_event: Event::Heartbeat,
                 silent_event: Event::Silent,
             },
-            chain: Arc::new(Mutex::new(chain)),
+            journal: Arc::new(Mutex::new(Journal::new(&identity))),
             sink: setup.sink,
             identity,
         };
@@ -229,6 +229,11 @@
         &self.inner.node.identity
     }
 
+    /// The last lines of the record, the newest last.
+    pub fn recent(&self) -> Vec<Line> {
+        self.inner.node.recent()
+    }
+
     /// Takes no more work, and waits until what runs has ended.
     pub async fn drain(&self) {
         let exited = self.inner.exited.notified();
--- a/components/proxy/src/agent/pieces.rs
+++ b/components/proxy/src/agent/pieces.rs
@@ -109,6 +109,14 @@
     }
 
     fn finish_draw(&self, draw: &Draw, result: Result<Bytes, FailCause>) {
+        if let Ok(data) = &result {
+            let from = match draw.source {
+                Source::Origin => "origin",
+                Source::Peer(_) => "peer",
+            };
+            let count = data.len() as u64;
+            metrics::counter!("medlarproxy_weights_bytes_total", "from" => from).increment(count);
+        }
         let event = match result.and_then(|data| self.verify(draw, data)) {
             Ok(event) => event,
             Err(cause) => {
@@ -274,6 +282,8 @@
             if let Some((mine, theirs)) = &regions {
                 self.links.send(slice.len(), mine, theirs).await;
             }
+            let count = slice.len() as u64;
+            metrics::counter!("medlarproxy_weights_bytes_total", "to" => "peer").increment(count);
             sent = responder.send_raw(slice).await;
         }
         if let Err(e) = sent.and_then(|()| responder.end()) {
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -217,6 +217,7 @@
         version: Option<Name>,
         answer: &mut Answer,
     ) -> Ended {
+        let began = self.node.clock.now().elapsed;
         let mut running = std::pin::pin!(self.target.run(serve));
         let response = loop {
             tokio::select! {
@@ -240,6 +241,8 @@
             // An engine says so before it starts, so nothing was run.
             return Ended::Declined;
         }
+        let first_byte = self.node.clock.now().elapsed.saturating_sub(began);
+        metrics::histogram!("medlarproxy_head_seconds").record(first_byte);
         self.relay_body(token, serve, version, response, answer)
             .await
     }
--- a/components/proxy/src/entry/mod.rs
+++ b/components/proxy/src/entry/mod.rs
@@ -31,7 +31,7 @@
     Request, //
 };
 use rand::Rng;
-use record::Chain;
+use record::Line;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::{
@@ -50,6 +50,7 @@
 use crate::node::{
     Hooks,
     Identity,
+    Journal,
     Node,
     Shared,
     Sink, //
@@ -139,7 +140,6 @@
     ) -> Result<Self, ProxyError> {
         let (control, inbox) = control_channel();
         let identity = setup.identity;
-        let chain = Chain::new(identity.instance.clone(), identity.incarnation);
         let state = State::new(
             identity.instance.clone(),
             identity.data_centre.clone(),
@@ -164,7 +164,7 @@
                 heartbeat_event: Event::Heartbeat,
                 silent_event: Event::Silent,
             },
-            chain: Arc::new(Mutex::new(chain)),
+            journal: Arc::new(Mutex::new(Journal::new(&identity))),
             sink: setup.sink,
             identity,
         };
@@ -203,11 +203,21 @@
         &self.inner.node.control
     }
 
+    /// The key under which a prompt finds its target.
+    pub fn prefix_key(&self, prompt: &str) -> u64 {
+        request::prefix_key(prompt, self.inner.callers.prefix_bytes)
+    }
+
     /// Who the entry is.
     pub fn identity(&self) -> &Identity {
         &self.inner.node.identity
     }
 
+    /// The last lines of the record, the newest last.
+    pub fn recent(&self) -> Vec<Line> {
+        self.inner.node.recent()
+    }
+
     /// Takes no more requests, and waits until those under way have ended.
     pub async fn drain(&self) {
         let exited = self.inner.exited.notified();
--- a/components/proxy/src/entry/request.rs
+++ b/components/proxy/src/entry/request.rs
@@ -329,6 +329,11 @@
         }
         text.push_str(&message.content.to_string());
     }
+    prefix_key(&text, bytes)
+}
+
+/// The key under which a prompt that starts with `text` finds its target.
+pub(super) fn prefix_key(text: &str, bytes: usize) -> u64 {
     rank::key(&text.as_bytes()[..text.len().min(bytes)])
 }
 
--- a/components/proxy/src/node.rs
+++ b/components/proxy/src/node.rs
@@ -1,5 +1,6 @@
 //! What entry and agent share: following the sheet, heartbeats and answers to neighbours.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{
     AtomicU64,
@@ -8,6 +9,7 @@
 use std::sync::{
     Arc,
     Mutex,
+    MutexGuard,
     PoisonError,
     RwLock, //
 };
@@ -27,7 +29,8 @@
 };
 use record::{
     Chain,
-    Decision, //
+    Decision,
+    Line, //
 };
 use tokio::runtime::Handle;
 use utils::clock::{
@@ -50,7 +53,7 @@
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// Takes the lines of the record.
-pub type Sink = Arc<dyn Fn(&record::Line) + Send + Sync>;
+pub type Sink = Arc<dyn Fn(&Line) + Send + Sync>;
 
 /// Who a process is.
 #[derive(Clone, Debug)]
@@ -121,10 +124,29 @@
     pub shared: Arc<Shared>,
     pub control: Control<S, E>,
     pub hooks: Hooks<S, E>,
-    pub chain: Arc<Mutex<Chain>>,
+    pub journal: Arc<Mutex<Journal>>,
     pub sink: Sink,
 }
 
+/// Lines of the record that are kept for operators.
+const RECENT_LINES: usize = 256;
+
+/// The record of one process.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    chain: Chain,
+    recent: VecDeque<Line>,
+}
+
+impl Journal {
+    pub fn new(identity: &Identity) -> Self {
+        Self {
+            chain: Chain::new(identity.instance.clone(), identity.incarnation),
+            recent: VecDeque::new(),
+        }
+    }
+}
+
 impl<S, E> Clone for Node<S, E> {
     fn clone(&self) -> Self {
         Self {
@@ -136,7 +158,7 @@
             shared: self.shared.clone(),
             control: self.control.clone(),
             hooks: self.hooks,
-            chain: self.chain.clone(),
+            journal: self.journal.clone(),
             sink: self.sink.clone(),
         }
     }
@@ -155,9 +177,25 @@
 
     /// Writes a line of the record.
     pub fn record(&self, now: Now, decision: Decision) {
-        let mut chain = self.chain.lock().unwrap_or_else(PoisonError::into_inner);
-        let line = chain.append(now.unix_ms(), self.shared.sheet(), decision);
+        metrics::counter!("medlarproxy_decisions_total", "decision" => decision.kind())
+            .increment(1);
+        let mut journal = self.lock_journal();
+        let sheet = self.shared.sheet();
+        let line = journal.chain.append(now.unix_ms(), sheet, decision);
         (self.sink)(&line);
+        if journal.recent.len() == RECENT_LINES {
+            journal.recent.pop_front();
+        }
+        journal.recent.push_back(line);
+    }
+
+    /// The last lines of the record, the newest last.
+    pub fn recent(&self) -> Vec<Line> {
+        self.lock_journal().recent.iter().cloned().collect()
+    }
+
+    fn lock_journal(&self) -> MutexGuard<'_, Journal> {
+        self.journal.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The address of the process on another instance.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The arguments of the command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -19,6 +20,8 @@
     Check(CheckArguments),
     Pack(PackArguments),
     Audit(AuditArguments),
+    Status(StatusArguments),
+    Explain(ExplainArguments),
     Demo(DemoArguments),
 }
 
@@ -91,6 +94,42 @@
     pub after: Option<PathBuf>,
 }
 
+/// Show how a running process is.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct StatusArguments {
+    /// the process's address for operators
+    #[argh(positional)]
+    pub address: SocketAddr,
+    /// the file with the bearer token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show where an entry would send a request, without sending it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainArguments {
+    /// the entry's address for operators
+    #[argh(positional)]
+    pub address: SocketAddr,
+    /// the model or service
+    #[argh(positional)]
+    pub work: String,
+    /// the prompt, whose start chooses the target
+    #[argh(option, default = "String::new()")]
+    pub prompt: String,
+    /// the file with the bearer token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Prove or refute from the record what the system promises.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "audit")]
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use metrics_exporter_prometheus::PrometheusBuilder;
 use proxy::agent::{
     Agent,
     Setup, //
@@ -40,6 +41,7 @@
 }
 
 async fn serve(settings: &Settings, options: &AgentOptions) -> Outcome {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let listener = TcpListener::bind(settings.peer_address)
         .await
@@ -58,6 +60,8 @@
         sink: process::sink(),
     };
     let agent = Agent::start(setup, listener, http_client())?;
+    let operators = admin::Process::Agent(agent.clone());
+    process::serve_operators(settings, operators, metrics).await?;
     process::asked_to_stop().await?;
     agent.drain().await;
     Ok(())
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -1,10 +1,12 @@
 //! `medlarproxy demo`: a whole fleet in this process, before stand-ins.
 
+use std::error::Error;
 use std::fs::File;
 use std::io::{
     BufWriter,
     Write, //
 };
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{
     Arc,
@@ -20,9 +22,12 @@
     LoadShape,
     Tally, //
 };
+use metrics_exporter_prometheus::PrometheusBuilder;
 use protocol::Phase;
 use proxy::Sink;
 use sheet::ServiceState;
+use tokio::net::TcpListener;
+use utils::Name;
 
 use super::Outcome;
 use crate::cli::DemoArguments;
@@ -175,7 +180,31 @@
     tokio::time::sleep(OUT_TIME).await;
 }
 
+/// Serves operators of every process, as real processes do. Returns the addresses by instance.
+async fn serve_operators(fleet: &Fleet) -> Result<Vec<(Name, SocketAddr)>, Box<dyn Error>> {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let entries = fleet.entries().into_iter();
+    let entries = entries.map(|(name, entry)| (name, admin::Process::Entry(entry)));
+    let agents = fleet.targets().into_iter();
+    let agents = agents.filter_map(|(name, t)| Some((name, admin::Process::Agent(t.agent?))));
+    let mut addresses = Vec::new();
+    for (name, process) in entries.chain(agents) {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        addresses.push((name, listener.local_addr()?));
+        let options = admin::Options {
+            token_file: None,
+            metrics: metrics.clone(),
+            set_level: logs::set_level,
+        };
+        let _detached = tokio::spawn(admin::serve(listener, process, options));
+    }
+    Ok(addresses)
+}
+
 async fn stay_up(fleet: &Fleet) -> Outcome {
+    for (name, address) in serve_operators(fleet).await? {
+        println!("{name} for operators: http://{address}");
+    }
     for address in fleet.caller_addresses() {
         println!("entry for callers: http://{address}");
     }
@@ -221,7 +250,7 @@
     Ok(())
 }
 
-fn file_sink(path: &Path) -> Result<Sink, Box<dyn std::error::Error>> {
+fn file_sink(path: &Path) -> Result<Sink, Box<dyn Error>> {
     let file =
         File::create(path).map_err(|e| format!("{}: cannot be written: {e}", path.display()))?;
     let file = Mutex::new(BufWriter::new(file));
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use metrics_exporter_prometheus::PrometheusBuilder;
 use proxy::entry::{
     CallerOptions,
     Entry,
@@ -39,6 +40,7 @@
 }
 
 async fn serve(settings: &Settings, options: &EntryOptions) -> Outcome {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let listen = |address| async move {
         let listener = TcpListener::bind(address).await;
@@ -64,6 +66,8 @@
         sink: process::sink(),
     };
     let entry = Entry::start(setup, peers, callers, http_client())?;
+    let operators = admin::Process::Entry(entry.clone());
+    process::serve_operators(settings, operators, metrics).await?;
     process::asked_to_stop().await?;
     entry.drain().await;
     Ok(())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,8 +5,11 @@
 mod check;
 mod demo;
 mod entry;
+mod explain;
+mod operator;
 mod pack;
 mod process;
+mod status;
 
 use std::error::Error;
 
@@ -23,6 +26,8 @@
         Command::Check(arguments) => check::run(&arguments),
         Command::Audit(arguments) => audit::run(&arguments),
         Command::Pack(arguments) => pack::run(&arguments),
+        Command::Status(arguments) => status::run(&arguments),
+        Command::Explain(arguments) => explain::run(&arguments),
         Command::Demo(arguments) => demo::run(&arguments),
     }
 }
--- /dev/null
+++ b/src/cmd/operator.rs
@@ -0,0 +1,34 @@
+//! What `status` and `explain` share.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::Value;
+
+/// Reads a path of a process's interface for operators.
+pub(super) fn ask(
+    address: SocketAddr,
+    path: &str,
+    query: &[(&str, &str)],
+    token_file: Option<&Path>,
+) -> Result<Value, Box<dyn Error>> {
+    let token = token_file
+        .map(|file| {
+            std::fs::read_to_string(file)
+                .map_err(|e| format!("{}: cannot be read: {e}", file.display()))
+        })
+        .transpose()?;
+    let token = token.as_deref().map(str::trim);
+    let runtime = tokio::runtime::Runtime::new()?;
+    Ok(runtime.block_on(admin::get(address, path, query, token))?)
+}
+
+/// A value for people: strings without quotes, nothing as a dash.
+pub(super) fn show(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- a/src/cmd/process.rs
+++ b/src/cmd/process.rs
@@ -3,11 +3,14 @@
 use std::io;
 use std::sync::Arc;
 
+use metrics_exporter_prometheus::PrometheusHandle;
 use proxy::{
     Identity,
+    ProxyError,
     Sink, //
 };
 use settings::Settings;
+use tokio::net::TcpListener;
 use tokio::runtime::{
     Builder,
     Runtime, //
@@ -41,6 +44,25 @@
     Arc::new(crate::logs::record)
 }
 
+/// Serves operators on the settings' address until the process ends.
+pub(crate) async fn serve_operators(
+    settings: &Settings,
+    process: admin::Process,
+    metrics: PrometheusHandle,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let address = settings.admin_address;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|e| ProxyError::Listen(address, e))?;
+    let options = admin::Options {
+        token_file: settings.admin_token_file.clone(),
+        metrics,
+        set_level: crate::logs::set_level,
+    };
+    let _detached = tokio::spawn(admin::serve(listener, process, options));
+    Ok(())
+}
+
 /// Waits until the process is asked to stop.
 pub(crate) async fn asked_to_stop() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
