--- a/components/control/src/agent/mod.rs
+++ b/components/control/src/agent/mod.rs
@@ -24,6 +24,7 @@
     OnceOptions, //
 };
 pub use rollout::{
+    Effect as RolloutEffect,
     EngineState,
     Rollout,
     RolloutOptions,
--- a/components/control/src/entry/hints.rs
+++ b/components/control/src/entry/hints.rs
@@ -14,6 +14,9 @@
 /// How long a report of a target counts.
 const REPORT_AGE: Duration = Duration::from_secs(2);
 
+/// How long a target is not probed again after a report.
+const FRESH_AGE: Duration = Duration::from_millis(100);
+
 /// How long a target that cannot take work rests before it is tried again.
 const REST: Duration = Duration::from_millis(500);
 
@@ -34,8 +37,8 @@
     in_flight: u32,
     status: Option<TargetStatus>,
     status_at: Duration,
-    /// Requests sent since the status was made.
-    sent_since: u32,
+    /// Requests of this entry there when the status came.
+    in_flight_then: u32,
     failures: u32,
     rests_until: Duration,
     touched: Duration,
@@ -70,7 +73,7 @@
 
     /// The part of the target's limit that is in use, above one if requests wait.
     ///
-    /// A report lags, so what this entry sent since counts on top of it.
+    /// A report lags, so of its numbers only the work of others counts; this entry's own is known.
     pub fn load(&self, now: Duration, target: &str) -> f64 {
         let Some(hint) = self.0.get(target) else {
             return UNKNOWN_LOAD;
@@ -85,7 +88,8 @@
         if !status.ready {
             return f64::INFINITY;
         }
-        let busy = (status.running + status.queued + hint.sent_since).max(hint.in_flight);
+        let reported = status.running + status.queued;
+        let busy = reported.saturating_sub(hint.in_flight_then) + hint.in_flight;
         let cold_penalty = if status.phase == Phase::Cold {
             1.5
         } else {
@@ -94,10 +98,10 @@
         f64::from(busy) * cold_penalty / f64::from(status.limit.max(1))
     }
 
-    /// Whether a report of the target counts now.
+    /// Whether a report of the target is so new that another would tell little.
     pub fn is_fresh(&self, now: Duration, target: &str) -> bool {
         self.0.get(target).is_some_and(|hint| {
-            hint.status.is_some() && now.saturating_sub(hint.status_at) <= REPORT_AGE / 4
+            hint.status.is_some() && now.saturating_sub(hint.status_at) <= FRESH_AGE
         })
     }
 
@@ -105,7 +109,6 @@
     pub fn sent(&mut self, now: Duration, target: &Name) {
         let hint = self.touch(now, target);
         hint.in_flight += 1;
-        hint.sent_since += 1;
     }
 
     /// A request at the target ended, however.
@@ -153,7 +156,7 @@
         }
         hint.status = Some(status);
         hint.status_at = now;
-        hint.sent_since = 0;
+        hint.in_flight_then = hint.in_flight;
     }
 
     /// The last report of a target.
@@ -185,3 +188,93 @@
         hint
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(running: u32) -> TargetStatus {
+        TargetStatus {
+            workload: None,
+            version: None,
+            phase: Phase::Warm,
+            ready: true,
+            running,
+            queued: 0,
+            limit: 10,
+        }
+    }
+
+    #[test]
+    fn own_work_is_counted_as_it_is_and_others_as_reported() {
+        let now = Duration::from_secs(1);
+        let target = Name::from("t");
+        let mut hints = Hints::default();
+        assert_eq!(hints.load(now, &target), UNKNOWN_LOAD);
+        hints.sent(now, &target);
+        hints.sent(now, &target);
+        hints.report(now, &target, status(6));
+        assert_eq!(hints.load(now, &target), 0.6);
+        hints.ended(now, &target);
+        assert_eq!(hints.load(now, &target), 0.5);
+        for _ in 0..4 {
+            hints.sent(now, &target);
+        }
+        assert_eq!(hints.load(now, &target), 0.9);
+    }
+
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Hints, Duration, &Name),
+        rests: bool,
+    }
+
+    #[test]
+    fn targets_rest_after_refusals_and_failures_and_wake_with_a_sheet() {
+        let cases = [
+            Case {
+                name: "nothing",
+                change: |_, _, _| {},
+                rests: false,
+            },
+            Case {
+                name: "not ready",
+                change: |hints, now, target| hints.refused(now, target, Refusal::NotReady),
+                rests: true,
+            },
+            Case {
+                name: "a suspect runs there",
+                change: |hints, now, target| hints.refused(now, target, Refusal::SuspectRunning),
+                rests: false,
+            },
+            Case {
+                name: "unreachable",
+                change: |hints, now, target| hints.unreachable(now, target),
+                rests: true,
+            },
+            Case {
+                name: "refused before a new sheet",
+                change: |hints, now, target| {
+                    hints.refused(now, target, Refusal::DataCentreOut);
+                    hints.wake();
+                },
+                rests: false,
+            },
+            Case {
+                name: "unreachable before a new sheet",
+                change: |hints, now, target| {
+                    hints.unreachable(now, target);
+                    hints.wake();
+                },
+                rests: true,
+            },
+        ];
+        for case in cases {
+            let now = Duration::from_secs(1);
+            let target = Name::from("t");
+            let mut hints = Hints::default();
+            (case.change)(&mut hints, now, &target);
+            assert_eq!(hints.rests(now, &target), case.rests, "{}", case.name);
+        }
+    }
+}
--- a/components/control/src/entry/mod.rs
+++ b/components/control/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod calls;
 mod choose;
+mod explain;
 mod hints;
 mod ring;
 mod state;
@@ -14,12 +15,10 @@
     Budget,
     BudgetOptions, //
 };
-pub use calls::{
-    Arrived,
-    Candidate,
-    Explanation,
-    Rejection, //
-};
+pub use calls::Arrived;
+pub use calls::Rejection;
+pub use explain::Candidate;
+pub use explain::Explanation;
 pub use hints::Hints;
 pub use ring::{
     Ring,
--- /dev/null
+++ b/components/control/tests/calls.rs
@@ -0,0 +1,363 @@
+//! What an entry does with a request: where it sends it, what it tries again, what it tells.
+
+#[expect(dead_code, reason = "the other tests of reducers use the rest")]
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    at,
+    sheet,
+    sheet_events, //
+};
+use control::entry::{
+    Arrived,
+    Effect,
+    Event,
+    Options,
+    Rejection,
+    State, //
+};
+use proptest::prelude::*;
+use protocol::{
+    Guard,
+    KeyState,
+    Outcome,
+    Refusal,
+    Ticket,
+    Work, //
+};
+use utils::Name;
+
+fn entry() -> State {
+    let mut state = State::new("e1".into(), "a".into(), 1, Options::default());
+    let list = common::list(&["m1", "m2", "m3", "s1", "s2"]);
+    state.step(at(0), Event::Follow(list));
+    for event in sheet_events(&sheet(1, "in")) {
+        state.step(at(0), Event::Follow(event));
+    }
+    state
+}
+
+fn arrived(token: u64, work: Work, guard: Guard) -> Event {
+    Event::Arrive(Arrived {
+        token,
+        request: token,
+        work,
+        team: "large".into(),
+        prefix: token.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        guard,
+        fingerprint: token,
+        timeout: Duration::from_secs(10),
+    })
+}
+
+fn model() -> Work {
+    Work::Model("m".into())
+}
+
+fn service() -> Work {
+    Work::Service("s".into())
+}
+
+fn sent(effects: &[Effect]) -> Option<Name> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { target, .. } => Some(target.clone()),
+        _ => None,
+    })
+}
+
+fn rejected(effects: &[Effect]) -> Option<Rejection> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Reject(_, rejection) => Some(*rejection),
+        _ => None,
+    })
+}
+
+fn ended(outcome: Outcome) -> Event {
+    Event::Outcome {
+        token: 1,
+        outcome,
+        start: 1,
+    }
+}
+
+fn ticket() -> Guard {
+    Guard::Ticket(Ticket {
+        agent: "s2".into(),
+        incarnation: 1,
+        issued_ms: 1,
+        number: 1,
+    })
+}
+
+struct Case {
+    name: &'static str,
+    work: Work,
+    guard: Guard,
+    /// What happens to the first sending.
+    event: Event,
+    /// Whether it is sent again, else the code and whether it is known not to have run.
+    expected: Result<(), (&'static str, bool)>,
+}
+
+#[test]
+fn a_sending_that_failed_is_tried_again_or_told_truly() {
+    let unknown = |crashed| Outcome::Unknown { crashed };
+    let busy = Refusal::Busy { retry_after_ms: 5 };
+    let cases = [
+        Case {
+            name: "model, not sent",
+            work: model(),
+            guard: Guard::Repeatable,
+            event: Event::NotSent(1),
+            expected: Ok(()),
+        },
+        Case {
+            name: "model, broken before any byte",
+            work: model(),
+            guard: Guard::Repeatable,
+            event: ended(unknown(true)),
+            expected: Ok(()),
+        },
+        Case {
+            name: "model, busy",
+            work: model(),
+            guard: Guard::Repeatable,
+            event: ended(Outcome::NotRun(busy)),
+            expected: Ok(()),
+        },
+        Case {
+            name: "model, quarantined",
+            work: model(),
+            guard: Guard::Repeatable,
+            event: ended(Outcome::NotRun(Refusal::Quarantined)),
+            expected: Err(("quarantined", true)),
+        },
+        Case {
+            name: "order without a mark, not sent",
+            work: service(),
+            guard: Guard::Unmarked,
+            event: Event::NotSent(1),
+            expected: Ok(()),
+        },
+        Case {
+            name: "order without a mark, refused",
+            work: service(),
+            guard: Guard::Unmarked,
+            event: ended(Outcome::NotRun(Refusal::Draining)),
+            expected: Ok(()),
+        },
+        Case {
+            name: "order without a mark, broken",
+            work: service(),
+            guard: Guard::Unmarked,
+            event: ended(unknown(false)),
+            expected: Err(("unknown", false)),
+        },
+        Case {
+            name: "ticket, not sent",
+            work: service(),
+            guard: ticket(),
+            event: Event::NotSent(1),
+            expected: Err(("home_unreachable", false)),
+        },
+        Case {
+            name: "ticket, refused by its home",
+            work: service(),
+            guard: ticket(),
+            event: ended(Outcome::NotRun(busy)),
+            expected: Err(("busy", true)),
+        },
+        Case {
+            name: "ticket, refused by another process at its address",
+            work: service(),
+            guard: ticket(),
+            event: ended(Outcome::NotRun(Refusal::WrongTarget)),
+            expected: Err(("wrong_target", false)),
+        },
+        Case {
+            name: "ticket, ran before",
+            work: service(),
+            guard: ticket(),
+            event: ended(Outcome::Before(KeyState::Ran { status: 200 })),
+            expected: Err(("ran", false)),
+        },
+        Case {
+            name: "ticket, broken",
+            work: service(),
+            guard: ticket(),
+            event: ended(unknown(true)),
+            expected: Err(("unknown", false)),
+        },
+    ];
+    for case in cases {
+        let mut state = entry();
+        let first = sent(&state.step(at(1), arrived(1, case.work, case.guard)));
+        assert!(first.is_some(), "{}", case.name);
+        let effects = state.step(at(2), case.event);
+        let again = sent(&effects);
+        let told = rejected(&effects).map(|r| (r.code(), r.not_run));
+        match case.expected {
+            Ok(()) => {
+                assert!(again.is_some() && again != first, "{}: {told:?}", case.name);
+            }
+            Err(expected) => {
+                assert_eq!(again, None, "{}", case.name);
+                assert_eq!(told, Some(expected), "{}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_ticket_goes_to_its_agent_and_nowhere_else() {
+    let mut state = entry();
+    for token in 1..20 {
+        let effects = state.step(at(token), arrived(token, service(), ticket()));
+        assert_eq!(sent(&effects).as_deref(), Some("s2"));
+    }
+}
+
+#[test]
+fn a_stream_that_no_target_takes_is_put_off_and_then_gone_on_with() {
+    let mut state = entry();
+    state.step(at(1), arrived(1, model(), Guard::Repeatable));
+    let committed = Event::Committed {
+        token: 1,
+        resumable: true,
+    };
+    state.step(at(2), committed);
+    let mut effects = state.step(at(3), ended(Outcome::Unknown { crashed: true }));
+    let mut tries = 1;
+    while sent(&effects).is_some() {
+        tries += 1;
+        effects = state.step(at(4), ended(Outcome::NotRun(Refusal::NotReady)));
+    }
+    assert_eq!(rejected(&effects), None, "after {tries} tries");
+    let later = (5..60).find(|i| sent(&state.step(at(i * 50), Event::Tick)).is_some());
+    assert!(later.is_some());
+}
+
+#[test]
+fn retries_stop_when_the_budget_is_spent() {
+    let mut options = Options::default();
+    options.budget.burst = 1.0;
+    options.budget.share = 0.0;
+    let mut state = entry();
+    let mut poor = State::new("e1".into(), "a".into(), 1, options);
+    poor.step(at(0), Event::Follow(common::list(&["m1", "m2", "m3"])));
+    for event in sheet_events(&sheet(1, "in")) {
+        poor.step(at(0), Event::Follow(event));
+    }
+    for (state, tries) in [(&mut state, 3), (&mut poor, 2)] {
+        state.step(at(1), arrived(1, model(), Guard::Repeatable));
+        let mut count = 1;
+        loop {
+            let effects = state.step(at(2), ended(Outcome::NotRun(Refusal::NotReady)));
+            if let Some(told) = rejected(&effects) {
+                assert_eq!((told.code(), told.not_run), ("not_ready", true));
+                break;
+            }
+            count += 1;
+        }
+        assert_eq!(count, tries);
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive(bool),
+    Commit,
+    NotSent,
+    Outcome(u8),
+    Gone,
+    Wait(u64),
+    Drain,
+}
+
+fn step() -> impl Strategy<Value = (usize, Step)> {
+    let step = prop_oneof![
+        4 => any::<bool>().prop_map(Step::Arrive),
+        2 => Just(Step::Commit),
+        2 => Just(Step::NotSent),
+        6 => (0_u8..6).prop_map(Step::Outcome),
+        1 => Just(Step::Gone),
+        2 => (1_u64..3000).prop_map(Step::Wait),
+        1 => Just(Step::Drain),
+    ];
+    (0_usize..8, step)
+}
+
+proptest! {
+    #[test]
+    fn every_request_ends_once_and_not_run_is_said_only_when_true(
+        steps in prop::collection::vec(step(), 1..120)
+    ) {
+        let mut state = entry();
+        let (mut now, mut token) = (1, 0);
+        // For each open request: where it is now, and whether a sending may have run.
+        let mut open: std::collections::BTreeMap<u64, (bool, bool)> = Default::default();
+        for (pick, step) in steps {
+            let chosen = open.keys().copied().nth(pick);
+            let at_target = chosen.is_some_and(|token| open[&token].0);
+            let event = match (step, chosen) {
+                (Step::Arrive(repeatable), _) => {
+                    token += 1;
+                    open.insert(token, (false, false));
+                    let guard = if repeatable { Guard::Repeatable } else { Guard::Unmarked };
+                    arrived(token, model(), guard)
+                }
+                (Step::Wait(millis), _) => {
+                    now += millis;
+                    Event::Tick
+                }
+                (Step::Drain, _) => Event::Drain,
+                (Step::Gone, Some(token)) => {
+                    open.remove(&token);
+                    Event::Gone(token)
+                }
+                (Step::Commit, Some(token)) if at_target => Event::Committed { token, resumable: true },
+                (Step::NotSent, Some(token)) if at_target => {
+                    open.get_mut(&token).unwrap().0 = false;
+                    Event::NotSent(token)
+                }
+                (Step::Outcome(how), Some(token)) if at_target => {
+                    let outcome = match how {
+                        0 => Outcome::Unknown { crashed: true },
+                        1 => Outcome::Unknown { crashed: false },
+                        2 => Outcome::Ran { status: 200 },
+                        3 => Outcome::NotRun(Refusal::Expired),
+                        _ => Outcome::NotRun(Refusal::Busy { retry_after_ms: 10 }),
+                    };
+                    let entry = open.get_mut(&token).unwrap();
+                    entry.0 = false;
+                    entry.1 |= matches!(outcome, Outcome::Unknown { .. } | Outcome::Ran { .. });
+                    Event::Outcome { token, outcome, start: now }
+                }
+                _ => continue,
+            };
+            for effect in state.step(at(now), event) {
+                match effect {
+                    Effect::Send { token, .. } => {
+                        let entry = open.get_mut(&token).unwrap();
+                        prop_assert!(!entry.0, "{token} is at two targets");
+                        entry.0 = true;
+                    }
+                    Effect::Abandon(token) => {
+                        if let Some(entry) = open.get_mut(&token) {
+                            *entry = (false, true);
+                        }
+                    }
+                    Effect::Reject(token, told) => {
+                        let (_, may_have_run) = open.remove(&token).unwrap();
+                        prop_assert!(!(told.not_run && may_have_run), "{token}: {told:?}");
+                    }
+                    Effect::Done(token) => prop_assert!(open.remove(&token).is_some()),
+                    _ => {}
+                }
+            }
+            prop_assert_eq!(state.calls_running(), open.len());
+        }
+    }
+}
--- a/components/fleet/src/nodes.rs
+++ b/components/fleet/src/nodes.rs
@@ -34,6 +34,7 @@
 };
 use proxy::{
     http_client,
+    Base,
     HttpClient,
     Identity,
     ProxyError,
@@ -293,17 +294,11 @@
         let (data_centre, region) = self.place(name);
         self.network.place(address, name, &region);
         let setup = agent::Setup {
-            identity: self.identity(name, &data_centre),
+            base: self.base(name, &data_centre, &region),
             options: self.layout.agent.clone(),
             target,
             origin: Some(self.origin.server().address()),
-            service: self.platform.server().address(),
-            list: self.platform.server().address(),
-            tick: TICK,
-            clock: self.clock.clone(),
             links: self.network.links(),
-            pool: self.network.pool(name, &region),
-            sink: self.sink.clone(),
         };
         let agent = Agent::start(setup, listener, self.http.clone()).map_err(to_io)?;
         if let Some(node) = lock(&self.targets).get_mut(name) {
@@ -324,7 +319,7 @@
         let (data_centre, region) = self.place(name);
         self.network.place(address, name, &region);
         let setup = entry::Setup {
-            identity: self.identity(name, &data_centre),
+            base: self.base(name, &data_centre, &region),
             options: self.layout.entry.clone(),
             callers: CallerOptions {
                 body_limit: 1 << 20,
@@ -333,12 +328,6 @@
                 longest_timeout: Duration::from_secs(60),
                 prefix_bytes: 64,
             },
-            service: self.platform.server().address(),
-            list: self.platform.server().address(),
-            tick: TICK,
-            clock: self.clock.clone(),
-            pool: self.network.pool(name, &region),
-            sink: self.sink.clone(),
         };
         let entry = Entry::start(setup, peers, callers, self.http.clone()).map_err(to_io)?;
         let node = EntryNode {
@@ -452,11 +441,21 @@
         (data_centre, region)
     }
 
-    fn identity(&self, name: &Name, data_centre: &Name) -> Identity {
-        Identity {
+    /// What a new process on an instance is started with.
+    fn base(&self, name: &Name, data_centre: &Name, region: &Name) -> Base {
+        let identity = Identity {
             instance: name.clone(),
             data_centre: data_centre.clone(),
             incarnation: self.incarnations.fetch_add(1, Ordering::Relaxed),
+        };
+        Base {
+            identity,
+            service: self.platform.server().address(),
+            list: self.platform.server().address(),
+            tick: TICK,
+            clock: self.clock.clone(),
+            pool: self.network.pool(name, region),
+            sink: self.sink.clone(),
         }
     }
 
--- a/components/proxy/src/agent/mod.rs
+++ b/components/proxy/src/agent/mod.rs
@@ -15,7 +15,6 @@
     Mutex,
     PoisonError, //
 };
-use std::time::Duration;
 
 use control::agent::{
     Ended,
@@ -32,37 +31,26 @@
 };
 use record::Line;
 use tokio::net::TcpListener;
-use tokio::runtime::Handle;
 use tokio::sync::{
     oneshot,
     Notify, //
 };
-use utils::clock::Clock;
 use utils::Name;
 use weights::{
     Denial,
     Piece, //
 };
-use wire::{
-    Pool,
-    PoolOptions,
-    Responder, //
-};
+use wire::Responder;
 
 use crate::error::ProxyError;
 use crate::links::Links;
 use crate::node::{
+    Base,
     Hooks,
     Identity,
-    Journal,
-    Node,
-    Shared,
-    Sink, //
-};
-use crate::platform::{
-    HttpClient,
-    Platform, //
+    Node, //
 };
+use crate::platform::HttpClient;
 use crate::reactor::{
     control_channel,
     Control,
@@ -74,28 +62,16 @@
 /// What an agent is started with.
 #[derive(Clone)]
 pub struct Setup {
-    /// Who it is.
-    pub identity: Identity,
+    /// What every process is started with.
+    pub base: Base,
     /// The options of its reducer.
     pub options: Options,
     /// The address of the target.
     pub target: SocketAddr,
     /// The address of the weight store.
     pub origin: Option<SocketAddr>,
-    /// The address of the configuration service.
-    pub service: SocketAddr,
-    /// The address of the list of instances.
-    pub list: SocketAddr,
-    /// How often the control thread looks at the time.
-    pub tick: Duration,
-    /// The clock.
-    pub clock: Arc<dyn Clock>,
     /// The links of the instance.
     pub links: Links,
-    /// Connections to other processes.
-    pub pool: PoolOptions,
-    /// Takes the lines of the record.
-    pub sink: Sink,
 }
 
 /// What a waiting request is told by the control thread.
@@ -146,36 +122,24 @@
         http: HttpClient,
     ) -> Result<Self, ProxyError> {
         let (control, inbox) = control_channel();
-        let identity = setup.identity;
+        let base = setup.base;
+        let (clock, tick) = (base.clock.clone(), base.tick);
+        let identity = base.identity.clone();
         let state = State::new(
             identity.instance.clone(),
             identity.data_centre.clone(),
             identity.incarnation,
             setup.options,
-            setup.clock.now(),
+            clock.now(),
         );
-        let node = Node {
-            clock: setup.clock.clone(),
-            runtime: Handle::current(),
-            pool: Pool::new(setup.pool),
-            platform: Platform {
-                http: http.clone(),
-                service: setup.service,
-                list: setup.list,
-            },
-            shared: Arc::new(Shared::default()),
-            control,
-            hooks: Hooks {
-                follow: State::follower,
-                news: State::news,
-                follow_event: Event::Follow,
-                heartbeat_event: Event::Heartbeat,
-                silent_event: Event::Silent,
-            },
-            journal: Arc::new(Mutex::new(Journal::new(&identity))),
-            sink: setup.sink,
-            identity,
+        let hooks = Hooks {
+            follow: State::follower,
+            news: State::news,
+            follow_event: Event::Follow,
+            heartbeat_event: Event::Heartbeat,
+            silent_event: Event::Silent,
         };
+        let node = Node::new(base, http.clone(), control, hooks);
         let inner = Arc::new(Inner {
             target: Target {
                 http: http.clone(),
@@ -194,8 +158,8 @@
         });
         let reactor = Reactor {
             name: format!("control-{}", inner.node.identity.instance),
-            clock: setup.clock,
-            tick: setup.tick,
+            clock,
+            tick,
             state,
             step: State::step,
             tick_event: || Event::Tick,
--- a/components/proxy/src/entry/mod.rs
+++ b/components/proxy/src/entry/mod.rs
@@ -7,7 +7,6 @@
 mod request;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{
     AtomicU64,
     Ordering, //
@@ -33,32 +32,21 @@
 use rand::Rng;
 use record::Line;
 use tokio::net::TcpListener;
-use tokio::runtime::Handle;
 use tokio::sync::{
     mpsc,
     Notify, //
 };
-use utils::clock::Clock;
 use utils::Name;
-use wire::{
-    Pool,
-    PoolOptions,
-    Responder, //
-};
+use wire::Responder;
 
 use crate::error::ProxyError;
 use crate::node::{
+    Base,
     Hooks,
     Identity,
-    Journal,
-    Node,
-    Shared,
-    Sink, //
-};
-use crate::platform::{
-    HttpClient,
-    Platform, //
+    Node, //
 };
+use crate::platform::HttpClient;
 use crate::reactor::{
     control_channel,
     Control,
@@ -70,24 +58,12 @@
 /// What an entry is started with.
 #[derive(Clone)]
 pub struct Setup {
-    /// Who it is.
-    pub identity: Identity,
+    /// What every process is started with.
+    pub base: Base,
     /// The options of its reducer.
     pub options: Options,
     /// Bounds on callers' requests.
     pub callers: CallerOptions,
-    /// The address of the configuration service.
-    pub service: SocketAddr,
-    /// The address of the list of instances.
-    pub list: SocketAddr,
-    /// How often the control thread looks at the time.
-    pub tick: Duration,
-    /// The clock.
-    pub clock: Arc<dyn Clock>,
-    /// Connections to other processes.
-    pub pool: PoolOptions,
-    /// Takes the lines of the record.
-    pub sink: Sink,
 }
 
 /// What a request under way is told by the control thread.
@@ -139,35 +115,23 @@
         http: HttpClient,
     ) -> Result<Self, ProxyError> {
         let (control, inbox) = control_channel();
-        let identity = setup.identity;
+        let base = setup.base;
+        let (clock, tick) = (base.clock.clone(), base.tick);
+        let identity = base.identity.clone();
         let state = State::new(
             identity.instance.clone(),
             identity.data_centre.clone(),
             identity.incarnation,
             setup.options,
         );
-        let node = Node {
-            clock: setup.clock.clone(),
-            runtime: Handle::current(),
-            pool: Pool::new(setup.pool),
-            platform: Platform {
-                http,
-                service: setup.service,
-                list: setup.list,
-            },
-            shared: Arc::new(Shared::default()),
-            control,
-            hooks: Hooks {
-                follow: State::follower,
-                news: State::news,
-                follow_event: Event::Follow,
-                heartbeat_event: Event::Heartbeat,
-                silent_event: Event::Silent,
-            },
-            journal: Arc::new(Mutex::new(Journal::new(&identity))),
-            sink: setup.sink,
-            identity,
+        let hooks = Hooks {
+            follow: State::follower,
+            news: State::news,
+            follow_event: Event::Follow,
+            heartbeat_event: Event::Heartbeat,
+            silent_event: Event::Silent,
         };
+        let node = Node::new(base, http.clone(), control, hooks);
         let inner = Arc::new(Inner {
             callers: setup.callers,
             tokens: AtomicU64::new(0),
@@ -177,8 +141,8 @@
         });
         let reactor = Reactor {
             name: format!("control-{}", inner.node.identity.instance),
-            clock: setup.clock,
-            tick: setup.tick,
+            clock,
+            tick,
             state,
             step: State::step,
             tick_event: || Event::Tick,
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -20,6 +20,7 @@
     Pacer, //
 };
 pub use node::{
+    Base,
     Identity,
     Sink, //
 };
--- a/components/proxy/src/node.rs
+++ b/components/proxy/src/node.rs
@@ -41,12 +41,16 @@
 use wire::{
     Call,
     Pool,
+    PoolOptions,
     Responder,
     WireError, //
 };
 
 use crate::error::ProxyError;
-use crate::platform::Platform;
+use crate::platform::{
+    HttpClient,
+    Platform, //
+};
 use crate::reactor::Control;
 
 /// How long a neighbour may take to answer a short question.
@@ -66,6 +70,25 @@
     pub incarnation: u64,
 }
 
+/// What every process is started with.
+#[derive(Clone)]
+pub struct Base {
+    /// Who it is.
+    pub identity: Identity,
+    /// The address of the configuration service.
+    pub service: SocketAddr,
+    /// The address of the list of instances.
+    pub list: SocketAddr,
+    /// How often the control thread looks at the time.
+    pub tick: Duration,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Connections to other processes.
+    pub pool: PoolOptions,
+    /// Takes the lines of the record.
+    pub sink: Sink,
+}
+
 /// Versions and addresses that traffic threads read.
 #[derive(Debug, Default)]
 pub(crate) struct Shared {
@@ -124,7 +147,7 @@
     pub shared: Arc<Shared>,
     pub control: Control<S, E>,
     pub hooks: Hooks<S, E>,
-    pub journal: Arc<Mutex<Journal>>,
+    journal: Arc<Mutex<Journal>>,
     pub sink: Sink,
 }
 
@@ -133,13 +156,13 @@
 
 /// The record of one process.
 #[derive(Debug)]
-pub(crate) struct Journal {
+struct Journal {
     chain: Chain,
     recent: VecDeque<Line>,
 }
 
 impl Journal {
-    pub fn new(identity: &Identity) -> Self {
+    fn new(identity: &Identity) -> Self {
         Self {
             chain: Chain::new(identity.instance.clone(), identity.incarnation),
             recent: VecDeque::new(),
@@ -165,6 +188,26 @@
 }
 
 impl<S: Send + 'static, E: Send + 'static> Node<S, E> {
+    /// Makes the shared part of a process on the runtime that this is called on.
+    pub fn new(base: Base, http: HttpClient, control: Control<S, E>, hooks: Hooks<S, E>) -> Self {
+        Self {
+            clock: base.clock,
+            runtime: Handle::current(),
+            pool: Pool::new(base.pool),
+            platform: Platform {
+                http,
+                service: base.service,
+                list: base.list,
+            },
+            shared: Arc::new(Shared::default()),
+            control,
+            hooks,
+            journal: Arc::new(Mutex::new(Journal::new(&base.identity))),
+            sink: base.sink,
+            identity: base.identity,
+        }
+    }
+
     /// Puts the sender's versions around a message.
     pub fn envelope<T>(&self, body: T) -> Envelope<T> {
         Envelope {
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -424,7 +424,7 @@
         completion: Completion,
         mut tx: Sender<Bytes, io::Error>,
         mut crashed: tokio::sync::watch::Receiver<u64>,
-        _running: Running,
+        running: Running,
     ) {
         let mut text = String::new();
         let cut_at = completion.max_tokens / 2;
@@ -462,6 +462,8 @@
         } else {
             serde_json::json!({"choices": [{"text": text}]}).to_string()
         };
+        // The slot is free before the caller can know that the answer has ended.
+        drop(running);
         // A caller that left has no use for the last part.
         let _left = tx.send_data(last.into()).await;
     }
--- a/components/weights/src/transfer.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -1,5 +1,9 @@
 //! The reducer that brings one version's pieces to this instance.
 
+mod choose;
+mod exchange;
+mod limits;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -7,12 +11,11 @@
 use utils::digest::Digest;
 use utils::Name;
 
+use self::choose::Duty;
+pub use self::limits::Limits;
 use crate::manifest::Manifest;
-use crate::peers::{
-    Peer,
-    Peers,
-    Report, //
-};
+use crate::peers::Peers;
+use crate::peers::Report;
 use crate::plan::Plan;
 use crate::uploads::{
     Denial,
@@ -23,57 +26,6 @@
     MANIFEST_PIECE, //
 };
 
-/// Bounds and intervals of a transfer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// Pieces drawn from peers of the region at once.
-    pub fetches: usize,
-    /// Pieces drawn from one peer at once.
-    pub fetches_per_peer: u32,
-    /// Pieces drawn from other regions at once.
-    pub remote_fetches: usize,
-    /// Pieces drawn from the origin at once.
-    pub origin_fetches: usize,
-    /// Uploads at once.
-    pub upload_slots: usize,
-    /// Uploads that wait for a slot.
-    pub upload_queue: usize,
-    /// How often neighbours exchange what they hold.
-    pub exchange_every: Duration,
-    /// How long a silent instance of a lower rank is waited for.
-    pub rank_timeout: Duration,
-    /// How long a draw may go without a byte before it is tried elsewhere.
-    pub stall_after: Duration,
-    /// How long a request for a piece that is still to come is held.
-    pub park_for: Duration,
-    /// How often a piece from the origin may fail before this rank passes.
-    pub origin_tries: u32,
-    /// Bytes of weights that this instance may hold.
-    pub memory_bytes: u64,
-    /// Draw every piece from the origin, as a plain download would; for comparison only.
-    pub origin_only: bool,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            fetches: 8,
-            fetches_per_peer: 2,
-            remote_fetches: 4,
-            origin_fetches: 2,
-            upload_slots: 4,
-            upload_queue: 12,
-            exchange_every: Duration::from_millis(100),
-            rank_timeout: Duration::from_secs(3),
-            stall_after: Duration::from_secs(3),
-            park_for: Duration::from_secs(2),
-            origin_tries: 4,
-            memory_bytes: 64 << 30,
-            origin_only: false,
-        }
-    }
-}
-
 /// Where a piece is drawn from.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
@@ -186,27 +138,12 @@
     halted: bool,
 }
 
-/// The part that this instance has in bringing one piece near.
-#[derive(Clone, Debug, Default)]
-struct Duty {
-    /// Instances of lower rank at the origin, if this instance has a rank there.
-    before_origin: Option<Vec<Name>>,
-    /// Instances of lower rank among the gateways, if this instance is one.
-    before_gateway: Option<Vec<Name>>,
-}
-
 /// How long the origin rests after it refused or failed.
 const ORIGIN_BACKOFF: Duration = Duration::from_millis(200);
 
 /// How long pieces are drawn for an instance that asked.
 const DEMAND_TIME: Duration = Duration::from_secs(5);
 
-/// Missing pieces whose ranks are looked up, for each exchange.
-const LOOKED_UP: usize = 32;
-
-/// Instances with a rank asked at once, for each exchange.
-const WATCHED_AT_ONCE: usize = 16;
-
 impl Transfer {
     /// Starts a transfer for the instance `me`.
     pub fn new(me: Name, plan: Plan, limits: Limits, now: Duration) -> Self {
@@ -378,77 +315,6 @@
         }
     }
 
-    fn exchange(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        let due = self
-            .exchanged
-            .is_none_or(|at| now.saturating_sub(at) >= self.limits.exchange_every);
-        if !due || self.is_complete() || self.halted || self.wanted_since.is_none() {
-            return;
-        }
-        self.exchanged = Some(now);
-        let mut targets = self.neighbours.clone();
-        targets.extend(self.more_neighbours(now));
-        targets.extend(self.watched(now));
-        targets.sort_unstable();
-        targets.dedup();
-        for name in targets {
-            let peer = self.peers.entry(&name);
-            if peer.rests(now) {
-                continue;
-            }
-            peer.asked(now);
-            effects.push(Effect::Exchange(name));
-        }
-    }
-
-    /// Widens the circle while no piece arrives, for the case that every neighbour is gone.
-    fn more_neighbours(&self, now: Duration) -> Vec<Name> {
-        let idle = now.saturating_sub(self.gained);
-        if self.limits.origin_only {
-            return Vec::new();
-        }
-        if idle < self.limits.rank_timeout {
-            return Vec::new();
-        }
-        let steps = idle.as_millis() / self.limits.rank_timeout.as_millis().max(1);
-        let turn = u32::try_from(steps).unwrap_or(u32::MAX);
-        let peers = self.plan.region_peers(turn);
-        peers
-            .into_iter()
-            .filter(|name| *name != self.me)
-            .take(self.neighbours.len().max(2))
-            .collect()
-    }
-
-    /// Instances with a rank for pieces that are overdue: to learn whether they live, and to let
-    /// them know that the pieces are wanted.
-    fn watched(&self, now: Duration) -> Vec<Name> {
-        let waited = self.wanted_since.map(|since| now.saturating_sub(since));
-        if self.limits.origin_only || waited.is_none_or(|w| w < self.limits.rank_timeout / 2) {
-            return Vec::new();
-        }
-        let mut watched: Vec<Name> = Vec::new();
-        let overdue = self.missing().filter(|piece| !self.is_near(now, *piece));
-        for piece in overdue.take(LOOKED_UP) {
-            let ranks = if self.plan.in_origin_region() {
-                self.plan.origin_ranks(piece)
-            } else {
-                self.plan.gateways(piece)
-            };
-            let duty = self.duties.get(piece as usize);
-            let before = duty.and_then(|duty| duty.before_origin.clone());
-            for name in ranks.into_iter().chain(before.unwrap_or_default()) {
-                if name != self.me && !watched.contains(&name) {
-                    watched.push(name);
-                }
-            }
-            if watched.len() >= WATCHED_AT_ONCE {
-                break;
-            }
-        }
-        watched
-    }
-
     fn take_manifest(
         &mut self,
         now: Duration,
@@ -576,169 +442,4 @@
             Err(denial) => effects.push(Effect::Deny(token, denial)),
         }
     }
-
-    /// Starts as many draws as the limits allow.
-    fn draw(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        let is_wanted = self.wanted_since.is_some();
-        if self.halted || (!is_wanted && now >= self.demand_until) {
-            return;
-        }
-        loop {
-            let choice = self
-                .choose_origin(now)
-                .or_else(|| self.choose_near(now).filter(|_| is_wanted))
-                .or_else(|| self.choose_remote(now));
-            let Some((piece, source, wait)) = choice else {
-                return;
-            };
-            if let Source::Peer(name) = &source {
-                self.peers.entry(name).outstanding += 1;
-            }
-            let fetch = Fetch {
-                source: source.clone(),
-                progressed: now,
-                waits: wait,
-            };
-            self.fetching.insert(piece, fetch);
-            effects.push(Effect::Fetch {
-                piece,
-                source,
-                wait,
-            });
-        }
-    }
-
-    fn running(&self, kind: impl Fn(&Source) -> bool) -> usize {
-        let sources = self.fetching.values().map(|fetch| &fetch.source);
-        sources.filter(|source| kind(source)).count()
-    }
-
-    fn is_remote(&self, source: &Source) -> bool {
-        matches!(source, Source::Peer(name) if !self.plan.is_near(name))
-    }
-
-    fn choose_origin(&self, now: Duration) -> Option<(Piece, Source, bool)> {
-        let running = self.running(|source| *source == Source::Origin);
-        if running >= self.limits.origin_fetches || now < self.origin_rests_until {
-            return None;
-        }
-        let piece = self.missing().find(|piece| {
-            let duty = self.duties.get(*piece as usize);
-            let before = duty.and_then(|duty| duty.before_origin.as_ref());
-            before.is_some_and(|before| self.is_my_turn(now, *piece, before))
-                && !self.given_up.contains(*piece as usize)
-        })?;
-        Some((piece, Source::Origin, false))
-    }
-
-    fn choose_remote(&self, now: Duration) -> Option<(Piece, Source, bool)> {
-        let running = self.running(|source| self.is_remote(source));
-        if running >= self.limits.remote_fetches {
-            return None;
-        }
-        for piece in self.missing() {
-            let duty = self.duties.get(piece as usize);
-            let before = duty.and_then(|duty| duty.before_gateway.as_ref());
-            if !before.is_some_and(|before| self.is_my_turn(now, piece, before)) {
-                continue;
-            }
-            let usable = |name: &Name| {
-                let peer = self.peers.get(name);
-                peer.is_none_or(|peer| {
-                    !peer.rests(now) && peer.outstanding < self.limits.fetches_per_peer
-                })
-            };
-            let sources = self.plan.remote_sources(piece);
-            if let Some(name) = sources.into_iter().find(usable) {
-                return Some((piece, Source::Peer(name), true));
-            }
-        }
-        None
-    }
-
-    /// Whether every instance of lower rank is silent, gave up, or spreads something else, and no
-    /// peer near by holds the piece.
-    fn is_my_turn(&self, now: Duration, piece: Piece, before: &[Name]) -> bool {
-        let passed = |name: &Name| {
-            let Some(peer) = self.peers.get(name) else {
-                return false;
-            };
-            let gave_up = peer.takes_part && peer.given_up.contains(piece as usize);
-            gave_up || peer.is_gone(now, self.limits.rank_timeout)
-        };
-        before.iter().all(passed) && !self.is_near(now, piece)
-    }
-
-    fn is_near(&self, now: Duration, piece: Piece) -> bool {
-        self.peers
-            .iter()
-            .any(|(name, peer)| peer.has(piece) && !peer.rests(now) && self.plan.is_near(name))
-    }
-
-    /// The rarest missing piece that a near peer holds, from the peer with the least to do.
-    fn choose_near(&self, now: Duration) -> Option<(Piece, Source, bool)> {
-        let near = |source: &Source| *source != Source::Origin && !self.is_remote(source);
-        if self.running(near) >= self.limits.fetches {
-            return None;
-        }
-        let usable: Vec<(&Name, &Peer)> = self
-            .peers
-            .iter()
-            .filter(|(name, peer)| {
-                peer.takes_part
-                    && !peer.rests(now)
-                    && peer.outstanding < self.limits.fetches_per_peer
-                    && self.plan.is_near(name)
-            })
-            .collect();
-        let mut best: Option<(usize, u64, Piece)> = None;
-        for piece in self.missing() {
-            let holders = usable.iter().filter(|(_, peer)| peer.has(piece)).count();
-            if holders == 0 {
-                continue;
-            }
-            let order = utils::rank::weight(u64::from(piece), &self.me);
-            let rank = (holders, order, piece);
-            if best.is_none_or(|best| rank < best) {
-                best = Some(rank);
-            }
-        }
-        let (_, _, piece) = best?;
-        let holders = usable.iter().filter(|(_, peer)| peer.has(piece));
-        let (name, _) = holders.min_by_key(|(name, peer)| {
-            let order = utils::rank::weight(u64::from(piece) ^ now.as_nanos() as u64, name);
-            (peer.outstanding, order)
-        })?;
-        Some((piece, Source::Peer((*name).clone()), false))
-    }
-
-    /// Pieces that are neither here nor being drawn. Only the manifest until it is here.
-    fn missing(&self) -> impl Iterator<Item = Piece> + '_ {
-        self.have
-            .zeroes()
-            .map(|piece| Piece::try_from(piece).unwrap_or(Piece::MAX))
-            .filter(|piece| !self.fetching.contains_key(piece))
-    }
-
-    fn duty(&self, piece: Piece) -> Duty {
-        if self.limits.origin_only {
-            return Duty {
-                before_origin: Some(Vec::new()),
-                before_gateway: None,
-            };
-        }
-        let before = |ranks: Vec<Name>| {
-            let at = ranks.iter().position(|name| *name == self.me)?;
-            Some(ranks[..at].to_vec())
-        };
-        let gateways = if self.plan.in_origin_region() {
-            None
-        } else {
-            before(self.plan.gateways(piece))
-        };
-        Duty {
-            before_origin: before(self.plan.origin_ranks(piece)),
-            before_gateway: gateways,
-        }
-    }
 }
--- a/components/wire/src/framing.rs
+++ b/components/wire/src/framing.rs
@@ -94,6 +94,7 @@
     }
     let mut buf = BytesMut::with_capacity(size + LENGTH_BYTES);
     buf.put_u32(u32::try_from(size).unwrap_or(u32::MAX));
+    metrics::counter!("medlarproxy_message_bytes_total").increment(size as u64);
     let mut writer = buf.writer();
     bincode::serialize_into(&mut writer, message).map_err(|e| WireError::Decode(e.to_string()))?;
     Ok(writer.into_inner().freeze())
--- a/experiments/src/main.rs
+++ b/experiments/src/main.rs
@@ -5,6 +5,7 @@
 
 mod burst;
 mod cold_start;
+mod control;
 mod data_centre;
 mod faults;
 mod orders;
@@ -34,6 +35,7 @@
     Poison(poison::Arguments),
     Overload(overload::Arguments),
     Route(route::Arguments),
+    Control(control::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -67,5 +69,6 @@
         Experiment::Poison(arguments) => poison::run(arguments).await,
         Experiment::Overload(arguments) => overload::run(arguments).await,
         Experiment::Route(arguments) => route::run(arguments).await,
+        Experiment::Control(arguments) => control::run(arguments).await,
     }
 }
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -22,7 +22,6 @@
     Clock,
     SystemClock, //
 };
-use wire::PoolOptions;
 
 use super::{
     process,
@@ -47,17 +46,11 @@
         .await
         .map_err(|e| ProxyError::Listen(settings.peer_address, e))?;
     let setup = Setup {
-        identity: process::identity(settings, &*clock),
+        base: process::base(settings, &clock),
         options: settings.agent_options(options),
         target: options.target,
         origin: options.origin,
-        service: settings.configuration_service,
-        list: settings.instance_list,
-        tick: settings.tick,
         links: links(options, &clock),
-        clock,
-        pool: PoolOptions::default(),
-        sink: process::sink(),
     };
     let agent = Agent::start(setup, listener, http_client())?;
     let operators = admin::Process::Agent(agent.clone());
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -21,7 +21,6 @@
     Clock,
     SystemClock, //
 };
-use wire::PoolOptions;
 
 use super::{
     process,
@@ -49,7 +48,7 @@
     let peers = listen(settings.peer_address).await?;
     let callers = listen(options.caller_address).await?;
     let setup = Setup {
-        identity: process::identity(settings, &*clock),
+        base: process::base(settings, &clock),
         options: settings.entry_options(options),
         callers: CallerOptions {
             body_limit: options.body_limit_bytes,
@@ -58,12 +57,6 @@
             longest_timeout: options.longest_timeout,
             prefix_bytes: options.prefix_bytes,
         },
-        service: settings.configuration_service,
-        list: settings.instance_list,
-        tick: settings.tick,
-        clock,
-        pool: PoolOptions::default(),
-        sink: process::sink(),
     };
     let entry = Entry::start(setup, peers, callers, http_client())?;
     let operators = admin::Process::Entry(entry.clone());
--- a/src/cmd/process.rs
+++ b/src/cmd/process.rs
@@ -5,9 +5,9 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use proxy::{
+    Base,
     Identity,
-    ProxyError,
-    Sink, //
+    ProxyError, //
 };
 use settings::Settings;
 use tokio::net::TcpListener;
@@ -20,6 +20,7 @@
     SignalKind, //
 };
 use utils::clock::Clock;
+use wire::PoolOptions;
 
 /// Makes the threads that carry traffic.
 pub(crate) fn runtime(settings: &Settings) -> io::Result<Runtime> {
@@ -30,20 +31,25 @@
         .build()
 }
 
-/// Who this process is. The time of its start tells it from earlier ones on the instance.
-pub(crate) fn identity(settings: &Settings, clock: &dyn Clock) -> Identity {
-    Identity {
+/// What the process is started with. The time of its start tells it from earlier ones on the
+/// instance.
+pub(crate) fn base(settings: &Settings, clock: &Arc<dyn Clock>) -> Base {
+    let identity = Identity {
         instance: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
         incarnation: clock.now().unix_ms(),
+    };
+    Base {
+        identity,
+        service: settings.configuration_service,
+        list: settings.instance_list,
+        tick: settings.tick,
+        clock: clock.clone(),
+        pool: PoolOptions::default(),
+        sink: Arc::new(crate::logs::record),
     }
 }
 
-/// Writes the record to the log.
-pub(crate) fn sink() -> Sink {
-    Arc::new(crate::logs::record)
-}
-
 /// Serves operators on the settings' address until the process ends.
 pub(crate) async fn serve_operators(
     settings: &Settings,
