--- a/components/control/src/agent/once.rs
+++ b/components/control/src/agent/once.rs
@@ -93,7 +93,7 @@
         &self,
         now: Now,
         guard: &Guard,
-        sheet: &Sheet,
+        sheet: Option<&Sheet>,
         service: Option<&Service>,
     ) -> Result<(), Outcome> {
         if matches!(guard, Guard::Repeatable | Guard::Unmarked) {
@@ -104,7 +104,11 @@
         }
         match guard {
             Guard::Ticket(ticket) => self.check_ticket(now, ticket)?,
-            Guard::Key(key) => self.check_key(now, key, sheet, service)?,
+            Guard::Key(key) => {
+                // Without a sheet it is not known whose key it is.
+                let sheet = sheet.ok_or(Outcome::Before(KeyState::Unknown))?;
+                self.check_key(now, key, sheet, service)?;
+            }
             Guard::Repeatable | Guard::Unmarked => {}
         }
         if self.keys.len() >= self.options.keys {
--- a/components/control/src/agent/work.rs
+++ b/components/control/src/agent/work.rs
@@ -107,12 +107,15 @@
     /// Returns the share of the caller's team.
     fn check_offer(&self, now: Now, offered: &Offered) -> Result<u32, Outcome> {
         let at = now.elapsed;
-        let Some(sheet) = self.follow.sheet() else {
+        let sheet = self.follow.sheet();
+        let service = self.service(offered);
+        // What is known of an earlier sending is told even by a process that takes nothing new, and
+        // a process that has no sheet yet must not say of a ticket from before that it has not run.
+        self.once
+            .check(now, &offered.guard, sheet.map(|sheet| &**sheet), service)?;
+        let Some(sheet) = sheet else {
             return Err(Outcome::NotRun(Refusal::NotReady));
         };
-        let service = self.service(offered);
-        // What is known of an earlier sending is told even by a process that takes nothing new.
-        self.once.check(now, &offered.guard, sheet, service)?;
         let placed_here = self.placed.as_ref().is_some_and(|p| p.name == offered.work);
         let refusal = self.refusal(at);
         if let Some(refusal) = refusal {
--- a/components/control/src/entry/calls.rs
+++ b/components/control/src/entry/calls.rs
@@ -258,9 +258,12 @@
         };
         call.last_refusal = refusal;
         if self.is_homed(token) {
-            // Only the home knows that no earlier sending ran.
-            let is_home = refusal != Refusal::NotHome && refusal != Refusal::WrongTarget;
-            self.reject(token, Outcome::NotRun(refusal), is_home, out);
+            // Only a process that knows itself to be the home knows that no earlier sending ran.
+            let is_other = matches!(
+                refusal,
+                Refusal::NotHome | Refusal::WrongTarget | Refusal::SheetTooOld
+            );
+            self.reject(token, Outcome::NotRun(refusal), !is_other, out);
         } else if refusal.try_elsewhere() {
             self.retry(now, token, out);
         } else {
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -13,7 +13,10 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use record::Decision;
-use sheet::Sheet;
+use sheet::{
+    Instances,
+    Sheet, //
+};
 use utils::clock::Now;
 use utils::digest::Digest;
 use utils::Name;
@@ -240,16 +243,29 @@
                 }
             }
         }
-        let models = sheet.models.iter().map(|(n, m)| (n, &m.instances));
-        let services = sheet.services.iter().map(|(n, s)| (n, &s.instances));
-        self.rings = models
-            .chain(services)
-            .map(|(name, instances)| (name.clone(), Ring::new(sheet, instances)))
-            .collect();
+        self.rebuild_rings(sheet);
         self.hints.wake();
         self.last_sheet = Some(sheet.clone());
     }
 
+    /// Builds the rings anew whose targets changed; sorting all of them takes long in a large fleet.
+    fn rebuild_rings(&mut self, sheet: &Sheet) {
+        let last = self.last_sheet.as_deref();
+        let same_service = last.is_some_and(|last| {
+            last.data_centres == sheet.data_centres && last.leaving == sheet.leaving
+        });
+        let mut old = std::mem::take(&mut self.rings);
+        for (name, instances) in workloads(sheet) {
+            let before = last.and_then(|last| workloads(last).find(|(n, _)| *n == name));
+            let same = same_service && before.is_some_and(|(_, i)| i == instances);
+            let ring = match old.remove(name) {
+                Some(ring) if same => ring,
+                _ => Ring::new(sheet, instances),
+            };
+            self.rings.insert(name.clone(), ring);
+        }
+    }
+
     fn drain(&mut self, out: &mut Vec<Effect>) {
         if !self.draining {
             self.draining = true;
@@ -257,3 +273,10 @@
         }
     }
 }
+
+/// Models and services with their instances.
+fn workloads(sheet: &Sheet) -> impl Iterator<Item = (&Name, &Instances)> {
+    let models = sheet.models.iter().map(|(n, m)| (n, &m.instances));
+    let services = sheet.services.iter().map(|(n, s)| (n, &s.instances));
+    models.chain(services)
+}
--- a/components/control/tests/calls.rs
+++ b/components/control/tests/calls.rs
@@ -176,6 +176,13 @@
             event: ended(Outcome::NotRun(Refusal::WrongTarget)),
             expected: Err(("wrong_target", false)),
         },
+        Case {
+            name: "ticket, refused by a process whose sheet vouches for nobody",
+            work: service(),
+            guard: ticket(),
+            event: ended(Outcome::NotRun(Refusal::SheetTooOld)),
+            expected: Err(("sheet_too_old", false)),
+        },
         Case {
             name: "ticket, ran before",
             work: service(),
--- a/components/control/tests/once.rs
+++ b/components/control/tests/once.rs
@@ -210,6 +210,22 @@
     assert_eq!(send(&mut second, 2, 1, &guard), unknown);
 }
 
+#[test]
+fn a_process_without_a_sheet_never_says_that_something_was_not_run() {
+    let sheet = sheet(1, "in");
+    let mut first = agent("s1", 1, Options::default(), &sheet);
+    let tickets = [
+        Guard::Ticket(ticket(&mut first, 1)),
+        Guard::Key(key(6_000, 1)),
+    ];
+    for guard in tickets {
+        let mut bare = State::new("s1".into(), "a".into(), 2, Options::default(), at(10_000));
+        let did = send(&mut bare, 10_001, 1, &guard);
+        let unknown = Did::Refused(Outcome::Before(KeyState::Unknown));
+        assert_eq!(did, unknown, "{guard:?}");
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// Send a key or ticket to an agent, which may be neither its home nor its issuer.
--- a/experiments/src/faults.rs
+++ b/components/fleet/src/faults.rs
@@ -1,10 +1,9 @@
-//! Faults that an experiment brings about while it runs.
+//! Faults that are brought about while a version spreads.
 
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
 
-use fleet::Fleet;
 use protocol::InstanceState;
 use standins::{
     OriginSwitches,
@@ -12,9 +11,11 @@
 };
 use utils::Name;
 
+use crate::nodes::Fleet;
+
 /// A fault by name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
+pub enum Fault {
     /// An agent dies in the middle.
     Death,
     /// An agent is paused for a while and wakes.
@@ -51,6 +52,13 @@
     (Fault::TurnsCold, "turns-cold"),
 ];
 
+impl Fault {
+    /// Every fault.
+    pub fn all() -> impl Iterator<Item = Self> {
+        NAMES.iter().map(|(fault, _)| *fault)
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let name = NAMES.iter().find(|(fault, _)| fault == self);
@@ -74,7 +82,7 @@
 }
 
 /// What a fault does before the burst starts.
-pub(crate) fn prepare(fleet: &Fleet, fault: Fault) {
+pub fn prepare(fleet: &Fleet, fault: Fault) {
     match fault {
         Fault::Corrupt => fleet.origin().set(OriginSwitches {
             corrupt_every: Some(8),
@@ -90,7 +98,7 @@
 }
 
 /// What a fault does while the burst runs, `bound` being the burst's shortest time.
-pub(crate) async fn strike(fleet: &Fleet, fault: Fault, bound: Duration) {
+pub async fn strike(fleet: &Fleet, fault: Fault, bound: Duration) {
     tokio::time::sleep(bound / 4).await;
     match fault {
         Fault::Death => fleet.kill_instance(&victim(fleet, 0)),
@@ -102,7 +110,7 @@
         Fault::LateJoiner => {
             tokio::time::sleep(bound / 4).await;
             if let Err(e) = fleet.start_agent(&victim(fleet, 1)).await {
-                eprintln!("experiments: the late joiner did not start: {e}");
+                eprintln!("the late joiner did not start: {e}");
             }
         }
         Fault::Leaving => {
@@ -141,7 +149,7 @@
 }
 
 /// The instance that a fault hits. Different faults hit different ones where there are enough.
-pub(crate) fn victim(fleet: &Fleet, number: usize) -> Name {
+pub fn victim(fleet: &Fleet, number: usize) -> Name {
     let names: Vec<Name> = fleet.targets().into_keys().collect();
     names[number % names.len()].clone()
 }
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! paced links, faults and a load of callers that counts what it got.
 
 mod client;
+pub mod faults;
 mod layout;
 mod load;
 mod network;
--- a/components/sheet/src/acceptance.rs
+++ b/components/sheet/src/acceptance.rs
@@ -4,10 +4,14 @@
 use std::sync::Arc;
 
 use utils::digest::Digest;
+use utils::Name;
 
 use crate::document::Sheet;
 use crate::error::SheetError;
-use crate::index::Index;
+use crate::index::{
+    Index,
+    Section, //
+};
 
 /// The sheet in force and the one being collected.
 #[derive(Clone, Debug, Default)]
@@ -21,7 +25,7 @@
 struct Accepted {
     digest: Digest,
     index: Arc<[u8]>,
-    sections: BTreeMap<Digest, Arc<[u8]>>,
+    sections: Sections,
     sheet: Arc<Sheet>,
 }
 
@@ -30,7 +34,18 @@
     digest: Digest,
     index: Arc<[u8]>,
     parsed: Index,
-    sections: BTreeMap<Digest, Arc<[u8]>>,
+    sections: Sections,
+}
+
+/// Sections by digest: the text for relay, and what was read from it under the name that told its
+/// kind.
+type Sections = BTreeMap<Digest, Held>;
+
+#[derive(Clone, Debug)]
+struct Held {
+    text: Arc<[u8]>,
+    name: Name,
+    section: Arc<Section>,
 }
 
 /// What came of an offered index or section.
@@ -75,6 +90,7 @@
         in_force
             .and_then(|accepted| accepted.sections.get(digest))
             .or_else(|| self.collecting.as_ref()?.sections.get(digest))
+            .map(|held| &held.text)
     }
 
     /// The last refusal, for operators.
@@ -140,12 +156,27 @@
             return Offer::Known;
         };
         let digest = Digest::of(text);
-        let wanted = collecting.parsed.sections.values().any(|d| *d == digest);
-        if !wanted {
+        let mut named = collecting.parsed.sections.iter();
+        let Some((name, _)) = named.find(|(_, d)| **d == digest) else {
             return Offer::Known;
+        };
+        let name = name.clone();
+        match Section::parse(&name, text) {
+            Ok(section) => {
+                let held = Held {
+                    text: text.into(),
+                    name,
+                    section: Arc::new(section),
+                };
+                collecting.sections.insert(digest, held);
+                self.finish()
+            }
+            Err(e) => {
+                let digest = collecting.digest;
+                self.collecting = None;
+                self.refuse(digest, e)
+            }
         }
-        collecting.sections.insert(digest, text.into());
-        self.finish()
     }
 
     fn is_known(&self, digest: &Digest) -> bool {
@@ -155,12 +186,18 @@
         [in_force, collecting, refused].contains(&Some(digest))
     }
 
-    /// Sections that did not change are carried over from the sheet in force.
-    fn held_sections(&self, index: &Index) -> BTreeMap<Digest, Arc<[u8]>> {
+    /// Sections that did not change are carried over from the sheet in force, as they were read.
+    fn held_sections(&self, index: &Index) -> Sections {
+        let Some(accepted) = &self.in_force else {
+            return Sections::new();
+        };
         index
             .sections
-            .values()
-            .filter_map(|digest| Some((*digest, self.section(digest)?.clone())))
+            .iter()
+            .filter_map(|(name, digest)| {
+                let held = accepted.sections.get(digest)?;
+                (held.name == *name).then(|| (*digest, held.clone()))
+            })
             .collect()
     }
 
@@ -172,7 +209,7 @@
         let Some(collecting) = self.collecting.take() else {
             return Offer::Known;
         };
-        let find = |digest: &Digest| collecting.sections.get(digest).map(|text| &**text);
+        let find = |digest: &Digest| collecting.sections.get(digest).map(|held| &*held.section);
         match collecting.parsed.assemble(find) {
             Ok(sheet) => {
                 let sheet = Arc::new(sheet);
--- a/components/sheet/src/error.rs
+++ b/components/sheet/src/error.rs
@@ -34,15 +34,6 @@
         /// The digest of the content in force.
         accepted: Digest,
     },
-    /// section {section} has digest {found}, the index names {wanted}
-    SectionDigest {
-        /// The section with other content.
-        section: Name,
-        /// The digest of the content received.
-        found: Digest,
-        /// The digest that the index names.
-        wanted: Digest,
-    },
 }
 
 impl SheetError {
--- a/components/sheet/src/index.rs
+++ b/components/sheet/src/index.rs
@@ -17,7 +17,13 @@
 use utils::digest::Digest;
 use utils::Name;
 
-use crate::document::Sheet;
+use crate::document::{
+    DataCentre,
+    Model,
+    Service,
+    Sheet,
+    Team, //
+};
 use crate::error::{
     from_yaml,
     SheetError, //
@@ -100,9 +106,9 @@
     }
 
     /// Builds the sheet from its sections. `find` returns a section by digest.
-    pub fn assemble<'a>(
+    pub(crate) fn assemble<'a>(
         &self,
-        find: impl Fn(&Digest) -> Option<&'a [u8]>,
+        find: impl Fn(&Digest) -> Option<&'a Section>,
     ) -> Result<Sheet, SheetError> {
         let mut sheet = Sheet {
             version: self.version,
@@ -116,44 +122,66 @@
             leaving: BTreeSet::new(),
         };
         for (name, digest) in &self.sections {
-            let text = find(digest).unwrap_or_default();
-            let found = Digest::of(text);
-            if found != *digest {
-                return Err(SheetError::SectionDigest {
-                    section: name.clone(),
-                    found,
-                    wanted: *digest,
-                });
+            match find(digest) {
+                Some(section) => fill(&mut sheet, name, section),
+                None => {
+                    return Err(SheetError::value(
+                        "sections",
+                        name,
+                        "a section that is held",
+                    ))
+                }
             }
-            fill(&mut sheet, name, text)?;
         }
         validate::check(&sheet)?;
         Ok(sheet)
     }
 }
 
-fn fill(sheet: &mut Sheet, section: &str, text: &[u8]) -> Result<(), SheetError> {
-    match section {
-        DATA_CENTRES => sheet.data_centres = section_value(section, text)?,
-        LEAVING => sheet.leaving = section_value(section, text)?,
-        TEAMS => sheet.teams = section_value(section, text)?,
-        other => {
-            if let Some(name) = other.strip_prefix(MODEL_PREFIX) {
-                let model = section_value(section, text)?;
-                sheet.models.insert(name.into(), model);
-            } else if let Some(name) = other.strip_prefix(SERVICE_PREFIX) {
-                let service = section_value(section, text)?;
-                sheet.services.insert(name.into(), service);
-            } else {
-                return Err(SheetError::value(
-                    "sections",
-                    other,
-                    "data_centres, leaving, teams, models.NAME or services.NAME",
-                ));
+/// A section that was read.
+#[derive(Clone, Debug)]
+pub(crate) enum Section {
+    DataCentres(BTreeMap<Name, DataCentre>),
+    Leaving(BTreeSet<Name>),
+    Teams(BTreeMap<Name, Team>),
+    Model(Model),
+    Service(Service),
+}
+
+impl Section {
+    /// Reads the section that the index calls `name`.
+    pub fn parse(name: &str, text: &[u8]) -> Result<Self, SheetError> {
+        match name {
+            DATA_CENTRES => section_value(name, text).map(Self::DataCentres),
+            LEAVING => section_value(name, text).map(Self::Leaving),
+            TEAMS => section_value(name, text).map(Self::Teams),
+            other if other.starts_with(MODEL_PREFIX) => section_value(name, text).map(Self::Model),
+            other if other.starts_with(SERVICE_PREFIX) => {
+                section_value(name, text).map(Self::Service)
             }
+            other => Err(SheetError::value(
+                "sections",
+                other,
+                "data_centres, leaving, teams, models.NAME or services.NAME",
+            )),
+        }
+    }
+}
+
+fn fill(sheet: &mut Sheet, name: &str, section: &Section) {
+    match section {
+        Section::DataCentres(value) => sheet.data_centres.clone_from(value),
+        Section::Leaving(value) => sheet.leaving.clone_from(value),
+        Section::Teams(value) => sheet.teams.clone_from(value),
+        Section::Model(value) => {
+            let name = name.strip_prefix(MODEL_PREFIX).unwrap_or(name);
+            sheet.models.insert(name.into(), value.clone());
+        }
+        Section::Service(value) => {
+            let name = name.strip_prefix(SERVICE_PREFIX).unwrap_or(name);
+            sheet.services.insert(name.into(), value.clone());
         }
     }
-    Ok(())
 }
 
 fn section_value<T: DeserializeOwned>(section: &str, text: &[u8]) -> Result<T, SheetError> {
--- a/components/sheet/tests/documents.rs
+++ b/components/sheet/tests/documents.rs
@@ -4,7 +4,8 @@
     check_successor,
     pack,
     parse,
-    Index,
+    Acceptance,
+    Offer,
     Sheet, //
 };
 
@@ -155,9 +156,12 @@
 fn a_packed_sheet_assembles_to_the_same() {
     let sheet = parse(GOOD).unwrap();
     let packed = pack(&sheet);
-    let index = Index::parse(&packed.index).unwrap();
-    let find = |digest: &utils::digest::Digest| packed.sections.get(digest).map(|t| &t[..]);
-    assert_eq!(index.assemble(find).unwrap(), sheet);
+    let mut acceptance = Acceptance::default();
+    let mut offer = acceptance.offer_index(&packed.index);
+    for text in packed.sections.values() {
+        offer = acceptance.offer_section(text);
+    }
+    assert_eq!(offer, Offer::Accepted(std::sync::Arc::new(sheet)));
 }
 
 struct Successor {
--- a/components/weights/src/peers.rs
+++ b/components/weights/src/peers.rs
@@ -22,8 +22,8 @@
     pub wants: bool,
     /// The pieces it holds.
     pub have: FixedBitSet,
-    /// The pieces that it has a rank for and does not try to draw any more.
-    pub given_up: FixedBitSet,
+    /// The pieces that it has a rank for and does not try to draw any more. Mostly none.
+    pub given_up: Vec<Piece>,
 }
 
 /// How long a source rests after its first failure; doubles with each further one.
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
     pub have: FixedBitSet,
-    pub given_up: FixedBitSet,
+    pub given_up: Vec<Piece>,
     /// Whether it last said that it spreads the same manifest.
     pub takes_part: bool,
     pub outstanding: u32,
@@ -69,7 +69,16 @@
         self.rests_until = now + backoff.min(LONGEST_BACKOFF);
     }
 
+    /// Notes that nothing came back. What it said that it holds no longer counts, and it is silent
+    /// from now on, whether it was asked for news or for a piece.
+    pub fn unreachable(&mut self, now: Duration) {
+        self.silent_since.get_or_insert(now);
+        self.takes_part = false;
+        self.failed(now);
+    }
+
     pub fn worked(&mut self) {
+        self.silent_since = None;
         self.failures = 0;
         self.rests_until = Duration::ZERO;
     }
--- a/components/weights/src/transfer/choose.rs
+++ b/components/weights/src/transfer/choose.rs
@@ -70,7 +70,7 @@
             let duty = self.duties.get(*piece as usize);
             let before = duty.and_then(|duty| duty.before_origin.as_ref());
             before.is_some_and(|before| self.is_my_turn(now, *piece, before))
-                && !self.given_up.contains(*piece as usize)
+                && !self.given_up.contains(piece)
         })?;
         Some((piece, Source::Origin, false))
     }
@@ -107,7 +107,7 @@
             let Some(peer) = self.peers.get(name) else {
                 return false;
             };
-            let gave_up = peer.takes_part && peer.given_up.contains(piece as usize);
+            let gave_up = peer.takes_part && peer.given_up.contains(&piece);
             gave_up || peer.is_gone(now, self.limits.rank_timeout)
         };
         before.iter().all(passed) && !self.is_near(now, piece)
--- a/components/weights/src/transfer/exchange.rs
+++ b/components/weights/src/transfer/exchange.rs
@@ -13,11 +13,23 @@
 /// Instances with a rank asked at once, for each exchange.
 const WATCHED_AT_ONCE: usize = 16;
 
+/// Bytes a second that exchanges may send and receive, whatever the number of pieces.
+const EXCHANGE_BYTES_PER_SECOND: f64 = 8_000.0;
+
 impl Transfer {
+    /// Reports grow with the pieces, so exchanges become rarer where there are many.
+    fn exchange_interval(&self) -> Duration {
+        let report_bytes = self.have.len().div_ceil(8);
+        let round_bytes = 2 * report_bytes * self.neighbours.len();
+        let affordable = round_bytes as f64 / EXCHANGE_BYTES_PER_SECOND;
+        let affordable = Duration::from_secs_f64(affordable);
+        self.limits.exchange_every.max(affordable)
+    }
+
     pub(super) fn exchange(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let due = self
             .exchanged
-            .is_none_or(|at| now.saturating_sub(at) >= self.limits.exchange_every);
+            .is_none_or(|at| now.saturating_sub(at) >= self.exchange_interval());
         if !due || self.is_complete() || self.halted || self.wanted_since.is_none() {
             return;
         }
--- a/components/weights/src/transfer/limits.rs
+++ b/components/weights/src/transfer/limits.rs
@@ -42,7 +42,7 @@
             origin_fetches: 2,
             upload_slots: 4,
             upload_queue: 12,
-            exchange_every: Duration::from_millis(100),
+            exchange_every: Duration::from_secs(1),
             rank_timeout: Duration::from_secs(3),
             stall_after: Duration::from_secs(3),
             park_for: Duration::from_secs(2),
--- a/components/weights/src/transfer/mod.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -122,7 +122,7 @@
     neighbours: Vec<Name>,
     manifest: Option<Manifest>,
     have: FixedBitSet,
-    given_up: FixedBitSet,
+    given_up: Vec<Piece>,
     origin_failures: BTreeMap<Piece, u32>,
     origin_rests_until: Duration,
     duties: Vec<Duty>,
@@ -160,7 +160,7 @@
             neighbours,
             manifest: None,
             have: FixedBitSet::with_capacity(1),
-            given_up: FixedBitSet::with_capacity(1),
+            given_up: Vec::new(),
             origin_failures: BTreeMap::new(),
             origin_rests_until: Duration::ZERO,
             duties: Vec::new(),
@@ -254,7 +254,7 @@
                 self.peers.hears(now, &name, &report, self.plan.manifest());
             }
             Event::Answered(name) => self.peers.answers(now, &name),
-            Event::Silent(name) => self.peers.entry(&name).failed(now),
+            Event::Silent(name) => self.peers.entry(&name).unreachable(now),
             Event::Want {
                 token,
                 manifest,
@@ -333,7 +333,6 @@
         }
         let pieces = manifest.pieces();
         self.have.grow(pieces);
-        self.given_up.grow(pieces);
         let count = Piece::try_from(pieces).unwrap_or(Piece::MAX);
         for piece in 1..count {
             self.duties.push(self.duty(piece));
@@ -397,7 +396,8 @@
                         peer.takes_part = false;
                         peer.failed(now);
                     }
-                    _ => peer.failed(now),
+                    FailCause::Unreachable => peer.unreachable(now),
+                    FailCause::Corrupt | FailCause::Denied(Denial::Busy) => peer.failed(now),
                 }
             }
         }
@@ -411,7 +411,7 @@
         let failures = self.origin_failures.entry(piece).or_default();
         *failures += 1;
         if *failures >= self.limits.origin_tries {
-            self.given_up.insert(piece as usize);
+            self.given_up.push(piece);
         }
     }
 
--- a/components/weights/tests/spread.rs
+++ b/components/weights/tests/spread.rs
@@ -386,3 +386,52 @@
         }
     }
 }
+
+/// Draws from a dead peer fail whenever its rest is over, before the next exchange could ask it;
+/// that is silence too.
+#[test]
+fn a_dead_rank_is_passed_though_draws_from_it_fail_before_it_is_asked() {
+    let net = net(1, 2, 1, 0.0, 0.0);
+    let (me, node) = net.nodes.iter().next().unwrap();
+    let mut transfer = node.transfer.clone();
+    let plan = transfer.plan().clone();
+    let is_second = |piece: &Piece| plan.origin_ranks(*piece)[0] != *me;
+    let piece = (1..=CHUNKS as Piece).find(is_second).unwrap();
+    let dead = plan.origin_ranks(piece)[0].clone();
+    let mut report = transfer.report();
+    report.have.grow(CHUNKS + 1);
+    for other in (0..=CHUNKS).filter(|other| *other != piece as usize) {
+        report.have.insert(other);
+    }
+    let mut events = vec![
+        Event::Manifest(Source::Peer(dead.clone()), net.manifest.clone()),
+        Event::Report(dead.clone(), report),
+    ];
+    for millis in 0..20_000_u64 {
+        let now = Duration::from_millis(millis);
+        // Rests never end right at a tick.
+        let tick = millis % 20 == 11;
+        events.push(if tick {
+            Event::Tick
+        } else {
+            Event::Progress(99)
+        });
+        for event in std::mem::take(&mut events) {
+            for effect in transfer.step(now, event) {
+                match effect {
+                    Effect::Fetch {
+                        piece: drawn,
+                        source: Source::Origin,
+                        ..
+                    } if drawn == piece => return,
+                    Effect::Fetch { piece, source, .. } => {
+                        events.push(Event::Failed(piece, source, FailCause::Unreachable));
+                    }
+                    Effect::Exchange(peer) => events.push(Event::Silent(peer)),
+                    _ => {}
+                }
+            }
+        }
+    }
+    panic!("piece {piece} was never drawn from the origin");
+}
--- a/experiments/src/burst.rs
+++ b/experiments/src/burst.rs
@@ -5,6 +5,10 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use fleet::faults::{
+    self,
+    Fault, //
+};
 use fleet::{
     Fleet,
     Layout,
@@ -21,11 +25,6 @@
 };
 use utils::Name;
 
-use crate::faults::{
-    self,
-    Fault, //
-};
-
 /// Bring a new version to every target while requests flow.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "burst")]
--- a/experiments/src/control.rs
+++ b/experiments/src/control.rs
@@ -207,7 +207,7 @@
 }
 
 /// Resident memory of this process.
-fn memory_bytes() -> f64 {
+pub(crate) fn memory_bytes() -> f64 {
     let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = text.lines().find(|line| line.starts_with("VmRSS:"));
     let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
--- a/experiments/src/main.rs
+++ b/experiments/src/main.rs
@@ -7,7 +7,6 @@
 mod cold_start;
 mod control;
 mod data_centre;
-mod faults;
 mod orders;
 mod overload;
 mod poison;
--- a/experiments/src/route.rs
+++ b/experiments/src/route.rs
@@ -34,13 +34,17 @@
     json,
     Value, //
 };
-use sheet::Sheet;
+use sheet::{
+    Packed,
+    Sheet, //
+};
 use utils::clock::Now;
 use utils::{
     rank,
     Name, //
 };
 
+use crate::control::memory_bytes;
 use crate::setup;
 
 /// Measure the cost of a decision and the added latency.
@@ -75,11 +79,70 @@
         "decisions_per_second": by_targets,
         "added_ms_p50": added.0,
         "added_ms_p99": added.1,
+        "design_size": design_size()?,
     });
     let baseline = json!({ "direct_ms_p50": direct.0, "direct_ms_p99": direct.1 });
     Ok(setup::report("route", arguments.seed, measured, baseline))
 }
 
+/// Models at the design size, each on so many instances.
+const DESIGN_MODELS: usize = 18;
+
+/// Instances of each model at the design size.
+const DESIGN_INSTANCES: usize = 611;
+
+/// What an entry that knows the design size holds, and what a change of one section costs it.
+fn design_size() -> Result<Value, String> {
+    let now = Now {
+        elapsed: Duration::from_secs(1),
+        wall: SystemTime::UNIX_EPOCH,
+    };
+    let names: Vec<Name> = (0..DESIGN_MODELS * DESIGN_INSTANCES)
+        .map(|i| format!("instance-{i:05}").into())
+        .collect();
+    let mut sheet = fleet_sheet(&names[..DESIGN_INSTANCES])?;
+    let model = sheet.models["m"].clone();
+    sheet.models.clear();
+    for (number, names) in names.chunks(DESIGN_INSTANCES).enumerate() {
+        let mut model = model.clone();
+        model.instances.insert("a".into(), names.to_vec());
+        sheet.models.insert(format!("model-{number}").into(), model);
+    }
+    let before = memory_bytes();
+    let mut state = State::new("entry-0".into(), "a".into(), 1, Options::default());
+    state.step(now, Event::Follow(list_event(&names)));
+    let mut index_bytes = 0;
+    let mut section_bytes = 0;
+    let mut times = Vec::new();
+    for version in 1..12 {
+        sheet.version = version;
+        let percent = 20 + u32::try_from(version).unwrap_or_default();
+        if let Some(model) = sheet.models.get_mut("model-0") {
+            model.max_out_percent = percent;
+        }
+        let packed = sheet::pack(&sheet);
+        index_bytes = packed.index.len();
+        section_bytes = packed.sections.values().map(Vec::len).max().unwrap_or(0);
+        let events = sheet_events(packed);
+        let started = Instant::now();
+        for event in events {
+            state.step(now, Event::Follow(event));
+        }
+        times.push(started.elapsed().as_secs_f64() * 1000.0);
+        if state.follower().acceptance().version() != version {
+            return Err(format!("sheet {version} is not in force"));
+        }
+    }
+    Ok(json!({
+        "instances": names.len(),
+        "state_bytes": memory_bytes() - before,
+        "index_bytes": index_bytes,
+        "section_bytes": section_bytes,
+        "first_sheet_ms": times[0],
+        "changed_section_ms": times[1..].iter().sum::<f64>() / (times.len() - 1) as f64,
+    }))
+}
+
 /// Runs the reducer alone: a request arrives, is routed, and its answer ends.
 fn decisions_per_second(targets: usize) -> f64 {
     let now = Now {
@@ -88,7 +151,11 @@
     };
     let mut state = State::new("entry-0".into(), "a".into(), 1, Options::default());
     let names: Vec<Name> = (0..targets).map(|i| format!("t{i}").into()).collect();
-    for event in fleet_events(&names) {
+    let Ok(sheet) = fleet_sheet(&names) else {
+        return 0.0;
+    };
+    state.step(now, Event::Follow(list_event(&names)));
+    for event in sheet_events(sheet::pack(&sheet)) {
         state.step(now, Event::Follow(event));
     }
     let started = Instant::now();
@@ -119,8 +186,8 @@
     sent as f64 / started.elapsed().as_secs_f64()
 }
 
-/// The events that tell an entry of a fleet.
-fn fleet_events(names: &[Name]) -> Vec<FollowEvent> {
+/// A sheet with one model on the instances `names`.
+fn fleet_sheet(names: &[Name]) -> Result<Sheet, String> {
     let digest = "0".repeat(64);
     let list: Vec<&str> = names.iter().map(|name| &**name).collect();
     let text = format!(
@@ -130,8 +197,11 @@
          max_out_percent: 50, instances: {{a: [{}]}}}}}}}}",
         list.join(", ")
     );
-    let sheet: Sheet = sheet::parse(&text).unwrap_or_else(|e| panic!("the sheet above: {e}"));
-    let packed = sheet::pack(&sheet);
+    sheet::parse(&text).map_err(|e| e.to_string())
+}
+
+/// The event that tells of live instances.
+fn list_event(names: &[Name]) -> FollowEvent {
     let instances = (1..).zip(names).map(|(revision, name)| Instance {
         name: name.clone(),
         address: ([127, 0, 0, 1], 9).into(),
@@ -140,15 +210,18 @@
         state: InstanceState::Live,
         revision,
     });
-    let news = News {
+    FollowEvent::List(Some(News {
         revision: names.len() as u64,
         instances: instances.collect(),
-    };
-    let mut events = vec![FollowEvent::List(Some(news))];
-    events.push(FollowEvent::Index(Answer::Index(Bytes::from(packed.index))));
+    }))
+}
+
+/// The events that bring a sheet into force.
+fn sheet_events(packed: Packed) -> Vec<FollowEvent> {
+    let index = FollowEvent::Index(Answer::Index(Bytes::from(packed.index)));
     let sections = packed.sections.into_iter();
-    events.extend(sections.map(|(d, text)| FollowEvent::Section(d, Some(text.into()))));
-    events
+    let sections = sections.map(|(d, text)| FollowEvent::Section(d, Some(text.into())));
+    std::iter::once(index).chain(sections).collect()
 }
 
 /// The median and the 99th percentile that entry and agent add, and those of the engine alone.
