One piece of code for a heartbeat to each neighbour

Cause: reading the change again, the same loop over the neighbours stood twice in the follower, once in the agent and twice in the entry.

Change: `Follow::beats` makes the heartbeats; all five places call it. Behaviour is as it was; no test changed.

--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -268,8 +268,7 @@
 
     /// Tells neighbours of crashes at once, since the caller may send the request again elsewhere.
     pub(super) fn tell_neighbours(&self, out: &mut Vec<Effect>) {
-        let beats = self.follow.neighbours().iter().cloned();
-        out.extend(beats.map(follow::Effect::Heartbeat).map(Effect::Follow));
+        out.extend(self.follow.beats().map(Effect::Follow));
     }
 
     pub(super) fn record_suspect(&self, crash: &protocol::Crash, out: &mut Vec<Effect>) {
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -187,8 +187,7 @@
         out: &mut Vec<Effect>,
     ) {
         if self.suspects.clear(at, fingerprint) {
-            let beats = self.follow.neighbours().iter().cloned();
-            out.extend(beats.map(follow::Effect::Heartbeat).map(Effect::Follow));
+            out.extend(self.follow.beats().map(Effect::Follow));
         }
     }
 
@@ -207,8 +206,7 @@
             }));
         }
         if is_news {
-            let beats = self.follow.neighbours().iter().cloned();
-            out.extend(beats.map(follow::Effect::Heartbeat).map(Effect::Follow));
+            out.extend(self.follow.beats().map(Effect::Follow));
         }
     }
 
--- a/components/control/src/follow.rs
+++ b/components/control/src/follow.rs
@@ -236,6 +236,11 @@
         &self.neighbours
     }
 
+    /// A heartbeat to each neighbour.
+    pub fn beats(&self) -> impl Iterator<Item = Effect> + '_ {
+        self.neighbours.iter().cloned().map(Effect::Heartbeat)
+    }
+
     /// Whether the process has compared versions since it started or woke.
     pub fn is_settled(&self) -> bool {
         self.last_step.is_some() && self.settling_since.is_none() && self.sheet().is_some()
@@ -346,8 +351,7 @@
         }
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + self.intervals.heartbeat;
-            let beats = self.neighbours.iter().cloned().map(Effect::Heartbeat);
-            effects.extend(beats);
+            effects.extend(self.beats());
         }
         self.ask_missing(now, effects);
     }
@@ -460,8 +464,7 @@
                 let digest = self.acceptance.digest().unwrap_or(Digest::ZERO);
                 effects.push(Effect::Adopted(sheet, digest));
                 // Neighbours learn at once and not with the next heartbeat.
-                let beats = self.neighbours.iter().cloned().map(Effect::Heartbeat);
-                effects.extend(beats);
+                effects.extend(self.beats());
             }
             Offer::Refused(e) => effects.push(Effect::Refused(e)),
             Offer::Known | Offer::Older | Offer::Missing(_) => {}
