--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod client;
+mod metrics;
 mod routes;
 mod source;
 
@@ -11,6 +12,7 @@
     get,
     ClientError, //
 };
+pub use metrics::serve_metrics;
 pub use routes::serve;
 pub use source::{
     Options,
--- a/components/control/src/entry/mod.rs
+++ b/components/control/src/entry/mod.rs
@@ -3,7 +3,6 @@
 //! It chooses a target for each request from hints and asks elsewhere if the agent there refuses.
 //! Whether a request runs is never decided here.
 
-mod budget;
 mod calls;
 mod choose;
 mod explain;
@@ -11,7 +10,7 @@
 mod ring;
 mod state;
 
-pub use budget::{
+pub use crate::budget::{
     Budget,
     BudgetOptions, //
 };
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -21,10 +21,6 @@
 use utils::digest::Digest;
 use utils::Name;
 
-use super::budget::{
-    Budget,
-    BudgetOptions, //
-};
 use super::calls::Call;
 use super::choose::Ramps;
 use super::hints::Hints;
@@ -33,6 +29,10 @@
     Effect,
     Event, //
 };
+use crate::budget::{
+    Budget,
+    BudgetOptions, //
+};
 use crate::follow::{
     self,
     Follow,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,9 +5,12 @@
 //! same events always yield the same effects.
 
 pub mod agent;
+pub mod budget;
 pub mod entry;
 pub mod follow;
+pub mod keeper;
 pub mod members;
+pub mod router;
 pub mod suspects;
 
 pub use follow::Follow;
--- /dev/null
+++ b/components/control/src/router/beliefs.rs
@@ -0,0 +1,179 @@
+//! What the process comes to believe of configuration, targets, data centres and versions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use record::Decision;
+use utils::Name;
+
+use super::config::Config;
+use super::state::{
+    Named,
+    State, //
+};
+use super::table::Table;
+use super::targets::{
+    Change,
+    TargetEntry, //
+};
+use super::Effect;
+
+impl State {
+    pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        for id in self.targets.drop_lapsed(now) {
+            effects.push(Effect::Record(Decision::TargetGone {
+                target: id,
+                reason: "missing from the list".into(),
+            }));
+        }
+        if let Some(valid) = self.lease.turned(now) {
+            let age = self.lease.age(now).unwrap_or_default();
+            effects.push(Effect::Record(Decision::Lease {
+                valid,
+                age_ms: millis(age),
+            }));
+        }
+        self.suspects.expire(now);
+    }
+
+    pub(super) fn take_config(&mut self, config: Arc<Config>, effects: &mut Vec<Effect>) {
+        let version = config.version;
+        let known = self.table.as_ref().map(|table| table.config().version);
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        effects.push(Effect::Record(Decision::Configure {
+            version,
+            before: known,
+            routes: config.routes.len(),
+            teams: config.teams.len(),
+        }));
+        self.table = Some(Table::new(config));
+    }
+
+    pub(super) fn take_entry(
+        &mut self,
+        now: Duration,
+        entry: TargetEntry,
+        effects: &mut Vec<Effect>,
+    ) {
+        let id = entry.id.clone();
+        let change = self.targets.take(now, entry);
+        if change == Change::None {
+            return;
+        }
+        let Some(target) = self.targets.get(&id) else {
+            return;
+        };
+        let entry = &target.entry;
+        effects.push(Effect::Record(Decision::Target {
+            target: id,
+            service: entry.service.clone(),
+            address: entry.address.to_string().into(),
+            is_new: change == Change::Found,
+            draining: entry.is_draining,
+            cold_ms: millis(entry.cold_for),
+            version: entry.version,
+        }));
+    }
+
+    pub(super) fn unlist(
+        &mut self,
+        now: Duration,
+        id: &Name,
+        grace: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !grace.is_zero() {
+            self.targets.lapse(now + grace, id);
+        } else if self.targets.remove(id) {
+            effects.push(Effect::Record(Decision::TargetGone {
+                target: id.clone(),
+                reason: "taken off the list".into(),
+            }));
+        }
+    }
+
+    /// A whole list may miss entries that lapsed while the list was out of order.
+    pub(super) fn take_whole_list(&mut self, now: Duration, names: &[Name], grace: Duration) {
+        let missing: Vec<Name> = self
+            .targets
+            .iter()
+            .map(|target| target.entry.id.clone())
+            .filter(|id| !names.contains(id))
+            .collect();
+        for id in missing {
+            self.targets.lapse(now + grace, &id);
+        }
+    }
+
+    pub(super) fn take_data_centre(&mut self, name: Name, out: bool, effects: &mut Vec<Effect>) {
+        let changed = if out {
+            self.out.insert(name.clone())
+        } else {
+            self.out.remove(&name)
+        };
+        if changed {
+            effects.push(Effect::Record(Decision::DataCentre { name, out }));
+        }
+    }
+
+    pub(super) fn take_version(
+        &mut self,
+        now: Duration,
+        model: Name,
+        version: u64,
+        at_start: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let named = self.versions.entry(model.clone()).or_default();
+        if named.last().is_some_and(|last| last.version >= version) {
+            return;
+        }
+        // A process that finds the version at its start does not know for how long it was named.
+        let only_from = if at_start {
+            now
+        } else {
+            now + self.options.version_grace
+        };
+        named.push(Named { version, only_from });
+        effects.push(Effect::Record(Decision::VersionNamed { model, version }));
+    }
+
+    pub(super) fn take_engine(
+        &mut self,
+        now: Duration,
+        id: &Name,
+        version: Option<u64>,
+        is_switching: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.told_at = Some(now);
+        if target.entry.version == version && target.is_switching == is_switching {
+            return;
+        }
+        target.entry.version = version;
+        target.entry.is_empty = version.is_none();
+        target.is_switching = is_switching;
+        effects.push(Effect::Record(Decision::Engine {
+            target: id.clone(),
+            version,
+            switching: is_switching,
+        }));
+    }
+
+    /// The oldest version that requests for a model may run on now.
+    pub(super) fn oldest_version(&self, now: Duration, model: &str) -> Option<u64> {
+        let named = self.versions.get(model)?.iter();
+        let due = named.filter(|named| now >= named.only_from);
+        due.map(|named| named.version).max()
+    }
+}
+
+/// Whole milliseconds, for lines of the record.
+pub(super) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/components/control/src/router/mod.rs
@@ -0,0 +1,214 @@
+//! The reducer of a process that forwards callers' requests straight to targets.
+//!
+//! It holds the configuration, the list of targets and the requests under way, and decides which
+//! request goes where, waits, is sent again or is refused. Targets enforce what only they know:
+//! that they are the expected instance, and that they run the expected version.
+
+mod beliefs;
+pub mod config;
+pub mod health;
+pub mod lease;
+pub mod load;
+pub mod pace;
+pub mod place;
+pub mod queue;
+mod requests;
+mod state;
+pub mod table;
+pub mod targets;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use protocol::Fingerprint;
+use record::Decision;
+use utils::Name;
+
+use config::Config;
+use load::LoadReport;
+use targets::TargetEntry;
+
+pub use requests::Reason;
+pub use state::{
+    Options,
+    State,
+    Summary, //
+};
+
+/// A caller's request, as far as decisions need it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Names the request inside the process.
+    pub token: u64,
+    /// The caller's name for this try.
+    pub id: Name,
+    /// The host that the caller names.
+    pub host: Name,
+    /// The path.
+    pub path: Name,
+    /// The key that the caller presents.
+    pub key: Option<Name>,
+    /// How long the caller waits.
+    pub timeout: Option<Duration>,
+    /// Tokens of the prompt and of the answer, at most.
+    pub tokens: Option<(u32, u32)>,
+    /// The last event that the caller has already.
+    pub after_event: Option<u64>,
+    /// Identifies requests with the same content of the same caller.
+    pub fingerprint: Fingerprint,
+}
+
+/// What came of sending a request to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer went to the caller. The flag tells an answer that is the target's failure.
+    Answered {
+        /// The target answered with a failure of its own.
+        failed: bool,
+    },
+    /// The target says that it did not run the request: it is full, or leaves.
+    Busy,
+    /// The address belongs to another target now.
+    OtherInstance,
+    /// The target runs another version than the one asked for.
+    OtherVersion,
+    /// No byte of the request reached the target.
+    NotSent,
+    /// The answer broke off, never came, or is not one.
+    Broken {
+        /// The target went silent or its connection broke, as in a crash.
+        lost: bool,
+    },
+    /// Nothing came for longer than an answer that is on time takes.
+    Silent,
+    /// The time for the answer is over.
+    TimedOut,
+}
+
+/// What happens to the process.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// A configuration was read.
+    Config(Arc<Config>),
+    /// The list names a target.
+    Listed(TargetEntry),
+    /// The list no longer names a target.
+    Unlisted {
+        /// The target.
+        id: Name,
+        /// How long the entry may still come back.
+        grace: Duration,
+    },
+    /// The list was read as a whole: every target that is not in it is missing.
+    ListedAll {
+        /// The targets in it.
+        names: Vec<Name>,
+        /// How long others may still come back.
+        grace: Duration,
+    },
+    /// A data centre is to get nothing, or may again.
+    DataCentre {
+        /// The data centre.
+        name: Name,
+        /// Whether it is out of service.
+        out: bool,
+    },
+    /// A version of a model's weights is the one to serve.
+    Version {
+        /// The model.
+        model: Name,
+        /// The version.
+        version: u64,
+        /// Whether it was there when this process started.
+        at_start: bool,
+    },
+    /// The platform answered a call that was sent at this time, and all it said was taken.
+    Current(Duration),
+    /// A target's agent said what the target does.
+    Engine {
+        /// The target.
+        id: Name,
+        /// The version that it runs.
+        version: Option<u64>,
+        /// Whether it takes nothing new before it has changed its weights.
+        is_switching: bool,
+    },
+    /// A caller's request is whole.
+    Arrive(Arrival),
+    /// The head of an answer came.
+    Head {
+        /// The request.
+        token: u64,
+        /// What the target says of its load.
+        load: Option<LoadReport>,
+        /// How long the target stays cold, if it says so.
+        cold_for: Option<Duration>,
+        /// The version that answers.
+        version: Option<u64>,
+    },
+    /// The caller got the first part of the answer.
+    Started(u64),
+    /// An exchange with a target ended.
+    Ended {
+        /// The request.
+        token: u64,
+        /// What came of it.
+        outcome: Outcome,
+    },
+    /// A request has waited long enough.
+    WaitOver(u64),
+    /// The caller is gone.
+    Left(u64),
+    /// The process begins its planned stop.
+    Drain,
+}
+
+/// Where and how to send a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Send {
+    /// The target.
+    pub target: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The team to name to the target.
+    pub team: Option<Name>,
+    /// The version of the weights that must answer.
+    pub version: Option<u64>,
+    /// Which of the targets this is, from one.
+    pub attempt: u32,
+    /// How urgent the target is told that it is.
+    pub urgency: u8,
+    /// When the answer must be whole.
+    pub deadline: Duration,
+    /// How long the target may stay silent before another is asked.
+    pub patience: Duration,
+    /// Whether the answer is a series of events.
+    pub is_stream: bool,
+}
+
+/// Why and how a request ends without the answer of a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rejection {
+    /// Why.
+    pub reason: Reason,
+    /// The request has not run and never will.
+    pub not_run: bool,
+    /// When the caller may come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// What the reducer asks to be done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Send the request to a target.
+    Send(u64, Send),
+    /// Tell the reducer when the request has waited until this time.
+    Wait(u64, Duration),
+    /// End the request.
+    Reject(u64, Rejection),
+    /// Write a line of the record.
+    Record(Decision),
+}
--- /dev/null
+++ b/components/control/src/router/state.rs
@@ -0,0 +1,222 @@
+//! The state of the reducer and its one function.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap, //
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+use utils::clock::Now;
+use utils::Name;
+
+use super::lease::Lease;
+use super::place::Location;
+use super::queue::Queue;
+use super::requests::Pending;
+use super::table::Table;
+use super::targets::{
+    Target,
+    Targets, //
+};
+use super::{
+    Effect,
+    Event, //
+};
+use crate::budget::{
+    Budget,
+    BudgetOptions, //
+};
+use crate::Suspects;
+
+/// Settings of the reducer.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where the process stands.
+    pub location: Location,
+    /// How long the configuration may be acted on after it was last known to be current.
+    pub lease: Duration,
+    /// How long after a version was named requests may still run on an older one.
+    pub version_grace: Duration,
+    /// Retries, for each service.
+    pub budget: BudgetOptions,
+    /// Seeds the choices that are left to chance.
+    pub seed: u64,
+}
+
+/// A version that is to be served.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Named {
+    pub version: u64,
+    /// When this process must send nothing to older versions any more.
+    pub only_from: Duration,
+}
+
+/// What is known and under way.
+#[derive(Debug)]
+pub struct State {
+    pub(super) options: Options,
+    pub(super) table: Option<Table>,
+    pub(super) lease: Lease,
+    pub(super) out: BTreeSet<Name>,
+    pub(super) versions: BTreeMap<Name, Vec<Named>>,
+    pub(super) targets: Targets,
+    pub(super) queues: BTreeMap<Name, Queue>,
+    pub(super) budgets: BTreeMap<Name, Budget>,
+    pub(super) pending: HashMap<u64, Pending>,
+    pub(super) suspects: Suspects,
+    pub(super) draining: bool,
+    pub(super) rng: Pcg64Mcg,
+}
+
+/// A view of the state for gauges and readiness.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Summary {
+    /// The version of the configuration in force.
+    pub config: Option<u64>,
+    /// How old the configuration may be.
+    pub lease_age: Option<Duration>,
+    /// Whether requests with a key are answered.
+    pub lease_valid: bool,
+    /// Known targets.
+    pub targets: usize,
+    /// Requests under way.
+    pub pending: usize,
+    /// Requests that wait for room.
+    pub waiting: usize,
+    /// Whether the process is in its planned stop.
+    pub draining: bool,
+}
+
+impl Summary {
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some() && self.lease_valid && !self.draining
+    }
+}
+
+impl State {
+    /// Starts without any belief.
+    pub fn new(options: Options) -> Self {
+        Self {
+            table: None,
+            lease: Lease::new(options.lease),
+            out: BTreeSet::new(),
+            versions: BTreeMap::new(),
+            targets: Targets::default(),
+            queues: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            pending: HashMap::new(),
+            suspects: Suspects::default(),
+            draining: false,
+            rng: Pcg64Mcg::seed_from_u64(options.seed),
+            options,
+        }
+    }
+
+    /// Handles one event.
+    pub fn step(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        let now = now.elapsed;
+        let mut effects = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut effects),
+            Event::Config(config) => self.take_config(config, &mut effects),
+            Event::Listed(entry) => self.take_entry(now, entry, &mut effects),
+            Event::Unlisted { id, grace } => self.unlist(now, &id, grace, &mut effects),
+            Event::ListedAll { names, grace } => self.take_whole_list(now, &names, grace),
+            Event::DataCentre { name, out } => self.take_data_centre(name, out, &mut effects),
+            Event::Version {
+                model,
+                version,
+                at_start,
+            } => self.take_version(now, model, version, at_start, &mut effects),
+            Event::Current(sent) => self.lease.renew(sent),
+            Event::Engine {
+                id,
+                version,
+                is_switching,
+            } => self.take_engine(now, &id, version, is_switching, &mut effects),
+            Event::Arrive(arrival) => self.arrive(now, arrival, &mut effects),
+            Event::Head {
+                token,
+                load,
+                cold_for,
+                version,
+            } => self.take_head(now, token, load, cold_for, version),
+            Event::Started(token) => self.start(now, token),
+            Event::Ended { token, outcome } => self.end(now, token, outcome, &mut effects),
+            Event::WaitOver(token) => self.wait_over(now, token, &mut effects),
+            Event::Left(token) => self.leave(now, token, &mut effects),
+            Event::Drain => {
+                self.draining = true;
+                effects.push(Effect::Record(record::Decision::Drain));
+            }
+        }
+        self.place_waiting(now, &mut effects);
+        effects
+    }
+
+    /// What gauges and the readiness check show.
+    pub fn summary(&self, now: Duration) -> Summary {
+        Summary {
+            config: self.table.as_ref().map(|table| table.config().version),
+            lease_age: self.lease.age(now),
+            lease_valid: self.lease.is_valid(now),
+            targets: self.targets.iter().count(),
+            pending: self.pending.len(),
+            waiting: self.queues.values().map(Queue::len).sum(),
+            draining: self.draining,
+        }
+    }
+
+    /// The limits on callers in force.
+    pub fn caller_limits(&self) -> super::config::CallerLimits {
+        let table = self.table.as_ref();
+        table.map(|table| table.config().limits).unwrap_or_default()
+    }
+
+    /// The version of the configuration in force, zero before the first.
+    pub fn config_version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |t| t.config().version)
+    }
+
+    /// The newest named version of each model.
+    pub fn named_versions(&self) -> Vec<(Name, u64)> {
+        let newest = |named: &Vec<Named>| named.last().map(|named| named.version);
+        let versions = self.versions.iter();
+        versions
+            .filter_map(|(model, named)| Some((model.clone(), newest(named)?)))
+            .collect()
+    }
+
+    /// The targets that are model engines, with their addresses.
+    pub fn engines(&self) -> Vec<(Name, SocketAddr)> {
+        let Some(table) = &self.table else {
+            return Vec::new();
+        };
+        let services = &table.config().services;
+        let is_engine = |target: &&Target| {
+            let service = services.get(&target.entry.service);
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let engines = self.targets.iter().filter(is_engine);
+        engines
+            .map(|target| (target.entry.id.clone(), target.entry.address))
+            .collect()
+    }
+
+    /// The known targets.
+    pub fn targets(&self) -> &Targets {
+        &self.targets
+    }
+
+    pub(super) fn chance(&mut self) -> f64 {
+        self.rng.random()
+    }
+}
--- /dev/null
+++ b/components/control/tests/admission_load.rs
@@ -0,0 +1,64 @@
+//! Queueing, refusing and placing under the loads that they answer, played without a network: a
+//! model of engines that work in passes answers what the reducer sends.
+
+mod engines;
+
+use std::time::Duration;
+
+use engines::{
+    play,
+    Load, //
+};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn callers_get_their_first_event_on_time_while_engines_have_room() {
+    let tally = play(&Load {
+        engines: 4,
+        per_second: 22.0,
+        length: Duration::from_secs(20),
+        ..Load::default()
+    });
+    assert_eq!(tally.refused, 0, "{tally:?}");
+    assert!(tally.on_time * 100 >= tally.asked * 97, "{tally:?}");
+}
+
+#[test]
+fn under_twice_the_load_the_engines_stay_useful() {
+    let calm = play(&Load {
+        engines: 4,
+        per_second: 24.0,
+        length: Duration::from_secs(20),
+        ..Load::default()
+    });
+    let heavy = play(&Load {
+        engines: 4,
+        per_second: 64.0,
+        length: Duration::from_secs(20),
+        ..Load::default()
+    });
+    // What is served on time must not fall under the load that comes on top.
+    assert!(
+        heavy.on_time * 100 >= calm.on_time * 95,
+        "{calm:?} {heavy:?}"
+    );
+    assert!(heavy.late * 10 <= heavy.on_time, "{heavy:?}");
+    // A refusal comes before the answer would have been late.
+    assert!(heavy.longest_refusal <= ms(450), "{heavy:?}");
+}
+
+#[test]
+fn an_engine_that_comes_back_empty_is_filled_without_late_answers() {
+    let tally = play(&Load {
+        engines: 4,
+        per_second: 30.0,
+        length: Duration::from_secs(12),
+        // The first engine takes nothing for two seconds.
+        away: Some((0, ms(4000), ms(6000))),
+        ..Load::default()
+    });
+    assert!(tally.late * 20 <= tally.asked, "{tally:?}");
+}
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -68,6 +68,13 @@
     Status,
     /// Asks for a ticket.
     Ticket,
+    /// Asks what the engine beside an agent does, and waits until that differs from what is known.
+    Engine {
+        /// What the asker knows.
+        known: Option<EngineStatus>,
+        /// Versions of models that the asker knows to be named.
+        named: Vec<(Name, u64)>,
+    },
     /// Hands over a caller's request.
     Serve(Serve),
 }
@@ -91,12 +98,23 @@
     Status(TargetStatus),
     /// A ticket.
     Ticket(Ticket),
+    /// What the engine does.
+    Engine(EngineStatus),
     /// The request is taken; frames follow.
     Serving,
     /// The process does not answer such requests.
     Unsupported,
 }
 
+/// What an agent tells of its engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// The version of the weights that it runs.
+    pub version: Option<u64>,
+    /// Whether it takes nothing new before it has changed its weights.
+    pub is_switching: bool,
+}
+
 /// The role of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/proxy/src/error.rs
+++ b/components/proxy/src/error.rs
@@ -12,6 +12,10 @@
     Thread(std::io::Error),
     /// the settings have no section for this role
     NoRole,
+    /// no settings file is named, neither by --settings nor by {0}
+    NoSettings(&'static str),
+    /// the settings name no address for {0}
+    NoAddress(&'static str),
     /// no connection to {0}
     Connect(String),
     /// the exchange broke: {0}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -7,14 +7,19 @@
 pub mod agent;
 pub mod entry;
 mod error;
+pub mod feed;
+mod journal;
+pub mod keeper;
 mod links;
 mod node;
 mod platform;
 mod reactor;
+pub mod router;
 mod store;
 mod target;
 
 pub use error::ProxyError;
+pub use journal::Journal;
 pub use links::{
     Links,
     Pacer, //
@@ -25,6 +30,7 @@
     Sink, //
 };
 pub use platform::{
+    closing_http_client,
     http_client,
     HttpClient, //
 };
--- a/components/proxy/src/platform.rs
+++ b/components/proxy/src/platform.rs
@@ -27,12 +27,23 @@
 /// An HTTP client with pooled connections.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
-/// Makes an HTTP client.
+/// Makes an HTTP client that keeps connections open between requests.
 pub fn http_client() -> HttpClient {
+    Client::builder(TokioExecutor::new()).build(connector())
+}
+
+/// Makes an HTTP client that closes each connection after its request, for servers that bear few.
+pub fn closing_http_client() -> HttpClient {
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(0)
+        .build(connector())
+}
+
+fn connector() -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(Duration::from_secs(1)));
-    Client::builder(TokioExecutor::new()).build(connector)
+    connector
 }
 
 /// Values of the configuration service hold up to a megabyte; the list may be longer.
--- /dev/null
+++ b/components/proxy/src/router/engines.rs
@@ -0,0 +1,99 @@
+//! Asks the agents beside model engines what these do.
+//!
+//! The platform's list is seconds behind; an agent says at once that its engine stops taking
+//! requests to load other weights, and when it is back.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use control::router::Event;
+use protocol::{
+    EngineStatus,
+    Envelope,
+    Reply,
+    Request, //
+};
+use tokio::task::JoinHandle;
+use utils::Name;
+use wire::{
+    Pool,
+    PoolOptions, //
+};
+
+use super::Router;
+
+/// How often the list is looked through for engines that came or went.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// How long an agent may take: it holds a question for five seconds.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// The pause after an agent did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// Asks every engine's agent for as long as the future is polled. `me` names this process.
+pub async fn watch_engines(router: Router, me: Name, peer_port: u16) {
+    let pool = Pool::new(PoolOptions::default());
+    let mut watches: BTreeMap<Name, (SocketAddr, JoinHandle<()>)> = BTreeMap::new();
+    let mut named = Vec::new();
+    loop {
+        let engines = router.inner.state.borrow().engines();
+        let now_named = router.inner.state.borrow().named_versions();
+        // A question that waits does not carry versions named since.
+        let renew = now_named != named;
+        named = now_named;
+        watches.retain(|id, (address, task)| {
+            let keep = !renew && engines.iter().any(|(i, a)| i == id && a == address);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for (id, address) in engines {
+            let agent = SocketAddr::new(address.ip(), peer_port);
+            watches.entry(id.clone()).or_insert_with(|| {
+                let watch = watch(router.clone(), pool.clone(), me.clone(), id, agent);
+                (address, tokio::task::spawn_local(watch))
+            });
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn watch(router: Router, pool: Pool, me: Name, id: Name, agent: SocketAddr) {
+    let mut known: Option<EngineStatus> = None;
+    loop {
+        let message = {
+            let state = router.inner.state.borrow();
+            let named = state.named_versions();
+            Envelope {
+                from: me.clone(),
+                sheet: state.config_version(),
+                list: 0,
+                body: Request::Engine { known, named },
+            }
+        };
+        match pool.call(agent, &message, PATIENCE).await {
+            Ok(call) => match call.reply.body {
+                Reply::Engine(status) => {
+                    known = Some(status);
+                    router.tell(Event::Engine {
+                        id: id.clone(),
+                        version: status.version,
+                        is_switching: status.is_switching,
+                    });
+                }
+                other => {
+                    log::warn!("agent {agent} answered {other:?}");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            },
+            Err(e) => {
+                log::debug!("agent {agent} tells nothing: {e}");
+                known = None;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/proxy/src/router/serving.rs
@@ -0,0 +1,157 @@
+//! Connections of callers, the readiness check, and the planned stop.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
+use tokio::sync::watch;
+
+use super::Router;
+
+/// The pause after a connection could not be accepted, for want of file handles say.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest head of a request, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// How long a connection may stay without a whole head. Callers that reuse connections leave them
+/// idle for up to four fifths of the 15 s that operators allow.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The stages of a planned stop that connections are told of.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    tx: Rc<watch::Sender<bool>>,
+    rx: watch::Receiver<bool>,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        let (tx, rx) = watch::channel(false);
+        Self {
+            tx: Rc::new(tx),
+            rx,
+        }
+    }
+}
+
+impl Stop {
+    /// Lets each connection end after the request that it carries now.
+    fn close_connections(&self) {
+        self.tx.send_replace(true);
+    }
+
+    async fn asked(&mut self) {
+        // The sender lives as long as this value.
+        let _asked = self.rx.wait_for(|closing| *closing).await;
+    }
+}
+
+/// Serves callers for as long as the future is polled.
+pub async fn serve(router: Router, listener: TcpListener, stop: Stop) {
+    loop {
+        match listener.accept().await {
+            Ok((tcp, _)) => {
+                tokio::task::spawn_local(connection(router.clone(), tcp, stop.clone()));
+            }
+            Err(e) => {
+                log::warn!("cannot accept a connection: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(router: Router, tcp: TcpStream, mut stop: Stop) {
+    // A connection that cannot be tuned still works.
+    let _slower = tcp.set_nodelay(true);
+    let service = service_fn(|request: Request<Incoming>| {
+        let router = router.clone();
+        async move { Ok::<_, Infallible>(router.answer(request).await) }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(tcp), service);
+    let mut connection = pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stop.asked() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = result {
+        log::debug!("a caller's connection ended: {e}");
+    }
+}
+
+/// Answers whether the process takes new connections, for as long as the future is polled. Other
+/// paths than `path` are unknown.
+pub async fn serve_ready(router: Router, listener: TcpListener, path: &'static str) {
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let router = router.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let is_ready = router.summary().is_ready();
+            let status = match (request.uri().path() == path, is_ready) {
+                (false, _) => StatusCode::NOT_FOUND,
+                (true, true) => StatusCode::OK,
+                (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            let mut response = Response::new(Full::<Bytes>::default());
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::task::spawn_local(async move {
+            let connection = Builder::new().serve_connection(TokioIo::new(tcp), service);
+            if let Err(e) = connection.await {
+                log::debug!("a readiness check ended: {e}");
+            }
+        });
+    }
+}
+
+/// How long a stopping process takes connections on: until the platform has noticed that it is not
+/// ready, which takes two checks a second apart.
+const NOTICE_TIME: Duration = Duration::from_millis(2200);
+
+/// How often a stopping process looks whether its connections have ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+
+/// Ends the router in good order: new connections go elsewhere, connections end between requests,
+/// and requests under way are finished for `grace` at most.
+pub async fn drain(router: Router, stop: Stop, grace: Duration) {
+    router.tell(control::router::Event::Drain);
+    let until = router.elapsed() + grace;
+    tokio::time::sleep(NOTICE_TIME.min(grace)).await;
+    stop.close_connections();
+    while router.elapsed() < until && router.summary().pending > 0 {
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+    // The last answers are still on their way out of the sockets' buffers.
+    tokio::time::sleep(DRAIN_CHECK * 2).await;
+}
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -163,6 +163,187 @@
         /// Whether they are not run any more.
         quarantined: bool,
     },
+    /// A configuration is in force.
+    Configure {
+        /// Its version.
+        version: u64,
+        /// The version before it.
+        before: Option<u64>,
+        /// How many routes it has.
+        routes: usize,
+        /// How many teams it has.
+        teams: usize,
+    },
+    /// The list named a target, or something about it changed.
+    Target {
+        /// The target.
+        target: Name,
+        /// Its service.
+        service: Name,
+        /// Its address.
+        address: Name,
+        /// Whether it was not known before.
+        is_new: bool,
+        /// Whether it takes nothing new before a planned stop.
+        draining: bool,
+        /// How much longer it is in cold start.
+        cold_ms: u64,
+        /// The version of the weights that it runs.
+        version: Option<u64>,
+    },
+    /// A target is not used any more.
+    TargetGone {
+        /// The target.
+        target: Name,
+        /// How that is known.
+        reason: Name,
+    },
+    /// An agent said what its engine does.
+    Engine {
+        /// The target.
+        target: Name,
+        /// The version that it runs.
+        version: Option<u64>,
+        /// Whether it takes nothing new before it has changed its weights.
+        switching: bool,
+    },
+    /// A target is left alone for a while, since its answers fail.
+    Rest {
+        /// The target.
+        target: Name,
+        /// The request whose answer failed last.
+        request: Name,
+        /// The share of failures among its latest answers, in percent.
+        failing_percent: u32,
+    },
+    /// A data centre was taken out of service or back in.
+    DataCentre {
+        /// The data centre.
+        name: Name,
+        /// Whether it is out.
+        out: bool,
+    },
+    /// A version of a model's weights is to be served.
+    VersionNamed {
+        /// The model.
+        model: Name,
+        /// The version.
+        version: u64,
+    },
+    /// The configuration became too old to act on, or is fresh again.
+    Lease {
+        /// Whether it may be acted on.
+        valid: bool,
+        /// How old it may be.
+        age_ms: u64,
+    },
+    /// A request goes to a target.
+    Forward {
+        /// The request.
+        request: Name,
+        /// The route.
+        route: Name,
+        /// The service.
+        service: Name,
+        /// The caller's team.
+        team: Option<Name>,
+        /// The target.
+        target: Name,
+        /// One for the first target.
+        attempt: u32,
+        /// How long the request waited for room.
+        waited_ms: u64,
+        /// How old the configuration may be.
+        lease_ms: u64,
+        /// Requests at the target, as far as known.
+        load: u32,
+        /// The version of the weights that must answer.
+        version: Option<u64>,
+    },
+    /// A request ends without the answer of a target.
+    TurnAway {
+        /// The request.
+        request: Name,
+        /// The route, if one was found.
+        route: Option<Name>,
+        /// Why.
+        reason: Name,
+        /// Whether it has not run.
+        not_run: bool,
+        /// When the caller may come back.
+        retry_after_ms: Option<u64>,
+        /// How long it was here.
+        held_ms: u64,
+        /// The targets that it was sent to.
+        attempts: u32,
+        /// How old the configuration may be.
+        lease_ms: u64,
+    },
+    /// An exchange with a target ended.
+    Exchange {
+        /// The request.
+        request: Name,
+        /// The target.
+        target: Name,
+        /// What came of it.
+        outcome: Name,
+        /// How long it took.
+        took_ms: u64,
+        /// Whether the caller had part of the answer by then.
+        started: bool,
+    },
+    /// A caller left before the answer was whole.
+    CallerLeft {
+        /// The request.
+        request: Name,
+        /// How long it was here.
+        held_ms: u64,
+        /// Whether a target was at work on it.
+        running: bool,
+    },
+    /// Another system that this process needs was lost or is back.
+    Dependency {
+        /// The other system.
+        name: Name,
+        /// Whether it answers.
+        up: bool,
+        /// What was seen.
+        detail: Name,
+    },
+    /// The process started, reloaded its settings or stops.
+    Process {
+        /// What it does.
+        step: Name,
+        /// With what.
+        detail: Name,
+    },
+    /// An engine holds every piece of a version as it should be.
+    Staged {
+        /// The model.
+        model: Name,
+        /// The version.
+        version: u64,
+        /// How many pieces.
+        pieces: usize,
+        /// How long after the version was heard of.
+        after_ms: u64,
+    },
+    /// An engine is ordered to load a version.
+    Order {
+        /// The model.
+        model: Name,
+        /// The version.
+        version: u64,
+        /// The version that it runs until then.
+        before: Option<u64>,
+        /// How long after the version was heard of.
+        after_ms: u64,
+    },
+    /// Lines were left out, since the output did not keep up.
+    Dropped {
+        /// How many.
+        lines: u64,
+    },
     /// The process begins to shut down.
     Drain,
     /// The process woke from a pause.
@@ -187,6 +368,23 @@
             Self::Corrupt { .. } => "corrupt",
             Self::Switch { .. } => "switch",
             Self::Suspect { .. } => "suspect",
+            Self::Configure { .. } => "configure",
+            Self::Target { .. } => "target",
+            Self::TargetGone { .. } => "target_gone",
+            Self::Engine { .. } => "engine",
+            Self::Rest { .. } => "rest",
+            Self::DataCentre { .. } => "data_centre",
+            Self::VersionNamed { .. } => "version_named",
+            Self::Lease { .. } => "lease",
+            Self::Forward { .. } => "forward",
+            Self::TurnAway { .. } => "turn_away",
+            Self::Exchange { .. } => "exchange",
+            Self::CallerLeft { .. } => "caller_left",
+            Self::Dependency { .. } => "dependency",
+            Self::Process { .. } => "process",
+            Self::Staged { .. } => "staged",
+            Self::Order { .. } => "order",
+            Self::Dropped { .. } => "dropped",
             Self::Drain => "drain",
             Self::Resume { .. } => "resume",
         }
--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod chain;
 mod decision;
+mod output;
 
 pub use audit::{
     Audit,
@@ -20,3 +21,4 @@
     RouteRule,
     SwitchStep, //
 };
+pub use output::Output;
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -1,5 +1,6 @@
 //! Clock, digests, ranking and names shared by every component.
 
+pub mod boot_clock;
 pub mod clock;
 pub mod digest;
 pub mod rank;
--- a/components/weights/src/lib.rs
+++ b/components/weights/src/lib.rs
@@ -16,6 +16,7 @@
 };
 pub use peers::Report;
 pub use plan::{
+    Member,
     Plan,
     RANKS, //
 };
--- a/components/weights/src/manifest.rs
+++ b/components/weights/src/manifest.rs
@@ -74,6 +74,11 @@
                 wanted: *wanted,
             });
         }
+        Self::read(text)
+    }
+
+    /// Reads a manifest whose digest nobody publishes.
+    pub fn read(text: &[u8]) -> Result<Self, ManifestError> {
         let manifest: Self =
             serde_yaml_ng::from_slice(text).map_err(|e| ManifestError::Syntax(e.to_string()))?;
         manifest.check()?;
--- a/components/weights/src/peers.rs
+++ b/components/weights/src/peers.rs
@@ -52,6 +52,11 @@
         self.takes_part && self.have.contains(piece as usize)
     }
 
+    /// Whether it has said something, or could not be reached.
+    pub fn has_answered(&self) -> bool {
+        self.takes_part || self.absent_since.is_some() || self.failures > 0
+    }
+
     /// Notes that the peer turned out not to hold `piece`.
     pub fn lacks(&mut self, piece: Piece) {
         if (piece as usize) < self.have.len() {
--- a/components/weights/src/plan.rs
+++ b/components/weights/src/plan.rs
@@ -19,11 +19,15 @@
 /// Remote holders that a gateway asks beyond the origin ranks.
 const MORE_REMOTE_SOURCES: usize = 4;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Member {
-    name: Name,
-    data_centre: Name,
-    region: Name,
+/// An instance that takes part in spreading weights.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Member {
+    /// Its name.
+    pub name: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Its region.
+    pub region: Name,
 }
 
 /// The roles of a model's instances in spreading one manifest.
@@ -48,10 +52,20 @@
                 region: region.clone(),
             }));
         }
+        Self::of(model.manifest, sheet.origin_region.clone(), members, me)
+    }
+
+    /// Makes the plan for `me`, or `None` if it is not among the members.
+    pub fn of(
+        manifest: Digest,
+        origin_region: Name,
+        members: Vec<Member>,
+        me: &str,
+    ) -> Option<Self> {
         let region = members.iter().find(|m| &*m.name == me)?.region.clone();
         Some(Self {
-            manifest: model.manifest,
-            origin_region: sheet.origin_region.clone(),
+            manifest,
+            origin_region,
             region,
             members,
         })
@@ -94,7 +108,9 @@
     /// The instances that may draw `piece` from the origin, in rank order.
     ///
     /// The first two stand in the origin's region, in two data centres if there are two; the
-    /// others elsewhere, so that neither a data centre nor a region takes all ranks with it.
+    /// others elsewhere, so that neither a data centre nor a region takes all ranks with it. The
+    /// first rank goes round, so that each instance draws as many pieces as any other and none is
+    /// the last to finish by far.
     pub fn origin_ranks(&self, piece: Piece) -> Vec<Name> {
         let mut rest = self.by_weight(piece, |_| true);
         let origin = &self.origin_region;
@@ -103,7 +119,7 @@
             let used = |m: &Member| chosen.iter().any(|c| c.data_centre == m.data_centre);
             let home = |m: &&Member| m.region == *origin;
             let pick = match rank {
-                0 => rest.iter().position(home),
+                0 => self.first_in_turn(piece, &rest),
                 1 => rest
                     .iter()
                     .position(|m| home(m) && !used(m))
@@ -119,6 +135,16 @@
         chosen.into_iter().map(|m| m.name.clone()).collect()
     }
 
+    /// The place in `rest` of the instance of the origin's region whose turn `piece` is.
+    fn first_in_turn(&self, piece: Piece, rest: &[&Member]) -> Option<usize> {
+        let home = |m: &&Member| m.region == self.origin_region;
+        let key = rank::key(self.manifest.as_bytes());
+        let names = rest.iter().copied().filter(home).map(|m| &m.name);
+        let turns = rank::ranked(key, names);
+        let turn = turns.get(piece as usize % turns.len().max(1))?;
+        rest.iter().position(|m| m.name == *turn)
+    }
+
     /// The instances that may bring `piece` into this instance's region, in rank order.
     pub fn gateways(&self, piece: Piece) -> Vec<Name> {
         let mut rest = self.by_weight(piece, |m| m.region == self.region);
--- a/components/weights/src/transfer/choose.rs
+++ b/components/weights/src/transfer/choose.rs
@@ -66,6 +66,9 @@
         if running >= self.limits.origin_fetches || now < self.origin_rests_until {
             return None;
         }
+        if !self.is_introduced(now) {
+            return None;
+        }
         let piece = self.missing().find(|piece| {
             let duty = self.duties.get(*piece as usize);
             let before = duty.and_then(|duty| duty.before_origin.as_ref());
@@ -75,6 +78,15 @@
         Some((piece, Source::Origin, false))
     }
 
+    /// Whether the neighbours have said what they hold, or have had the time to. A late joiner
+    /// would else draw from the origin what stands next door.
+    fn is_introduced(&self, now: Duration) -> bool {
+        let since = self.wanted_since.unwrap_or(now);
+        let waited = now.saturating_sub(since) >= self.limits.exchange_every;
+        let heard = |name: &Name| self.peers.get(name).is_some_and(Peer::has_answered);
+        waited || self.wanted_since.is_none() || self.neighbours.iter().all(heard)
+    }
+
     fn choose_remote(&self, now: Duration) -> Option<(Piece, Source, bool)> {
         let running = self.running(|source| self.is_remote(source));
         if running >= self.limits.remote_fetches {
--- a/components/weights/src/transfer/mod.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -192,6 +192,13 @@
         self.manifest.is_some() && self.have.is_full()
     }
 
+    /// The chunks that are here.
+    pub fn held(&self) -> Vec<Piece> {
+        let ones = self.have.ones().skip_while(|piece| *piece == 0);
+        ones.filter_map(|piece| Piece::try_from(piece).ok())
+            .collect()
+    }
+
     /// How many pieces are here, and how many there are if that is known.
     pub fn progress(&self) -> (usize, Option<usize>) {
         let total = self.manifest.as_ref().map(Manifest::pieces);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -23,6 +23,7 @@
     Status(StatusArguments),
     Explain(ExplainArguments),
     Demo(DemoArguments),
+    Platform(PlatformArguments),
 }
 
 /// Serve callers.
@@ -168,3 +169,34 @@
     #[argh(option, default = "String::from(\"warn\")")]
     pub log: String,
 }
+
+/// Run a process on the users' platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub(crate) struct PlatformArguments {
+    /// the settings file that the platform writes; the platform's variable names it otherwise
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// the least important level of the log: error, warn, info, debug or trace
+    #[argh(option, default = "String::from(\"warn\")")]
+    pub log: String,
+    #[argh(subcommand)]
+    pub role: PlatformRole,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum PlatformRole {
+    Agent(PlatformAgent),
+    Entry(PlatformEntry),
+}
+
+/// Forward callers' requests to targets.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub(crate) struct PlatformEntry {}
+
+/// Keep the engine on the same instance at the version that operators name.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "agent")]
+pub(crate) struct PlatformAgent {}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod operator;
 mod pack;
+mod platform;
 mod process;
 mod status;
 
@@ -28,6 +29,7 @@
         Command::Pack(arguments) => pack::run(&arguments),
         Command::Status(arguments) => status::run(&arguments),
         Command::Explain(arguments) => explain::run(&arguments),
+        Command::Platform(arguments) => platform::run(&arguments),
         Command::Demo(arguments) => demo::run(&arguments),
     }
 }
--- /dev/null
+++ b/src/cmd/platform/entry.rs
@@ -0,0 +1,107 @@
+//! `medlarproxy platform entry`: forwards callers' requests to targets.
+
+use std::time::Duration;
+
+use control::budget::BudgetOptions;
+use control::router::place::Location;
+use control::router::{
+    Options,
+    State, //
+};
+use platform::{
+    Bounds,
+    Node, //
+};
+use proxy::feed::{
+    self,
+    FeedOptions, //
+};
+use proxy::router::{
+    drain,
+    serve,
+    serve_ready,
+    watch_engines,
+    Router,
+    Stop, //
+};
+use proxy::ProxyError;
+use utils::rank;
+
+use super::{
+    asked_to_stop,
+    listen,
+    Outcome,
+    Process, //
+};
+
+/// The share of the time for the removal of a key for which the configuration is acted on without
+/// proof. The rest covers the way of a request to its target.
+const LEASE_SHARE: f64 = 0.8;
+
+/// How much sooner than its time an older version is sent nothing more: a request that is sent must
+/// also begin in time.
+const VERSION_MARGIN: Duration = Duration::from_millis(1500);
+
+/// The share of the fleet's retries that one process uses, since it does not know what others do.
+const RETRY_SHARE: f64 = 0.7;
+
+/// Processes that share the retries beyond a share of requests.
+const RETRY_SHARERS: f64 = 8.0;
+
+/// How much sooner than it is killed a stopping process ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+pub(super) async fn run(process: &Process) -> Outcome {
+    let node = &process.node;
+    let missing = |what| ProxyError::NoAddress(what);
+    let callers = node.callers.ok_or_else(|| missing("callers"))?;
+    let readiness = node.readiness.ok_or_else(|| missing("readiness checks"))?;
+    let callers = listen(callers)?;
+    let readiness = listen(readiness)?;
+    let router = Router::new(
+        State::new(options(node, process.clock.now().unix_ms())),
+        process.clock.clone(),
+        process.journal.clone(),
+        platform::dialect(),
+    );
+    process.serve_metrics().await?;
+    let source = platform::source(proxy::http_client(), node.store, true);
+    let hearing = router.clone();
+    let clock = process.clock.clone();
+    let tell = move |told| hearing.hear(told);
+    let follow = feed::follow(clock, source, FeedOptions::default(), tell);
+    tokio::task::spawn_local(follow);
+    let timed = router.clone();
+    tokio::task::spawn_local(async move { timed.keep_time().await });
+    let me = node.instance.clone();
+    let watch = watch_engines(router.clone(), me, node.first_peer_port);
+    tokio::task::spawn_local(watch);
+    let stop = Stop::default();
+    tokio::task::spawn_local(serve(router.clone(), callers, stop.clone()));
+    let ready = serve_ready(router.clone(), readiness, platform::READY_PATH);
+    tokio::task::spawn_local(ready);
+    asked_to_stop(|| process.reload()).await?;
+    drain(router, stop, node.bounds.stop.saturating_sub(STOP_MARGIN)).await;
+    Ok(())
+}
+
+fn options(node: &Node, now_ms: u64) -> Options {
+    let location = Location {
+        data_centre: node.data_centre.clone(),
+        regions: node.regions.clone(),
+    };
+    Options {
+        location,
+        lease: node.bounds.key_removal.mul_f64(LEASE_SHARE),
+        version_grace: node.bounds.version.saturating_sub(VERSION_MARGIN),
+        budget: budget(&node.bounds),
+        seed: rank::weight(now_ms, &node.instance),
+    }
+}
+
+fn budget(bounds: &Bounds) -> BudgetOptions {
+    BudgetOptions {
+        share: bounds.retry_share * RETRY_SHARE,
+        burst: (bounds.retry_extra / RETRY_SHARERS).max(1.0),
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -18,6 +18,14 @@
 /// The least important level that is written now, as its number.
 static LEVEL: AtomicUsize = AtomicUsize::new(0);
 
+/// Starts logging to an output that never blocks.
+pub(crate) fn start_with(level: &str, output: record::Output) -> io::Result<()> {
+    let write = move |record: &log::Record<'_>| {
+        output.write(&record.args().to_string());
+    };
+    start(level, fern::Output::call(write))
+}
+
 /// Starts logging.
 pub(crate) fn start(level: &str, output: impl Into<fern::Output>) -> io::Result<()> {
     fern::Dispatch::new()
