Gather two versions at once; origin ranks try again; no request is taken late in a stop

Change: the keeper gathers the newest version and the one before; giving up lasts for a set time; a stopping entry refuses what comes after its notice time and listens no more.

--- a/components/control/src/keeper/mod.rs
+++ b/components/control/src/keeper/mod.rs
@@ -4,6 +4,7 @@
 //! engine to load them when it is its turn. Requests do not pass through it; entries ask it what
 //! the engine does.
 
+mod gather;
 mod wave;
 
 use std::time::Duration;
@@ -15,11 +16,13 @@
 use weights::{
     Limits,
     Member,
-    Piece,
-    Plan,
-    Transfer, //
+    Piece, //
 };
 
+use self::gather::{
+    Gather,
+    Place, //
+};
 use crate::router::config::EngineProfile;
 
 /// The version that engines run before operators name one.
@@ -100,8 +103,8 @@
 pub enum Effect {
     /// A step of the transfer of the version with this key.
     Transfer(Wanted, weights::Effect),
-    /// Pieces of other versions are not needed any more.
-    Keep(Digest),
+    /// Pieces of other versions than these are not needed any more.
+    Keep(Vec<Digest>),
     /// Compare the pieces that the engine holds.
     Salvage(Wanted),
     /// Hand the engine every piece that it does not hold as it should, and read all back.
@@ -116,29 +119,16 @@
     Record(Decision),
 }
 
-/// Whether the pieces that the engine holds were compared with the manifest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Salvage {
-    /// Not yet.
-    Due,
-    /// They are being compared.
-    Running,
-    /// What can be used is known.
-    Done,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
-    /// Pieces are on their way.
-    Gathering,
+    /// Pieces are on their way, or the engine runs the newest version.
+    Idle,
     /// The engine is handed the pieces.
     Staging,
     /// The engine holds the pieces and waits for its turn.
     Waiting,
     /// The engine was ordered to load.
     Ordered(Duration),
-    /// The engine runs the version.
-    Done,
 }
 
 /// The state of the agent.
@@ -146,16 +136,17 @@
 pub struct Keeper {
     me: Name,
     limits: Limits,
+    /// Whether the engine is waited for before pieces are drawn that it may hold.
+    is_patient: bool,
     profile: Option<EngineProfile>,
     /// Versions and when they were heard of, the newest last.
     named: Vec<(u64, Duration)>,
     members: Vec<Member>,
     origin_region: Name,
-    wanted: Option<Wanted>,
-    transfer: Option<Transfer>,
-    /// Whether the engine is waited for before pieces are drawn that it may hold.
-    is_patient: bool,
-    salvage: Salvage,
+    /// The versions that are gathered, the newest last.
+    gathers: Vec<Gather>,
+    /// The version that the engine is being brought to.
+    work: Option<Wanted>,
     step: Step,
     engine: Option<EngineReport>,
     retry_at: Duration,
@@ -163,6 +154,10 @@
     listed_at: Option<Duration>,
 }
 
+/// Versions gathered at once: the newest, and the one before, which may be complete long before the
+/// newest is, should the origin be away.
+const GATHERS: usize = 2;
+
 /// How often the engine is asked while it changes its weights.
 const READ_WHILE_CHANGING: Duration = Duration::from_millis(100);
 
@@ -181,15 +176,14 @@
         Self {
             me,
             limits,
+            is_patient,
             profile: None,
             named: Vec::new(),
             members: Vec::new(),
             origin_region: Name::default(),
-            wanted: None,
-            transfer: None,
-            is_patient,
-            salvage: Salvage::Due,
-            step: Step::Gathering,
+            gathers: Vec::new(),
+            work: None,
+            step: Step::Idle,
             engine: None,
             retry_at: Duration::ZERO,
             read_at: Duration::ZERO,
@@ -206,25 +200,22 @@
         }
     }
 
-    /// The transfer of the version with this key, if it is the wanted one.
-    pub fn transfer(&self, key: &Digest) -> Option<&Transfer> {
-        let transfer = self.transfer.as_ref()?;
-        (transfer.plan().manifest() == key).then_some(transfer)
+    /// Whether the version with this key is gathered here.
+    pub fn gathers(&self, key: &Digest) -> bool {
+        self.gathers.iter().any(|gather| gather.wanted.key == *key)
     }
 
-    /// What peers are told of the pieces here.
-    pub fn report(&self) -> Option<weights::Report> {
-        self.transfer.as_ref().map(Transfer::report)
-    }
-
-    /// The version that is wanted.
-    pub fn wanted(&self) -> Option<&Wanted> {
-        self.wanted.as_ref()
+    /// What peers are told of the pieces here of the version with this key.
+    pub fn report(&self, key: &Digest) -> Option<weights::Report> {
+        let mut gathers = self.gathers.iter();
+        gathers.find(|g| g.wanted.key == *key)?.report()
     }
 
     /// Whether there is work that must not wait for the next slow tick.
     pub fn is_at_work(&self) -> bool {
-        self.step != Step::Done
+        let running = self.engine.and_then(|engine| engine.version);
+        let newest = self.gathers.last();
+        newest.is_none_or(|gather| Some(gather.wanted.version) != running)
     }
 
     /// Handles one event.
@@ -235,7 +226,7 @@
             Event::Profile(profile) => {
                 if self.profile.as_ref() != Some(&profile) {
                     self.profile = Some(profile);
-                    self.want(now, &mut effects);
+                    self.gather_newest(now, &mut effects);
                 }
             }
             Event::Named { model, version } => self.name(now, &model, version, &mut effects),
@@ -244,8 +235,16 @@
                 origin_region,
             } => self.take_members(now, members, origin_region, &mut effects),
             Event::Engine(report) => self.take_report(now, report, &mut effects),
-            Event::Transfer(key, event) => self.feed_transfer(now, &key, event, &mut effects),
-            Event::Salvaged(key, pieces) => self.salvaged(now, &key, pieces, &mut effects),
+            Event::Transfer(key, event) => {
+                if let Some(gather) = self.gather(&key) {
+                    gather.feed(now, event, &mut effects);
+                }
+            }
+            Event::Salvaged(key, pieces) => {
+                if let Some(gather) = self.gather(&key) {
+                    gather.salvaged(now, pieces, &mut effects);
+                }
+            }
             Event::Staged(key, whole) => self.staged(now, &key, whole, &mut effects),
             Event::Ordered(key, taken) => self.ordered(now, &key, taken),
         }
@@ -253,6 +252,10 @@
         effects
     }
 
+    fn gather(&mut self, key: &Digest) -> Option<&mut Gather> {
+        self.gathers.iter_mut().find(|g| g.wanted.key == *key)
+    }
+
     fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let changing =
             self.engine.is_none() || self.status().is_switching || self.step == Step::Waiting;
@@ -265,21 +268,22 @@
             self.read_at = now;
             effects.push(Effect::Read);
         }
+        let newest = self.gathers.last();
         // Without a plan this agent could hand no piece to others either.
-        let gathering = self.step == Step::Gathering || self.transfer.is_none();
+        let is_gathering = newest.is_none_or(|gather| !gather.is_complete());
         let is_listed = self
             .listed_at
-            .is_some_and(|at| !gathering || now.saturating_sub(at) < LIST_WHILE_GATHERING);
+            .is_some_and(|at| !is_gathering || now.saturating_sub(at) < LIST_WHILE_GATHERING);
         if !is_listed {
             self.listed_at = Some(now);
             effects.push(Effect::ReadMembers);
         }
-        if let Some(key) = self.wanted.as_ref().map(|wanted| wanted.key) {
-            self.feed_transfer(now, &key, weights::Event::Tick, effects);
+        for gather in &mut self.gathers {
+            gather.feed(now, weights::Event::Tick, effects);
         }
         if let Step::Ordered(at) = self.step {
             if now.saturating_sub(at) >= ORDER_TIMEOUT {
-                self.step = Step::Gathering;
+                self.step = Step::Idle;
             }
         }
     }
@@ -297,50 +301,39 @@
         }));
         // Pieces are only spread among engines that are there.
         self.listed_at = None;
-        self.want(now, effects);
+        self.gather_newest(now, effects);
     }
 
     /// Starts to gather the newest version, if it is another than before.
-    fn want(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+    fn gather_newest(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let Some(profile) = &self.profile else {
             return;
         };
         let version = self.named.last().map_or(FIRST_VERSION, |(v, _)| *v);
         let wanted = Wanted::new(&profile.model, version);
-        if self.wanted.as_ref() == Some(&wanted) {
+        if self.gathers.last().is_some_and(|g| g.wanted == wanted) {
             return;
         }
-        self.stop_transfer(effects);
-        effects.push(Effect::Keep(wanted.key));
-        self.wanted = Some(wanted);
-        self.salvage = Salvage::Due;
-        self.step = Step::Gathering;
-        self.start_transfer(now);
+        let mut gather = Gather::new(wanted, self.is_patient);
+        gather.plan(now, &self.me, self.place(), effects);
+        self.gathers.push(gather);
+        while self.gathers.len() > GATHERS {
+            self.gathers.remove(0).stop(effects);
+        }
+        self.keep_gathered(effects);
     }
 
-    fn start_transfer(&mut self, now: Duration) {
-        let Some(wanted) = &self.wanted else {
-            return;
-        };
-        let plan = Plan::of(
-            wanted.key,
-            self.origin_region.clone(),
-            self.members.clone(),
-            &self.me,
-        );
-        self.transfer = plan.map(|plan| {
-            let mut transfer = Transfer::new(self.me.clone(), plan, self.limits.clone(), now);
-            transfer.set_wanted(now, true);
-            transfer
-        });
+    fn place(&self) -> Place<'_> {
+        Place {
+            members: &self.members,
+            origin_region: &self.origin_region,
+            limits: &self.limits,
+        }
     }
 
-    fn stop_transfer(&mut self, effects: &mut Vec<Effect>) {
-        let (Some(wanted), Some(mut transfer)) = (self.wanted.clone(), self.transfer.take()) else {
-            return;
-        };
-        let stops = transfer.stop().into_iter();
-        effects.extend(stops.map(|effect| Effect::Transfer(wanted.clone(), effect)));
+    fn keep_gathered(&self, effects: &mut Vec<Effect>) {
+        let keys = self.gathers.iter().map(|gather| gather.wanted.key);
+        effects.push(Effect::Keep(keys.collect()));
     }
 
     /// Spreads among the new members, keeping what is here.
@@ -357,50 +350,11 @@
         }
         self.members = members;
         self.origin_region = origin_region;
-        let held = self
-            .transfer
-            .as_ref()
-            .map(|t| (t.manifest().cloned(), t.held()));
-        if let Some((Some(manifest), pieces)) = held {
-            self.stop_transfer(effects);
-            self.start_transfer(now);
-            let Some(key) = self.wanted.as_ref().map(|wanted| wanted.key) else {
-                return;
-            };
-            let source = weights::Source::Origin;
-            let event = weights::Event::Manifest(source.clone(), manifest);
-            self.feed_transfer(now, &key, event, effects);
-            for piece in pieces {
-                let event = weights::Event::Chunk(piece, source.clone());
-                self.feed_transfer(now, &key, event, effects);
-            }
-        } else {
-            self.stop_transfer(effects);
-            self.start_transfer(now);
-        }
-    }
-
-    fn feed_transfer(
-        &mut self,
-        now: Duration,
-        key: &Digest,
-        event: weights::Event,
-        effects: &mut Vec<Effect>,
-    ) {
-        let (Some(wanted), Some(transfer)) = (&self.wanted, &mut self.transfer) else {
-            return;
-        };
-        if wanted.key != *key {
-            return;
-        }
-        // What the engine holds already need not be drawn.
-        let has_manifest = matches!(event, weights::Event::Manifest(..));
-        if has_manifest && self.salvage != Salvage::Done {
-            transfer.set_wanted(now, false);
-        }
-        for effect in transfer.step(now, event) {
-            effects.push(Effect::Transfer(wanted.clone(), effect));
+        let mut gathers = std::mem::take(&mut self.gathers);
+        for gather in &mut gathers {
+            gather.plan(now, &self.me, self.place(), effects);
         }
+        self.gathers = gathers;
     }
 
     fn take_report(
@@ -419,115 +373,117 @@
         let before = std::mem::replace(&mut self.engine, report);
         let Some(report) = report else {
             // Whatever it was ordered to do is forgotten when it comes back.
-            if matches!(self.step, Step::Ordered(_) | Step::Done) {
-                self.step = Step::Gathering;
+            if matches!(self.step, Step::Ordered(_)) {
+                self.step = Step::Idle;
             }
             return;
         };
-        let Some(wanted) = &self.wanted else {
+        if before.and_then(|before| before.version) != report.version {
+            effects.push(Effect::Record(Decision::Engine {
+                target: self.me.clone(),
+                version: report.version,
+                switching: report.is_busy,
+            }));
+        }
+        if !matches!(self.step, Step::Ordered(_)) || report.is_busy {
             return;
-        };
-        let runs_wanted = report.version == Some(wanted.version);
-        if runs_wanted && !report.is_busy {
-            if self.step != Step::Done {
-                self.step = Step::Done;
-                effects.push(Effect::Record(Decision::Engine {
-                    target: self.me.clone(),
-                    version: report.version,
-                    switching: false,
-                }));
-            }
-        } else if self.step == Step::Done {
-            self.step = Step::Gathering;
         }
-        let idle = !report.is_busy && before.is_some_and(|before| before.is_busy);
-        if idle && !runs_wanted && matches!(self.step, Step::Ordered(_)) {
+        let runs_it = self.work.as_ref().map(|work| work.version) == report.version;
+        if runs_it {
+            self.step = Step::Idle;
+        } else if before.is_some_and(|before| before.is_busy) {
             // The order ended without the version in force.
-            self.step = Step::Gathering;
+            self.step = Step::Idle;
             self.retry_at = now + RETRY_PAUSE;
         }
     }
 
-    fn salvaged(
-        &mut self,
-        now: Duration,
-        key: &Digest,
-        pieces: Vec<Piece>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let is_wanted = self.wanted.as_ref().is_some_and(|w| w.key == *key);
-        let Some(transfer) = self.transfer.as_mut().filter(|_| is_wanted) else {
-            return;
-        };
-        self.salvage = Salvage::Done;
-        transfer.set_wanted(now, true);
-        for piece in pieces {
-            let event = weights::Event::Chunk(piece, weights::Source::Origin);
-            self.feed_transfer(now, key, event, effects);
-        }
-    }
-
     fn staged(&mut self, now: Duration, key: &Digest, whole: bool, effects: &mut Vec<Effect>) {
-        let Some(wanted) = self.wanted.as_ref().filter(|wanted| wanted.key == *key) else {
+        let Some(work) = self.work.as_ref().filter(|work| work.key == *key) else {
             return;
         };
         if self.step != Step::Staging {
             return;
         }
         if !whole {
-            self.step = Step::Gathering;
+            self.step = Step::Idle;
             self.retry_at = now + RETRY_PAUSE;
             return;
         }
         self.step = Step::Waiting;
         effects.push(Effect::Record(Decision::Staged {
-            model: wanted.model.clone(),
-            version: wanted.version,
-            pieces: self.transfer.as_ref().map_or(0, |t| t.progress().0),
-            after_ms: self.since_named(now),
+            model: work.model.clone(),
+            version: work.version,
+            after_ms: self.since_named(now, work.version),
         }));
     }
 
     fn ordered(&mut self, now: Duration, key: &Digest, taken: bool) {
-        let current = self.wanted.as_ref().is_some_and(|w| w.key == *key);
+        let current = self.work.as_ref().is_some_and(|w| w.key == *key);
         if current && !taken && matches!(self.step, Step::Ordered(_)) {
-            self.step = Step::Gathering;
+            self.step = Step::Idle;
             self.retry_at = now + RETRY_PAUSE;
         }
     }
 
     /// Takes the next step that is possible now.
     fn advance(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        let Some(wanted) = self.wanted.clone() else {
+        self.drop_superseded(effects);
+        let engine_is_up = self.engine.is_some();
+        for gather in &mut self.gathers {
+            gather.salvage(now, engine_is_up, effects);
+        }
+        let Some(engine) = self.engine else {
             return;
         };
-        let Some(transfer) = &mut self.transfer else {
+        let complete = self.gathers.iter().rev().find(|g| g.is_complete());
+        let Some(newest) = complete.map(|gather| gather.wanted.clone()) else {
             return;
         };
-        if self.salvage == Salvage::Due && transfer.manifest().is_some() {
-            if self.engine.is_some() {
-                self.salvage = Salvage::Running;
-                effects.push(Effect::Salvage(wanted.clone()));
-            } else if !self.is_patient {
-                transfer.set_wanted(now, true);
-            }
+        let is_newer = engine.version.is_none_or(|v| v < newest.version);
+        let is_ordered = matches!(self.step, Step::Ordered(_));
+        let is_other = self.work.as_ref() != Some(&newest);
+        if is_newer && !is_ordered && now >= self.retry_at && (is_other || self.step == Step::Idle)
+        {
+            self.work = Some(newest.clone());
+            self.step = Step::Staging;
+            effects.push(Effect::Stage(newest));
+            return;
         }
-        let Some(engine) = self.engine else {
+        if self.step == Step::Waiting && !engine.is_busy && now >= self.turn(now) {
+            self.order(now, engine, effects);
+        }
+    }
+
+    fn order(&mut self, now: Duration, engine: EngineReport, effects: &mut Vec<Effect>) {
+        let Some(work) = self.work.clone() else {
             return;
         };
-        if self.step == Step::Gathering && transfer.is_complete() && now >= self.retry_at {
-            self.step = Step::Staging;
-            effects.push(Effect::Stage(wanted.clone()));
+        self.step = Step::Ordered(now);
+        effects.push(Effect::Record(Decision::Order {
+            model: work.model.clone(),
+            version: work.version,
+            before: engine.version,
+            after_ms: self.since_named(now, work.version),
+        }));
+        effects.push(Effect::Order(work));
+    }
+
+    /// Drops versions before one that is complete here: whoever asks for them is better served with
+    /// the newer one.
+    fn drop_superseded(&mut self, effects: &mut Vec<Effect>) {
+        let in_work = self.work.as_ref().filter(|_| self.step != Step::Idle);
+        let in_work = in_work.map(|work| work.key);
+        let before = self.gathers.len();
+        while self.gathers.len() > 1 {
+            let newest_is_complete = self.gathers.last().is_some_and(Gather::is_complete);
+            if !newest_is_complete || in_work == Some(self.gathers[0].wanted.key) {
+                break;
+            }
+            self.gathers.remove(0).stop(effects);
         }
-        if self.step == Step::Waiting && !engine.is_busy && now >= self.turn(now) {
-            self.step = Step::Ordered(now);
-            effects.push(Effect::Record(Decision::Order {
-                model: wanted.model.clone(),
-                version: wanted.version,
-                before: engine.version,
-                after_ms: self.since_named(now),
-            }));
-            effects.push(Effect::Order(wanted));
+        if self.gathers.len() != before {
+            self.keep_gathered(effects);
         }
     }
 
@@ -540,15 +496,13 @@
         let Some((_, named_at)) = newer.next() else {
             return now;
         };
-        let peers = self
-            .transfer
-            .as_ref()
-            .map(|t| t.plan().data_centre_peers(&self.me));
+        let peers = self.gathers.last().map(|g| g.data_centre_peers(&self.me));
         wave::turn(&self.me, &peers.unwrap_or_default(), *named_at)
     }
 
-    fn since_named(&self, now: Duration) -> u64 {
-        let named = self.named.last().map_or(now, |(_, at)| *at);
-        u64::try_from(now.saturating_sub(named).as_millis()).unwrap_or(u64::MAX)
+    fn since_named(&self, now: Duration, version: u64) -> u64 {
+        let named = self.named.iter().find(|(v, _)| *v == version);
+        let at = named.map_or(now, |(_, at)| *at);
+        u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
     }
 }
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -164,6 +164,8 @@
     Left(u64),
     /// The process begins its planned stop.
     Drain,
+    /// The process takes no more requests, since they could not be ended before it is gone.
+    Close,
 }
 
 /// Where and how to send a request.
--- a/components/control/src/router/requests.rs
+++ b/components/control/src/router/requests.rs
@@ -97,6 +97,8 @@
     MayHaveRun,
     /// Requests like it crashed several targets.
     Quarantined,
+    /// The process is about to end.
+    Stopping,
 }
 
 impl Reason {
@@ -115,6 +117,7 @@
             Self::OutOfRetries => "out_of_retries",
             Self::MayHaveRun => "may_have_run",
             Self::Quarantined => "quarantined",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -218,6 +221,9 @@
         now: Duration,
         arrival: &Arrival,
     ) -> Result<Pending, (Reason, Option<Name>)> {
+        if self.closing {
+            return Err((Reason::Stopping, None));
+        }
         let Some(table) = &self.table else {
             return Err((Reason::NoConfiguration, None));
         };
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -72,6 +72,7 @@
     pub(super) pending: HashMap<u64, Pending>,
     pub(super) suspects: Suspects,
     pub(super) draining: bool,
+    pub(super) closing: bool,
     pub(super) rng: Pcg64Mcg,
 }
 
@@ -115,6 +116,7 @@
             pending: HashMap::new(),
             suspects: Suspects::default(),
             draining: false,
+            closing: false,
             rng: Pcg64Mcg::seed_from_u64(options.seed),
             options,
         }
@@ -153,6 +155,7 @@
             Event::Ended { token, outcome } => self.end(now, token, outcome, &mut effects),
             Event::WaitOver(token) => self.wait_over(now, token, &mut effects),
             Event::Left(token) => self.leave(now, token, &mut effects),
+            Event::Close => self.closing = true,
             Event::Drain => {
                 self.draining = true;
                 effects.push(Effect::Record(record::Decision::Drain));
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -301,6 +301,13 @@
             None,
             Reason::NoTarget,
         ),
+        case(
+            "about to end",
+            |p| drop(p.tell(Event::Close)),
+            "look",
+            Some("key"),
+            Reason::Stopping,
+        ),
         case(
             "no configuration",
             |p| p.state = State::new(options()),
--- a/components/proxy/src/agent/effects.rs
+++ b/components/proxy/src/agent/effects.rs
@@ -55,7 +55,7 @@
                 decided,
             } => self.spawn(move |inner| inner.order(version, fence, decided)),
             Effect::AskStatus(name) => self.spawn(|inner| inner.ask_status(name)),
-            Effect::KeepOnly(manifest) => self.store.keep_only(manifest.as_ref()),
+            Effect::KeepOnly(manifest) => self.store.keep_only(manifest.as_slice()),
             Effect::Record(decision) => {
                 self.node.publish(state);
                 self.node.record(now, decision);
--- a/components/proxy/src/keeper/mod.rs
+++ b/components/proxy/src/keeper/mod.rs
@@ -30,6 +30,7 @@
 };
 use tokio::task::AbortHandle;
 use utils::clock::Clock;
+use utils::digest::Digest;
 use utils::Name;
 use weights::{
     Denial,
@@ -82,7 +83,7 @@
     pool: Pool,
     store: Store,
     origin: Mutex<Option<(SocketAddr, Name)>>,
-    draws: Mutex<HashMap<Piece, AbortHandle>>,
+    draws: Mutex<HashMap<(Digest, Piece), AbortHandle>>,
     waiting: Mutex<HashMap<u64, oneshot::Sender<Result<(), Denial>>>>,
     next_token: Mutex<u64>,
     status: watch::Sender<EngineStatus>,
@@ -194,7 +195,7 @@
     fn apply(self: &Arc<Self>, effect: Effect) {
         match effect {
             Effect::Transfer(wanted, effect) => self.apply_transfer(wanted, effect),
-            Effect::Keep(key) => self.store.keep_only(Some(&key)),
+            Effect::Keep(keys) => self.store.keep_only(&keys),
             Effect::Salvage(wanted) => self.spawn(move |agent| agent.salvage(wanted)),
             Effect::Stage(wanted) => self.spawn(move |agent| agent.stage(wanted)),
             Effect::Order(wanted) => self.spawn(move |agent| agent.order(wanted)),
--- a/components/proxy/src/keeper/peers.rs
+++ b/components/proxy/src/keeper/peers.rs
@@ -66,7 +66,7 @@
                 wait,
             } => self.fetch(wanted, piece, source, wait),
             Effect::Cancel(piece) => {
-                if let Some(task) = lock(&self.draws).remove(&piece) {
+                if let Some(task) = lock(&self.draws).remove(&(wanted.key, piece)) {
                     task.abort();
                 }
             }
@@ -89,19 +89,20 @@
 
     fn fetch(self: &Arc<Self>, wanted: Wanted, piece: Piece, source: Source, wait: bool) {
         let agent = self.clone();
+        let key = wanted.key;
         let task = tokio::spawn(async move {
             let began = agent.clock.now().elapsed;
             let result = agent.draw(&wanted, piece, &source, wait).await;
             let took = agent.clock.now().elapsed.saturating_sub(began);
             log::debug!("piece {piece} from {source:?} took {took:?}");
-            lock(&agent.draws).remove(&piece);
+            lock(&agent.draws).remove(&(wanted.key, piece));
             let event = match result.and_then(|data| agent.verify(&wanted, piece, &source, data)) {
                 Ok(event) => event,
                 Err(cause) => weights::Event::Failed(piece, source, cause),
             };
             agent.tell(Event::Transfer(wanted.key, event));
         });
-        lock(&self.draws).insert(piece, task.abort_handle());
+        lock(&self.draws).insert((key, piece), task.abort_handle());
     }
 
     /// Checks the digest, keeps the piece, and makes the event that tells of it.
@@ -227,16 +228,16 @@
         }
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    fn heartbeat(&self, key: &Digest) -> Heartbeat {
         Heartbeat {
-            report: lock(&self.state).report(),
+            report: lock(&self.state).report(key),
             crashes: Vec::new(),
         }
     }
 
     /// Tells a peer what is here, and learns what is there.
     async fn exchange(self: Arc<Self>, wanted: Wanted, name: Name) {
-        let request = Request::Heartbeat(self.heartbeat());
+        let request = Request::Heartbeat(self.heartbeat(&wanted.key));
         let event = match self.ask(&name, request).await.map(|call| call.reply.body) {
             Ok(Reply::Heartbeat(news)) => match news.report {
                 Some(report) => weights::Event::Report(name, report),
@@ -263,11 +264,14 @@
     async fn answer(self: Arc<Self>, request: Envelope<Request>, responder: Responder) {
         match request.body {
             Request::Heartbeat(news) => {
+                let mut reply = Heartbeat::default();
                 if let Some(report) = news.report {
-                    let event = weights::Event::Report(request.from, report.clone());
-                    self.tell(Event::Transfer(report.manifest, event));
+                    let key = report.manifest;
+                    let event = weights::Event::Report(request.from, report);
+                    self.tell(Event::Transfer(key, event));
+                    reply = self.heartbeat(&key);
                 }
-                let reply = Reply::Heartbeat(self.heartbeat());
+                let reply = Reply::Heartbeat(reply);
                 self.finish(responder, reply).await;
             }
             Request::Piece {
@@ -317,7 +321,7 @@
             piece,
             wait,
         };
-        let known = lock(&self.state).transfer(&manifest).is_some();
+        let known = lock(&self.state).gathers(&manifest);
         if !known {
             self.decide(token, Err(Denial::OtherManifest));
         }
--- a/components/proxy/src/router/serving.rs
+++ b/components/proxy/src/router/serving.rs
@@ -66,10 +66,14 @@
     }
 }
 
-/// Serves callers for as long as the future is polled.
-pub async fn serve(router: Router, listener: TcpListener, stop: Stop) {
+/// Serves callers until the process takes no more connections, for as long as the future is polled.
+pub async fn serve(router: Router, listener: TcpListener, mut stop: Stop) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.asked() => return,
+        };
+        match accepted {
             Ok((tcp, _)) => {
                 tokio::task::spawn_local(connection(router.clone(), tcp, stop.clone()));
             }
@@ -148,6 +152,7 @@
     router.tell(control::router::Event::Drain);
     let until = router.elapsed() + grace;
     tokio::time::sleep(NOTICE_TIME.min(grace)).await;
+    router.tell(control::router::Event::Close);
     stop.close_connections();
     while router.elapsed() < until && router.summary().pending > 0 {
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/components/proxy/src/store.rs
+++ b/components/proxy/src/store.rs
@@ -59,12 +59,13 @@
         held.manifests.get(digest).cloned()
     }
 
-    /// Drops the pieces of every other manifest.
-    pub fn keep_only(&self, manifest: Option<&Digest>) {
+    /// Drops the pieces of every other manifest than these.
+    pub fn keep_only(&self, manifests: &[Digest]) {
         let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         held.pieces
-            .retain(|(digest, _), _| Some(digest) == manifest);
-        held.manifests.retain(|digest, _| Some(digest) == manifest);
+            .retain(|(digest, _), _| manifests.contains(digest));
+        held.manifests
+            .retain(|digest, _| manifests.contains(digest));
         held.bytes = held.pieces.values().map(Bytes::len).sum();
     }
 
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -323,8 +323,6 @@
         model: Name,
         /// The version.
         version: u64,
-        /// How many pieces.
-        pieces: usize,
         /// How long after the version was heard of.
         after_ms: u64,
     },
--- a/components/weights/src/transfer/choose.rs
+++ b/components/weights/src/transfer/choose.rs
@@ -73,7 +73,7 @@
             let duty = self.duties.get(*piece as usize);
             let before = duty.and_then(|duty| duty.before_origin.as_ref());
             before.is_some_and(|before| self.is_my_turn(now, *piece, before))
-                && !self.given_up.contains(piece)
+                && !self.given_up.contains_key(piece)
         })?;
         Some((piece, Source::Origin, false))
     }
--- a/components/weights/src/transfer/limits.rs
+++ b/components/weights/src/transfer/limits.rs
@@ -27,6 +27,9 @@
     pub park_for: Duration,
     /// How often a piece from the origin may fail before this rank passes.
     pub origin_tries: u32,
+    /// How long a rank that passed leaves the piece to others. If the origin itself was away, every
+    /// rank has passed, and someone must try again.
+    pub give_up_for: Duration,
     /// Bytes of weights that this instance may hold.
     pub memory_bytes: u64,
     /// Draw every piece from the origin, as a plain download would; for comparison only.
@@ -47,6 +50,7 @@
             stall_after: Duration::from_secs(3),
             park_for: Duration::from_secs(2),
             origin_tries: 4,
+            give_up_for: Duration::from_secs(5),
             memory_bytes: 64 << 30,
             origin_only: false,
         }
--- a/components/weights/src/transfer/mod.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -122,7 +122,8 @@
     neighbours: Vec<Name>,
     manifest: Option<Manifest>,
     have: FixedBitSet,
-    given_up: Vec<Piece>,
+    /// Pieces that this rank does not try to draw, and until when.
+    given_up: BTreeMap<Piece, Duration>,
     origin_failures: BTreeMap<Piece, u32>,
     origin_rests_until: Duration,
     duties: Vec<Duty>,
@@ -160,7 +161,7 @@
             neighbours,
             manifest: None,
             have: FixedBitSet::with_capacity(1),
-            given_up: Vec::new(),
+            given_up: BTreeMap::new(),
             origin_failures: BTreeMap::new(),
             origin_rests_until: Duration::ZERO,
             duties: Vec::new(),
@@ -234,7 +235,7 @@
             manifest: *self.plan.manifest(),
             wants: self.wanted_since.is_some() && !self.is_complete(),
             have: self.have.clone(),
-            given_up: self.given_up.clone(),
+            given_up: self.given_up.keys().copied().collect(),
         }
     }
 
@@ -295,6 +296,7 @@
         for token in self.uploads.expire(now) {
             effects.push(Effect::Deny(token, Denial::NotYet));
         }
+        self.given_up.retain(|_, until| now < *until);
         self.cancel_stalled(now, effects);
         self.exchange(now, effects);
     }
@@ -418,7 +420,8 @@
         let failures = self.origin_failures.entry(piece).or_default();
         *failures += 1;
         if *failures >= self.limits.origin_tries {
-            self.given_up.push(piece);
+            self.origin_failures.remove(&piece);
+            self.given_up.insert(piece, now + self.limits.give_up_for);
         }
     }
 
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -44,6 +44,9 @@
 /// How long a request for a piece that is still to come is held.
 const PARK_FOR: Duration = Duration::from_millis(1000);
 
+/// How long an agent leaves a piece to others after the origin failed it.
+const GIVE_UP_FOR: Duration = Duration::from_millis(800);
+
 pub(super) async fn run(process: &Process) -> Outcome {
     let node = &process.node;
     let engine = node.engine.ok_or(ProxyError::NoAddress("the engine"))?;
@@ -91,6 +94,7 @@
         rank_timeout: RANK_TIMEOUT,
         stall_after: STALL_AFTER,
         park_for: PARK_FOR,
+        give_up_for: GIVE_UP_FOR,
         memory_bytes: PIECE_BYTES,
         ..Limits::default()
     }
