--- a/components/control/src/keeper/gather.rs
+++ b/components/control/src/keeper/gather.rs
@@ -44,18 +44,24 @@
     transfer: Option<Transfer>,
     salvage: Salvage,
     is_patient: bool,
+    begun_at: Duration,
 }
 
 impl Gather {
-    pub fn new(wanted: Wanted, is_patient: bool) -> Self {
+    pub fn new(wanted: Wanted, is_patient: bool, now: Duration) -> Self {
         Self {
             wanted,
             transfer: None,
             salvage: Salvage::Due,
             is_patient,
+            begun_at: now,
         }
     }
 
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.begun_at)
+    }
+
     pub fn is_complete(&self) -> bool {
         self.transfer.as_ref().is_some_and(Transfer::is_complete)
     }
--- a/components/control/src/keeper/mod.rs
+++ b/components/control/src/keeper/mod.rs
@@ -167,6 +167,9 @@
 /// How often the list of engines is read while pieces are missing.
 const LIST_WHILE_GATHERING: Duration = Duration::from_millis(1000);
 
+/// How long a version is gathered before it is worth going on with beside a newer one.
+const BEGUN_AFTER: Duration = Duration::from_millis(1500);
+
 impl Keeper {
     /// Starts the agent that others know as `me`.
     ///
@@ -314,7 +317,15 @@
         if self.gathers.last().is_some_and(|g| g.wanted == wanted) {
             return;
         }
-        let mut gather = Gather::new(wanted, self.is_patient);
+        // Versions heard of together, after the platform was away say, would share the links.
+        let newest = self.gathers.last();
+        let is_barely_begun = newest.is_some_and(|g| !g.is_complete() && g.age(now) < BEGUN_AFTER);
+        if is_barely_begun {
+            if let Some(mut gather) = self.gathers.pop() {
+                gather.stop(effects);
+            }
+        }
+        let mut gather = Gather::new(wanted, self.is_patient, now);
         gather.plan(now, &self.me, self.place(), effects);
         self.gathers.push(gather);
         while self.gathers.len() > GATHERS {
