--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -157,6 +157,8 @@
         token: u64,
         /// What came of it.
         outcome: Outcome,
+        /// The longest pause between two parts of the answer.
+        pause: Duration,
     },
     /// A request has waited long enough.
     WaitOver(u64),
--- a/components/control/src/router/requests.rs
+++ b/components/control/src/router/requests.rs
@@ -151,6 +151,8 @@
     version: Option<u64>,
     /// The target has not read its prompt yet.
     is_unread: bool,
+    /// When the first part of the answer came, since the request was sent.
+    first: Option<Duration>,
     /// The caller has part of the answer.
     pub started: bool,
 }
@@ -274,6 +276,7 @@
             expected: Duration::ZERO,
             version: None,
             is_unread: false,
+            first: None,
             started: false,
         })
     }
@@ -477,6 +480,7 @@
             let target = sent.and_then(|(id, _)| self.targets.get_mut(id));
             if let (Some((_, since)), Some(target)) = (sent, target) {
                 let took = now.saturating_sub(*since);
+                pending.first = Some(took);
                 target.load.learn(pending.expected, took);
             }
         }
@@ -502,6 +506,7 @@
         now: Duration,
         token: u64,
         outcome: Outcome,
+        pause: Duration,
         effects: &mut Vec<Effect>,
     ) {
         self.take_read(token);
@@ -516,7 +521,8 @@
             target: id.clone(),
             outcome: word(outcome).into(),
             took_ms: millis(now.saturating_sub(since)),
-            started: pending.started,
+            first_ms: pending.first.take().map(millis),
+            pause_ms: millis(pause),
         }));
         let request = pending.id.clone();
         let fingerprint = pending.fingerprint;
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -152,7 +152,11 @@
                 version,
             } => self.take_head(now, token, load, cold_for, version),
             Event::Started(token) => self.start(now, token),
-            Event::Ended { token, outcome } => self.end(now, token, outcome, &mut effects),
+            Event::Ended {
+                token,
+                outcome,
+                pause,
+            } => self.end(now, token, outcome, pause, &mut effects),
             Event::WaitOver(token) => self.wait_over(now, token, &mut effects),
             Event::Left(token) => self.leave(now, token, &mut effects),
             Event::Close => self.closing = true,
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -285,7 +285,11 @@
         }
         for token in ended {
             let outcome = Outcome::Answered { failed: false };
-            self.tell(Event::Ended { token, outcome });
+            self.tell(Event::Ended {
+                token,
+                outcome,
+                pause: Duration::ZERO,
+            });
         }
         self.begin_pass(engine);
     }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -211,7 +211,11 @@
     }
 
     fn end(&mut self, token: u64, outcome: Outcome) -> Fate {
-        let effects = self.tell(Event::Ended { token, outcome });
+        let effects = self.tell(Event::Ended {
+            token,
+            outcome,
+            pause: Duration::ZERO,
+        });
         fate(token, &effects)
     }
 
@@ -365,6 +369,7 @@
     let effects = process.tell(Event::Ended {
         token: tokens[0],
         outcome: answered,
+        pause: Duration::ZERO,
     });
     if let Fate::Sent(send) = self::fate(waiting, &effects) {
         panic!("sent without a lease: {send:?}");
--- a/components/proxy/src/router/calls.rs
+++ b/components/proxy/src/router/calls.rs
@@ -53,6 +53,9 @@
     pub original: Original,
     /// The last event that the caller has.
     pub after_event: Option<u64>,
+    /// When the last part of the answer came, and the longest pause before one.
+    pub last_part: Option<Duration>,
+    pub longest_pause: Duration,
     rx: mpsc::UnboundedReceiver<Verdicts>,
     ended: bool,
 }
@@ -112,7 +115,12 @@
     pub fn end(&mut self, outcome: Outcome) {
         self.ended = matches!(outcome, Outcome::Answered { .. });
         let token = self.token;
-        self.router.tell(Event::Ended { token, outcome });
+        let pause = self.longest_pause;
+        self.router.tell(Event::Ended {
+            token,
+            outcome,
+            pause,
+        });
     }
 
     fn mark(&self, mut response: Response<Body>) -> Response<Body> {
@@ -174,6 +182,8 @@
                 body,
             },
             after_event: head.after_event,
+            last_part: None,
+            longest_pause: Duration::ZERO,
             rx,
             ended: false,
         };
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -145,6 +145,10 @@
     }
 
     fn note(&mut self, cut: &Cut) {
+        let now = self.router.elapsed();
+        if let Some(last) = self.last_part.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.saturating_sub(last));
+        }
         self.after_event = cut.last.or(self.after_event);
     }
 
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -289,8 +289,10 @@
         outcome: Name,
         /// How long it took.
         took_ms: u64,
-        /// Whether the caller had part of the answer by then.
-        started: bool,
+        /// When the caller got the first part of the answer, since the request was sent.
+        first_ms: Option<u64>,
+        /// The longest pause between two parts.
+        pause_ms: u64,
     },
     /// A caller left before the answer was whole.
     CallerLeft {
