Entries share an engine that comes back; a wider margin for first events

Each entry saw an empty engine and filled it, not knowing that the others did the same.

Change: an agent tells how many entries ask about its engine. For 1.2 s after its return an entry counts its own unread prompts once for each of them, and after that by what the engine's answers say. A first event must be expected in four fifths of the time left; requests that will be late go only to engines that are less than a quarter taken.

Several entries before shared engines are played in control/tests/admission_load.rs.

--- a/components/control/src/router/beliefs.rs
+++ b/components/control/src/router/beliefs.rs
@@ -18,6 +18,14 @@
 };
 use super::Effect;
 
+/// What an agent says of its engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EngineNews {
+    pub version: Option<u64>,
+    pub is_switching: bool,
+    pub watchers: u32,
+}
+
 impl State {
     pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         for id in self.targets.drop_lapsed(now) {
@@ -144,17 +152,25 @@
         &mut self,
         now: Duration,
         id: &Name,
-        version: Option<u64>,
-        is_switching: bool,
+        told: EngineNews,
         effects: &mut Vec<Effect>,
     ) {
+        let EngineNews {
+            version,
+            is_switching,
+            watchers,
+        } = told;
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
         target.told_at = Some(now);
+        target.watchers = watchers;
         if target.entry.version == version && target.is_switching == is_switching {
             return;
         }
+        if target.is_switching || target.entry.is_empty {
+            target.returned_at = now;
+        }
         target.entry.version = version;
         target.entry.is_empty = version.is_none();
         target.is_switching = is_switching;
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -135,6 +135,8 @@
         version: Option<u64>,
         /// Whether it takes nothing new before it has changed its weights.
         is_switching: bool,
+        /// Processes that ask the agent, and so may send to the target.
+        watchers: u32,
     },
     /// A caller's request is whole.
     Arrive(Arrival),
--- a/components/control/src/router/pace.rs
+++ b/components/control/src/router/pace.rs
@@ -17,7 +17,7 @@
     /// Requests there, those that wait included.
     pub requests: f64,
     /// Prompt tokens that are not read yet.
-    pub unread: u64,
+    pub unread: f64,
     /// Requests at once.
     pub slots: u32,
 }
@@ -25,7 +25,7 @@
 /// The time until the first event of a request whose prompt has `tokens`.
 pub fn first_event(engine: &EngineProfile, ahead: &Ahead, tokens: u32) -> Duration {
     let stride = engine.step * engine.stride.max(1);
-    let unread = ahead.unread.saturating_add(u64::from(tokens)) as f64;
+    let unread = ahead.unread + f64::from(tokens);
     let reading = seconds(unread / engine.read_rate.max(1.0));
     let chunk = f64::from(engine.chunk.unwrap_or(DEFAULT_CHUNK).max(1));
     let passes = (unread / chunk).ceil().max(1.0);
--- a/components/control/src/router/place.rs
+++ b/components/control/src/router/place.rs
@@ -46,11 +46,11 @@
 
 /// How much longer than expected a first event may take. The prompts that others send meanwhile
 /// are read in the same passes.
-const MARGIN: f64 = 1.15;
+const MARGIN: f64 = 1.25;
 
 /// The share of its slots up to which a target takes requests that will be late there: a late
 /// answer is better than none where it costs no other request its time.
-const SLACK: f64 = 0.4;
+const SLACK: f64 = 0.25;
 
 /// How long a plain target takes for a request in each of its slots.
 const PLAIN_TIME: Duration = Duration::from_millis(20);
@@ -184,9 +184,10 @@
     let requests = target.load.total(now);
     match &wish.service.engine {
         Some(engine) => {
+            let unread = target.load.unread() as f64 * target.crowd(now);
             let ahead = Ahead {
                 requests,
-                unread: target.load.unread(),
+                unread,
                 slots,
             };
             pace::first_event(engine, &ahead, wish.tokens)
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -16,6 +16,7 @@
 use utils::clock::Now;
 use utils::Name;
 
+use super::beliefs::EngineNews;
 use super::lease::Lease;
 use super::place::Location;
 use super::queue::Queue;
@@ -143,7 +144,15 @@
                 id,
                 version,
                 is_switching,
-            } => self.take_engine(now, &id, version, is_switching, &mut effects),
+                watchers,
+            } => {
+                let told = EngineNews {
+                    version,
+                    is_switching,
+                    watchers,
+                };
+                self.take_engine(now, &id, told, &mut effects);
+            }
             Event::Arrive(arrival) => self.arrive(now, arrival, &mut effects),
             Event::Head {
                 token,
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -34,6 +34,9 @@
     pub born_ms: u64,
 }
 
+/// How long a target that came back counts as one that every process turns to.
+const RETURN_TIME: Duration = Duration::from_millis(1200);
+
 /// How long what an agent said goes before the list. Agents say it again every five seconds.
 const TOLD_FOR: Duration = Duration::from_secs(8);
 
@@ -57,6 +60,10 @@
     pub health: Health,
     /// It takes nothing new until it has changed its weights.
     pub is_switching: bool,
+    /// Processes that may send to it, as far as its agent knows.
+    pub watchers: u32,
+    /// When it came, or came back from changing its weights.
+    pub returned_at: Duration,
     /// When its agent last said what it runs.
     pub told_at: Option<Duration>,
     /// Until when it is used although its entry is missing, which may be the list's fault.
@@ -72,12 +79,25 @@
             load: Load::default(),
             health: Health::default(),
             is_switching: false,
+            watchers: 1,
+            returned_at: now,
             told_at: None,
             lapses_at: None,
             cold: ColdAllowance::default(),
         }
     }
 
+    /// How many times more the target has to read than this process has sent it. A target that has
+    /// just come back is empty for every process at once; later its answers tell.
+    pub fn crowd(&self, now: Duration) -> f64 {
+        let most = f64::from(self.watchers.max(1));
+        if now.saturating_sub(self.returned_at) < RETURN_TIME {
+            return most;
+        }
+        let own = f64::from(self.load.own().max(1));
+        (self.load.total(now) / own).clamp(1.0, most)
+    }
+
     /// Whether the target is in cold start.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.cold_until
--- a/components/control/tests/admission_load.rs
+++ b/components/control/tests/admission_load.rs
@@ -57,7 +57,48 @@
         per_second: 30.0,
         length: Duration::from_secs(12),
         // The first engine takes nothing for two seconds.
-        away: Some((0, ms(4000), ms(6000))),
+        away: vec![(0, ms(4000), ms(6000))],
+        ..Load::default()
+    });
+    assert!(tally.late * 20 <= tally.asked, "{tally:?}");
+}
+
+#[test]
+fn processes_that_do_not_know_of_each_other_share_an_engine_that_comes_back() {
+    let tally = play(&Load {
+        engines: 6,
+        entries: 4,
+        per_second: 44.0,
+        length: Duration::from_secs(16),
+        away: vec![(0, ms(4000), ms(6000))],
+        ..Load::default()
+    });
+    assert!(tally.late * 20 <= tally.asked, "{tally:?}");
+}
+
+#[test]
+fn under_twice_the_load_several_processes_keep_the_engines_useful() {
+    let heavy = play(&Load {
+        engines: 6,
+        entries: 4,
+        per_second: 96.0,
+        length: Duration::from_secs(20),
+        ..Load::default()
+    });
+    // Six engines answer some 48 requests a second on time.
+    assert!(heavy.on_time >= 48 * 20 * 8 / 10, "{heavy:?}");
+    assert!(heavy.late * 5 <= heavy.on_time, "{heavy:?}");
+}
+
+#[test]
+fn engines_that_come_back_one_after_the_other_are_not_crowded() {
+    let turn = |i: usize| (i, ms(4000 + 600 * i as u64), ms(6300 + 600 * i as u64));
+    let tally = play(&Load {
+        engines: 6,
+        entries: 4,
+        per_second: 44.0,
+        length: Duration::from_secs(12),
+        away: (0..6).map(turn).collect(),
         ..Load::default()
     });
     assert!(tally.late * 20 <= tally.asked, "{tally:?}");
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -49,10 +49,12 @@
 #[derive(Clone, Debug)]
 pub struct Load {
     pub engines: usize,
+    /// Processes that send to the engines without knowing of each other.
+    pub entries: usize,
     pub per_second: f64,
     pub length: Duration,
-    /// An engine takes nothing between two times.
-    pub away: Option<(usize, Duration, Duration)>,
+    /// Engines that take nothing between two times.
+    pub away: Vec<(usize, Duration, Duration)>,
     pub seed: u64,
 }
 
@@ -60,9 +62,10 @@
     fn default() -> Self {
         Self {
             engines: 4,
+            entries: 1,
             per_second: 20.0,
             length: Duration::from_secs(10),
-            away: None,
+            away: Vec::new(),
             seed: 7,
         }
     }
@@ -104,7 +107,7 @@
 }
 
 struct Play {
-    state: State,
+    states: Vec<State>,
     now: Duration,
     agenda: BinaryHeap<Reverse<(Duration, u64, Happening)>>,
     order: u64,
@@ -118,7 +121,9 @@
 /// Plays a load and counts what callers get.
 pub fn play(load: &Load) -> Tally {
     let mut play = Play {
-        state: State::new(options()),
+        states: (0..load.entries)
+            .map(|i| State::new(options(i as u64)))
+            .collect(),
         now: Duration::from_secs(100),
         agenda: BinaryHeap::new(),
         order: 0,
@@ -128,19 +133,19 @@
         tally: Tally::default(),
         next: 0,
     };
-    play.tell(Event::Config(Arc::new(config())));
+    play.tell_all(&Event::Config(Arc::new(config())));
     for engine in 0..load.engines {
-        play.tell(Event::Listed(entry(engine)));
+        play.tell_all(&Event::Listed(entry(engine)));
     }
     let start = play.now;
-    if let Some((engine, from, to)) = load.away {
-        play.plan(start + from, Happening::Away(engine, true));
-        play.plan(start + to, Happening::Away(engine, false));
+    for (engine, from, to) in &load.away {
+        play.plan(start + *from, Happening::Away(*engine, true));
+        play.plan(start + *to, Happening::Away(*engine, false));
     }
     play.plan(start, Happening::Arrival);
     while let Some(Reverse((at, _, happening))) = play.agenda.pop() {
         play.now = at;
-        play.tell(Event::Current(at));
+        play.tell_all(&Event::Current(at));
         match happening {
             Happening::Arrival => {
                 if at < start + load.length {
@@ -150,11 +155,12 @@
                 }
             }
             Happening::PassEnds(engine) => play.end_pass(engine),
-            Happening::WaitOver(token) => play.tell(Event::WaitOver(token)),
-            Happening::Away(engine, is_switching) => play.tell(Event::Engine {
+            Happening::WaitOver(token) => play.tell(token, Event::WaitOver(token)),
+            Happening::Away(engine, is_switching) => play.tell_all(&Event::Engine {
                 id: name(engine),
                 version: Some(1),
                 is_switching,
+                watchers: u32::try_from(load.entries).unwrap(),
             }),
         }
     }
@@ -167,12 +173,20 @@
         self.agenda.push(Reverse((at, self.order, happening)));
     }
 
-    fn tell(&mut self, event: Event) {
+    fn tell_all(&mut self, event: &Event) {
+        for entry in 0..self.states.len() {
+            self.tell(entry as u64, event.clone());
+        }
+    }
+
+    /// Tells the process that has the request `token`.
+    fn tell(&mut self, token: u64, event: Event) {
+        let entry = token as usize % self.states.len();
         let now = Now {
             elapsed: self.now,
             wall: SystemTime::UNIX_EPOCH,
         };
-        for effect in self.state.step(now, event) {
+        for effect in self.states[entry].step(now, event) {
             match effect {
                 Effect::Send(token, send) => self.send(token, &send.target),
                 Effect::Wait(token, until) => self.plan(until, Happening::WaitOver(token)),
@@ -187,24 +201,27 @@
     }
 
     fn arrive(&mut self) {
-        self.next += 1;
+        self.next += 1 + self.rng.random_range(0..self.states.len() as u64);
         self.tally.asked += 1;
         let spread = |rng: &mut Pcg64Mcg| 0.3 + 1.4 * rng.random::<f64>();
         let prompt = (979.0 * spread(&mut self.rng)) as u32;
         let answer = (92.0 * spread(&mut self.rng)) as u32;
         let token = self.next;
         self.arrived.insert(token, (self.now, prompt, answer));
-        self.tell(Event::Arrive(Arrival {
+        self.tell(
             token,
-            id: token.to_string().into(),
-            host: "host".into(),
-            path: "/chat/x".into(),
-            key: None,
-            timeout: Some(Duration::from_secs(6)),
-            tokens: Some((prompt, answer)),
-            after_event: None,
-            fingerprint: token,
-        }));
+            Event::Arrive(Arrival {
+                token,
+                id: token.to_string().into(),
+                host: "host".into(),
+                path: "/chat/x".into(),
+                key: None,
+                timeout: Some(Duration::from_secs(6)),
+                tokens: Some((prompt, answer)),
+                after_event: None,
+                fingerprint: token,
+            }),
+        );
     }
 
     fn send(&mut self, token: u64, target: &str) {
@@ -275,21 +292,27 @@
             } else {
                 self.tally.late += 1;
             }
-            self.tell(Event::Head {
+            self.tell(
                 token,
-                load: Some(load),
-                cold_for: None,
-                version: Some(1),
-            });
-            self.tell(Event::Started(token));
+                Event::Head {
+                    token,
+                    load: Some(load),
+                    cold_for: None,
+                    version: Some(1),
+                },
+            );
+            self.tell(token, Event::Started(token));
         }
         for token in ended {
             let outcome = Outcome::Answered { failed: false };
-            self.tell(Event::Ended {
+            self.tell(
                 token,
-                outcome,
-                pause: Duration::ZERO,
-            });
+                Event::Ended {
+                    token,
+                    outcome,
+                    pause: Duration::ZERO,
+                },
+            );
         }
         self.begin_pass(engine);
     }
@@ -314,7 +337,7 @@
     }
 }
 
-fn options() -> Options {
+fn options(seed: u64) -> Options {
     Options {
         location: Location {
             data_centre: "a".into(),
@@ -323,7 +346,7 @@
         lease: Duration::from_secs(4),
         version_grace: Duration::from_millis(6500),
         budget: BudgetOptions::default(),
-        seed: 3,
+        seed,
     }
 }
 
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -445,6 +445,7 @@
         id: "e2".into(),
         version: Some(2),
         is_switching: false,
+        watchers: 1,
     });
     let fate = process.end(token, Outcome::Broken { lost: true });
     assert_eq!(fate.reason(), (Reason::NoTarget, false));
@@ -503,6 +504,7 @@
                     id: "e1".into(),
                     version: Some(1),
                     is_switching: true,
+                    watchers: 1,
                 });
             },
         },
@@ -552,6 +554,7 @@
             id: id.into(),
             version: Some(version),
             is_switching: false,
+            watchers: 1,
         });
     };
     name(&mut process, 2);
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -99,7 +99,12 @@
     /// A ticket.
     Ticket(Ticket),
     /// What the engine does.
-    Engine(EngineStatus),
+    Engine {
+        /// The engine.
+        status: EngineStatus,
+        /// Processes that ask for it.
+        watchers: u32,
+    },
     /// The request is taken; frames follow.
     Serving,
     /// The process does not answer such requests.
--- a/components/proxy/src/keeper/mod.rs
+++ b/components/proxy/src/keeper/mod.rs
@@ -91,6 +91,8 @@
     waiting: Mutex<HashMap<u64, oneshot::Sender<Result<(), Denial>>>>,
     next_token: Mutex<u64>,
     status: watch::Sender<EngineStatus>,
+    /// Processes that asked about the engine, and when.
+    watchers: Mutex<HashMap<Name, Duration>>,
     config_version: Mutex<u64>,
 }
 
@@ -130,6 +132,7 @@
             waiting: Mutex::default(),
             next_token: Mutex::default(),
             status,
+            watchers: Mutex::default(),
             config_version: Mutex::default(),
             setup,
         })
--- a/components/proxy/src/keeper/peers.rs
+++ b/components/proxy/src/keeper/peers.rs
@@ -284,6 +284,7 @@
                 for (model, version) in named {
                     self.tell(Event::Named { model, version });
                 }
+                self.note_watcher(request.from);
                 self.answer_status(known, responder).await;
             }
             _ => self.finish(responder, Reply::Unsupported).await,
@@ -296,6 +297,19 @@
         }
     }
 
+    fn note_watcher(&self, name: Name) {
+        let now = self.clock.now().elapsed;
+        lock(&self.watchers).insert(name, now);
+    }
+
+    /// Processes that asked about the engine lately.
+    fn watchers(&self) -> u32 {
+        let now = self.clock.now().elapsed;
+        let mut watchers = lock(&self.watchers);
+        watchers.retain(|_, at| now.saturating_sub(*at) < STATUS_WAIT * 2);
+        u32::try_from(watchers.len()).unwrap_or(u32::MAX)
+    }
+
     async fn answer_status(&self, known: Option<EngineStatus>, mut responder: Responder) {
         let mut status = self.status.subscribe();
         let differs = status.wait_for(|status| Some(*status) != known);
@@ -305,7 +319,12 @@
         };
         drop(waited);
         let now = *self.status.borrow();
-        self.finish(responder, Reply::Engine(now)).await;
+        let watchers = self.watchers();
+        let reply = Reply::Engine {
+            status: now,
+            watchers,
+        };
+        self.finish(responder, reply).await;
     }
 
     async fn answer_piece(
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -76,12 +76,13 @@
         };
         match pool.call(agent, &message, PATIENCE).await {
             Ok(call) => match call.reply.body {
-                Reply::Engine(status) => {
+                Reply::Engine { status, watchers } => {
                     known = Some(status);
                     router.tell(Event::Engine {
                         id: id.clone(),
                         version: status.version,
                         is_switching: status.is_switching,
+                        watchers,
                     });
                 }
                 other => {
