Processes that restart learn for how long a version has been named

Change: entries and agents tell each other the age of the newest version in the questions that they ask anyway; until one answers, the version is required at once as before.

--- a/components/control/src/keeper/mod.rs
+++ b/components/control/src/keeper/mod.rs
@@ -9,7 +9,10 @@
 
 use std::time::Duration;
 
-use protocol::EngineStatus;
+use protocol::{
+    EngineStatus,
+    NamedVersion, //
+};
 use record::Decision;
 use utils::digest::Digest;
 use utils::Name;
@@ -78,6 +81,8 @@
         model: Name,
         /// The version.
         version: u64,
+        /// For how long it has been named, if that is known.
+        age: Option<Duration>,
     },
     /// The agents of the model's engines, this one included, and the region of the origin.
     Members {
@@ -131,6 +136,14 @@
     Ordered(Duration),
 }
 
+/// A version that operators named.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: u64,
+    /// When it was named, if that is known.
+    since: Option<Duration>,
+}
+
 /// The state of the agent.
 #[derive(Debug)]
 pub struct Keeper {
@@ -139,8 +152,8 @@
     /// Whether the engine is waited for before pieces are drawn that it may hold.
     is_patient: bool,
     profile: Option<EngineProfile>,
-    /// Versions and when they were heard of, the newest last.
-    named: Vec<(u64, Duration)>,
+    /// Versions, the newest last.
+    named: Vec<Named>,
     members: Vec<Member>,
     origin_region: Name,
     /// The versions that are gathered, the newest last.
@@ -214,6 +227,17 @@
         gathers.find(|g| g.wanted.key == *key)?.report()
     }
 
+    /// The newest named version, for those who ask.
+    pub fn named(&self, now: Duration) -> Option<NamedVersion> {
+        let newest = self.named.last()?;
+        let age = newest.since.map(|since| now.saturating_sub(since));
+        Some(NamedVersion {
+            model: self.profile.as_ref()?.model.clone(),
+            version: newest.version,
+            age_ms: age.map(millis),
+        })
+    }
+
     /// Whether there is work that must not wait for the next slow tick.
     pub fn is_at_work(&self) -> bool {
         let running = self.engine.and_then(|engine| engine.version);
@@ -232,7 +256,11 @@
                     self.gather_newest(now, &mut effects);
                 }
             }
-            Event::Named { model, version } => self.name(now, &model, version, &mut effects),
+            Event::Named {
+                model,
+                version,
+                age,
+            } => self.name(now, &model, version, age, &mut effects),
             Event::Members {
                 members,
                 origin_region,
@@ -291,16 +319,30 @@
         }
     }
 
-    fn name(&mut self, now: Duration, model: &Name, version: u64, effects: &mut Vec<Effect>) {
+    fn name(
+        &mut self,
+        now: Duration,
+        model: &Name,
+        version: u64,
+        age: Option<Duration>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let since = age.map(|age| now.saturating_sub(age));
+        let known = self.named.iter_mut().find(|named| named.version == version);
+        if let Some(known) = known {
+            known.since = known.since.or(since);
+            return;
+        }
         let mine = self.profile.as_ref().is_some_and(|p| p.model == *model);
-        let newest = self.named.last().map_or(0, |(version, _)| *version);
+        let newest = self.named.last().map_or(0, |named| named.version);
         if !mine || version <= newest {
             return;
         }
-        self.named.push((version, now));
+        self.named.push(Named { version, since });
         effects.push(Effect::Record(Decision::VersionNamed {
             model: model.clone(),
             version,
+            age_ms: age.map(millis),
         }));
         // Pieces are only spread among engines that are there.
         self.listed_at = None;
@@ -312,7 +354,10 @@
         let Some(profile) = &self.profile else {
             return;
         };
-        let version = self.named.last().map_or(FIRST_VERSION, |(v, _)| *v);
+        let version = self
+            .named
+            .last()
+            .map_or(FIRST_VERSION, |named| named.version);
         let wanted = Wanted::new(&profile.model, version);
         if self.gathers.last().is_some_and(|g| g.wanted == wanted) {
             return;
@@ -503,17 +548,21 @@
         let Some(running) = self.engine.and_then(|engine| engine.version) else {
             return now;
         };
-        let mut newer = self.named.iter().filter(|(version, _)| *version > running);
-        let Some((_, named_at)) = newer.next() else {
+        let mut newer = self.named.iter().filter(|named| named.version > running);
+        let Some(named_at) = newer.next().and_then(|named| named.since) else {
             return now;
         };
         let peers = self.gathers.last().map(|g| g.data_centre_peers(&self.me));
-        wave::turn(&self.me, &peers.unwrap_or_default(), *named_at)
+        wave::turn(&self.me, &peers.unwrap_or_default(), named_at)
     }
 
     fn since_named(&self, now: Duration, version: u64) -> u64 {
-        let named = self.named.iter().find(|(v, _)| *v == version);
-        let at = named.map_or(now, |(_, at)| *at);
-        u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
+        let named = self.named.iter().find(|named| named.version == version);
+        let at = named.and_then(|named| named.since).unwrap_or(now);
+        millis(now.saturating_sub(at))
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/components/control/src/router/beliefs.rs
+++ b/components/control/src/router/beliefs.rs
@@ -126,26 +126,44 @@
         }
     }
 
+    /// A version is named. A process that found it at its start does not know for how long, until
+    /// another tells.
     pub(super) fn take_version(
         &mut self,
         now: Duration,
         model: Name,
         version: u64,
-        at_start: bool,
+        age: Option<Duration>,
         effects: &mut Vec<Effect>,
     ) {
+        let since = age.map(|age| now.saturating_sub(age));
+        let only_from = since.map_or(now, |since| since + self.options.version_grace);
         let named = self.versions.entry(model.clone()).or_default();
-        if named.last().is_some_and(|last| last.version >= version) {
+        if let Some(known) = named.iter_mut().find(|named| named.version == version) {
+            let is_better = match (known.since, since) {
+                (None, Some(_)) => true,
+                (Some(known), Some(since)) => since < known,
+                (_, None) => false,
+            };
+            if is_better {
+                known.since = since;
+                known.only_from = only_from;
+            }
             return;
         }
-        // A process that finds the version at its start does not know for how long it was named.
-        let only_from = if at_start {
-            now
-        } else {
-            now + self.options.version_grace
-        };
-        named.push(Named { version, only_from });
-        effects.push(Effect::Record(Decision::VersionNamed { model, version }));
+        if named.last().is_some_and(|last| last.version > version) {
+            return;
+        }
+        named.push(Named {
+            version,
+            since,
+            only_from,
+        });
+        effects.push(Effect::Record(Decision::VersionNamed {
+            model,
+            version,
+            age_ms: age.map(millis),
+        }));
     }
 
     pub(super) fn take_engine(
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -122,8 +122,8 @@
         model: Name,
         /// The version.
         version: u64,
-        /// Whether it was there when this process started.
-        at_start: bool,
+        /// For how long it has been named, if that is known.
+        age: Option<Duration>,
     },
     /// The platform answered a call that was sent at this time, and all it said was taken.
     Current(Duration),
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use protocol::NamedVersion;
 use rand::{
     Rng,
     SeedableRng, //
@@ -16,7 +17,10 @@
 use utils::clock::Now;
 use utils::Name;
 
-use super::beliefs::EngineNews;
+use super::beliefs::{
+    millis,
+    EngineNews, //
+};
 use super::lease::Lease;
 use super::place::Location;
 use super::queue::Queue;
@@ -55,6 +59,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Named {
     pub version: u64,
+    /// When it was named, if that is known.
+    pub since: Option<Duration>,
     /// When this process must send nothing to older versions any more.
     pub only_from: Duration,
 }
@@ -137,8 +143,8 @@
             Event::Version {
                 model,
                 version,
-                at_start,
-            } => self.take_version(now, model, version, at_start, &mut effects),
+                age,
+            } => self.take_version(now, model, version, age, &mut effects),
             Event::Current(sent) => self.lease.renew(sent),
             Event::Engine {
                 id,
@@ -203,12 +209,17 @@
     }
 
     /// The newest named version of each model.
-    pub fn named_versions(&self) -> Vec<(Name, u64)> {
-        let newest = |named: &Vec<Named>| named.last().map(|named| named.version);
-        let versions = self.versions.iter();
-        versions
-            .filter_map(|(model, named)| Some((model.clone(), newest(named)?)))
-            .collect()
+    pub fn named_versions(&self, now: Duration) -> Vec<NamedVersion> {
+        let newest = self.versions.iter().filter_map(|(model, named)| {
+            let newest = named.last()?;
+            let age = newest.since.map(|since| now.saturating_sub(since));
+            Some(NamedVersion {
+                model: model.clone(),
+                version: newest.version,
+                age_ms: age.map(millis),
+            })
+        });
+        newest.collect()
     }
 
     /// The targets that are model engines, with their addresses.
--- a/components/control/tests/keeper.rs
+++ b/components/control/tests/keeper.rs
@@ -133,7 +133,12 @@
 
     fn name(&mut self, version: u64) {
         let model = "m".into();
-        self.tell(Event::Named { model, version });
+        let age = Some(Duration::ZERO);
+        self.tell(Event::Named {
+            model,
+            version,
+            age,
+        });
     }
 
     /// Lets time pass; the engine answers whenever it is asked, and loads in 300 ms.
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -514,7 +514,7 @@
                 p.tell(Event::Version {
                     model: "m".into(),
                     version: 2,
-                    at_start: false,
+                    age: Some(Duration::ZERO),
                 });
                 p.now += ms(6500);
                 p.renew();
@@ -546,7 +546,7 @@
         p.tell(Event::Version {
             model: "m".into(),
             version,
-            at_start: false,
+            age: Some(Duration::ZERO),
         });
     };
     let runs = |p: &mut Process, id: &str, version| {
@@ -577,6 +577,30 @@
     assert_eq!(process.arrive("chat").1.target(), "e1");
 }
 
+#[test]
+fn a_process_that_finds_a_version_at_its_start_learns_its_age_from_others() {
+    let mut process = Process::with(&[("e1", "engines", "a")]);
+    let name = |p: &mut Process, age| {
+        p.tell(Event::Version {
+            model: "m".into(),
+            version: 2,
+            age,
+        });
+    };
+    name(&mut process, None);
+    assert_eq!(process.arrive("chat").1.reason().0, Reason::NoTarget);
+    name(&mut process, Some(ms(2000)));
+    assert_eq!(process.arrive("chat").1.target(), "e1");
+    // Whoever heard of it earlier knows better; later ones do not.
+    name(&mut process, Some(ms(4000)));
+    name(&mut process, Some(ms(1000)));
+    process.now += ms(2400);
+    process.renew();
+    assert_eq!(process.arrive("chat").1.target(), "e1");
+    process.now += ms(100);
+    assert_eq!(process.arrive("chat").1.reason().0, Reason::NoTarget);
+}
+
 #[test]
 fn entries_that_lapse_with_the_list_may_come_back() {
     let mut process = Process::with(&[("d1", "desk", "a"), ("d2", "desk", "a")]);
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -12,6 +12,7 @@
     Heartbeat,
     Instance,
     InstanceState,
+    NamedVersion,
     News,
     Reply,
     Request,
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -73,7 +73,7 @@
         /// What the asker knows.
         known: Option<EngineStatus>,
         /// Versions of models that the asker knows to be named.
-        named: Vec<(Name, u64)>,
+        named: Vec<NamedVersion>,
     },
     /// Hands over a caller's request.
     Serve(Serve),
@@ -104,6 +104,8 @@
         status: EngineStatus,
         /// Processes that ask for it.
         watchers: u32,
+        /// The versions that the agent knows to be named.
+        named: Vec<NamedVersion>,
     },
     /// The request is taken; frames follow.
     Serving,
@@ -111,6 +113,17 @@
     Unsupported,
 }
 
+/// A version of a model's weights that operators named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedVersion {
+    /// The model.
+    pub model: Name,
+    /// The version.
+    pub version: u64,
+    /// For how long it has been named. `None` if the process found it at its start.
+    pub age_ms: Option<u64>,
+}
+
 /// What an agent tells of its engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
--- a/components/proxy/src/keeper/mod.rs
+++ b/components/proxy/src/keeper/mod.rs
@@ -154,7 +154,7 @@
     /// Takes what the feed says.
     pub fn hear(self: &Arc<Self>, told: Told) {
         match told {
-            Told::Fact { fact, .. } => self.hear_fact(fact),
+            Told::Fact { fact, at_start, .. } => self.hear_fact(fact, at_start),
             Told::Source { up, detail } => {
                 let name = "platform".into();
                 self.record(record::Decision::Dependency { name, up, detail });
@@ -163,10 +163,15 @@
         }
     }
 
-    fn hear_fact(self: &Arc<Self>, fact: Fact) {
+    fn hear_fact(self: &Arc<Self>, fact: Fact, at_start: bool) {
         match fact {
             Fact::Config(config) => self.hear_config(&config),
-            Fact::Version(model, version) => self.tell(Event::Named { model, version }),
+            Fact::Version(model, version) => self.tell(Event::Named {
+                model,
+                version,
+                // What was there at the start may have been named at any time before.
+                age: (!at_start).then_some(Duration::ZERO),
+            }),
             _ => {}
         }
     }
--- a/components/proxy/src/keeper/peers.rs
+++ b/components/proxy/src/keeper/peers.rs
@@ -281,8 +281,12 @@
                 wait,
             } => self.answer_piece(manifest, piece, wait, responder).await,
             Request::Engine { known, named } => {
-                for (model, version) in named {
-                    self.tell(Event::Named { model, version });
+                for named in named {
+                    self.tell(Event::Named {
+                        model: named.model,
+                        version: named.version,
+                        age: named.age_ms.map(Duration::from_millis),
+                    });
                 }
                 self.note_watcher(request.from);
                 self.answer_status(known, responder).await;
@@ -320,9 +324,12 @@
         drop(waited);
         let now = *self.status.borrow();
         let watchers = self.watchers();
+        let elapsed = self.clock.now().elapsed;
+        let named = lock(&self.state).named(elapsed).into_iter().collect();
         let reply = Reply::Engine {
             status: now,
             watchers,
+            named,
         };
         self.finish(responder, reply).await;
     }
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -11,6 +11,7 @@
 use protocol::{
     EngineStatus,
     Envelope,
+    NamedVersion,
     Reply,
     Request, //
 };
@@ -39,8 +40,8 @@
     let mut named = Vec::new();
     loop {
         let engines = router.inner.state.borrow().engines();
-        let now_named = router.inner.state.borrow().named_versions();
         // A question that waits does not carry versions named since.
+        let now_named = named_versions(&router);
         let renew = now_named != named;
         named = now_named;
         watches.retain(|id, (address, task)| {
@@ -65,8 +66,9 @@
     let mut known: Option<EngineStatus> = None;
     loop {
         let message = {
+            let now = router.elapsed();
             let state = router.inner.state.borrow();
-            let named = state.named_versions();
+            let named = state.named_versions(now);
             Envelope {
                 from: me.clone(),
                 sheet: state.config_version(),
@@ -76,8 +78,13 @@
         };
         match pool.call(agent, &message, PATIENCE).await {
             Ok(call) => match call.reply.body {
-                Reply::Engine { status, watchers } => {
+                Reply::Engine {
+                    status,
+                    watchers,
+                    named,
+                } => {
                     known = Some(status);
+                    hear_versions(&router, named);
                     router.tell(Event::Engine {
                         id: id.clone(),
                         version: status.version,
@@ -98,3 +105,25 @@
         }
     }
 }
+
+/// The versions that are named, without their ages.
+fn named_versions(router: &Router) -> Vec<(Name, u64)> {
+    let named = router.inner.state.borrow().named_versions(Duration::ZERO);
+    let versions = named.into_iter().map(|named| (named.model, named.version));
+    versions.collect()
+}
+
+fn hear_versions(router: &Router, named: Vec<NamedVersion>) {
+    for NamedVersion {
+        model,
+        version,
+        age_ms,
+    } in named
+    {
+        router.tell(Event::Version {
+            model,
+            version,
+            age: age_ms.map(Duration::from_millis),
+        });
+    }
+}
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -209,7 +209,8 @@
         Fact::Version(model, version) => Event::Version {
             model,
             version,
-            at_start,
+            // What was there at the start may have been named at any time before.
+            age: (!at_start).then_some(Duration::ZERO),
         },
     }
 }
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -229,6 +229,8 @@
         model: Name,
         /// The version.
         version: u64,
+        /// For how long it has been named, if that is known.
+        age_ms: Option<u64>,
     },
     /// The configuration became too old to act on, or is fresh again.
     Lease {
