--- a/components/proxy/src/router/calls.rs
+++ b/components/proxy/src/router/calls.rs
@@ -56,6 +56,8 @@
     /// When the last part of the answer came, and the longest pause before one.
     pub last_part: Option<Duration>,
     pub longest_pause: Duration,
+    /// When the request was whole here.
+    begun: Duration,
     rx: mpsc::UnboundedReceiver<Verdicts>,
     ended: bool,
 }
@@ -123,6 +125,12 @@
         });
     }
 
+    /// Counts the time from the arrival to the first part of the answer.
+    pub fn observe_first(&self) {
+        let passed = self.router.elapsed().saturating_sub(self.begun);
+        metrics::histogram!("medlarproxy_first_answer_seconds").record(passed.as_secs_f64());
+    }
+
     fn mark(&self, mut response: Response<Body>) -> Response<Body> {
         let mark = self.router.inner.dialect.mark_answer;
         mark(response.headers_mut(), &self.original.id);
@@ -182,6 +190,7 @@
                 body,
             },
             after_event: head.after_event,
+            begun: self.elapsed(),
             last_part: None,
             longest_pause: Duration::ZERO,
             rx,
@@ -209,6 +218,10 @@
                 Next::Send(send) => send,
                 Next::End(response) => return response,
             };
+            if send.attempt == 1 {
+                let waited = self.router.elapsed().saturating_sub(self.begun);
+                metrics::histogram!("medlarproxy_wait_seconds").record(waited.as_secs_f64());
+            }
             let reply = self
                 .router
                 .exchange(self.token, &self.original, &send, self.after_event)
@@ -243,6 +256,7 @@
         if !is_head {
             parts.headers.remove(http::header::CONTENT_LENGTH);
         }
+        self.observe_first();
         self.end(Outcome::Answered { failed });
         count_answer(if failed { "target_failed" } else { "answered" });
         Ok(Response::from_parts(parts, full(body)))
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -60,6 +60,7 @@
             Read::Failed(outcome) => return Err((self, outcome)),
         };
         self.router.tell(Event::Started(self.token));
+        self.observe_first();
         let (tx, rx) = mpsc::channel(EVENTS_AHEAD);
         let mut parts = reply.parts.clone();
         strip_hop_headers(&mut parts.headers);
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -356,6 +356,18 @@
 }
 
 impl Decision {
+    /// The caller's name of the request that the decision is about, if it is about one.
+    pub fn request_name(&self) -> Option<&str> {
+        match self {
+            Self::Forward { request, .. }
+            | Self::TurnAway { request, .. }
+            | Self::Exchange { request, .. }
+            | Self::CallerLeft { request, .. }
+            | Self::Rest { request, .. } => Some(request),
+            _ => None,
+        }
+    }
+
     /// The word for the kind of decision, as in the record.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -4,6 +4,7 @@
 mod chain;
 mod decision;
 mod output;
+mod trace;
 
 pub use audit::{
     Audit,
@@ -22,3 +23,8 @@
     SwitchStep, //
 };
 pub use output::Output;
+pub use trace::{
+    Belief,
+    Step,
+    Trace, //
+};
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -20,6 +20,7 @@
     Check(CheckArguments),
     Pack(PackArguments),
     Audit(AuditArguments),
+    Trace(TraceArguments),
     Status(StatusArguments),
     Explain(ExplainArguments),
     Demo(DemoArguments),
@@ -146,6 +147,21 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Tell the story of one request from collected logs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub(crate) struct TraceArguments {
+    /// the caller's id of the request
+    #[argh(positional)]
+    pub request: String,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// the collected logs
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Run a whole fleet in this process, before stand-ins.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "demo")]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod process;
 mod status;
+mod trace;
 
 use std::error::Error;
 
@@ -25,6 +26,7 @@
         Command::Entry(arguments) => entry::run(&arguments),
         Command::Agent(arguments) => agent::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
+        Command::Trace(arguments) => trace::run(&arguments),
         Command::Audit(arguments) => audit::run(&arguments),
         Command::Pack(arguments) => pack::run(&arguments),
         Command::Status(arguments) => status::run(&arguments),
--- a/src/cmd/platform/mod.rs
+++ b/src/cmd/platform/mod.rs
@@ -42,6 +42,9 @@
 /// The port for metrics, counted from the first of the product's own.
 const METRICS_PORT: u16 = 1;
 
+/// Upper ends of the buckets of latency histograms, in seconds, around the objectives of callers.
+const LATENCY_BUCKETS: [f64; 9] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.5, 1.0, 3.0];
+
 /// Connections that may wait to be accepted. Callers come back together after a fault.
 const BACKLOG: u32 = 1024;
 
@@ -122,7 +125,9 @@
 
     /// Serves metrics beside the role.
     async fn serve_metrics(&self) -> Outcome {
-        let handle = PrometheusBuilder::new().install_recorder()?;
+        let handle = PrometheusBuilder::new()
+            .set_buckets(&LATENCY_BUCKETS)?
+            .install_recorder()?;
         let port = self.node.first_peer_port + METRICS_PORT;
         let listener = listen(SocketAddr::new(self.node.ip, port))?;
         let _detached = tokio::spawn(admin::serve_metrics(listener, handle));
--- /dev/null
+++ b/src/cmd/trace.rs
@@ -0,0 +1,32 @@
+//! `medlarproxy trace`: the story of one request from collected logs.
+
+use std::fs;
+
+use record::Trace;
+
+use super::Outcome;
+use crate::cli::TraceArguments;
+
+pub(crate) fn run(arguments: &TraceArguments) -> Outcome {
+    let mut trace = Trace::default();
+    for file in &arguments.files {
+        let text =
+            fs::read(file).map_err(|e| format!("{}: cannot be read: {e}", file.display()))?;
+        trace.read(&String::from_utf8_lossy(&text));
+    }
+    let steps = trace.steps(&arguments.request);
+    if arguments.json {
+        println!("{}", serde_json::to_string(&steps)?);
+    } else {
+        for step in &steps {
+            println!("{step}");
+        }
+    }
+    if trace.unreadable() > 0 {
+        eprintln!("{} lines could not be read", trace.unreadable());
+    }
+    if steps.is_empty() {
+        return Err(format!("no line speaks of request {:?}", arguments.request).into());
+    }
+    Ok(())
+}
