Agents read the configuration once; entries alone follow it

Change: an agent reads the configuration once, for its engine's profile and the origin's address, and watches the versions alone. It reads the list of engines every 3 s while pieces are missing, not every second.

--- a/components/control/src/keeper/mod.rs
+++ b/components/control/src/keeper/mod.rs
@@ -178,7 +178,7 @@
 const READ_IN_REST: Duration = Duration::from_millis(500);
 
 /// How often the list of engines is read while pieces are missing.
-const LIST_WHILE_GATHERING: Duration = Duration::from_millis(1000);
+const LIST_WHILE_GATHERING: Duration = Duration::from_millis(3000);
 
 /// How long a version is gathered before it is worth going on with beside a newer one.
 const BEGUN_AFTER: Duration = Duration::from_millis(1500);
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -82,7 +82,7 @@
         pause: FEED_PAUSE,
         ..FeedOptions::default()
     };
-    let source = platform::source(http, node.store, false);
+    let source = platform::source(http, node.store, platform::View::Versions);
     let hearing = agent.clone();
     let tell = move |told| hearing.hear(told);
     let follow = feed::follow(process.clock.clone(), source, options, tell);
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -65,7 +65,7 @@
         platform::dialect(),
     );
     process.serve_metrics().await?;
-    let source = platform::source(proxy::http_client(), node.store, true);
+    let source = platform::source(proxy::http_client(), node.store, platform::View::Everything);
     let hearing = router.clone();
     let clock = process.clock.clone();
     let tell = move |told| hearing.hear(told);
