--- a/components/control/src/router/beliefs.rs
+++ b/components/control/src/router/beliefs.rs
@@ -137,7 +137,9 @@
         effects: &mut Vec<Effect>,
     ) {
         let since = age.map(|age| now.saturating_sub(age));
-        let only_from = since.map_or(now, |since| since + self.options.version_grace);
+        let only_from = age.map_or(now, |age| {
+            (now + self.options.version_grace).saturating_sub(age)
+        });
         let named = self.versions.entry(model.clone()).or_default();
         if let Some(known) = named.iter_mut().find(|named| named.version == version) {
             let is_better = match (known.since, since) {
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -143,6 +143,10 @@
 impl Process {
     /// One that has a fresh configuration and no target.
     fn new() -> Self {
+        Self::new_at(ms(10_000))
+    }
+
+    fn new_at(now: Duration) -> Self {
         let regions = [("a", "north"), ("b", "north"), ("c", "south")];
         let regions = regions.map(|(dc, region)| (dc.into(), region.into()));
         let mut process = Self {
@@ -159,7 +163,7 @@
                 },
                 seed: 1,
             }),
-            now: ms(10_000),
+            now,
             next: 0,
         };
         process.tell(Event::Config(Arc::new(config(1))));
@@ -579,7 +583,9 @@
 
 #[test]
 fn a_process_that_finds_a_version_at_its_start_learns_its_age_from_others() {
-    let mut process = Process::with(&[("e1", "engines", "a")]);
+    // The process is younger than the naming.
+    let mut process = Process::new_at(ms(100));
+    process.tell(Event::Listed(entry("e1", "engines", "a")));
     let name = |p: &mut Process, age| {
         p.tell(Event::Version {
             model: "m".into(),
--- /dev/null
+++ b/tests/soak/processes.rs
@@ -0,0 +1,95 @@
+//! The real programs as processes, which end with their guard.
+
+use std::path::{
+    Path,
+    PathBuf, //
+};
+use std::process::{
+    Child,
+    Command,
+    Stdio, //
+};
+
+use nix::sys::signal::{
+    kill,
+    Signal, //
+};
+use nix::unistd::Pid;
+
+use crate::standin::publish::{
+    settings,
+    Place, //
+};
+
+/// One program, started anew as often as it is stopped.
+pub struct Process {
+    pub place: Place,
+    role: &'static str,
+    folder: PathBuf,
+    child: Child,
+    pub paused: bool,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Only this process is ended, by its own id; it may have ended already.
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+    }
+}
+
+impl Process {
+    pub fn start(folder: &Path, role: &'static str, place: Place) -> Self {
+        let child = spawn(folder, role, &place);
+        Self {
+            place,
+            role,
+            folder: folder.to_owned(),
+            child,
+            paused: false,
+        }
+    }
+
+    pub fn signal(&mut self, signal: Signal) {
+        match signal {
+            Signal::SIGSTOP => self.paused = true,
+            Signal::SIGCONT => self.paused = false,
+            _ => {}
+        }
+        let pid = i32::try_from(self.child.id()).unwrap();
+        // The process may have ended by itself, which the checks notice.
+        let _gone = kill(Pid::from_raw(pid), signal);
+    }
+
+    /// Whether it has ended, and in which way.
+    pub fn has_ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().unwrap()?;
+        Some(status.success())
+    }
+
+    pub fn restart(&mut self) {
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+        self.paused = false;
+        self.child = spawn(&self.folder, self.role, &self.place);
+    }
+}
+
+fn spawn(folder: &Path, role: &str, place: &Place) -> Child {
+    let file = folder.join(format!("{}.json", place.name));
+    std::fs::write(&file, settings(place)).unwrap();
+    let log = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{}.log", place.name)))
+        .unwrap();
+    Command::new(env!("CARGO_BIN_EXE_medlarproxy"))
+        .args(["platform", "--settings"])
+        .arg(&file)
+        .arg(role)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
