--- a/components/control/src/router/beliefs.rs
+++ b/components/control/src/router/beliefs.rs
@@ -136,19 +136,14 @@
         age: Option<Duration>,
         effects: &mut Vec<Effect>,
     ) {
-        let since = age.map(|age| now.saturating_sub(age));
         let only_from = age.map_or(now, |age| {
             (now + self.options.version_grace).saturating_sub(age)
         });
+        let has_age = age.is_some();
         let named = self.versions.entry(model.clone()).or_default();
         if let Some(known) = named.iter_mut().find(|named| named.version == version) {
-            let is_better = match (known.since, since) {
-                (None, Some(_)) => true,
-                (Some(known), Some(since)) => since < known,
-                (_, None) => false,
-            };
-            if is_better {
-                known.since = since;
+            if has_age && (!known.has_age || only_from < known.only_from) {
+                known.has_age = true;
                 known.only_from = only_from;
             }
             return;
@@ -158,7 +153,7 @@
         }
         named.push(Named {
             version,
-            since,
+            has_age,
             only_from,
         });
         effects.push(Effect::Record(Decision::VersionNamed {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -59,9 +59,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Named {
     pub version: u64,
-    /// When it was named, if that is known.
-    pub since: Option<Duration>,
-    /// When this process must send nothing to older versions any more.
+    /// Whether it is known for how long it has been named.
+    pub has_age: bool,
+    /// When this process must send nothing to older versions any more: a grace after the naming,
+    /// which itself may lie before the start of the clock.
     pub only_from: Duration,
 }
 
@@ -212,7 +213,8 @@
     pub fn named_versions(&self, now: Duration) -> Vec<NamedVersion> {
         let newest = self.versions.iter().filter_map(|(model, named)| {
             let newest = named.last()?;
-            let age = newest.since.map(|since| now.saturating_sub(since));
+            let age = (now + self.options.version_grace).saturating_sub(newest.only_from);
+            let age = newest.has_age.then_some(age);
             Some(NamedVersion {
                 model: model.clone(),
                 version: newest.version,
