--- a/components/control/src/router/requests.rs
+++ b/components/control/src/router/requests.rs
@@ -45,11 +45,12 @@
 /// The longest wait of a stream that is to be gone on with, since its caller sees a pause.
 const RESUME_WAIT: Duration = Duration::from_millis(400);
 
-/// The shortest time after which a refused caller is asked to come back.
-const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When a caller may come back whom another process may serve at once.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(200);
 
-/// The longest time after which a refused caller is asked to come back; callers have seconds.
-const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(2000);
+/// When a caller may come back whom no process can serve now. A switch of weights, a restart or a
+/// burst lasts for seconds, and a caller who comes back too early is refused a second time.
+const RETRY_LATER: Duration = Duration::from_millis(1000);
 
 /// How long a stream may stay silent before another target goes on with it. Engines that read long
 /// prompts for others pause for up to half a second; callers leave after three seconds.
@@ -200,7 +201,7 @@
                 let rejection = Rejection {
                     reason,
                     not_run: true,
-                    retry_after: self.retry_after(now, reason, None),
+                    retry_after: self.retry_after(reason),
                 };
                 effects.push(Effect::Record(Decision::TurnAway {
                     request: arrival.id,
@@ -674,9 +675,7 @@
             queue.remove(token);
         }
         let not_run = !pending.may_have_run;
-        let retry_after = self
-            .retry_after(now, reason, Some(&pending))
-            .filter(|_| not_run);
+        let retry_after = self.retry_after(reason).filter(|_| not_run);
         effects.push(Effect::Record(Decision::TurnAway {
             request: pending.id,
             route: Some(pending.route.name.clone()),
@@ -695,23 +694,22 @@
         effects.push(Effect::Reject(token, rejection));
     }
 
-    /// When a refused caller may come back: when the line that is there now is gone, and spread so
-    /// that callers who were refused together do not return together.
-    fn retry_after(
-        &mut self,
-        now: Duration,
-        reason: Reason,
-        pending: Option<&Pending>,
-    ) -> Option<Duration> {
-        if matches!(
-            reason,
-            Reason::NoRoute | Reason::UnknownKey | Reason::Quarantined
-        ) {
-            return None;
-        }
-        let queue = pending.and_then(|pending| self.queues.get(&pending.service.name));
-        let line = queue.map_or(Duration::ZERO, |queue| queue.expected_wait(now, u8::MAX));
-        let base = line.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER / 2);
+    /// When a refused caller may come back, spread over as much again so that callers who were
+    /// refused together do not return together.
+    fn retry_after(&mut self, reason: Reason) -> Option<Duration> {
+        let base = match reason {
+            Reason::NoRoute | Reason::UnknownKey | Reason::Quarantined => return None,
+            Reason::NoConfiguration | Reason::StaleConfiguration | Reason::Stopping => {
+                RETRY_ELSEWHERE
+            }
+            Reason::NoTarget
+            | Reason::Overload
+            | Reason::WaitedTooLong
+            | Reason::TimedOut
+            | Reason::OutOfAttempts
+            | Reason::OutOfRetries
+            | Reason::MayHaveRun => RETRY_LATER,
+        };
         Some(base.mul_f64(1.0 + self.chance()))
     }
 
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -695,3 +695,53 @@
     // Others go on.
     assert!(matches!(process.arrive("look").1, Fate::Sent(_)));
 }
+
+#[test]
+fn refused_callers_are_told_when_to_come_back_and_not_all_at_once() {
+    struct Case {
+        name: &'static str,
+        prepare: fn(&mut Process),
+        /// The shortest and longest time, or nothing for a refusal that is final.
+        expected: Option<(Duration, Duration)>,
+    }
+    let cases = [
+        Case {
+            name: "another process may know the configuration",
+            prepare: |p| p.now += LEASE,
+            expected: Some((ms(200), ms(400))),
+        },
+        Case {
+            name: "no target anywhere",
+            prepare: |_| {},
+            expected: Some((ms(1000), ms(2000))),
+        },
+        Case {
+            name: "no such route",
+            prepare: |p| {
+                let mut config = config(2);
+                config.routes.clear();
+                p.tell(Event::Config(Arc::new(config)));
+            },
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let mut process = Process::new();
+        (case.prepare)(&mut process);
+        let mut times: Vec<Option<Duration>> = (0..8)
+            .map(|_| match process.arrive("look").1 {
+                Fate::Rejected(rejection) => rejection.retry_after,
+                other => panic!("{}: {other:?}", case.name),
+            })
+            .collect();
+        let Some((least, most)) = case.expected else {
+            assert!(times.iter().all(Option::is_none), "{}", case.name);
+            continue;
+        };
+        let within = |t: &Option<Duration>| t.is_some_and(|t| t >= least && t <= most);
+        assert!(times.iter().all(within), "{}: {times:?}", case.name);
+        times.sort();
+        times.dedup();
+        assert!(times.len() > 4, "{}: {times:?}", case.name);
+    }
+}
