--- a/components/control/src/keeper/mod.rs
+++ b/components/control/src/keeper/mod.rs
@@ -26,7 +26,6 @@
     Gather,
     Place, //
 };
-use crate::router::config::EngineProfile;
 
 /// The version that engines run before operators name one.
 const FIRST_VERSION: u64 = 1;
@@ -73,8 +72,8 @@
 pub enum Event {
     /// Time passed.
     Tick,
-    /// How the engine works, by the configuration.
-    Profile(EngineProfile),
+    /// The engine runs this model.
+    Model(Name),
     /// A version is to be served.
     Named {
         /// The model.
@@ -151,7 +150,7 @@
     limits: Limits,
     /// Whether the engine is waited for before pieces are drawn that it may hold.
     is_patient: bool,
-    profile: Option<EngineProfile>,
+    model: Option<Name>,
     /// Versions, the newest last.
     named: Vec<Named>,
     members: Vec<Member>,
@@ -193,7 +192,7 @@
             me,
             limits,
             is_patient,
-            profile: None,
+            model: None,
             named: Vec::new(),
             members: Vec::new(),
             origin_region: Name::default(),
@@ -232,7 +231,7 @@
         let newest = self.named.last()?;
         let age = newest.since.map(|since| now.saturating_sub(since));
         Some(NamedVersion {
-            model: self.profile.as_ref()?.model.clone(),
+            model: self.model.clone()?,
             version: newest.version,
             age_ms: age.map(millis),
         })
@@ -250,9 +249,9 @@
         let mut effects = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut effects),
-            Event::Profile(profile) => {
-                if self.profile.as_ref() != Some(&profile) {
-                    self.profile = Some(profile);
+            Event::Model(model) => {
+                if self.model.as_ref() != Some(&model) {
+                    self.model = Some(model);
                     self.gather_newest(now, &mut effects);
                 }
             }
@@ -333,7 +332,7 @@
             known.since = known.since.or(since);
             return;
         }
-        let mine = self.profile.as_ref().is_some_and(|p| p.model == *model);
+        let mine = self.model.as_ref() == Some(model);
         let newest = self.named.last().map_or(0, |named| named.version);
         if !mine || version <= newest {
             return;
@@ -351,14 +350,14 @@
 
     /// Starts to gather the newest version, if it is another than before.
     fn gather_newest(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        let Some(profile) = &self.profile else {
+        let Some(model) = &self.model else {
             return;
         };
         let version = self
             .named
             .last()
             .map_or(FIRST_VERSION, |named| named.version);
-        let wanted = Wanted::new(&profile.model, version);
+        let wanted = Wanted::new(model, version);
         if self.gathers.last().is_some_and(|g| g.wanted == wanted) {
             return;
         }
--- a/components/control/src/router/config.rs
+++ b/components/control/src/router/config.rs
@@ -119,10 +119,6 @@
     pub usual_answer: u32,
     /// Prompt tokens read in a second.
     pub read_rate: f64,
-    /// Pieces of one version of the weights.
-    pub chunks: u32,
-    /// Bytes of one piece.
-    pub chunk_bytes: u32,
 }
 
 /// What a caller may send.
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -31,6 +31,7 @@
 
 pub use requests::Reason;
 pub use state::{
+    EnginePlace,
     Options,
     State,
     Summary, //
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -8,7 +8,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use protocol::NamedVersion;
+use protocol::{
+    NamedVersion,
+    Supply, //
+};
 use rand::{
     Rng,
     SeedableRng, //
@@ -21,15 +24,13 @@
     millis,
     EngineNews, //
 };
+use super::config::Config;
 use super::lease::Lease;
 use super::place::Location;
 use super::queue::Queue;
 use super::requests::Pending;
 use super::table::Table;
-use super::targets::{
-    Target,
-    Targets, //
-};
+use super::targets::Targets;
 use super::{
     Effect,
     Event, //
@@ -84,6 +85,25 @@
     pub(super) rng: Pcg64Mcg,
 }
 
+/// A target that is a model engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EnginePlace {
+    /// The target.
+    pub target: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Where its weights come from.
+    pub supply: Option<Supply>,
+}
+
+fn supply(config: &Config, model: Name) -> Option<Supply> {
+    Some(Supply {
+        model,
+        origin: config.origin?,
+        data_centre: config.origin_data_centre.clone()?,
+    })
+}
+
 /// A view of the state for gauges and readiness.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Summary {
@@ -224,20 +244,22 @@
         newest.collect()
     }
 
-    /// The targets that are model engines, with their addresses.
-    pub fn engines(&self) -> Vec<(Name, SocketAddr)> {
+    /// The targets that are model engines, with their addresses and where their weights come from.
+    pub fn engines(&self) -> Vec<EnginePlace> {
         let Some(table) = &self.table else {
             return Vec::new();
         };
-        let services = &table.config().services;
-        let is_engine = |target: &&Target| {
-            let service = services.get(&target.entry.service);
-            service.is_some_and(|service| service.engine.is_some())
-        };
-        let engines = self.targets.iter().filter(is_engine);
-        engines
-            .map(|target| (target.entry.id.clone(), target.entry.address))
-            .collect()
+        let config = table.config();
+        let places = self.targets.iter().filter_map(|target| {
+            let service = config.services.get(&target.entry.service)?;
+            let model = service.engine.as_ref()?.model.clone();
+            Some(EnginePlace {
+                target: target.entry.id.clone(),
+                address: target.entry.address,
+                supply: supply(config, model),
+            })
+        });
+        places.collect()
     }
 
     /// The known targets.
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -359,8 +359,6 @@
         chunk: Some(CHUNK),
         usual_answer: 92,
         read_rate: TOKENS_PER_MS * 1000.0,
-        chunks: 64,
-        chunk_bytes: 32768,
     };
     let service = Service {
         name: "engines".into(),
--- a/components/control/tests/keeper.rs
+++ b/components/control/tests/keeper.rs
@@ -9,7 +9,6 @@
     Keeper,
     Wanted, //
 };
-use control::router::config::EngineProfile;
 use utils::digest::Digest;
 use weights::{
     FailCause,
@@ -25,20 +24,6 @@
     Duration::from_millis(millis)
 }
 
-fn profile() -> EngineProfile {
-    EngineProfile {
-        model: "m".into(),
-        slots: 4,
-        step: ms(10),
-        stride: 5,
-        chunk: None,
-        usual_answer: 100,
-        read_rate: 20_000.0,
-        chunks: 4,
-        chunk_bytes: 10,
-    }
-}
-
 fn manifest(version: u64) -> Manifest {
     let content: Vec<u8> = (0..40).map(|i| i + version as u8).collect();
     Manifest::of("m".into(), version.to_string().into(), &content, 10)
@@ -78,7 +63,7 @@
             },
             orders: Vec::new(),
         };
-        agent.tell(Event::Profile(profile()));
+        agent.tell(Event::Model("m".into()));
         let member = |name: &String| Member {
             name: name.as_str().into(),
             data_centre: "a".into(),
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -62,8 +62,6 @@
         chunk: Some(2048),
         usual_answer: 100,
         read_rate: 20_000.0,
-        chunks: 4,
-        chunk_bytes: 1024,
     }
 }
 
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -16,7 +16,8 @@
     News,
     Reply,
     Request,
-    Role, //
+    Role,
+    Supply, //
 };
 pub use outcome::{
     KeyState,
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -74,6 +74,8 @@
         known: Option<EngineStatus>,
         /// Versions of models that the asker knows to be named.
         named: Vec<NamedVersion>,
+        /// Where the engine's weights come from, by the asker's configuration.
+        supply: Option<Supply>,
     },
     /// Hands over a caller's request.
     Serve(Serve),
@@ -113,6 +115,17 @@
     Unsupported,
 }
 
+/// Where the weights of a model come from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Supply {
+    /// The model.
+    pub model: Name,
+    /// The origin of weights.
+    pub origin: SocketAddr,
+    /// The data centre of the origin.
+    pub data_centre: Name,
+}
+
 /// A version of a model's weights that operators named.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NamedVersion {
--- a/components/proxy/src/keeper/mod.rs
+++ b/components/proxy/src/keeper/mod.rs
@@ -22,8 +22,10 @@
     Event,
     Keeper, //
 };
-use control::router::config::Config;
-use protocol::EngineStatus;
+use protocol::{
+    EngineStatus,
+    Supply, //
+};
 use tokio::sync::{
     oneshot,
     watch, //
@@ -164,28 +166,24 @@
     }
 
     fn hear_fact(self: &Arc<Self>, fact: Fact, at_start: bool) {
-        match fact {
-            Fact::Config(config) => self.hear_config(&config),
-            Fact::Version(model, version) => self.tell(Event::Named {
+        if let Fact::Version(model, version) = fact {
+            self.tell(Event::Named {
                 model,
                 version,
                 // What was there at the start may have been named at any time before.
                 age: (!at_start).then_some(Duration::ZERO),
-            }),
-            _ => {}
+            });
         }
     }
 
-    fn hear_config(self: &Arc<Self>, config: &Config) {
-        *lock(&self.config_version) = config.version;
-        if let (Some(address), Some(data_centre)) = (config.origin, &config.origin_data_centre) {
-            let region = self.setup.regions.get(data_centre).cloned();
-            *lock(&self.origin) = Some((address, region.unwrap_or_default()));
-        }
-        let service = config.services.get(&self.setup.service);
-        if let Some(profile) = service.and_then(|service| service.engine.clone()) {
-            self.tell(Event::Profile(profile));
-        }
+    /// Takes what an entry says of the origin and the model.
+    fn hear_supply(self: &Arc<Self>, sheet: u64, supply: Supply) {
+        let mut version = lock(&self.config_version);
+        *version = sheet.max(*version);
+        drop(version);
+        let region = self.setup.regions.get(&supply.data_centre).cloned();
+        *lock(&self.origin) = Some((supply.origin, region.unwrap_or_default()));
+        self.tell(Event::Model(supply.model));
     }
 
     /// Tells the reducer of an event and carries out what it asks for.
--- a/components/proxy/src/keeper/peers.rs
+++ b/components/proxy/src/keeper/peers.rs
@@ -280,7 +280,14 @@
                 piece,
                 wait,
             } => self.answer_piece(manifest, piece, wait, responder).await,
-            Request::Engine { known, named } => {
+            Request::Engine {
+                known,
+                named,
+                supply,
+            } => {
+                if let Some(supply) = supply {
+                    self.hear_supply(request.sheet, supply);
+                }
                 for named in named {
                     self.tell(Event::Named {
                         model: named.model,
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -7,7 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use control::router::Event;
+use control::router::{
+    EnginePlace,
+    Event, //
+};
 use protocol::{
     EngineStatus,
     Envelope,
@@ -36,7 +39,7 @@
 /// Asks every engine's agent for as long as the future is polled. `me` names this process.
 pub async fn watch_engines(router: Router, me: Name, peer_port: u16) {
     let pool = Pool::new(PoolOptions::default());
-    let mut watches: BTreeMap<Name, (SocketAddr, JoinHandle<()>)> = BTreeMap::new();
+    let mut watches: BTreeMap<Name, (EnginePlace, JoinHandle<()>)> = BTreeMap::new();
     let mut named = Vec::new();
     loop {
         let engines = router.inner.state.borrow().engines();
@@ -44,25 +47,31 @@
         let now_named = named_versions(&router);
         let renew = now_named != named;
         named = now_named;
-        watches.retain(|id, (address, task)| {
-            let keep = !renew && engines.iter().any(|(i, a)| i == id && a == address);
+        watches.retain(|_, (place, task)| {
+            let keep = !renew && engines.contains(place);
             if !keep {
                 task.abort();
             }
             keep
         });
-        for (id, address) in engines {
-            let agent = SocketAddr::new(address.ip(), peer_port);
-            watches.entry(id.clone()).or_insert_with(|| {
-                let watch = watch(router.clone(), pool.clone(), me.clone(), id, agent);
-                (address, tokio::task::spawn_local(watch))
+        for place in engines {
+            let agent = SocketAddr::new(place.address.ip(), peer_port);
+            watches.entry(place.target.clone()).or_insert_with(|| {
+                let watch = watch(
+                    router.clone(),
+                    pool.clone(),
+                    me.clone(),
+                    place.clone(),
+                    agent,
+                );
+                (place, tokio::task::spawn_local(watch))
             });
         }
         tokio::time::sleep(LOOK_EVERY).await;
     }
 }
 
-async fn watch(router: Router, pool: Pool, me: Name, id: Name, agent: SocketAddr) {
+async fn watch(router: Router, pool: Pool, me: Name, place: EnginePlace, agent: SocketAddr) {
     let mut known: Option<EngineStatus> = None;
     loop {
         let message = {
@@ -73,7 +82,11 @@
                 from: me.clone(),
                 sheet: state.config_version(),
                 list: 0,
-                body: Request::Engine { known, named },
+                body: Request::Engine {
+                    known,
+                    named,
+                    supply: place.supply.clone(),
+                },
             }
         };
         match pool.call(agent, &message, PATIENCE).await {
@@ -86,7 +99,7 @@
                     known = Some(status);
                     hear_versions(&router, named);
                     router.tell(Event::Engine {
-                        id: id.clone(),
+                        id: place.target.clone(),
                         version: status.version,
                         is_switching: status.is_switching,
                         watchers,
