--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -4,15 +4,19 @@
 //! request goes where, waits, is sent again or is refused. Targets enforce what only they know:
 //! that they are the expected instance, and that they run the expected version.
 
+mod arrivals;
 mod beliefs;
 pub mod config;
 pub mod health;
 pub mod lease;
 pub mod load;
+mod outcomes;
 pub mod pace;
+mod pending;
 pub mod place;
+mod placing;
 pub mod queue;
-mod requests;
+mod refusals;
 mod state;
 pub mod table;
 pub mod targets;
@@ -29,7 +33,7 @@
 use load::LoadReport;
 use targets::TargetEntry;
 
-pub use requests::Reason;
+pub use refusals::Reason;
 pub use state::{
     EnginePlace,
     Options,
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -26,9 +26,9 @@
 };
 use super::config::Config;
 use super::lease::Lease;
+use super::pending::Pending;
 use super::place::Location;
 use super::queue::Queue;
-use super::requests::Pending;
 use super::table::Table;
 use super::targets::Targets;
 use super::{
