--- a/components/proxy/src/router/calls.rs
+++ b/components/proxy/src/router/calls.rs
@@ -39,8 +39,8 @@
     Reply, //
 };
 use super::{
-    Router,
-    Verdicts, //
+    Command,
+    Router, //
 };
 
 /// How long a caller may take to send the body of a request.
@@ -58,7 +58,7 @@
     pub longest_pause: Duration,
     /// When the request was whole here.
     begun: Duration,
-    rx: mpsc::UnboundedReceiver<Verdicts>,
+    rx: mpsc::UnboundedReceiver<Command>,
     ended: bool,
 }
 
@@ -82,12 +82,12 @@
     pub async fn next(&mut self) -> Next {
         let mut wait = None;
         loop {
-            let verdict = match wait {
+            let command = match wait {
                 None => self.rx.recv().await,
                 Some(until) => {
                     let left = self.router.time_left(until);
                     match tokio::time::timeout(left, self.rx.recv()).await {
-                        Ok(verdict) => verdict,
+                        Ok(command) => command,
                         Err(_) => {
                             wait = None;
                             self.router.tell(Event::WaitOver(self.token));
@@ -96,10 +96,10 @@
                     }
                 }
             };
-            match verdict {
-                Some(Verdicts::Send(send)) => return Next::Send(send),
-                Some(Verdicts::Wait(until)) => wait = Some(until),
-                Some(Verdicts::Reject(reason)) => {
+            match command {
+                Some(Command::Send(send)) => return Next::Send(send),
+                Some(Command::Wait(until)) => wait = Some(until),
+                Some(Command::Reject(reason)) => {
                     self.ended = true;
                     count_answer(reason.reason.word());
                     return Next::End(self.mark(rejection(&reason)));
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -65,7 +65,7 @@
 
 /// What the reducer says to a request under way.
 #[derive(Debug)]
-enum Verdicts {
+enum Command {
     Send(Send),
     Wait(Duration),
     Reject(Rejection),
@@ -79,7 +79,7 @@
 
 struct Inner {
     state: RefCell<State>,
-    calls: RefCell<HashMap<u64, mpsc::UnboundedSender<Verdicts>>>,
+    calls: RefCell<HashMap<u64, mpsc::UnboundedSender<Command>>>,
     next_token: Cell<u64>,
     clock: Arc<dyn Clock>,
     journal: Arc<Journal>,
@@ -184,17 +184,17 @@
 
     fn apply(&self, sheet: u64, effect: Effect) {
         match effect {
-            Effect::Send(token, send) => self.command(token, Verdicts::Send(send)),
-            Effect::Wait(token, until) => self.command(token, Verdicts::Wait(until)),
-            Effect::Reject(token, rejection) => self.command(token, Verdicts::Reject(rejection)),
+            Effect::Send(token, send) => self.command(token, Command::Send(send)),
+            Effect::Wait(token, until) => self.command(token, Command::Wait(until)),
+            Effect::Reject(token, rejection) => self.command(token, Command::Reject(rejection)),
             Effect::Record(decision) => self.inner.journal.record(sheet, decision),
         }
     }
 
-    fn command(&self, token: u64, verdict: Verdicts) {
+    fn command(&self, token: u64, command: Command) {
         if let Some(tx) = self.inner.calls.borrow().get(&token) {
             // A request that left tells the reducer so itself.
-            let _left = tx.send(verdict);
+            let _left = tx.send(command);
         }
     }
 }
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -75,10 +75,10 @@
             }
             None => self.finish(reply),
         }
-        let rx = tokio_stream(rx);
+        let pieces = as_stream(rx);
         Ok(Response::from_parts(
             parts,
-            BoxBody::new(StreamBody::new(rx)),
+            BoxBody::new(StreamBody::new(pieces)),
         ))
     }
 
@@ -188,7 +188,7 @@
 }
 
 /// The receiver as a stream of pieces.
-fn tokio_stream(
+fn as_stream(
     mut rx: mpsc::Receiver<Piece>,
 ) -> impl futures_util::Stream<Item = Piece> + std::marker::Send + Sync {
     futures_util::stream::poll_fn(move |cx| rx.poll_recv(cx))
