A manifest is not waited for at the wrong instance; waits for a slot have a limit of their own

Change: a request for the manifest is held for one exchange interval; how long a request may wait for a slot is a limit of its own.

--- a/components/weights/src/transfer/limits.rs
+++ b/components/weights/src/transfer/limits.rs
@@ -32,6 +32,8 @@
     pub stall_after: Duration,
     /// How long a request for a piece that is still to come is held.
     pub park_for: Duration,
+    /// How long a request may wait at another instance, for the piece and then for a slot there.
+    pub wait_for: Duration,
     /// How often a piece from the origin may fail before this rank passes.
     pub origin_tries: u32,
     /// How long a rank that passed leaves the piece to others. If the origin itself was away, every
@@ -59,6 +61,7 @@
             rank_timeout: Duration::from_secs(3),
             stall_after: Duration::from_secs(3),
             park_for: Duration::from_secs(2),
+            wait_for: Duration::from_secs(5),
             origin_tries: 4,
             give_up_for: Duration::from_secs(5),
             memory_bytes: 64 << 30,
--- a/components/weights/src/transfer/mod.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -347,7 +347,7 @@
                 return true;
             }
             let patience = if fetch.waits {
-                limits.stall_after + limits.park_for
+                limits.wait_for
             } else {
                 limits.stall_after
             };
@@ -510,11 +510,21 @@
             self.start_upload(want, effects);
         } else if !wait {
             effects.push(Effect::Deny(token, Denial::NotYet));
-        } else if let Err(denial) = self.uploads.park(want, now + self.limits.park_for) {
+        } else if let Err(denial) = self.uploads.park(want, now + self.park_for(want.piece)) {
             effects.push(Effect::Deny(token, denial));
         }
     }
 
+    /// Nothing moves before the manifest is here, so nobody waits long for it at an instance that
+    /// may be the wrong one.
+    fn park_for(&self, piece: Piece) -> Duration {
+        if piece == MANIFEST_PIECE {
+            self.limits.exchange_every
+        } else {
+            self.limits.park_for
+        }
+    }
+
     fn start_upload(&mut self, want: Want, effects: &mut Vec<Effect>) {
         match self.uploads.request(want) {
             Ok(true) => effects.push(Effect::Upload(want.token, want.piece)),
--- a/components/weights/tests/paced.rs
+++ b/components/weights/tests/paced.rs
@@ -64,6 +64,7 @@
         reroute_after: Duration::from_millis(600),
         remote_fetches: 8,
         park_for: Duration::from_millis(2500),
+        wait_for: Duration::from_millis(3300),
         ..Limits::default()
     }
 }
@@ -97,6 +98,8 @@
     key: Digest,
     /// Bytes that the origin sent.
     origin_bytes: f64,
+    /// Until when the origin is away.
+    origin_back_at: Duration,
 }
 
 fn manifest() -> Manifest {
@@ -146,6 +149,7 @@
             manifest,
             key,
             origin_bytes: 0.0,
+            origin_back_at: Duration::ZERO,
         }
     }
 
@@ -203,7 +207,17 @@
                 piece,
                 source: Source::Origin,
                 ..
-            } => self.start(Source::Origin, me.clone(), piece, 0),
+            } if self.now >= self.origin_back_at => {
+                self.start(Source::Origin, me.clone(), piece, 0);
+            }
+            Effect::Fetch {
+                piece,
+                source: Source::Origin,
+                ..
+            } => {
+                let failed = Event::Failed(piece, Source::Origin, FailCause::Unreachable);
+                self.post(me, failed);
+            }
             Effect::Fetch {
                 piece,
                 source: Source::Peer(peer),
@@ -410,7 +424,9 @@
     regions: &'static [usize],
     /// Instances that are listed and do not answer.
     dead: usize,
-    /// When the last living instance must hold every piece, in the time that an instance's link
+    /// How long the origin is away when the version is named.
+    origin_away: Duration,
+    /// When the last living instance must hold every piece since the origin is there, in the time that an instance's link
     /// takes for one copy.
     copies: f64,
 }
@@ -424,36 +440,49 @@
             name: "a small site",
             regions: &[4, 4, 3],
             dead: 0,
+            origin_away: Duration::ZERO,
             copies: 1.5,
         },
         Case {
             name: "a grown site of three regions",
             regions: &[24, 22, 22],
             dead: 0,
+            origin_away: Duration::ZERO,
             copies: 2.0,
         },
         Case {
             name: "a grown site of four regions",
             regions: &[20, 19, 19, 18],
             dead: 0,
+            origin_away: Duration::ZERO,
             copies: 2.0,
         },
+        Case {
+            name: "a grown site while the origin is away at first",
+            regions: &[24, 22, 22],
+            dead: 0,
+            origin_away: Duration::from_millis(5500),
+            copies: 2.1,
+        },
         Case {
             name: "a grown site whose list names the dead for good",
             regions: &[24, 22, 22],
             dead: 8,
+            origin_away: Duration::ZERO,
             copies: 4.5,
         },
     ];
     for case in cases {
         let mut world = World::new(case.regions);
+        world.origin_back_at = case.origin_away;
         let every = world.nodes.len() / case.dead.max(1);
         for (at, node) in world.nodes.values_mut().enumerate() {
             node.is_dead = case.dead > 0 && at % every == 1;
         }
         world.run(Duration::from_secs(20));
         let times = world.times();
-        let (half, last) = (times[times.len() / 2], times[times.len() - 1]);
+        let half = times[times.len() / 2].saturating_sub(case.origin_away);
+        let last = times[times.len() - 1].saturating_sub(case.origin_away);
         let copies = world.origin_copies();
         println!(
             "{}: half by {half:?}, all by {last:?}, {copies:.2} copies",
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -45,6 +45,9 @@
 /// for up to two and a half seconds, one request after the other.
 const PARK_FOR: Duration = Duration::from_millis(2500);
 
+/// How long a request may wait for the piece and for a slot together.
+const WAIT_FOR: Duration = Duration::from_millis(3300);
+
 /// Requests that wait for pieces at once: half of a version of 64 pieces. The others are drawn from
 /// whoever turns out to hold them.
 const WAITING_FETCHES: usize = 32;
@@ -129,6 +132,7 @@
         rank_timeout: RANK_TIMEOUT,
         stall_after: STALL_AFTER,
         park_for: PARK_FOR,
+        wait_for: WAIT_FOR,
         waiting_fetches: WAITING_FETCHES,
         remote_fetches: REMOTE_FETCHES,
         reroute_after: REROUTE_AFTER,
