Places at model engines are reserved with the agents beside them

Cause: each of eleven entries knows only its own requests. A guess from the number of entries and the load in answers did not tell.

Change: an entry reserves a place with the agent before it sends a request. The agent counts the places of all processes and the prompts that are not read yet, and tells what stands before the request; the entry sends it only if it is on time there, asks up to four agents, and then refuses at once. The open call is the place: it ends with the request, or with its process. An agent that does not answer is not asked for a second, and requests go on what is known. Before it orders a load, an agent gives out no place and waits until the engine has taken in what was sent before.

Test: control/tests/admission_load.rs, two loads.

--- a/components/control/src/keeper/mod.rs
+++ b/components/control/src/keeper/mod.rs
@@ -5,11 +5,13 @@
 //! the engine does.
 
 mod gather;
+mod reservations;
 mod wave;
 
 use std::time::Duration;
 
 use protocol::{
+    Backlog,
     EngineStatus,
     NamedVersion, //
 };
@@ -26,6 +28,7 @@
     Gather,
     Place, //
 };
+pub use self::reservations::Reservations;
 
 /// The version that engines run before operators name one.
 const FIRST_VERSION: u64 = 1;
@@ -131,6 +134,8 @@
     Staging,
     /// The engine holds the pieces and waits for its turn.
     Waiting,
+    /// Nobody is given a place any more; the engine takes in what was sent to it before.
+    Closing(Duration),
     /// The engine was ordered to load.
     Ordered(Duration),
 }
@@ -160,6 +165,7 @@
     /// The version that the engine is being brought to.
     work: Option<Wanted>,
     step: Step,
+    reservations: Reservations,
     engine: Option<EngineReport>,
     retry_at: Duration,
     read_at: Duration,
@@ -170,6 +176,9 @@
 /// newest is, should the origin be away.
 const GATHERS: usize = 2;
 
+/// How long requests that were sent before may take until the engine has read their prompts.
+const CLOSING_TIME: Duration = Duration::from_millis(400);
+
 /// How often the engine is asked while it changes its weights.
 const READ_WHILE_CHANGING: Duration = Duration::from_millis(100);
 
@@ -203,6 +212,7 @@
             gathers: Vec::new(),
             work: None,
             step: Step::Idle,
+            reservations: Reservations::default(),
             engine: None,
             retry_at: Duration::ZERO,
             read_at: Duration::ZERO,
@@ -215,10 +225,33 @@
         let engine = self.engine.unwrap_or_default();
         EngineStatus {
             version: engine.version,
-            is_switching: engine.is_busy || matches!(self.step, Step::Ordered(_)),
+            is_switching: engine.is_busy || self.is_closed(),
         }
     }
 
+    /// Whether the engine takes nothing new, since it is about to load.
+    fn is_closed(&self) -> bool {
+        matches!(self.step, Step::Closing(_) | Step::Ordered(_))
+    }
+
+    /// Reserves a place at the engine for a prompt of `tokens`. Returns the number of the place,
+    /// what stands before it, and whether the engine takes requests.
+    pub fn reserve(&mut self, tokens: u32) -> (u64, Backlog, bool) {
+        let is_open = !self.status().is_switching;
+        let (number, ahead) = self.reservations.reserve(tokens);
+        (number, ahead, is_open)
+    }
+
+    /// The engine has read the prompt of a place.
+    pub fn prompt_read(&mut self, number: u64) {
+        self.reservations.read(number);
+    }
+
+    /// Gives a place up.
+    pub fn release(&mut self, number: u64) {
+        self.reservations.release(number);
+    }
+
     /// Whether the version with this key is gathered here.
     pub fn gathers(&self, key: &Digest) -> bool {
         self.gathers.iter().any(|gather| gather.wanted.key == *key)
@@ -508,7 +541,15 @@
             return;
         }
         if self.step == Step::Waiting && !engine.is_busy && now >= self.turn(now) {
-            self.order(now, engine, effects);
+            self.step = Step::Closing(now);
+        }
+        if let Step::Closing(since) = self.step {
+            // What still waits to be taken in when the engine is ordered to load waits until the
+            // new weights are there.
+            let is_taken_in = self.reservations.backlog().unread == 0;
+            if is_taken_in || now.saturating_sub(since) >= CLOSING_TIME {
+                self.order(now, engine, effects);
+            }
         }
     }
 
--- a/components/control/src/router/arrivals.rs
+++ b/components/control/src/router/arrivals.rs
@@ -111,6 +111,8 @@
             tried: Vec::new(),
             may_have_run: false,
             at: None,
+            is_reserving: false,
+            asked: 0,
             expected: Duration::ZERO,
             version: None,
             is_unread: false,
--- a/components/control/src/router/load.rs
+++ b/components/control/src/router/load.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
+use protocol::Backlog;
+
 /// How long what a target said of its load counts in full.
 const REPORT_MEMORY: Duration = Duration::from_millis(1500);
 
+/// How long prompts of others that an agent told of count. An engine reads a few thousand tokens in
+/// this time.
+const UNREAD_MEMORY: Duration = Duration::from_millis(300);
+
 /// The weight of the newest first event in what is learned of a target's pace.
 const NEWEST_WEIGHT: f64 = 0.15;
 
@@ -30,6 +36,9 @@
     /// Requests of others when the target last said so.
     others: u32,
     heard: Option<Duration>,
+    /// Prompt tokens of others that were not read when the agent last said so.
+    others_unread: u64,
+    backlog_heard: Option<Duration>,
     /// How much longer first events take than expected, less one.
     delay: f64,
 }
@@ -62,6 +71,23 @@
         self.heard = Some(now);
     }
 
+    /// The agent said what stands before a request of this process with a prompt of `tokens`, which
+    /// has begun already.
+    pub fn hear_backlog(&mut self, now: Duration, backlog: Backlog, tokens: u32) {
+        self.others = (backlog.requests + 1).saturating_sub(self.own);
+        self.heard = Some(now);
+        let ahead = u64::from(backlog.unread) + u64::from(tokens);
+        self.others_unread = ahead.saturating_sub(self.unread);
+        self.backlog_heard = Some(now);
+    }
+
+    /// Prompt tokens of others that the target has yet to read, if that is known.
+    pub fn others_unread(&self, now: Duration) -> Option<f64> {
+        let age = now.saturating_sub(self.backlog_heard?);
+        let left = 1.0 - age.as_secs_f64() / UNREAD_MEMORY.as_secs_f64();
+        (left > 0.0).then_some(self.others_unread as f64 * left)
+    }
+
     /// A first event that was expected after one time came after another.
     pub fn learn(&mut self, expected: Duration, actual: Duration) {
         let ratio = actual.as_secs_f64() / expected.as_secs_f64().max(0.001);
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -25,7 +25,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use protocol::Fingerprint;
+use protocol::{
+    Backlog,
+    Fingerprint, //
+};
 use record::Decision;
 use utils::Name;
 
@@ -167,6 +170,13 @@
         /// The longest pause between two parts of the answer.
         pause: Duration,
     },
+    /// An agent reserved a place for a request, or did not answer.
+    Reserved {
+        /// The request.
+        token: u64,
+        /// What stands before it, and whether the engine takes requests now.
+        place: Option<(Backlog, bool)>,
+    },
     /// A request has waited long enough.
     WaitOver(u64),
     /// The caller is gone.
@@ -200,6 +210,15 @@
     pub is_stream: bool,
 }
 
+/// Where to reserve a place for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reserve {
+    /// The address of the engine.
+    pub address: SocketAddr,
+    /// Tokens of the prompt.
+    pub tokens: u32,
+}
+
 /// Why and how a request ends without the answer of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rejection {
@@ -214,6 +233,9 @@
 /// What the reducer asks to be done.
 #[derive(Clone, Debug)]
 pub enum Effect {
+    /// Ask a target's agent for a place, which is kept until the request leaves the target. A
+    /// place that the request had before is given up.
+    Reserve(u64, Reserve),
     /// Send the request to a target.
     Send(u64, Send),
     /// Tell the reducer when the request has waited until this time.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -71,7 +71,7 @@
     }
 
     /// The target has read the prompt of a request, or never will.
-    fn take_read(&mut self, token: u64) {
+    pub(super) fn take_read(&mut self, token: u64) {
         let Some(pending) = self.pending.get_mut(&token) else {
             return;
         };
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -51,6 +51,10 @@
     pub may_have_run: bool,
     /// The target that has it now, and since when.
     pub at: Option<(Name, Duration)>,
+    /// A place there is being reserved; nothing was sent yet.
+    pub is_reserving: bool,
+    /// Agents that were asked for a place.
+    pub asked: u32,
     /// How soon the first event of an engine was expected.
     pub expected: Duration,
     /// The version of the weights that began the answer.
--- a/components/control/src/router/place.rs
+++ b/components/control/src/router/place.rs
@@ -151,22 +151,14 @@
             continue;
         }
         any = true;
-        let limit = f64::from(limit(now, target, wish.service));
-        let full = target.load.total(now) + 1.0 > limit + 0.5;
-        if full || !is_cold_allowed(now, target, wish.service) {
+        let Some(answer) = answer(now, target, wish) else {
             continue;
-        }
-        let answers_in = expected(now, target, wish).mul_f64(target.load.pace());
-        let is_late = answers_in.mul_f64(MARGIN) > wish.time_left;
-        let slots = f64::from(slots(target, wish.service));
-        if is_late && target.load.total(now) > slots * SLACK {
-            continue;
-        }
-        let score = answers_in
+        };
+        let score = answer.within
             + location.distance(&target.entry.data_centre)
             + FAILURES_WEIGHT.mul_f64(target.health.failing_share())
             + CHANCE.mul_f64(chance());
-        let score = (is_late, score);
+        let score = (answer.is_late, score);
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, target));
         }
@@ -178,13 +170,49 @@
     }
 }
 
+/// Whether a target that was chosen may still get the request, by what is known of it now.
+pub fn is_fit(
+    now: Duration,
+    target: &Target,
+    location: &Location,
+    out: &BTreeSet<Name>,
+    wish: &Wish<'_>,
+) -> bool {
+    let is_usable = is_allowed(target, location, out, wish) && !target.health.rests(now);
+    is_usable && answer(now, target, wish).is_some()
+}
+
+/// What one more request could expect of a target.
+struct Answer {
+    within: Duration,
+    is_late: bool,
+}
+
+/// What the request could expect of the target, or nothing if it has no room for it.
+fn answer(now: Duration, target: &Target, wish: &Wish<'_>) -> Option<Answer> {
+    let limit = f64::from(limit(now, target, wish.service));
+    let full = target.load.total(now) + 1.0 > limit + 0.5;
+    if full || !is_cold_allowed(now, target, wish.service) {
+        return None;
+    }
+    let within = expected(now, target, wish).mul_f64(target.load.pace());
+    let is_late = within.mul_f64(MARGIN) > wish.time_left;
+    let slots = f64::from(slots(target, wish.service));
+    let is_crowded = target.load.total(now) > slots * SLACK;
+    (!is_late || !is_crowded).then_some(Answer { within, is_late })
+}
+
 /// How soon the target would answer, if it worked as its operators measured it.
 pub fn expected(now: Duration, target: &Target, wish: &Wish<'_>) -> Duration {
     let slots = slots(target, wish.service);
     let requests = target.load.total(now);
     match &wish.service.engine {
         Some(engine) => {
-            let unread = target.load.unread() as f64 * target.crowd(now);
+            let own = target.load.unread() as f64;
+            let unread = match target.load.others_unread(now) {
+                Some(others) => own + others,
+                None => own * target.crowd(now),
+            };
             let ahead = Ahead {
                 requests,
                 unread,
--- a/components/control/src/router/placing.rs
+++ b/components/control/src/router/placing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use protocol::Backlog;
 use rand::{
     Rng,
     SeedableRng, //
@@ -23,12 +24,20 @@
 use super::state::State;
 use super::{
     Effect,
+    Reserve,
     Send, //
 };
 
 /// The longest wait of a stream that is to be gone on with, since its caller sees a pause.
 const RESUME_WAIT: Duration = Duration::from_millis(400);
 
+/// Agents that are asked for a place for one request. Each answer also tells what the others need
+/// to know for a better choice, so that more questions find little.
+const MOST_ASKED: u32 = 4;
+
+/// How long an agent that did not answer is not asked for places.
+const AGENT_REST: Duration = Duration::from_secs(1);
+
 impl State {
     /// Sends a request to a target, lets it wait, or refuses it at once.
     pub(super) fn place_or_wait(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
@@ -131,26 +140,160 @@
         let Some(Choice::Target(id)) = self.choose(now, token) else {
             return false;
         };
-        let fresh = self.lease.is_valid(now);
-        let Some(pending) = self.pending.get(&token) else {
-            return false;
-        };
-        if !fresh && pending.team.is_some() && !pending.started {
+        if !self.may_send(now, token) {
             self.reject(now, token, Reason::StaleConfiguration, effects);
             return true;
         }
+        if self.reserve(now, token, &id, effects) {
+            return true;
+        }
+        self.expect(now, token, &id);
+        self.begin(now, token, &id);
         self.forward(now, token, &id, effects);
         true
     }
 
+    /// Whether the configuration is fresh enough for a request that is about to be sent.
+    fn may_send(&self, now: Duration, token: u64) -> bool {
+        let pending = self.pending.get(&token);
+        let needs_proof = pending.is_some_and(|p| p.team.is_some() && !p.started);
+        !needs_proof || self.lease.is_valid(now)
+    }
+
+    /// Asks the agent of a model engine for a place, if there is one to ask.
+    fn reserve(&mut self, now: Duration, token: u64, id: &Name, effects: &mut Vec<Effect>) -> bool {
+        let (Some(pending), Some(target)) = (self.pending.get_mut(&token), self.targets.get(id))
+        else {
+            return false;
+        };
+        let has_agent = self.options.reserves && pending.service.engine.is_some();
+        // The caller of a stream that goes on sees a pause already.
+        if !has_agent || pending.started || now < target.agent_rests_until {
+            return false;
+        }
+        pending.is_reserving = true;
+        pending.asked += 1;
+        let reserve = Reserve {
+            address: target.entry.address,
+            tokens: pending.tokens,
+        };
+        self.begin(now, token, id);
+        effects.push(Effect::Reserve(token, reserve));
+        true
+    }
+
+    /// An agent reserved a place, or did not answer in time, in which case the request is sent on
+    /// what this process knows by itself.
+    pub(super) fn reserved(
+        &mut self,
+        now: Duration,
+        token: u64,
+        place: Option<(Backlog, bool)>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&token) else {
+            return;
+        };
+        if !std::mem::take(&mut pending.is_reserving) {
+            return;
+        }
+        let Some((id, _)) = pending.at.clone() else {
+            return;
+        };
+        let tokens = pending.tokens;
+        let mut is_open = true;
+        if let Some(target) = self.targets.get_mut(&id) {
+            match place {
+                Some((backlog, open)) => {
+                    target.load.hear_backlog(now, backlog, tokens);
+                    is_open = open;
+                }
+                None => target.agent_rests_until = now + AGENT_REST,
+            }
+        }
+        if !self.may_send(now, token) {
+            self.release(token);
+            self.reject(now, token, Reason::StaleConfiguration, effects);
+        } else if is_open && self.is_fit(now, token, &id) {
+            self.forward(now, token, &id, effects);
+        } else {
+            self.release(token);
+            self.look_elsewhere(now, token, effects);
+        }
+    }
+
+    /// Whether a request may go to the target at which it has a place.
+    fn is_fit(&mut self, now: Duration, token: u64, id: &Name) -> bool {
+        // The request itself must not count as one that stands before it.
+        self.release(token);
+        let fits = match (self.pending.get(&token), self.targets.get(id)) {
+            (Some(pending), Some(target)) => {
+                let wish = self.wish(now, pending);
+                place::is_fit(now, target, &self.options.location, &self.out, &wish)
+            }
+            _ => false,
+        };
+        self.expect(now, token, id);
+        self.begin(now, token, id);
+        fits
+    }
+
+    /// Notes how soon the first event of a request is expected that is about to begin.
+    fn expect(&mut self, now: Duration, token: u64, id: &Name) {
+        let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
+            return;
+        };
+        let expected = place::expected(now, target, &self.wish(now, pending));
+        if let Some(pending) = self.pending.get_mut(&token) {
+            pending.expected = expected;
+        }
+    }
+
+    /// Asks another target, as long as few have been asked. A request that none of them can serve
+    /// in time is refused at once.
+    fn look_elsewhere(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&token) else {
+            return;
+        };
+        if pending.asked < MOST_ASKED {
+            self.place_or_wait(now, token, effects);
+        } else {
+            self.reject(now, token, Reason::Overload, effects);
+        }
+    }
+
+    /// Counts a request at a target.
+    fn begin(&mut self, now: Duration, token: u64, id: &Name) {
+        let (Some(pending), Some(target)) =
+            (self.pending.get_mut(&token), self.targets.get_mut(id))
+        else {
+            return;
+        };
+        target.load.begin(pending.tokens);
+        pending.is_unread = true;
+        pending.at = Some((id.clone(), now));
+    }
+
+    /// Counts a request out that was not sent.
+    fn release(&mut self, token: u64) {
+        self.take_read(token);
+        let at = self
+            .pending
+            .get_mut(&token)
+            .and_then(|pending| pending.at.take());
+        let target = at.and_then(|(id, _)| self.targets.get_mut(&id));
+        if let Some(target) = target {
+            target.load.end();
+        }
+    }
+
     /// Sends a request to a target.
     fn forward(&mut self, now: Duration, token: u64, id: &Name, effects: &mut Vec<Effect>) {
         let lease_ms = self.lease_ms(now);
-        let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
+        let Some(pending) = self.pending.get(&token) else {
             return;
         };
         let wish = self.wish(now, pending);
-        let expected = place::expected(now, target, &wish);
         let exact = wish.versions != Versions::Any;
         let (Some(pending), Some(target)) =
             (self.pending.get_mut(&token), self.targets.get_mut(id))
@@ -161,9 +304,6 @@
             target.spend_cold_allowance(now, rate);
         }
         let load = target.load.total(now);
-        target.load.begin(pending.tokens);
-        pending.is_unread = true;
-        pending.expected = expected;
         pending.tried.push(id.clone());
         pending.at = Some((id.clone(), now));
         let send = Send {
@@ -187,6 +327,7 @@
             waited_ms: millis(now.saturating_sub(pending.arrived)),
             lease_ms,
             load: load.round() as u32,
+            asked: pending.asked,
             version: send.version,
         }));
         effects.push(Effect::Send(token, send));
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -52,6 +52,8 @@
     pub version_grace: Duration,
     /// Retries, for each service.
     pub budget: BudgetOptions,
+    /// Whether places at model engines are reserved with their agents.
+    pub reserves: bool,
     /// Seeds the choices that are left to chance.
     pub seed: u64,
 }
@@ -193,6 +195,7 @@
                 outcome,
                 pause,
             } => self.end(now, token, outcome, pause, &mut effects),
+            Event::Reserved { token, place } => self.reserved(now, token, place, &mut effects),
             Event::WaitOver(token) => self.wait_over(now, token, &mut effects),
             Event::Left(token) => self.leave(now, token, &mut effects),
             Event::Close => self.closing = true,
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -64,6 +64,8 @@
     pub watchers: u32,
     /// When it came, or came back from changing its weights.
     pub returned_at: Duration,
+    /// Until when its agent, which did not answer, is not asked for places.
+    pub agent_rests_until: Duration,
     /// When its agent last said what it runs.
     pub told_at: Option<Duration>,
     /// Until when it is used although its entry is missing, which may be the list's fault.
@@ -81,6 +83,7 @@
             is_switching: false,
             watchers: 1,
             returned_at: now,
+            agent_rests_until: Duration::ZERO,
             told_at: None,
             lapses_at: None,
             cold: ColdAllowance::default(),
--- a/components/control/tests/admission_load.rs
+++ b/components/control/tests/admission_load.rs
@@ -103,3 +103,39 @@
     });
     assert!(tally.late * 20 <= tally.asked, "{tally:?}");
 }
+
+/// Most engines come back at about the same time to many processes, of which each knows only its
+/// own requests. Agents that count for all of them keep the answers on time.
+#[test]
+fn engines_that_return_together_are_not_crowded_where_agents_reserve_places() {
+    let returns = |engine| (engine, ms(1000), ms(5000 + 100 * engine as u64));
+    let load = Load {
+        engines: 8,
+        entries: 11,
+        per_second: 80.0,
+        away: (0..6).map(returns).collect(),
+        agents: true,
+        ..Load::default()
+    };
+    let tally = play(&load);
+    let answered = tally.on_time + tally.late;
+    assert!(tally.late * 20 <= answered, "{tally:?}");
+    assert!(tally.on_time * 2 >= tally.asked, "{tally:?}");
+}
+
+/// A third more comes than the engines bear, to many processes.
+#[test]
+fn under_overload_agents_that_reserve_places_keep_answers_on_time() {
+    let load = Load {
+        engines: 6,
+        entries: 11,
+        per_second: 90.0,
+        agents: true,
+        ..Load::default()
+    };
+    let tally = play(&load);
+    let answered = tally.on_time + tally.late;
+    assert!(tally.late * 20 <= answered, "{tally:?}");
+    assert!(tally.on_time * 2 >= tally.asked, "{tally:?}");
+    assert!(tally.longest_refusal <= ms(450), "{tally:?}");
+}
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -6,6 +6,7 @@
     BinaryHeap,
     HashMap, //
 };
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -13,6 +14,7 @@
 };
 
 use control::budget::BudgetOptions;
+use control::keeper::Reservations;
 use control::router::config::{
     Config,
     EngineProfile,
@@ -29,8 +31,10 @@
     Event,
     Options,
     Outcome,
+    Reserve,
     State, //
 };
+use protocol::Backlog;
 use rand::{
     Rng,
     SeedableRng, //
@@ -55,6 +59,8 @@
     pub length: Duration,
     /// Engines that take nothing between two times.
     pub away: Vec<(usize, Duration, Duration)>,
+    /// Whether agents beside the engines reserve places.
+    pub agents: bool,
     pub seed: u64,
 }
 
@@ -66,6 +72,7 @@
             per_second: 20.0,
             length: Duration::from_secs(10),
             away: Vec::new(),
+            agents: false,
             seed: 7,
         }
     }
@@ -104,6 +111,7 @@
     PassEnds(usize),
     WaitOver(u64),
     Away(usize, bool),
+    Reserved(u64),
 }
 
 struct Play {
@@ -116,13 +124,26 @@
     arrived: HashMap<u64, (Duration, u32, u32)>,
     tally: Tally,
     next: u64,
+    /// What the agent of each engine has reserved.
+    reservations: Vec<Reservations>,
+    /// The place of each request: its engine, its number, and what stood before it.
+    places: HashMap<u64, (usize, u64, Backlog)>,
+    away: Vec<bool>,
 }
 
+/// How long an agent's answer takes.
+const AGENT_TIME: Duration = Duration::from_millis(2);
+
 /// Plays a load and counts what callers get.
 pub fn play(load: &Load) -> Tally {
     let mut play = Play {
         states: (0..load.entries)
-            .map(|i| State::new(options(i as u64)))
+            .map(|i| {
+                State::new(Options {
+                    reserves: load.agents,
+                    ..options(i as u64)
+                })
+            })
             .collect(),
         now: Duration::from_secs(100),
         agenda: BinaryHeap::new(),
@@ -132,6 +153,9 @@
         arrived: HashMap::new(),
         tally: Tally::default(),
         next: 0,
+        reservations: vec![Reservations::default(); load.engines],
+        places: HashMap::new(),
+        away: vec![false; load.engines],
     };
     play.tell_all(&Event::Config(Arc::new(config())));
     for engine in 0..load.engines {
@@ -156,12 +180,20 @@
             }
             Happening::PassEnds(engine) => play.end_pass(engine),
             Happening::WaitOver(token) => play.tell(token, Event::WaitOver(token)),
-            Happening::Away(engine, is_switching) => play.tell_all(&Event::Engine {
-                id: name(engine),
-                version: Some(1),
-                is_switching,
-                watchers: u32::try_from(load.entries).unwrap(),
-            }),
+            Happening::Away(engine, is_switching) => {
+                play.away[engine] = is_switching;
+                play.tell_all(&Event::Engine {
+                    id: name(engine),
+                    version: Some(1),
+                    is_switching,
+                    watchers: u32::try_from(load.entries).unwrap(),
+                });
+            }
+            Happening::Reserved(token) => {
+                let place = play.places.get(&token).copied();
+                let place = place.map(|(engine, _, ahead)| (ahead, !play.away[engine]));
+                play.tell(token, Event::Reserved { token, place });
+            }
         }
     }
     play.tally
@@ -188,9 +220,14 @@
         };
         for effect in self.states[entry].step(now, event) {
             match effect {
+                Effect::Reserve(token, reserve) => self.reserve(token, &reserve),
                 Effect::Send(token, send) => self.send(token, &send.target),
-                Effect::Wait(token, until) => self.plan(until, Happening::WaitOver(token)),
+                Effect::Wait(token, until) => {
+                    self.release(token);
+                    self.plan(until, Happening::WaitOver(token));
+                }
                 Effect::Reject(token, _) => {
+                    self.release(token);
                     let held = self.now - self.arrived[&token].0;
                     self.tally.refused += 1;
                     self.tally.longest_refusal = self.tally.longest_refusal.max(held);
@@ -200,6 +237,20 @@
         }
     }
 
+    fn reserve(&mut self, token: u64, reserve: &Reserve) {
+        self.release(token);
+        let engine = usize::from(reserve.address.port() - FIRST_PORT);
+        let (number, ahead) = self.reservations[engine].reserve(reserve.tokens);
+        self.places.insert(token, (engine, number, ahead));
+        self.plan(self.now + AGENT_TIME, Happening::Reserved(token));
+    }
+
+    fn release(&mut self, token: u64) {
+        if let Some((engine, number, _)) = self.places.remove(&token) {
+            self.reservations[engine].release(number);
+        }
+    }
+
     fn arrive(&mut self) {
         self.next += 1 + self.rng.random_range(0..self.states.len() as u64);
         self.tally.asked += 1;
@@ -287,6 +338,9 @@
             waiting: u32::try_from(e.waiting.len()).unwrap(),
         };
         for token in begun {
+            if let Some((engine, number, _)) = self.places.get(&token) {
+                self.reservations[*engine].read(*number);
+            }
             if self.now - self.arrived[&token].0 <= OBJECTIVE {
                 self.tally.on_time += 1;
             } else {
@@ -304,6 +358,7 @@
             self.tell(token, Event::Started(token));
         }
         for token in ended {
+            self.release(token);
             let outcome = Outcome::Answered { failed: false };
             self.tell(
                 token,
@@ -318,6 +373,9 @@
     }
 }
 
+/// The port of the first engine.
+const FIRST_PORT: u16 = 8000;
+
 fn name(engine: usize) -> utils::Name {
     format!("e{engine}").into()
 }
@@ -326,7 +384,7 @@
     TargetEntry {
         id: name(engine),
         service: "engines".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
+        address: SocketAddr::from(([10, 0, 0, 1], FIRST_PORT + engine as u16)),
         data_centre: "a".into(),
         slots: Some(16),
         is_draining: false,
@@ -346,6 +404,7 @@
         lease: Duration::from_secs(4),
         version_grace: Duration::from_millis(6500),
         budget: BudgetOptions::default(),
+        reserves: false,
         seed,
     }
 }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -159,6 +159,7 @@
                     share: 0.2,
                     burst: 10.0,
                 },
+                reserves: false,
                 seed: 1,
             }),
             now,
@@ -336,6 +337,7 @@
         lease: LEASE,
         version_grace: ms(6500),
         budget: BudgetOptions::default(),
+        reserves: false,
         seed: 1,
     }
 }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod suspects;
 
 pub use message::{
+    Backlog,
     EngineStatus,
     Envelope,
     Heartbeat,
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -77,6 +77,16 @@
         /// Where the engine's weights come from, by the asker's configuration.
         supply: Option<Supply>,
     },
+    /// Reserves a place at the engine for as long as the call is open.
+    Reserve {
+        /// Tokens of the prompt that the engine will read.
+        tokens: u32,
+    },
+    /// Tells that the engine has read the prompt of a reservation.
+    PromptRead {
+        /// The reservation.
+        number: u64,
+    },
     /// Hands over a caller's request.
     Serve(Serve),
 }
@@ -109,6 +119,17 @@
         /// The versions that the agent knows to be named.
         named: Vec<NamedVersion>,
     },
+    /// A place is reserved, behind what is told here.
+    Reserved {
+        /// Names the reservation at its agent.
+        number: u64,
+        /// What the engine has to do first.
+        ahead: Backlog,
+        /// Whether the engine takes requests now.
+        is_open: bool,
+    },
+    /// What was told is noted.
+    Noted,
     /// The request is taken; frames follow.
     Serving,
     /// The process does not answer such requests.
@@ -137,6 +158,15 @@
     pub age_ms: Option<u64>,
 }
 
+/// What an engine has to do, by the reservations of every process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backlog {
+    /// Requests with a reservation.
+    pub requests: u32,
+    /// Tokens of prompts that are not read yet.
+    pub unread: u32,
+}
+
 /// What an agent tells of its engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
--- a/components/proxy/src/keeper/mod.rs
+++ b/components/proxy/src/keeper/mod.rs
@@ -1,6 +1,7 @@
 //! The traffic of an agent that keeps one model engine at the version that operators name.
 
 mod peers;
+mod places;
 mod port;
 mod staging;
 
--- a/components/proxy/src/keeper/peers.rs
+++ b/components/proxy/src/keeper/peers.rs
@@ -231,7 +231,7 @@
         self.pool.call(address, &message, patience).await
     }
 
-    fn envelope<T>(&self, body: T) -> Envelope<T> {
+    pub(super) fn envelope<T>(&self, body: T) -> Envelope<T> {
         Envelope {
             from: self.setup.address.to_string().into(),
             sheet: *lock(&self.config_version),
@@ -313,11 +313,13 @@
                 self.note_watcher(request.from);
                 self.answer_status(known, responder).await;
             }
+            Request::Reserve { tokens } => self.answer_reserve(tokens, responder).await,
+            Request::PromptRead { number } => self.answer_prompt_read(number, responder).await,
             _ => self.finish(responder, Reply::Unsupported).await,
         }
     }
 
-    async fn finish(&self, responder: Responder, reply: Reply) {
+    pub(super) async fn finish(&self, responder: Responder, reply: Reply) {
         if let Err(e) = responder.finish(&self.envelope(reply)).await {
             log::debug!("an answer was not taken: {e}");
         }
--- a/components/proxy/src/router/calls.rs
+++ b/components/proxy/src/router/calls.rs
@@ -40,6 +40,7 @@
 };
 use super::{
     Command,
+    Place,
     Router, //
 };
 
@@ -56,6 +57,8 @@
     /// When the last part of the answer came, and the longest pause before one.
     pub last_part: Option<Duration>,
     pub longest_pause: Duration,
+    /// The place that is reserved for it at a model engine.
+    pub place: Option<Place>,
     /// When the request was whole here.
     begun: Duration,
     rx: mpsc::UnboundedReceiver<Command>,
@@ -97,9 +100,18 @@
                 }
             };
             match command {
+                Some(Command::Reserve(reserve)) => {
+                    wait = None;
+                    self.place = None;
+                    self.place = self.router.reserve(self.token, &reserve).await;
+                }
                 Some(Command::Send(send)) => return Next::Send(send),
-                Some(Command::Wait(until)) => wait = Some(until),
+                Some(Command::Wait(until)) => {
+                    self.place = None;
+                    wait = Some(until);
+                }
                 Some(Command::Reject(reason)) => {
+                    self.place = None;
                     self.ended = true;
                     count_answer(reason.reason.word());
                     return Next::End(self.mark(rejection(&reason)));
@@ -116,6 +128,7 @@
     /// Tells the reducer what came of an exchange.
     pub fn end(&mut self, outcome: Outcome) {
         self.ended = matches!(outcome, Outcome::Answered { .. });
+        self.place = None;
         let token = self.token;
         let pause = self.longest_pause;
         self.router.tell(Event::Ended {
@@ -193,6 +206,7 @@
             begun: self.elapsed(),
             last_part: None,
             longest_pause: Duration::ZERO,
+            place: None,
             rx,
             ended: false,
         };
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -36,9 +36,33 @@
 /// The pause after an agent did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
-/// Asks every engine's agent for as long as the future is polled. `me` names this process.
-pub async fn watch_engines(router: Router, me: Name, peer_port: u16) {
-    let pool = Pool::new(PoolOptions::default());
+/// How this process reaches the agents beside model engines.
+#[derive(Clone, Debug)]
+pub struct Agents {
+    /// Names this process.
+    pub me: Name,
+    /// The port on which agents listen.
+    pub port: u16,
+    /// Connections to agents.
+    pub pool: Pool,
+}
+
+impl Agents {
+    /// Makes the way to agents without any connection yet.
+    pub fn new(me: Name, port: u16) -> Self {
+        let pool = Pool::new(PoolOptions::default());
+        Self { me, port, pool }
+    }
+
+    /// The agent beside an engine.
+    pub(super) fn beside(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.port)
+    }
+}
+
+/// Asks every engine's agent for as long as the future is polled.
+pub async fn watch_engines(router: Router) {
+    let agents = router.inner.agents.clone();
     let mut watches: BTreeMap<Name, (EnginePlace, JoinHandle<()>)> = BTreeMap::new();
     let mut named = Vec::new();
     loop {
@@ -55,15 +79,9 @@
             keep
         });
         for place in engines {
-            let agent = SocketAddr::new(place.address.ip(), peer_port);
+            let agent = agents.beside(place.address);
             watches.entry(place.target.clone()).or_insert_with(|| {
-                let watch = watch(
-                    router.clone(),
-                    pool.clone(),
-                    me.clone(),
-                    place.clone(),
-                    agent,
-                );
+                let watch = watch(router.clone(), agents.clone(), place.clone(), agent);
                 (place, tokio::task::spawn_local(watch))
             });
         }
@@ -71,7 +89,7 @@
     }
 }
 
-async fn watch(router: Router, pool: Pool, me: Name, place: EnginePlace, agent: SocketAddr) {
+async fn watch(router: Router, agents: Agents, place: EnginePlace, agent: SocketAddr) {
     let mut known: Option<EngineStatus> = None;
     loop {
         let message = {
@@ -79,7 +97,7 @@
             let state = router.inner.state.borrow();
             let named = state.named_versions(now);
             Envelope {
-                from: me.clone(),
+                from: agents.me.clone(),
                 sheet: state.config_version(),
                 list: 0,
                 body: Request::Engine {
@@ -89,7 +107,7 @@
                 },
             }
         };
-        match pool.call(agent, &message, PATIENCE).await {
+        match agents.pool.call(agent, &message, PATIENCE).await {
             Ok(call) => match call.reply.body {
                 Reply::Engine {
                     status,
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod engines;
 mod events;
 mod exchange;
+mod places;
 mod pool;
 mod serving;
 mod streams;
@@ -26,6 +27,7 @@
     Effect,
     Event,
     Rejection,
+    Reserve,
     Send,
     State,
     Summary, //
@@ -39,6 +41,7 @@
 };
 use crate::journal::Journal;
 
+use self::places::Place;
 use self::pool::Pool;
 
 pub use dialect::{
@@ -48,7 +51,10 @@
     Dialect,
     Verdict, //
 };
-pub use engines::watch_engines;
+pub use engines::{
+    watch_engines,
+    Agents, //
+};
 pub use events::{
     Cut,
     Events, //
@@ -66,6 +72,7 @@
 /// What the reducer says to a request under way.
 #[derive(Debug)]
 enum Command {
+    Reserve(Reserve),
     Send(Send),
     Wait(Duration),
     Reject(Rejection),
@@ -85,6 +92,7 @@
     journal: Arc<Journal>,
     dialect: Dialect,
     pool: Pool,
+    agents: Agents,
 }
 
 impl std::fmt::Debug for Router {
@@ -100,6 +108,7 @@
         clock: Arc<dyn Clock>,
         journal: Arc<Journal>,
         dialect: Dialect,
+        agents: Agents,
     ) -> Self {
         let inner = Inner {
             state: RefCell::new(state),
@@ -109,6 +118,7 @@
             clock,
             journal,
             dialect,
+            agents,
         };
         Self {
             inner: Rc::new(inner),
@@ -184,6 +194,7 @@
 
     fn apply(&self, sheet: u64, effect: Effect) {
         match effect {
+            Effect::Reserve(token, reserve) => self.command(token, Command::Reserve(reserve)),
             Effect::Send(token, send) => self.command(token, Command::Send(send)),
             Effect::Wait(token, until) => self.command(token, Command::Wait(until)),
             Effect::Reject(token, rejection) => self.command(token, Command::Reject(rejection)),
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -60,6 +60,9 @@
             Read::Failed(outcome) => return Err((self, outcome)),
         };
         self.router.tell(Event::Started(self.token));
+        if let Some(place) = &self.place {
+            self.router.note_prompt_read(place);
+        }
         self.observe_first();
         let (tx, rx) = mpsc::channel(EVENTS_AHEAD);
         let mut parts = reply.parts.clone();
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -259,6 +259,9 @@
         lease_ms: u64,
         /// Requests at the target, as far as known.
         load: u32,
+        /// Agents that were asked for a place.
+        #[serde(default)]
+        asked: u32,
         /// The version of the weights that must answer.
         version: Option<u64>,
     },
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -21,6 +21,7 @@
     serve,
     serve_ready,
     watch_engines,
+    Agents,
     Router,
     Stop, //
 };
@@ -63,6 +64,7 @@
         process.clock.clone(),
         process.journal.clone(),
         platform::dialect(),
+        Agents::new(node.instance.clone(), node.first_peer_port),
     );
     process.serve_metrics().await?;
     let source = platform::source(proxy::http_client(), node.store, platform::View::Everything);
@@ -73,9 +75,7 @@
     tokio::task::spawn_local(follow);
     let timed = router.clone();
     tokio::task::spawn_local(async move { timed.keep_time().await });
-    let me = node.instance.clone();
-    let watch = watch_engines(router.clone(), me, node.first_peer_port);
-    tokio::task::spawn_local(watch);
+    tokio::task::spawn_local(watch_engines(router.clone()));
     let stop = Stop::default();
     tokio::task::spawn_local(serve(router.clone(), callers, stop.clone()));
     let ready = serve_ready(router.clone(), readiness, platform::READY_PATH);
@@ -95,6 +95,7 @@
         lease: node.bounds.key_removal.mul_f64(LEASE_SHARE),
         version_grace: node.bounds.version.saturating_sub(VERSION_MARGIN),
         budget: budget(&node.bounds),
+        reserves: true,
         seed: rank::weight(now_ms, &node.instance),
     }
 }
