A wider window for the switch; answers of an older version begin in time or elsewhere

Cause: engines of a data centre changed between 2.6 s and 6.2 s after a naming, and nothing was sent to an old version after 6.5 s, since a request that waits at an engine could begin too late. Nothing bounded that wait.

Change: a request to an older version that has no first event 350 ms before the version's time is taken back and sent elsewhere, so requests go there until 7 s and the last engine closes at 6.7 s. A stream is not gone on with by a version whose time is over.

Test: a_request_at_an_older_version_must_begin_in_time.

--- a/components/control/src/keeper/wave.rs
+++ b/components/control/src/keeper/wave.rs
@@ -11,9 +11,9 @@
 /// When the first engines can hold every piece: what the link of one instance takes for a copy.
 const FIRST_TURN: Duration = Duration::from_millis(2600);
 
-/// When the last engine stops to take requests. Entries send nothing to the old version from 6.5 s
-/// on, so that an engine that still runs it then is idle anyway.
-const LAST_TURN: Duration = Duration::from_millis(6200);
+/// When the last engine stops to take requests. Entries send nothing to the old version from 7 s on,
+/// so that an engine that still runs it then is idle anyway.
+const LAST_TURN: Duration = Duration::from_millis(6700);
 
 /// When the engine of `me` may go, of the engines of its data centre in rank order.
 pub(super) fn turn(me: &Name, peers: &[Name], named_at: Duration) -> Duration {
--- a/components/control/src/router/beliefs.rs
+++ b/components/control/src/router/beliefs.rs
@@ -196,6 +196,14 @@
         }));
     }
 
+    /// When a request must have begun on a target that runs `version`, if a newer one is named.
+    pub(super) fn begin_by(&self, model: &str, version: Option<u64>) -> Option<Duration> {
+        let named = self.versions.get(model)?.iter();
+        let newer = named.filter(|named| version.is_some_and(|v| v < named.version));
+        let only_from = newer.map(|named| named.only_from).min()?;
+        Some(only_from + self.options.begin_grace)
+    }
+
     /// The oldest version that requests for a model may run on now.
     pub(super) fn oldest_version(&self, now: Duration, model: &str) -> Option<u64> {
         let named = self.versions.get(model)?.iter();
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -206,6 +206,9 @@
     pub deadline: Duration,
     /// How long the target may stay silent before another is asked.
     pub patience: Duration,
+    /// When the first part of the answer must have come, since the target runs a version that may
+    /// then not begin an answer any more.
+    pub begin_by: Option<Duration>,
     /// Whether the answer is a series of events.
     pub is_stream: bool,
 }
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -195,7 +195,11 @@
         let attempts = pending.attempts();
         let may_run = !pending.may_have_run || pending.route.repeat.may_run_again();
         let most = pending.route.attempts.max(1);
-        let lacks_version = pending.started && pending.version.is_none();
+        let model = pending.service.engine.as_ref().map(|engine| &engine.model);
+        let oldest = model.and_then(|model| self.oldest_version(now, model));
+        // Nobody may go on any more with the version that began the answer.
+        let is_outdated = pending.version < oldest;
+        let lacks_version = pending.started && (pending.version.is_none() || is_outdated);
         let service = pending.service.name.clone();
         let reason = if !may_run || lacks_version {
             Some(Reason::MayHaveRun)
--- a/components/control/src/router/placing.rs
+++ b/components/control/src/router/placing.rs
@@ -293,6 +293,9 @@
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
+        let model = pending.service.engine.as_ref().map(|engine| &engine.model);
+        let version = self.targets.get(id).and_then(|target| target.entry.version);
+        let begin_by = model.and_then(|model| self.begin_by(model, version));
         let wish = self.wish(now, pending);
         let exact = wish.versions != Versions::Any;
         let (Some(pending), Some(target)) =
@@ -315,6 +318,7 @@
             urgency: pending.urgency(),
             deadline: pending.deadline,
             patience: pending.patience(),
+            begin_by,
             is_stream: pending.route.repeat.is_stream(),
         };
         effects.push(Effect::Record(Decision::Forward {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -50,6 +50,8 @@
     pub lease: Duration,
     /// How long after a version was named requests may still run on an older one.
     pub version_grace: Duration,
+    /// How much later than that a request that was sent to an older version must have begun.
+    pub begin_grace: Duration,
     /// Retries, for each service.
     pub budget: BudgetOptions,
     /// Whether places at model engines are reserved with their agents.
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -404,6 +404,7 @@
         lease: Duration::from_secs(4),
         version_grace: Duration::from_millis(6500),
         budget: BudgetOptions::default(),
+        begin_grace: Duration::from_millis(700),
         reserves: false,
         seed,
     }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -159,6 +159,7 @@
                     share: 0.2,
                     burst: 10.0,
                 },
+                begin_grace: Duration::from_millis(700),
                 reserves: false,
                 seed: 1,
             }),
@@ -337,6 +338,7 @@
         lease: LEASE,
         version_grace: ms(6500),
         budget: BudgetOptions::default(),
+        begin_grace: Duration::from_millis(700),
         reserves: false,
         seed: 1,
     }
@@ -581,6 +583,52 @@
     assert_eq!(process.arrive("chat").1.target(), "e1");
 }
 
+struct BeginCase {
+    name: &'static str,
+    /// The version that the target runs.
+    runs: u64,
+    /// When the answer must have begun, after the naming of version 2.
+    begin_by: Option<Duration>,
+}
+
+/// A request that waits at an engine of the old version must not begin there too late.
+#[test]
+fn a_request_at_an_older_version_must_begin_in_time() {
+    let cases = [
+        BeginCase {
+            name: "the old version",
+            runs: 1,
+            begin_by: Some(ms(7200)),
+        },
+        BeginCase {
+            name: "the new version",
+            runs: 2,
+            begin_by: None,
+        },
+    ];
+    for case in cases {
+        let mut process = Process::with(&[("e1", "engines", "a")]);
+        let named_at = process.now;
+        process.tell(Event::Version {
+            model: "m".into(),
+            version: 2,
+            age: Some(Duration::ZERO),
+        });
+        process.tell(Event::Engine {
+            id: "e1".into(),
+            version: Some(case.runs),
+            is_switching: false,
+            watchers: 1,
+        });
+        let (_, fate) = process.arrive("chat");
+        let Fate::Sent(send) = fate else {
+            panic!("{}: {fate:?}", case.name);
+        };
+        let expected = case.begin_by.map(|after| named_at + after);
+        assert_eq!(send.begin_by, expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_process_that_finds_a_version_at_its_start_learns_its_age_from_others() {
     // The process is younger than the naming.
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -73,6 +73,15 @@
         deadline.saturating_sub(self.elapsed())
     }
 
+    /// How long a target may stay silent now. `is_first` tells that no part of the answer has come.
+    pub(super) fn patience(&self, send: &Send, left: Duration, is_first: bool) -> Duration {
+        let patience = left.min(send.patience);
+        match send.begin_by.filter(|_| is_first) {
+            Some(begin_by) => patience.min(self.time_left(begin_by)),
+            None => patience,
+        }
+    }
+
     /// Sends a request and reads the head of the answer.
     pub(super) async fn exchange(
         &self,
@@ -82,7 +91,7 @@
         after_event: Option<u64>,
     ) -> Result<Reply, Outcome> {
         let left = self.time_left(send.deadline);
-        let patience = left.min(send.patience);
+        let patience = self.patience(send, left, true);
         let result = timeout(patience, self.send(original, send, after_event)).await;
         let (response, connection) = match result {
             Ok(Ok(answer)) => answer,
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -166,7 +166,7 @@
     async fn read(&self, body: &mut Incoming, events: &mut Events, send: &Send) -> Read {
         loop {
             let left = self.router.time_left(send.deadline);
-            let patience = left.min(send.patience);
+            let patience = self.router.patience(send, left, self.last_part.is_none());
             let frame = match timeout(patience, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Read::Failed(Outcome::Broken { lost: true }),
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -41,7 +41,11 @@
 
 /// How much sooner than its time an older version is sent nothing more: a request that is sent must
 /// also begin in time.
-const VERSION_MARGIN: Duration = Duration::from_millis(1500);
+const VERSION_MARGIN: Duration = Duration::from_millis(1000);
+
+/// How much sooner than its time a request must have begun on an older version, or another target
+/// is asked. Covers the lag of what this process knows of the naming.
+const BEGIN_MARGIN: Duration = Duration::from_millis(350);
 
 /// The share of the fleet's retries that one process uses, since it does not know what others do.
 const RETRY_SHARE: f64 = 0.7;
@@ -95,6 +99,7 @@
         lease: node.bounds.key_removal.mul_f64(LEASE_SHARE),
         version_grace: node.bounds.version.saturating_sub(VERSION_MARGIN),
         budget: budget(&node.bounds),
+        begin_grace: VERSION_MARGIN - BEGIN_MARGIN,
         reserves: true,
         seed: rank::weight(now_ms, &node.instance),
     }
