Agents count what a cold engine gets; limits of operators hold for callers

Change: the agent gives a cold engine no more places in a second than the operators' rate, counted over all processes. Where a warm engine never reaches the rate it holds at all times, since an engine may turn cold unnoticed. A request that four agents could not take waits for room, and is refused after twelve; before, it was refused after four although room was near. Also: the idle limit and the length of heads follow the configuration, where constants stood; a body that is declared too long gets 413 before it comes; agents retry a store that refuses them more slowly, as refused calls are paid.

Tests: places_at_a_cold_engine_are_given_at_its_rate, a_body_that_is_declared_too_long_is_refused_before_it_comes.

--- a/components/control/src/keeper/mod.rs
+++ b/components/control/src/keeper/mod.rs
@@ -234,12 +234,21 @@
         matches!(self.step, Step::Closing(_) | Step::Ordered(_))
     }
 
-    /// Reserves a place at the engine for a prompt of `tokens`. Returns the number of the place,
-    /// what stands before it, and whether the engine takes requests.
-    pub fn reserve(&mut self, tokens: u32) -> (u64, Backlog, bool) {
-        let is_open = !self.status().is_switching;
-        let (number, ahead) = self.reservations.reserve(tokens);
-        (number, ahead, is_open)
+    /// Reserves a place at the engine for a prompt of `tokens`. Returns the number of the place and
+    /// what stands before it, or only the latter if the engine takes no request now: it is about
+    /// to load, or has got as many in this second as it bears in cold start.
+    pub fn reserve(
+        &mut self,
+        now: Duration,
+        tokens: u32,
+        cold_rate: Option<u32>,
+    ) -> (Option<u64>, Backlog) {
+        let is_too_much = cold_rate.is_some_and(|r| self.reservations.in_last_second(now) >= r);
+        if is_too_much || self.status().is_switching {
+            return (None, self.reservations.backlog());
+        }
+        let (number, ahead) = self.reservations.reserve(now, tokens);
+        (Some(number), ahead)
     }
 
     /// The engine has read the prompt of a place.
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -220,6 +220,8 @@
     pub address: SocketAddr,
     /// Tokens of the prompt.
     pub tokens: u32,
+    /// Requests a second that the engine bears, all processes together, if it is in cold start.
+    pub cold_rate: Option<u32>,
 }
 
 /// Why and how a request ends without the answer of a target.
--- a/components/control/src/router/place.rs
+++ b/components/control/src/router/place.rs
@@ -264,6 +264,14 @@
     slots.unwrap_or(ASSUMED_SLOTS).max(1)
 }
 
+/// What all processes together may send the target in a second, if that is limited. A target may
+/// have turned cold unnoticed, so a limit that a warm one never reaches holds at all times.
+pub fn fleet_cold_rate(now: Duration, target: &Target, service: &Service) -> Option<u32> {
+    let is_out_of_reach = service.cold_rate >= f64::from(slots(target, service));
+    let is_limited = service.cold_rate > 0.0 && (target.is_cold(now) || is_out_of_reach);
+    is_limited.then_some(service.cold_rate as u32)
+}
+
 /// What one process may send a cold target in a second, or nothing if there is no limit.
 pub fn cold_rate(service: &Service) -> Option<f64> {
     (service.cold_rate > 0.0).then_some(service.cold_rate * COLD_SHARE)
--- a/components/control/src/router/placing.rs
+++ b/components/control/src/router/placing.rs
@@ -31,9 +31,12 @@
 /// The longest wait of a stream that is to be gone on with, since its caller sees a pause.
 const RESUME_WAIT: Duration = Duration::from_millis(400);
 
-/// Agents that are asked for a place for one request. Each answer also tells what the others need
-/// to know for a better choice, so that more questions find little.
-const MOST_ASKED: u32 = 4;
+/// Agents that are asked for a place for one request before it waits for room. Each answer tells
+/// what the next choice needs, so that more questions find little.
+const ASKED_AT_ONCE: u32 = 4;
+
+/// Agents that are asked for a place for one request altogether.
+const MOST_ASKED: u32 = 12;
 
 /// How long an agent that did not answer is not asked for places.
 const AGENT_REST: Duration = Duration::from_secs(1);
@@ -46,7 +49,7 @@
         };
         let service = pending.service.name.clone();
         let rank = pending.rank();
-        let (started, start_by) = (pending.started, pending.start_by);
+        let started = pending.started;
         let ahead = self.queues.entry(service.clone()).or_default();
         let is_next = started || ahead.iter().all(|waiting| waiting.rank > rank);
         if is_next && self.try_place(now, token, effects) {
@@ -56,6 +59,17 @@
             self.reject(now, token, Reason::NoTarget, effects);
             return;
         }
+        self.wait(now, token, effects);
+    }
+
+    /// Lets a request wait for room, or refuses it at once if there will be none in time.
+    fn wait(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&token) else {
+            return;
+        };
+        let service = pending.service.name.clone();
+        let rank = pending.rank();
+        let (started, start_by) = (pending.started, pending.start_by);
         let until = if started { now + RESUME_WAIT } else { start_by };
         let queue = self.queues.entry(service).or_default();
         let wait = queue.expected_wait(now, rank);
@@ -176,6 +190,7 @@
         let reserve = Reserve {
             address: target.entry.address,
             tokens: pending.tokens,
+            cold_rate: place::fleet_cold_rate(now, target, &pending.service),
         };
         self.begin(now, token, id);
         effects.push(Effect::Reserve(token, reserve));
@@ -249,16 +264,18 @@
         }
     }
 
-    /// Asks another target, as long as few have been asked. A request that none of them can serve
-    /// in time is refused at once.
+    /// Asks another target. After a few the request waits for room; after many it is refused, since
+    /// no engine can serve it in time.
     fn look_elsewhere(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
-        if pending.asked < MOST_ASKED {
-            self.place_or_wait(now, token, effects);
-        } else {
+        if pending.asked >= MOST_ASKED {
             self.reject(now, token, Reason::Overload, effects);
+        } else if pending.asked.is_multiple_of(ASKED_AT_ONCE) {
+            self.wait(now, token, effects);
+        } else {
+            self.place_or_wait(now, token, effects);
         }
     }
 
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -240,7 +240,7 @@
     fn reserve(&mut self, token: u64, reserve: &Reserve) {
         self.release(token);
         let engine = usize::from(reserve.address.port() - FIRST_PORT);
-        let (number, ahead) = self.reservations[engine].reserve(reserve.tokens);
+        let (number, ahead) = self.reservations[engine].reserve(self.now, reserve.tokens);
         self.places.insert(token, (engine, number, ahead));
         self.plan(self.now + AGENT_TIME, Happening::Reserved(token));
     }
--- a/components/control/tests/keeper.rs
+++ b/components/control/tests/keeper.rs
@@ -251,3 +251,27 @@
     agent.pass(ms(500));
     assert_eq!(agent.ordered(), [2, 2]);
 }
+
+/// Each of many processes sends a cold engine little, and all together too much, unless its agent
+/// counts for all of them.
+#[test]
+fn places_at_a_cold_engine_are_given_at_its_rate() {
+    const RATE: u32 = 20;
+    let mut keeper = Keeper::new("a1".into(), Limits::default(), false);
+    let mut given: Vec<Duration> = Vec::new();
+    for millis in 0..3000 {
+        let now = Duration::from_millis(millis);
+        if let (Some(number), _) = keeper.reserve(now, 100, Some(RATE)) {
+            given.push(now);
+            keeper.release(number);
+        }
+    }
+    for (at, since) in given.iter().enumerate() {
+        let within = |other: &&Duration| **other - *since < Duration::from_secs(1);
+        let count = given[at..].iter().take_while(within).count();
+        assert!(count <= RATE as usize, "{count} from {since:?}");
+    }
+    assert!(given.len() >= 2 * RATE as usize, "{}", given.len());
+    let (number, _) = keeper.reserve(Duration::from_secs(3), 100, None);
+    assert!(number.is_some(), "an engine that is not cold has no rate");
+}
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -81,6 +81,8 @@
     Reserve {
         /// Tokens of the prompt that the engine will read.
         tokens: u32,
+        /// Requests a second that the engine bears, all processes together, if it is in cold start.
+        cold_rate: Option<u32>,
     },
     /// Tells that the engine has read the prompt of a reservation.
     PromptRead {
@@ -119,14 +121,12 @@
         /// The versions that the agent knows to be named.
         named: Vec<NamedVersion>,
     },
-    /// A place is reserved, behind what is told here.
+    /// A place is reserved, behind what is told here, or refused.
     Reserved {
-        /// Names the reservation at its agent.
-        number: u64,
+        /// Names the reservation at its agent. `None` if the engine takes no request now.
+        number: Option<u64>,
         /// What the engine has to do first.
         ahead: Backlog,
-        /// Whether the engine takes requests now.
-        is_open: bool,
     },
     /// What was told is noted.
     Noted,
--- a/components/proxy/src/keeper/peers.rs
+++ b/components/proxy/src/keeper/peers.rs
@@ -313,7 +313,9 @@
                 self.note_watcher(request.from);
                 self.answer_status(known, responder).await;
             }
-            Request::Reserve { tokens } => self.answer_reserve(tokens, responder).await,
+            Request::Reserve { tokens, cold_rate } => {
+                self.answer_reserve(tokens, cold_rate, responder).await;
+            }
             Request::PromptRead { number } => self.answer_prompt_read(number, responder).await,
             _ => self.finish(responder, Reply::Unsupported).await,
         }
--- a/components/proxy/src/keeper/places.rs
+++ b/components/proxy/src/keeper/places.rs
@@ -28,17 +28,24 @@
 
 impl Agent {
     /// Keeps a place for as long as the asker keeps the call open.
-    pub(super) async fn answer_reserve(&self, tokens: u32, mut responder: Responder) {
-        let (number, ahead, is_open) = lock(&self.state).reserve(tokens);
+    pub(super) async fn answer_reserve(
+        &self,
+        tokens: u32,
+        cold_rate: Option<u32>,
+        mut responder: Responder,
+    ) {
+        let now = self.clock.now().elapsed;
+        let (number, ahead) = lock(&self.state).reserve(now, tokens, cold_rate);
+        let reply = Reply::Reserved { number, ahead };
+        let Some(number) = number else {
+            self.finish(responder, reply).await;
+            return;
+        };
         let place = Place {
             agent: self,
             number,
         };
-        let reply = self.envelope(Reply::Reserved {
-            number,
-            ahead,
-            is_open,
-        });
+        let reply = self.envelope(reply);
         if let Err(e) = responder.send(&reply).await {
             log::debug!("a place was not taken: {e}");
             return;
--- a/components/proxy/src/router/calls.rs
+++ b/components/proxy/src/router/calls.rs
@@ -20,7 +20,10 @@
     LengthLimitError,
     Limited, //
 };
-use hyper::body::Incoming;
+use hyper::body::{
+    Body as _,
+    Incoming, //
+};
 use tokio::sync::mpsc;
 use utils::{
     rank,
@@ -159,7 +162,12 @@
     /// Answers a caller.
     pub(super) async fn answer(self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
-        let limit = self.inner.state.borrow().caller_limits().body_bytes;
+        let limit = self.caller_limits().body_bytes;
+        // Nothing is gained by reading on: the rest of the body would only be thrown away.
+        let declared = body.size_hint().lower();
+        if usize::try_from(declared).map_or(true, |bytes| bytes > limit) {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         let body = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
         let body = match body {
             Ok(Ok(body)) => body.to_bytes(),
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::router::config::CallerLimits;
 use control::router::{
     Effect,
     Event,
@@ -144,6 +145,11 @@
         self.inner.state.borrow().summary(now)
     }
 
+    /// What operators allow callers.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        self.inner.state.borrow().caller_limits()
+    }
+
     /// Tells the reducer that time passes, for as long as the future is polled.
     pub async fn keep_time(&self) {
         let mut interval = tokio::time::interval(TICK);
--- a/components/proxy/src/router/places.rs
+++ b/components/proxy/src/router/places.rs
@@ -36,9 +36,15 @@
     /// Reserves a place and tells the reducer what came of it.
     pub(super) async fn reserve(&self, token: u64, reserve: &Reserve) -> Option<Place> {
         let agent = self.inner.agents.beside(reserve.address);
-        let tokens = reserve.tokens;
-        let (place, answer) = match self.ask_for_place(agent, tokens).await {
-            Some((place, backlog, is_open)) => (Some(place), Some((backlog, is_open))),
+        let message = self.to_agent(Request::Reserve {
+            tokens: reserve.tokens,
+            cold_rate: reserve.cold_rate,
+        });
+        let (place, answer) = match self.ask_for_place(agent, message).await {
+            Some((place, backlog)) => {
+                let is_open = place.is_some();
+                (place, Some((backlog, is_open)))
+            }
             None => (None, None),
         };
         self.tell(Event::Reserved {
@@ -51,9 +57,8 @@
     async fn ask_for_place(
         &self,
         agent: SocketAddr,
-        tokens: u32,
-    ) -> Option<(Place, Backlog, bool)> {
-        let message = self.to_agent(Request::Reserve { tokens });
+        message: Envelope<Request>,
+    ) -> Option<(Option<Place>, Backlog)> {
         let pool = &self.inner.agents.pool;
         let call = match pool.call(agent, &message, RESERVE_PATIENCE).await {
             Ok(call) => call,
@@ -62,21 +67,16 @@
                 return None;
             }
         };
-        let Reply::Reserved {
-            number,
-            ahead,
-            is_open,
-        } = call.reply.body
-        else {
+        let Reply::Reserved { number, ahead } = call.reply.body else {
             log::warn!("agent {agent} answered {:?}", call.reply.body);
             return None;
         };
-        let place = Place {
+        let place = number.map(|number| Place {
             agent,
             number,
             _call: call,
-        };
-        Some((place, ahead, is_open))
+        });
+        Some((place, ahead))
     }
 
     /// Tells the agent that the engine has read the prompt, beside the caller's task.
--- a/components/proxy/src/router/serving.rs
+++ b/components/proxy/src/router/serving.rs
@@ -30,12 +30,9 @@
 /// The pause after a connection could not be accepted, for want of file handles say.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// The longest head of a request, in bytes.
-const HEAD_BYTES: usize = 64 << 10;
-
-/// How long a connection may stay without a whole head. Callers that reuse connections leave them
-/// idle for up to four fifths of the 15 s that operators allow.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// The least room for the head of a request, in bytes, whatever operators allow: answers of this
+/// process to a head that is too long need the head's first line.
+const LEAST_HEAD_BYTES: usize = 16 << 10;
 
 /// The stages of a planned stop that connections are told of.
 #[derive(Clone, Debug)]
@@ -92,10 +89,12 @@
         let router = router.clone();
         async move { Ok::<_, Infallible>(router.answer(request).await) }
     });
+    let limits = router.caller_limits();
     let connection = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(HEAD_BYTES)
+        // One time limit covers both the pause before a head and the head.
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
         .serve_connection(TokioIo::new(tcp), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -29,6 +29,10 @@
 /// The pause between two readings, so that a quick series of changes is read together.
 const FEED_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause after a failed call; spread by as much again. Refused calls are paid for as well, and
+/// entries, which ask four times a second then, tell agents of versions.
+const FEED_RETRY: Duration = Duration::from_millis(1500);
+
 /// Memory for pieces: an instance of this role has 128 MB.
 const PIECE_BYTES: u64 = 32 << 20;
 
@@ -113,6 +117,7 @@
     let options = FeedOptions {
         wait: FEED_WAIT,
         pause: FEED_PAUSE,
+        retry: FEED_RETRY,
         ..FeedOptions::default()
     };
     let source = platform::source(http, node.store, platform::View::Versions);
