--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -17,6 +17,7 @@
 mod placing;
 pub mod queue;
 mod refusals;
+mod reserving;
 mod state;
 pub mod table;
 pub mod targets;
--- a/components/control/src/router/placing.rs
+++ b/components/control/src/router/placing.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use protocol::Backlog;
 use rand::{
     Rng,
     SeedableRng, //
@@ -24,23 +23,12 @@
 use super::state::State;
 use super::{
     Effect,
-    Reserve,
     Send, //
 };
 
 /// The longest wait of a stream that is to be gone on with, since its caller sees a pause.
 const RESUME_WAIT: Duration = Duration::from_millis(400);
 
-/// Agents that are asked for a place for one request before it waits for room. Each answer tells
-/// what the next choice needs, so that more questions find little.
-const ASKED_AT_ONCE: u32 = 4;
-
-/// Agents that are asked for a place for one request altogether.
-const MOST_ASKED: u32 = 12;
-
-/// How long an agent that did not answer is not asked for places.
-const AGENT_REST: Duration = Duration::from_secs(1);
-
 impl State {
     /// Sends a request to a target, lets it wait, or refuses it at once.
     pub(super) fn place_or_wait(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
@@ -63,7 +51,7 @@
     }
 
     /// Lets a request wait for room, or refuses it at once if there will be none in time.
-    fn wait(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
+    pub(super) fn wait(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
@@ -111,7 +99,7 @@
         queue.iter().next().map(|waiting| waiting.token)
     }
 
-    fn wish<'a>(&self, now: Duration, pending: &'a Pending) -> Wish<'a> {
+    pub(super) fn wish<'a>(&self, now: Duration, pending: &'a Pending) -> Wish<'a> {
         let team_homes = pending.team.as_ref().map(|team| team.homes.as_slice());
         let model = pending.service.engine.as_ref().map(|e| &e.model);
         let oldest = model.and_then(|model| self.oldest_version(now, model));
@@ -168,93 +156,14 @@
     }
 
     /// Whether the configuration is fresh enough for a request that is about to be sent.
-    fn may_send(&self, now: Duration, token: u64) -> bool {
+    pub(super) fn may_send(&self, now: Duration, token: u64) -> bool {
         let pending = self.pending.get(&token);
         let needs_proof = pending.is_some_and(|p| p.team.is_some() && !p.started);
         !needs_proof || self.lease.is_valid(now)
     }
 
-    /// Asks the agent of a model engine for a place, if there is one to ask.
-    fn reserve(&mut self, now: Duration, token: u64, id: &Name, effects: &mut Vec<Effect>) -> bool {
-        let (Some(pending), Some(target)) = (self.pending.get_mut(&token), self.targets.get(id))
-        else {
-            return false;
-        };
-        let has_agent = self.options.reserves && pending.service.engine.is_some();
-        // The caller of a stream that goes on sees a pause already.
-        if !has_agent || pending.started || now < target.agent_rests_until {
-            return false;
-        }
-        pending.is_reserving = true;
-        pending.asked += 1;
-        let reserve = Reserve {
-            address: target.entry.address,
-            tokens: pending.tokens,
-            cold_rate: place::fleet_cold_rate(now, target, &pending.service),
-        };
-        self.begin(now, token, id);
-        effects.push(Effect::Reserve(token, reserve));
-        true
-    }
-
-    /// An agent reserved a place, or did not answer in time, in which case the request is sent on
-    /// what this process knows by itself.
-    pub(super) fn reserved(
-        &mut self,
-        now: Duration,
-        token: u64,
-        place: Option<(Backlog, bool)>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(pending) = self.pending.get_mut(&token) else {
-            return;
-        };
-        if !std::mem::take(&mut pending.is_reserving) {
-            return;
-        }
-        let Some((id, _)) = pending.at.clone() else {
-            return;
-        };
-        let tokens = pending.tokens;
-        let mut is_open = true;
-        if let Some(target) = self.targets.get_mut(&id) {
-            match place {
-                Some((backlog, open)) => {
-                    target.load.hear_backlog(now, backlog, tokens);
-                    is_open = open;
-                }
-                None => target.agent_rests_until = now + AGENT_REST,
-            }
-        }
-        if !self.may_send(now, token) {
-            self.release(token);
-            self.reject(now, token, Reason::StaleConfiguration, effects);
-        } else if is_open && self.is_fit(now, token, &id) {
-            self.forward(now, token, &id, effects);
-        } else {
-            self.release(token);
-            self.look_elsewhere(now, token, effects);
-        }
-    }
-
-    /// Whether a request may go to the target at which it has a place.
-    fn is_fit(&mut self, now: Duration, token: u64, id: &Name) -> bool {
-        // The request itself must not count as one that stands before it.
-        self.release(token);
-        let fits = match (self.pending.get(&token), self.targets.get(id)) {
-            (Some(pending), Some(target)) => {
-                let wish = self.wish(now, pending);
-                place::is_fit(now, target, &self.options.location, &self.out, &wish)
-            }
-            _ => false,
-        };
-        self.expect(now, token, id);
-        self.begin(now, token, id);
-        fits
-    }
-
     /// Notes how soon the first event of a request is expected that is about to begin.
-    fn expect(&mut self, now: Duration, token: u64, id: &Name) {
+    pub(super) fn expect(&mut self, now: Duration, token: u64, id: &Name) {
         let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
             return;
         };
@@ -264,23 +173,8 @@
         }
     }
 
-    /// Asks another target. After a few the request waits for room; after many it is refused, since
-    /// no engine can serve it in time.
-    fn look_elsewhere(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.get(&token) else {
-            return;
-        };
-        if pending.asked >= MOST_ASKED {
-            self.reject(now, token, Reason::Overload, effects);
-        } else if pending.asked.is_multiple_of(ASKED_AT_ONCE) {
-            self.wait(now, token, effects);
-        } else {
-            self.place_or_wait(now, token, effects);
-        }
-    }
-
     /// Counts a request at a target.
-    fn begin(&mut self, now: Duration, token: u64, id: &Name) {
+    pub(super) fn begin(&mut self, now: Duration, token: u64, id: &Name) {
         let (Some(pending), Some(target)) =
             (self.pending.get_mut(&token), self.targets.get_mut(id))
         else {
@@ -292,7 +186,7 @@
     }
 
     /// Counts a request out that was not sent.
-    fn release(&mut self, token: u64) {
+    pub(super) fn release(&mut self, token: u64) {
         self.take_read(token);
         let at = self
             .pending
@@ -305,7 +199,13 @@
     }
 
     /// Sends a request to a target.
-    fn forward(&mut self, now: Duration, token: u64, id: &Name, effects: &mut Vec<Effect>) {
+    pub(super) fn forward(
+        &mut self,
+        now: Duration,
+        token: u64,
+        id: &Name,
+        effects: &mut Vec<Effect>,
+    ) {
         let lease_ms = self.lease_ms(now);
         let Some(pending) = self.pending.get(&token) else {
             return;
