Lines for places that were refused, and for agents that are lost and back

Each decision that touches a request has a line: an entry that passes over an engine by what its agent told says so, with what stood there. An agent that does not answer is a dependency that was lost.

Test: requests_go_on_while_an_agent_does_not_answer.

--- a/components/control/src/router/reserving.rs
+++ b/components/control/src/router/reserving.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use protocol::Backlog;
+use record::Decision;
 use utils::Name;
 
 use super::place;
@@ -75,27 +76,49 @@
             return;
         };
         let tokens = pending.tokens;
-        let mut is_open = true;
+        let request = pending.id.clone();
         if let Some(target) = self.targets.get_mut(&id) {
             match place {
-                Some((backlog, open)) => {
-                    target.load.hear_backlog(now, backlog, tokens);
-                    is_open = open;
-                }
+                Some((backlog, _)) => target.load.hear_backlog(now, backlog, tokens),
                 None => target.agent_rests_until = now + AGENT_REST,
             }
         }
+        self.note_agent(&id, place.is_some(), effects);
+        let (backlog, is_open) = place.unwrap_or((Backlog::default(), true));
         if !self.may_send(now, token) {
             self.release(token);
             self.reject(now, token, Reason::StaleConfiguration, effects);
         } else if is_open && self.is_fit(now, token, &id) {
             self.forward(now, token, &id, effects);
         } else {
+            effects.push(Effect::Record(Decision::NoPlace {
+                request,
+                target: id,
+                open: is_open,
+                requests: backlog.requests,
+                unread: backlog.unread,
+            }));
             self.release(token);
             self.look_elsewhere(now, token, effects);
         }
     }
 
+    /// Notes that an agent was lost or is back.
+    fn note_agent(&mut self, id: &Name, answers: bool, effects: &mut Vec<Effect>) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.agent_is_lost != answers {
+            return;
+        }
+        target.agent_is_lost = !answers;
+        effects.push(Effect::Record(Decision::Dependency {
+            name: format!("agent of {id}").into(),
+            up: answers,
+            detail: "asked for a place".into(),
+        }));
+    }
+
     /// Whether a request may go to the target at which it has a place.
     fn is_fit(&mut self, now: Duration, token: u64, id: &Name) -> bool {
         // The request itself must not count as one that stands before it.
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -66,6 +66,8 @@
     pub returned_at: Duration,
     /// Until when its agent, which did not answer, is not asked for places.
     pub agent_rests_until: Duration,
+    /// Whether its agent did not answer when it was last asked for a place.
+    pub agent_is_lost: bool,
     /// When its agent last said what it runs.
     pub told_at: Option<Duration>,
     /// Until when it is used although its entry is missing, which may be the list's fault.
@@ -84,6 +86,7 @@
             watchers: 1,
             returned_at: now,
             agent_rests_until: Duration::ZERO,
+            agent_is_lost: false,
             told_at: None,
             lapses_at: None,
             cold: ColdAllowance::default(),
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -29,6 +29,7 @@
     Send,
     State, //
 };
+use protocol::Backlog;
 use utils::clock::Now;
 
 const LEASE: Duration = Duration::from_secs(4);
@@ -583,6 +584,52 @@
     assert_eq!(process.arrive("chat").1.target(), "e1");
 }
 
+/// An agent that does not answer is a dependency that is lost, and does not stop requests.
+#[test]
+fn requests_go_on_while_an_agent_does_not_answer() {
+    let mut process = Process::with(&[("e1", "engines", "a")]);
+    process.state = {
+        let mut state = State::new(Options {
+            reserves: true,
+            location: Location {
+                data_centre: "a".into(),
+                ..Location::default()
+            },
+            ..options()
+        });
+        let now = Now {
+            elapsed: process.now,
+            wall: SystemTime::UNIX_EPOCH,
+        };
+        state.step(now, Event::Config(Arc::new(config(1))));
+        state.step(now, Event::Listed(entry("e1", "engines", "a")));
+        state
+    };
+    process.renew();
+    let mut lines = Vec::new();
+    for (at, place) in [None, None, Some((Backlog::default(), true))]
+        .iter()
+        .enumerate()
+    {
+        // Longer than the rest of an agent that did not answer.
+        process.now += ms(1500);
+        process.renew();
+        let (token, before) = process.arrive("chat");
+        assert_eq!(before, Fate::Waits, "{at}: the agent is asked first");
+        let place = *place;
+        let effects = process.tell(Event::Reserved { token, place });
+        assert!(matches!(fate(token, &effects), Fate::Sent(_)), "{at}");
+        for effect in effects {
+            if let Effect::Record(record::Decision::Dependency { name, up, .. }) = effect {
+                lines.push((name.to_string(), up));
+            }
+        }
+        process.end(token, Outcome::Answered { failed: false });
+    }
+    let agent = "agent of e1".to_owned();
+    assert_eq!(lines, [(agent.clone(), false), (agent, true)]);
+}
+
 struct BeginCase {
     name: &'static str,
     /// The version that the target runs.
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -265,6 +265,19 @@
         /// The version of the weights that must answer.
         version: Option<u64>,
     },
+    /// A request does not go to a target, by what the target's agent told.
+    NoPlace {
+        /// The request.
+        request: Name,
+        /// The target.
+        target: Name,
+        /// Whether the target takes requests now: it may be about to load, or cold.
+        open: bool,
+        /// Requests of all processes there.
+        requests: u32,
+        /// Tokens of their prompts that the target has yet to read.
+        unread: u32,
+    },
     /// A request ends without the answer of a target.
     TurnAway {
         /// The request.
@@ -366,7 +379,8 @@
             | Self::TurnAway { request, .. }
             | Self::Exchange { request, .. }
             | Self::CallerLeft { request, .. }
-            | Self::Rest { request, .. } => Some(request),
+            | Self::Rest { request, .. }
+            | Self::NoPlace { request, .. } => Some(request),
             _ => None,
         }
     }
@@ -394,6 +408,7 @@
             Self::VersionNamed { .. } => "version_named",
             Self::Lease { .. } => "lease",
             Self::Forward { .. } => "forward",
+            Self::NoPlace { .. } => "no_place",
             Self::TurnAway { .. } => "turn_away",
             Self::Exchange { .. } => "exchange",
             Self::CallerLeft { .. } => "caller_left",
