Draws from another region are waited for though it was silent before

Cause: a request that waits at an instance which does not answer exchanges is given up. There are no exchanges with instances of other regions, so one that had failed once, in a partition say, counted as silent for good, and each draw from it was cancelled at the next tick.

Change: only instances of the region are given up for their silence.

Test: a case of weights/tests/paced.rs, one region cut off for 3 s: never before, 2.48 s after the cut now.

--- a/components/weights/src/transfer/mod.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -334,13 +334,14 @@
     /// Progress, not total time, tells a slow source from a dead one.
     fn cancel_stalled(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let limits = &self.limits;
-        // Who does not answer exchanges either is not waited for.
+        // Who does not answer exchanges either is not waited for. With other regions there are
+        // none, so nobody there would ever count as back.
         let is_gone = |source: &Source| match source {
-            Source::Origin => false,
-            Source::Peer(name) => {
+            Source::Peer(name) if self.plan.is_near(name) => {
                 let peer = self.peers.get(name);
                 peer.is_some_and(|peer| peer.is_gone(now, limits.rank_timeout))
             }
+            Source::Origin | Source::Peer(_) => false,
         };
         let is_stalled = |fetch: &Fetch| {
             if fetch.waits && is_gone(&fetch.source) {
--- a/components/weights/tests/paced.rs
+++ b/components/weights/tests/paced.rs
@@ -100,6 +100,8 @@
     origin_bytes: f64,
     /// Until when the origin is away.
     origin_back_at: Duration,
+    /// Until when the last region is cut off from the others.
+    joined_at: Duration,
 }
 
 fn manifest() -> Manifest {
@@ -150,6 +152,7 @@
             key,
             origin_bytes: 0.0,
             origin_back_at: Duration::ZERO,
+            joined_at: Duration::ZERO,
         }
     }
 
@@ -207,7 +210,7 @@
                 piece,
                 source: Source::Origin,
                 ..
-            } if self.now >= self.origin_back_at => {
+            } if self.reaches_origin(me) => {
                 self.start(Source::Origin, me.clone(), piece, 0);
             }
             Effect::Fetch {
@@ -246,8 +249,24 @@
         }
     }
 
+    /// Whether an instance stands in the region that is cut off now.
+    fn is_cut_off(&self, name: &Name) -> bool {
+        let last = self.nodes.values().next_back().map(|node| &node.region);
+        self.now < self.joined_at && Some(&self.nodes[name].region) == last
+    }
+
+    /// Whether `peer` answers `me` now.
+    fn reaches(&self, me: &Name, peer: &Name) -> bool {
+        let is_cut = self.is_cut_off(me) != self.is_cut_off(peer);
+        !is_cut && !self.nodes[peer].is_dead
+    }
+
+    fn reaches_origin(&self, me: &Name) -> bool {
+        self.now >= self.origin_back_at && !self.is_cut_off(me)
+    }
+
     fn ask(&mut self, me: &Name, peer: &Name, piece: Piece, wait: bool) {
-        if self.nodes[peer].is_dead {
+        if !self.reaches(me, peer) {
             let source = Source::Peer(peer.clone());
             let failed = Event::Failed(piece, source, FailCause::Unreachable);
             self.post_after(PATIENCE, me, failed);
@@ -267,7 +286,7 @@
     }
 
     fn exchange(&mut self, me: &Name, peer: &Name) {
-        if self.nodes[peer].is_dead {
+        if !self.reaches(me, peer) {
             self.post_after(PATIENCE, me, Event::Silent(peer.clone()));
             return;
         }
@@ -426,7 +445,9 @@
     dead: usize,
     /// How long the origin is away when the version is named.
     origin_away: Duration,
-    /// When the last living instance must hold every piece since the origin is there, in the time that an instance's link
+    /// How long the last region is cut off from the others when the version is named.
+    cut: Duration,
+    /// When the last living instance must hold every piece after the fault, in the time that an instance's link
     /// takes for one copy.
     copies: f64,
 }
@@ -441,6 +462,7 @@
             regions: &[4, 4, 3],
             dead: 0,
             origin_away: Duration::ZERO,
+            cut: Duration::ZERO,
             copies: 1.5,
         },
         Case {
@@ -448,6 +470,7 @@
             regions: &[24, 22, 22],
             dead: 0,
             origin_away: Duration::ZERO,
+            cut: Duration::ZERO,
             copies: 2.0,
         },
         Case {
@@ -455,6 +478,7 @@
             regions: &[20, 19, 19, 18],
             dead: 0,
             origin_away: Duration::ZERO,
+            cut: Duration::ZERO,
             copies: 2.0,
         },
         Case {
@@ -462,27 +486,39 @@
             regions: &[24, 22, 22],
             dead: 0,
             origin_away: Duration::from_millis(5500),
+            cut: Duration::ZERO,
             copies: 2.1,
         },
+        Case {
+            name: "a small site with one region cut off at first",
+            regions: &[3, 3, 3],
+            dead: 0,
+            origin_away: Duration::ZERO,
+            cut: Duration::from_secs(3),
+            copies: 4.0,
+        },
         Case {
             name: "a grown site whose list names the dead for good",
             regions: &[24, 22, 22],
             dead: 8,
             origin_away: Duration::ZERO,
+            cut: Duration::ZERO,
             copies: 4.5,
         },
     ];
     for case in cases {
         let mut world = World::new(case.regions);
         world.origin_back_at = case.origin_away;
+        world.joined_at = case.cut;
         let every = world.nodes.len() / case.dead.max(1);
         for (at, node) in world.nodes.values_mut().enumerate() {
             node.is_dead = case.dead > 0 && at % every == 1;
         }
         world.run(Duration::from_secs(20));
         let times = world.times();
-        let half = times[times.len() / 2].saturating_sub(case.origin_away);
-        let last = times[times.len() - 1].saturating_sub(case.origin_away);
+        let fault = case.origin_away.max(case.cut);
+        let half = times[times.len() / 2].saturating_sub(fault);
+        let last = times[times.len() - 1].saturating_sub(fault);
         let copies = world.origin_copies();
         println!(
             "{}: half by {half:?}, all by {last:?}, {copies:.2} copies",
