--- a/components/weights/tests/paced.rs
+++ b/components/weights/tests/paced.rs
@@ -79,6 +79,7 @@
 }
 
 struct Node {
+    number: usize,
     transfer: Transfer,
     region: Name,
     /// When it holds every piece.
@@ -88,6 +89,7 @@
 
 struct World {
     nodes: BTreeMap<Name, Node>,
+    regions: Vec<Name>,
     flows: Vec<Flow>,
     /// Requests for pieces that were not answered yet, by token: who asked whom for what.
     wants: BTreeMap<u64, (Name, Name, Piece)>,
@@ -129,11 +131,12 @@
         let manifest = manifest();
         let key = Digest::of(&manifest.to_text());
         let mut nodes = BTreeMap::new();
-        for member in &members {
+        for (number, member) in members.iter().enumerate() {
             let plan = Plan::of(key, "r0".into(), members.clone(), &member.name).unwrap();
             let mut transfer = Transfer::new(member.name.clone(), plan, limits(), Duration::ZERO);
             transfer.set_wanted(Duration::ZERO, true);
             let node = Node {
+                number,
                 transfer,
                 region: member.region.clone(),
                 whole_at: None,
@@ -141,8 +144,11 @@
             };
             nodes.insert(member.name.clone(), node);
         }
+        let mut regions: Vec<Name> = members.iter().map(|m| m.region.clone()).collect();
+        regions.dedup();
         Self {
             nodes,
+            regions,
             flows: Vec::new(),
             wants: BTreeMap::new(),
             inbox: Vec::new(),
@@ -175,14 +181,23 @@
             self.deliver();
             self.flow();
             if self.now.as_millis().is_multiple_of(TICK.as_millis()) {
-                let names: Vec<Name> = self.nodes.keys().cloned().collect();
-                for name in names {
-                    self.step(&name, Event::Tick);
-                }
+                self.tick();
             }
         }
     }
 
+    fn tick(&mut self) {
+        let flows = self.flows.iter();
+        let running: Vec<(Name, Piece)> = flows.map(|f| (f.to.clone(), f.piece)).collect();
+        for (to, piece) in running {
+            self.step(&to, Event::Progress(piece));
+        }
+        let names: Vec<Name> = self.nodes.keys().cloned().collect();
+        for name in names {
+            self.step(&name, Event::Tick);
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let inbox = std::mem::take(&mut self.inbox);
@@ -337,26 +352,27 @@
 
     /// Bytes a second of each flow: links are shared evenly by the flows that can use their share.
     fn rates(&self) -> Vec<f64> {
-        let links: Vec<Vec<(String, f64)>> = self.flows.iter().map(|f| self.links(f)).collect();
+        let links: Vec<Vec<(usize, f64)>> = self.flows.iter().map(|f| self.links(f)).collect();
         let mut rates = vec![0.0; links.len()];
         let mut open: Vec<usize> = (0..links.len()).collect();
-        let mut left: BTreeMap<&str, (f64, usize)> = BTreeMap::new();
+        // What is left of each link, and how many flows share it.
+        let mut left = vec![(0.0, 0_u32); self.link_count()];
         for (link, rate) in links.iter().flatten() {
-            left.entry(link).or_insert((*rate, 0)).1 += 1;
+            left[*link].0 = *rate;
+            left[*link].1 += 1;
         }
         while !open.is_empty() {
-            let shares = left.iter().filter(|(_, (_, users))| *users > 0);
-            let shares = shares.map(|(link, (rate, users))| (*link, rate / *users as f64));
+            let shares = left.iter().enumerate().filter(|(_, (_, users))| *users > 0);
+            let shares = shares.map(|(link, (rate, users))| (link, rate / f64::from(*users)));
             let (narrow, share) = shares.min_by(|a, b| a.1.total_cmp(&b.1)).unwrap();
             let (full, rest): (Vec<usize>, Vec<usize>) = open
                 .into_iter()
-                .partition(|at| links[*at].iter().any(|(link, _)| link == narrow));
+                .partition(|at| links[*at].iter().any(|(link, _)| *link == narrow));
             for at in full {
                 rates[at] = share;
                 for (link, _) in &links[at] {
-                    let (rate, users) = left.get_mut(link.as_str()).unwrap();
-                    *rate -= share;
-                    *users -= 1;
+                    left[*link].0 -= share;
+                    left[*link].1 -= 1;
                 }
             }
             open = rest;
@@ -382,14 +398,6 @@
         let (ended, rest): (Vec<Flow>, Vec<Flow>) =
             flows.into_iter().partition(|flow| flow.left <= 0.0);
         self.flows = rest;
-        let running: Vec<(Name, Piece)> = self
-            .flows
-            .iter()
-            .map(|flow| (flow.to.clone(), flow.piece))
-            .collect();
-        for (to, piece) in running {
-            self.step(&to, Event::Progress(piece));
-        }
         for flow in ended {
             self.arrive(flow);
         }
@@ -407,15 +415,28 @@
         }
     }
 
-    fn links(&self, flow: &Flow) -> Vec<(String, f64)> {
-        let mut links = vec![(format!("in {}", flow.to), LINK_RATE)];
+    fn link_count(&self) -> usize {
+        let regions = self.regions.len();
+        1 + 2 * self.nodes.len() + regions * regions
+    }
+
+    /// The links that a flow crosses, by their numbers, and their rates: the origin's, those into
+    /// and out of each instance, and those between two regions.
+    fn links(&self, flow: &Flow) -> Vec<(usize, f64)> {
+        let into = |name: &Name| 1 + 2 * self.nodes[name].number;
+        let mut links = vec![(into(&flow.to), LINK_RATE)];
         match &flow.from {
-            Source::Origin => links.push(("origin".to_owned(), ORIGIN_RATE)),
+            Source::Origin => links.push((0, ORIGIN_RATE)),
             Source::Peer(from) => {
-                links.push((format!("out {from}"), LINK_RATE * UPLOAD_SHARE));
-                let (a, b) = (&self.nodes[from].region, &self.nodes[&flow.to].region);
+                links.push((into(from) + 1, LINK_RATE * UPLOAD_SHARE));
+                let region = |name: &Name| {
+                    let region = &self.nodes[name].region;
+                    self.regions.iter().position(|r| r == region).unwrap()
+                };
+                let (a, b) = (region(from), region(&flow.to));
                 if a != b {
-                    links.push((format!("{a} to {b}"), REGION_RATE));
+                    let first = 1 + 2 * self.nodes.len();
+                    links.push((first + a * self.regions.len() + b, REGION_RATE));
                 }
             }
         }
