A cold engine gets nothing while its agent does not answer

Change: an entry whose question for a place was not answered sends a cold engine nothing until the agent answers again; warm engines go on.

Test: a_cold_engine_gets_nothing_while_its_agent_does_not_answer.

--- a/components/control/src/router/place.rs
+++ b/components/control/src/router/place.rs
@@ -278,6 +278,11 @@
 }
 
 fn is_cold_allowed(now: Duration, target: &Target, service: &Service) -> bool {
+    // Nobody counts for all processes while the agent is away, which is when everything has just
+    // started anew and all turn to the same targets.
+    if target.is_cold(now) && now < target.agent_rests_until {
+        return false;
+    }
     match cold_rate(service) {
         Some(rate) if target.is_cold(now) => target.has_cold_allowance(now, rate),
         _ => true,
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -145,6 +145,22 @@
         Self::new_at(ms(10_000))
     }
 
+    /// One that reserves places with agents.
+    fn reserving() -> Self {
+        let mut process = Self::new();
+        process.state = State::new(Options {
+            reserves: true,
+            location: Location {
+                data_centre: "a".into(),
+                ..Location::default()
+            },
+            ..options()
+        });
+        process.tell(Event::Config(Arc::new(config(1))));
+        process.renew();
+        process
+    }
+
     fn new_at(now: Duration) -> Self {
         let regions = [("a", "north"), ("b", "north"), ("c", "south")];
         let regions = regions.map(|(dc, region)| (dc.into(), region.into()));
@@ -584,28 +600,44 @@
     assert_eq!(process.arrive("chat").1.target(), "e1");
 }
 
+/// Only the agent counts for all processes, so a cold engine gets nothing without its word.
+#[test]
+fn a_cold_engine_gets_nothing_while_its_agent_does_not_answer() {
+    struct Case {
+        name: &'static str,
+        cold_for: Duration,
+        sent: bool,
+    }
+    let cases = [
+        Case {
+            name: "cold",
+            cold_for: ms(3000),
+            sent: false,
+        },
+        Case {
+            name: "warm",
+            cold_for: Duration::ZERO,
+            sent: true,
+        },
+    ];
+    for case in cases {
+        let mut process = Process::reserving();
+        process.tell(Event::Listed(TargetEntry {
+            cold_for: case.cold_for,
+            ..entry("e1", "engines", "a")
+        }));
+        let (token, _) = process.arrive("chat");
+        let effects = process.tell(Event::Reserved { token, place: None });
+        let sent = matches!(fate(token, &effects), Fate::Sent(_));
+        assert_eq!(sent, case.sent, "{}", case.name);
+    }
+}
+
 /// An agent that does not answer is a dependency that is lost, and does not stop requests.
 #[test]
 fn requests_go_on_while_an_agent_does_not_answer() {
-    let mut process = Process::with(&[("e1", "engines", "a")]);
-    process.state = {
-        let mut state = State::new(Options {
-            reserves: true,
-            location: Location {
-                data_centre: "a".into(),
-                ..Location::default()
-            },
-            ..options()
-        });
-        let now = Now {
-            elapsed: process.now,
-            wall: SystemTime::UNIX_EPOCH,
-        };
-        state.step(now, Event::Config(Arc::new(config(1))));
-        state.step(now, Event::Listed(entry("e1", "engines", "a")));
-        state
-    };
-    process.renew();
+    let mut process = Process::reserving();
+    process.tell(Event::Listed(entry("e1", "engines", "a")));
     let mut lines = Vec::new();
     for (at, place) in [None, None, Some((Backlog::default(), true))]
         .iter()
