--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -175,8 +175,8 @@
     Reserved {
         /// The request.
         token: u64,
-        /// What stands before it, and whether the engine takes requests now.
-        place: Option<(Backlog, bool)>,
+        /// What the agent told, if it answered.
+        offer: Option<Offer>,
     },
     /// A request has waited long enough.
     WaitOver(u64),
@@ -214,6 +214,15 @@
     pub is_stream: bool,
 }
 
+/// What an agent tells of its engine when it is asked for a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// What stands before the request.
+    pub ahead: Backlog,
+    /// Whether the engine takes requests now: it may be about to load, or in cold start.
+    pub is_open: bool,
+}
+
 /// Where to reserve a place for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reserve {
--- a/components/control/src/router/reserving.rs
+++ b/components/control/src/router/reserving.rs
@@ -14,6 +14,7 @@
 use super::state::State;
 use super::{
     Effect,
+    Offer,
     Reserve, //
 };
 
@@ -27,6 +28,15 @@
 /// How long an agent that did not answer is not asked for places.
 const AGENT_REST: Duration = Duration::from_secs(1);
 
+/// Stands for the word of an agent that does not answer.
+const UNKNOWN: Offer = Offer {
+    ahead: Backlog {
+        requests: 0,
+        unread: 0,
+    },
+    is_open: true,
+};
+
 impl State {
     /// Asks the agent of a model engine for a place, if there is one to ask.
     pub(super) fn reserve(
@@ -63,7 +73,7 @@
         &mut self,
         now: Duration,
         token: u64,
-        place: Option<(Backlog, bool)>,
+        offer: Option<Offer>,
         effects: &mut Vec<Effect>,
     ) {
         let Some(pending) = self.pending.get_mut(&token) else {
@@ -78,13 +88,13 @@
         let tokens = pending.tokens;
         let request = pending.id.clone();
         if let Some(target) = self.targets.get_mut(&id) {
-            match place {
-                Some((backlog, _)) => target.load.hear_backlog(now, backlog, tokens),
+            match offer {
+                Some(offer) => target.load.hear_backlog(now, offer.ahead, tokens),
                 None => target.agent_rests_until = now + AGENT_REST,
             }
         }
-        self.note_agent(&id, place.is_some(), effects);
-        let (backlog, is_open) = place.unwrap_or((Backlog::default(), true));
+        self.note_agent(&id, offer.is_some(), effects);
+        let Offer { ahead, is_open } = offer.unwrap_or(UNKNOWN);
         if !self.may_send(now, token) {
             self.release(token);
             self.reject(now, token, Reason::StaleConfiguration, effects);
@@ -95,8 +105,8 @@
                 request,
                 target: id,
                 open: is_open,
-                requests: backlog.requests,
-                unread: backlog.unread,
+                requests: ahead.requests,
+                unread: ahead.unread,
             }));
             self.release(token);
             self.look_elsewhere(now, token, effects);
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -197,7 +197,7 @@
                 outcome,
                 pause,
             } => self.end(now, token, outcome, pause, &mut effects),
-            Event::Reserved { token, place } => self.reserved(now, token, place, &mut effects),
+            Event::Reserved { token, offer } => self.reserved(now, token, offer, &mut effects),
             Event::WaitOver(token) => self.wait_over(now, token, &mut effects),
             Event::Left(token) => self.leave(now, token, &mut effects),
             Event::Close => self.closing = true,
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -29,6 +29,7 @@
     Arrival,
     Effect,
     Event,
+    Offer,
     Options,
     Outcome,
     Reserve,
@@ -190,9 +191,12 @@
                 });
             }
             Happening::Reserved(token) => {
-                let place = play.places.get(&token).copied();
-                let place = place.map(|(engine, _, ahead)| (ahead, !play.away[engine]));
-                play.tell(token, Event::Reserved { token, place });
+                let place = play.places.get(&token);
+                let offer = place.map(|(engine, _, ahead)| Offer {
+                    ahead: *ahead,
+                    is_open: !play.away[*engine],
+                });
+                play.tell(token, Event::Reserved { token, offer });
             }
         }
     }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -22,6 +22,7 @@
     Arrival,
     Effect,
     Event,
+    Offer,
     Options,
     Outcome,
     Reason,
@@ -627,7 +628,7 @@
             ..entry("e1", "engines", "a")
         }));
         let (token, _) = process.arrive("chat");
-        let effects = process.tell(Event::Reserved { token, place: None });
+        let effects = process.tell(Event::Reserved { token, offer: None });
         let sent = matches!(fate(token, &effects), Fate::Sent(_));
         assert_eq!(sent, case.sent, "{}", case.name);
     }
@@ -639,17 +640,17 @@
     let mut process = Process::reserving();
     process.tell(Event::Listed(entry("e1", "engines", "a")));
     let mut lines = Vec::new();
-    for (at, place) in [None, None, Some((Backlog::default(), true))]
-        .iter()
-        .enumerate()
-    {
+    let back = Offer {
+        ahead: Backlog::default(),
+        is_open: true,
+    };
+    for (at, offer) in [None, None, Some(back)].into_iter().enumerate() {
         // Longer than the rest of an agent that did not answer.
         process.now += ms(1500);
         process.renew();
         let (token, before) = process.arrive("chat");
         assert_eq!(before, Fate::Waits, "{at}: the agent is asked first");
-        let place = *place;
-        let effects = process.tell(Event::Reserved { token, place });
+        let effects = process.tell(Event::Reserved { token, offer });
         assert!(matches!(fate(token, &effects), Fate::Sent(_)), "{at}");
         for effect in effects {
             if let Effect::Record(record::Decision::Dependency { name, up, .. }) = effect {
--- a/components/proxy/src/router/places.rs
+++ b/components/proxy/src/router/places.rs
@@ -5,6 +5,7 @@
 
 use control::router::{
     Event,
+    Offer,
     Reserve, //
 };
 use protocol::{
@@ -40,18 +41,13 @@
             tokens: reserve.tokens,
             cold_rate: reserve.cold_rate,
         });
-        let (place, answer) = match self.ask_for_place(agent, message).await {
-            Some((place, backlog)) => {
-                let is_open = place.is_some();
-                (place, Some((backlog, is_open)))
-            }
-            None => (None, None),
-        };
-        self.tell(Event::Reserved {
-            token,
-            place: answer,
+        let answer = self.ask_for_place(agent, message).await;
+        let offer = answer.as_ref().map(|(place, ahead)| Offer {
+            ahead: *ahead,
+            is_open: place.is_some(),
         });
-        place
+        self.tell(Event::Reserved { token, offer });
+        answer.and_then(|(place, _)| place)
     }
 
     async fn ask_for_place(
--- a/components/weights/src/plan.rs
+++ b/components/weights/src/plan.rs
@@ -37,6 +37,8 @@
     origin_region: Name,
     region: Name,
     members: Vec<Member>,
+    /// The instances of this region in the order in which they bring pieces into it.
+    turns: Vec<Name>,
 }
 
 impl Plan {
@@ -63,12 +65,15 @@
         me: &str,
     ) -> Option<Self> {
         let region = members.iter().find(|m| &*m.name == me)?.region.clone();
-        Some(Self {
+        let mut plan = Self {
             manifest,
             origin_region,
             region,
             members,
-        })
+            turns: Vec::new(),
+        };
+        plan.turns = plan.turns_of(&plan.region);
+        Some(plan)
     }
 
     /// The manifest that is spread.
@@ -137,13 +142,13 @@
 
     /// The place in `rest` of the instance of `region` whose turn `piece` is.
     fn first_in_turn(&self, piece: Piece, region: &Name, rest: &[&Member]) -> Option<usize> {
-        let turns = self.turns(region);
+        let turns = self.turns_of(region);
         let turn = turns.get(piece as usize % turns.len().max(1))?;
         rest.iter().position(|m| m.name == *turn)
     }
 
     /// The instances of a region in the order in which they bring pieces into it.
-    fn turns(&self, region: &Name) -> Vec<Name> {
+    fn turns_of(&self, region: &Name) -> Vec<Name> {
         let key = rank::key(self.manifest.as_bytes());
         let members = self.members.iter().filter(|m| m.region == *region);
         rank::ranked(key, members.map(|m| &m.name))
@@ -151,14 +156,14 @@
 
     /// The place of `me` in the order in which the instances of its region bring pieces into it.
     pub fn turn(&self, me: &str) -> u32 {
-        let turns = self.turns(&self.region);
-        let place = turns.iter().position(|name| &**name == me).unwrap_or(0);
+        let place = self.turns.iter().position(|name| &**name == me);
+        let place = place.unwrap_or(0);
         u32::try_from(place).unwrap_or(u32::MAX)
     }
 
     /// How many turns after `me` the turn of `other` comes. Zero for instances of other regions.
     pub fn distance(&self, me: &str, other: &str) -> u32 {
-        let count = u32::try_from(self.region_size()).unwrap_or(u32::MAX).max(1);
+        let count = u32::try_from(self.turns.len()).unwrap_or(u32::MAX).max(1);
         (self.turn(other) + count - self.turn(me)) % count
     }
 
@@ -234,7 +239,7 @@
         regions.dedup();
         let at = regions.iter().position(|region| **region == self.region)?;
         let before = regions.get(at.checked_sub(1)?)?;
-        let turns = self.turns(before);
+        let turns = self.turns_of(before);
         turns.get(piece as usize % turns.len().max(1)).cloned()
     }
 
