Record under which requests a target crashed, and which were cleared

Cause: the record could not tell the hypotheses of the incident apart. An entry on the platform counted crashes without a line: whether it counted one, how many it knew of, and whether an answer made it forget them could not be seen. No decision changes. `medlarproxy_decisions_total{kind}` counts both. Measured: tests of control, record and platform pass.

--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -319,6 +319,8 @@
             fingerprint: crash.fingerprint,
             target: crash.target.clone(),
             quarantined: self.suspects.is_quarantined(crash.fingerprint),
+            request: None,
+            crashes: self.suspects.uncleared_crashes(crash.fingerprint),
         }));
     }
 
--- a/components/control/src/crash_suspects.rs
+++ b/components/control/src/crash_suspects.rs
@@ -98,7 +98,8 @@
         true
     }
 
-    fn uncleared_crashes(&self, fingerprint: Fingerprint) -> usize {
+    /// The number of crashes that a request may have caused.
+    pub fn uncleared_crashes(&self, fingerprint: Fingerprint) -> usize {
         self.0
             .get(&fingerprint)
             .map_or(0, Suspect::uncleared_crashes)
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -130,7 +130,13 @@
         self.update_target_after_exchange(now, &id, &request, fingerprint, outcome, effects);
         match outcome {
             Outcome::Answered { .. } => {
-                self.suspects.clear_request(now, fingerprint);
+                if self.suspects.clear_request(now, fingerprint) {
+                    effects.push(Effect::Record(Decision::SuspectCleared {
+                        fingerprint,
+                        request,
+                        outcome: outcome_name(outcome).into(),
+                    }));
+                }
                 self.pending.remove(&token);
             }
             Outcome::DeadlineExceeded => {
@@ -168,6 +174,13 @@
                         is_cleared: false,
                     };
                     self.suspects.record_crash(now, &crash);
+                    effects.push(Effect::Record(Decision::Suspect {
+                        fingerprint,
+                        target: id.clone(),
+                        quarantined: self.suspects.is_quarantined(fingerprint),
+                        request: Some(request.clone()),
+                        crashes: self.suspects.uncleared_crashes(fingerprint),
+                    }));
                 }
             }
             Outcome::NotSent => target.health.record_unreachable(now),
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -162,6 +162,22 @@
         target: Name,
         /// Whether such requests are no longer run.
         quarantined: bool,
+        /// The request that ran, if this process sent it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        request: Option<Name>,
+        /// Number of crashes under such requests that this process knows of and has not cleared.
+        #[serde(default)]
+        crashes: usize,
+    },
+    /// A request during which a target crashed ended normally at another target, so it did not
+    /// cause the crash.
+    SuspectCleared {
+        /// The fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// The request.
+        request: Name,
+        /// How it ended.
+        outcome: Name,
     },
     /// The process activated a configuration.
     Configure {
@@ -381,7 +397,9 @@
             | Self::Exchange { request, .. }
             | Self::CallerLeft { request, .. }
             | Self::Rest { request, .. }
-            | Self::NoPlace { request, .. } => Some(request),
+            | Self::NoPlace { request, .. }
+            | Self::SuspectCleared { request, .. } => Some(request),
+            Self::Suspect { request, .. } => request.as_deref(),
             _ => None,
         }
     }
@@ -400,6 +418,7 @@
             Self::Corrupt { .. } => "corrupt",
             Self::Switch { .. } => "switch",
             Self::Suspect { .. } => "suspect",
+            Self::SuspectCleared { .. } => "suspect_cleared",
             Self::Configure { .. } => "configure",
             Self::Target { .. } => "target",
             Self::TargetGone { .. } => "target_gone",
--- a/components/record/tests/audit.rs
+++ b/components/record/tests/audit.rs
@@ -301,6 +301,8 @@
                         fingerprint: 1,
                         target: "m2".into(),
                         quarantined: true,
+                        request: None,
+                        crashes: 2,
                     },
                 ),
                 (2, 1, run(1, Guard::Repeatable)),
