Entries share the crashes of a request through agents

Callers saw a request that crashes targets take down target after target: it comes again at any instance, and each entry sent it to two more targets. Cause: `CrashSuspects` of the router counted only the entry's own exchanges, and a restart began at zero. The sum over all instances was never formed; each entry spent the whole allowance by itself. Change: `router::crashes` and `CrashExchange` decide, without network, what to report to which agent and what to ask for again; own crashes go to three agents in different data centres, those of a quarantined request are reported by every entry. Agents pass them on in a held call (`Request::Crashes`). Each way to a target asks the same function, also requests that waited in the queue or for a reservation. Evidence: tests/crashing_request.rs failed before (7, 10 and 10 late sends, 3 allowed) and passes; it now waits `touch_ms` after the last restart as well, since the rule excuses a process for that time.

--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -315,13 +315,7 @@
     }
 
     pub(super) fn record_suspect(&self, crash: &protocol::Crash, effects: &mut Vec<Effect>) {
-        effects.push(Effect::Record(Decision::Suspect {
-            fingerprint: crash.fingerprint,
-            target: crash.target.clone(),
-            quarantined: self.suspects.is_quarantined(crash.fingerprint),
-            request: None,
-            crashes: self.suspects.uncleared_crashes(crash.fingerprint),
-        }));
+        effects.push(Effect::Record(self.suspects.decision(crash, None)));
     }
 
     fn step_transfer(
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -12,6 +12,7 @@
 
 use protocol::{
     Backlog,
+    Crash,
     EngineStatus,
     NamedVersion, //
 };
@@ -24,6 +25,8 @@
     Piece, //
 };
 
+use crate::CrashSuspects;
+
 use self::download::{
     Download,
     PlanContext, //
@@ -76,6 +79,8 @@
 pub enum Event {
     /// Time passed.
     Tick,
+    /// An entry reported crashes of targets.
+    CrashesReported(Vec<Crash>),
     /// The model that the engine runs became known.
     Model(Name),
     /// Operators named a version to be served.
@@ -172,6 +177,8 @@
     update: Option<ModelVersion>,
     phase: UpdatePhase,
     reservations: Reservations,
+    /// Crashes of any targets that entries reported, which are passed on to all entries.
+    suspects: CrashSuspects,
     engine: Option<EngineReport>,
     retry_at: Duration,
     engine_read_at: Duration,
@@ -219,6 +226,7 @@
             update: None,
             phase: UpdatePhase::Idle,
             reservations: Reservations::default(),
+            suspects: CrashSuspects::default(),
             engine: None,
             retry_at: Duration::ZERO,
             engine_read_at: Duration::ZERO,
@@ -271,6 +279,16 @@
         self.reservations.release(number);
     }
 
+    /// The revision of the crashes that entries reported.
+    pub fn crash_revision(&self) -> u64 {
+        self.suspects.revision()
+    }
+
+    /// The crashes that changed after `revision`, for entries.
+    pub fn crashes_after(&self, revision: u64) -> Vec<Crash> {
+        self.suspects.changes_after(revision)
+    }
+
     /// Whether the version with this key is downloaded here.
     pub fn is_downloading(&self, key: &Digest) -> bool {
         self.downloads
@@ -306,7 +324,14 @@
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
-            Event::Tick => self.handle_tick(now, &mut effects),
+            Event::Tick => {
+                self.suspects.expire(now);
+                self.handle_tick(now, &mut effects);
+            }
+            Event::CrashesReported(crashes) => {
+                let decisions = self.suspects.add_reported(now, &crashes);
+                effects.extend(decisions.into_iter().map(Effect::Record));
+            }
             Event::Model(model) => {
                 if self.model.as_ref() != Some(&model) {
                     self.model = Some(model);
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -219,20 +219,9 @@
         crashes: &[Crash],
         effects: &mut Vec<Effect>,
     ) {
-        let mut has_new_crash = false;
-        for crash in crashes {
-            if !self.suspects.record_crash(now, crash) {
-                continue;
-            }
-            has_new_crash = true;
-            effects.push(Effect::Record(Decision::Suspect {
-                fingerprint: crash.fingerprint,
-                target: crash.target.clone(),
-                quarantined: self.suspects.is_quarantined(crash.fingerprint),
-                request: None,
-                crashes: self.suspects.uncleared_crashes(crash.fingerprint),
-            }));
-        }
+        let decisions = self.suspects.add_reported(now, crashes);
+        let has_new_crash = !decisions.is_empty();
+        effects.extend(decisions.into_iter().map(Effect::Record));
         if has_new_crash {
             effects.extend(self.follower.heartbeats().map(Effect::Follow));
         }
--- /dev/null
+++ b/components/control/src/router/crashes.rs
@@ -0,0 +1,107 @@
+//! Exchanges crashes of targets with other processes.
+//!
+//! Callers send a request that crashes targets again, to any process. Processes do not know each
+//! other, but all of them call the agents of model engines. So each process reports crashes to a few
+//! agents and learns from every agent what others reported.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use protocol::Crash;
+use utils::{
+    rank,
+    Name, //
+};
+
+use super::state::State;
+use super::Effect;
+
+/// The number of agents that a process reports crashes to. They are in different data centres as
+/// far as possible, so that the loss of one data centre leaves others.
+const REPORTED_AGENTS: usize = 3;
+
+/// Up to where this process and one agent know each other's crashes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CrashExchange {
+    /// The agent's start to which the revisions belong, if it has replied.
+    incarnation: Option<u64>,
+    /// The agent's revision that this process has received.
+    received: u64,
+    /// The own revision that the agent has received.
+    reported: u64,
+}
+
+impl CrashExchange {
+    /// The agent's revision up to which this process knows the agent's crashes.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// The crashes that are to be reported to the agent of `target` now.
+    pub fn crashes_to_report(&self, now: Duration, state: &State, target: &Name) -> Vec<Crash> {
+        state.crashes_to_report(now, target, self.reported)
+    }
+
+    /// Notes a reply, which says what the agent knew at `revision`. `reported` is the own revision
+    /// whose crashes the request reported, if it reported any. An agent that has restarted knows
+    /// nothing, so everything is exchanged again.
+    pub fn handle_reply(&mut self, incarnation: u64, revision: u64, reported: Option<u64>) {
+        let has_restarted = self.incarnation.is_some_and(|known| known != incarnation);
+        if has_restarted {
+            *self = Self::default();
+        } else {
+            self.received = revision;
+            self.reported = reported.unwrap_or(self.reported);
+        }
+        self.incarnation = Some(incarnation);
+    }
+}
+
+impl State {
+    /// Adds crashes that other processes observed.
+    pub(super) fn add_crashes(
+        &mut self,
+        now: Duration,
+        crashes: &[Crash],
+        effects: &mut Vec<Effect>,
+    ) {
+        let decisions = self.suspects.add_reported(now, crashes);
+        effects.extend(decisions.into_iter().map(Effect::Record));
+    }
+
+    /// The revision of the crashes that this process knows of.
+    pub fn crash_revision(&self) -> u64 {
+        self.suspects.revision()
+    }
+
+    /// The crashes after `revision` that are to be reported to the agent of this target: none if
+    /// others are to be told instead.
+    fn crashes_to_report(&self, now: Duration, target: &Name, revision: u64) -> Vec<Crash> {
+        let crashes = self.suspects.changes_to_report(revision);
+        if crashes.is_empty() || !self.reported_agents(now).contains(target) {
+            return Vec::new();
+        }
+        crashes
+    }
+
+    /// The targets whose agents this process reports crashes to.
+    fn reported_agents(&self, now: Duration) -> Vec<Name> {
+        let names: Vec<&Name> = self
+            .targets
+            .iter()
+            .filter(|target| target.has_recent_agent_report(now))
+            .map(|target| &target.entry.id)
+            .collect();
+        let ranked = rank::rank_names(self.options.seed, names);
+        let mut data_centres = BTreeSet::new();
+        let is_first_of_data_centre = |name: &Name| {
+            let target = self.targets.get(name);
+            target.is_some_and(|t| data_centres.insert(t.entry.data_centre.clone()))
+        };
+        let (mut first, others): (Vec<Name>, Vec<Name>) =
+            ranked.into_iter().partition(is_first_of_data_centre);
+        first.extend(others);
+        first.truncate(REPORTED_AGENTS);
+        first
+    }
+}
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -166,8 +166,8 @@
         let Some(Choice::Target(id)) = self.choose(now, token) else {
             return false;
         };
-        if !self.may_send(now, token) {
-            self.reject(now, token, RejectionReason::StaleConfiguration, effects);
+        if let Some(reason) = self.reason_not_to_send(now, token) {
+            self.reject(now, token, reason, effects);
             return true;
         }
         if self.reserve(now, token, &id, effects) {
@@ -179,12 +179,17 @@
         true
     }
 
-    /// Whether the lease on the configuration allows sending a request. Requests without a key and
-    /// streams that are resumed need no valid lease.
-    pub(super) fn may_send(&self, now: Duration, token: u64) -> bool {
-        let pending = self.pending.get(&token);
-        let needs_lease = pending.is_some_and(|p| p.team.is_some() && !p.response_started);
-        !needs_lease || self.lease.is_valid(now)
+    /// Why a request must not be sent to any target, if so: the lease on the configuration has
+    /// expired, or the request was quarantined while it waited. Requests without a key and streams
+    /// that are resumed need no valid lease.
+    pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
+        let pending = self.pending.get(&token)?;
+        let needs_lease = pending.team.is_some() && !pending.response_started;
+        if needs_lease && !self.lease.is_valid(now) {
+            return Some(RejectionReason::StaleConfiguration);
+        }
+        let is_quarantined = self.suspects.is_quarantined(pending.fingerprint);
+        is_quarantined.then_some(RejectionReason::Quarantined)
     }
 
     /// Stores the expected response time of a request at the target that it will be sent to.
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 pub mod config;
+mod crashes;
 mod dispatch;
 pub mod health;
 pub mod latency;
@@ -28,6 +29,7 @@
 
 use protocol::{
     Backlog,
+    Crash,
     Fingerprint, //
 };
 use record::Decision;
@@ -37,6 +39,7 @@
 use load::LoadReport;
 use targets::TargetEntry;
 
+pub use crashes::CrashExchange;
 pub use rejection::RejectionReason;
 pub use state::{
     EngineTarget,
@@ -149,6 +152,8 @@
         /// Number of processes that query the agent, and so may send to the target.
         process_count: u32,
     },
+    /// An agent passed on crashes that other processes observed.
+    CrashesReported(Vec<Crash>),
     /// A caller's request was received completely.
     RequestReceived(IncomingRequest),
     /// The head of an answer was received.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -173,14 +173,9 @@
                         start_count: target.entry.started_at_ms,
                         is_cleared: false,
                     };
-                    self.suspects.record_crash(now, &crash);
-                    effects.push(Effect::Record(Decision::Suspect {
-                        fingerprint,
-                        target: id.clone(),
-                        quarantined: self.suspects.is_quarantined(fingerprint),
-                        request: Some(request.clone()),
-                        crashes: self.suspects.uncleared_crashes(fingerprint),
-                    }));
+                    self.suspects.observe_crash(now, &crash);
+                    let decision = self.suspects.decision(&crash, Some(request.clone()));
+                    effects.push(Effect::Record(decision));
                 }
             }
             Outcome::NotSent => target.health.record_unreachable(now),
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -100,9 +100,9 @@
             backlog,
             accepts_requests,
         } = reply.unwrap_or(ASSUMED_REPLY);
-        if !self.may_send(now, token) {
+        if let Some(reason) = self.reason_not_to_send(now, token) {
             self.unassign(token);
-            self.reject(now, token, RejectionReason::StaleConfiguration, effects);
+            self.reject(now, token, reason, effects);
         } else if accepts_requests && self.can_accept_reserved(now, token, &id) {
             self.forward(now, token, &id, effects);
         } else {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -192,6 +192,7 @@
                 };
                 self.update_engine(now, &id, report, &mut effects);
             }
+            Event::CrashesReported(crashes) => self.add_crashes(now, &crashes, &mut effects),
             Event::RequestReceived(request) => self.handle_request(now, request, &mut effects),
             Event::ResponseHead {
                 token,
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -106,6 +106,12 @@
         (self.load.total_requests(now) / own).clamp(1.0, max)
     }
 
+    /// Whether its agent reported its state recently, so that the agent is reachable.
+    pub fn has_recent_agent_report(&self, now: Duration) -> bool {
+        let is_recent = |at: Duration| now.saturating_sub(at) < AGENT_REPORT_PRECEDENCE;
+        self.agent_reported_at.is_some_and(is_recent)
+    }
+
     /// Whether the target is in cold start, in which it can handle fewer requests.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.cold_until
@@ -171,8 +177,7 @@
         let was_cold = target.is_cold(now);
         let mut entry = entry;
         // The list lags behind the agents' reports by seconds.
-        let is_recent = |at: Duration| now.saturating_sub(at) < AGENT_REPORT_PRECEDENCE;
-        if target.agent_reported_at.is_some_and(is_recent) {
+        if target.has_recent_agent_report(now) {
             entry.version = target.entry.version;
             entry.has_no_weights = target.entry.has_no_weights;
         }
--- /dev/null
+++ b/components/control/tests/crash_reports.rs
@@ -0,0 +1,350 @@
+//! A request that crashes targets, sent to entries that know of each other's crashes only through
+//! agents. Entries and agents restart, and links between them are cut.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    SystemTime, //
+};
+
+use control::controller::{
+    self,
+    Controller, //
+};
+use control::retry_budget::RetryBudgetOptions;
+use control::router::config::{
+    Config,
+    EngineProfile,
+    Repeatability,
+    Route,
+    Service, //
+};
+use control::router::selection::Location;
+use control::router::targets::TargetEntry;
+use control::router::{
+    CrashExchange,
+    Effect,
+    Event,
+    IncomingRequest,
+    Options,
+    Outcome,
+    State, //
+};
+use proptest::prelude::*;
+use utils::clock::ClockReading;
+use utils::Name;
+use weights::Limits;
+
+/// The fingerprint of the crashing request.
+const CRASHING: u64 = 666;
+
+const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
+
+/// The plain targets that run the request.
+const DESKS: usize = 6;
+
+/// How long a process must have run and been connected to count.
+const TOUCH_TIME: Duration = Duration::from_secs(3);
+
+/// The sends that are allowed later than `TOUCH_TIME` after the third crash.
+const ALLOWED_LATE_SENDS: usize = 3;
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// The request's retries are not limited by the budget here.
+const BUDGET: RetryBudgetOptions = RetryBudgetOptions {
+    retries_per_request: 1.0,
+    max_available: 100.0,
+};
+
+fn config() -> Config {
+    let route = Route {
+        name: "look".into(),
+        host: "host.example".into(),
+        prefix: "/look/".into(),
+        repeatability: Repeatability::Idempotent,
+        timeout: Duration::from_secs(6),
+        latency_objective: Duration::from_millis(400),
+        priority: 1,
+        services: vec![("desk".into(), 1)],
+        attempt_limit: 3,
+        allows_anonymous: true,
+        allowed_regions: Vec::new(),
+    };
+    let service = |name: &str, engine_profile| {
+        let service = Service {
+            name: name.into(),
+            cold_rate_per_second: 0.0,
+            engine_profile,
+        };
+        (service.name.clone(), Arc::new(service))
+    };
+    let engine = EngineProfile {
+        model: "m".into(),
+        slots: 4,
+        step_time: Duration::from_millis(10),
+        steps_per_iteration: 5,
+        prefill_chunk_tokens: None,
+        typical_answer_tokens: 100,
+        prefill_tokens_per_second: 20_000.0,
+    };
+    Config {
+        version: 1,
+        routes: vec![Arc::new(route)],
+        services: BTreeMap::from([service("engines", Some(engine)), service("desk", None)]),
+        ..Config::default()
+    }
+}
+
+fn target(id: &str, service: &str, data_centre: &str, started_at_ms: u64) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: service.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: data_centre.into(),
+        slots: Some(4),
+        is_draining: false,
+        cold_remaining: Duration::ZERO,
+        version: (service == "engines").then_some(1),
+        has_no_weights: false,
+        started_at_ms,
+    }
+}
+
+struct Entry {
+    state: State,
+    exchanges: Vec<CrashExchange>,
+    /// The data centre whose agents it cannot reach, and until when.
+    cut: Option<(usize, Duration)>,
+    in_touch_from: Duration,
+}
+
+struct Agent {
+    state: Controller,
+    incarnation: u64,
+}
+
+struct Fleet {
+    now: Duration,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    desk_starts: [u64; DESKS],
+    last_token: u64,
+    /// When the request was sent, and whether the entry was in touch.
+    sends: Vec<(Duration, bool)>,
+}
+
+impl Fleet {
+    fn new(entries: usize, agents: usize) -> Self {
+        let mut fleet = Self {
+            now: Duration::from_secs(10),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            desk_starts: [1; DESKS],
+            last_token: 0,
+            sends: Vec::new(),
+        };
+        for number in 0..agents {
+            let agent = fleet.new_agent(number);
+            fleet.agents.push(agent);
+        }
+        for number in 0..entries {
+            let entry = fleet.new_entry(number);
+            fleet.entries.push(entry);
+        }
+        fleet
+    }
+
+    fn new_agent(&self, number: usize) -> Agent {
+        Agent {
+            state: Controller::new(agent_name(number), Limits::default(), false),
+            incarnation: self.now.as_millis() as u64,
+        }
+    }
+
+    fn new_entry(&self, number: usize) -> Entry {
+        let mut entry = Entry {
+            state: State::new(Options {
+                location: Location {
+                    data_centre: "a".into(),
+                    ..Location::default()
+                },
+                lease_duration: Duration::from_secs(4),
+                version_grace: Duration::from_secs(6),
+                first_event_grace: Duration::from_millis(700),
+                budget: BUDGET,
+                uses_reservations: true,
+                seed: number as u64,
+            }),
+            exchanges: vec![CrashExchange::default(); self.agents.len()],
+            cut: None,
+            in_touch_from: self.now + TOUCH_TIME,
+        };
+        entry.step(self.now, Event::ConfigRead(Arc::new(config())));
+        for agent in 0..self.agents.len() {
+            let listed = target(&agent_name(agent), "engines", data_centre(agent), 1);
+            entry.step(self.now, Event::TargetListed(listed));
+        }
+        entry
+    }
+
+    /// Sends the crashing request to an entry. Each target that runs it crashes and starts again.
+    fn send_crashing_request(&mut self, entry: usize) {
+        self.last_token += 1;
+        let request = IncomingRequest {
+            token: self.last_token,
+            request_id: format!("r{}", self.last_token).into(),
+            host: "host.example".into(),
+            path: "/look/x".into(),
+            api_key: None,
+            timeout: None,
+            prompt_and_max_answer_tokens: None,
+            last_event_id: None,
+            fingerprint: CRASHING,
+        };
+        let mut effects = self.entries[entry].step(self.now, Event::RequestReceived(request));
+        while effects.iter().any(|e| matches!(e, Effect::Forward(..))) {
+            let is_in_touch = self.now >= self.entries[entry].in_touch_from;
+            self.sends.push((self.now, is_in_touch));
+            for effect in &effects {
+                if let Effect::Forward(_, request) = effect {
+                    let desk: usize = request.target[1..].parse().unwrap();
+                    self.desk_starts[desk] += 1;
+                }
+            }
+            let outcome = Outcome::Broken {
+                connection_lost: true,
+            };
+            let ended = Event::ExchangeEnded {
+                token: self.last_token,
+                outcome,
+                longest_pause: Duration::ZERO,
+            };
+            effects = self.entries[entry].step(self.now, ended);
+        }
+    }
+
+    /// Passes time: the list is read, and entries exchange crashes with the agents they reach.
+    fn pass_step(&mut self) {
+        self.now += STEP;
+        for entry in &mut self.entries {
+            entry.cut = entry.cut.filter(|(_, until)| *until > self.now);
+            for (desk, start) in self.desk_starts.iter().enumerate() {
+                let listed = target(&format!("d{desk}"), "desk", "a", *start);
+                entry.step(self.now, Event::TargetListed(listed));
+            }
+            entry.step(self.now, Event::Tick);
+            for (number, agent) in self.agents.iter_mut().enumerate() {
+                if entry.cut.is_some_and(|(cut, _)| cut == number % 3) {
+                    entry.exchanges[number] = CrashExchange::default();
+                } else {
+                    entry.exchange(self.now, number, agent);
+                }
+            }
+        }
+    }
+
+    fn late_sends(&self) -> usize {
+        let Some((third_crash, _)) = self.sends.get(2) else {
+            return 0;
+        };
+        let is_late = |at: Duration| at > *third_crash + TOUCH_TIME;
+        let counted = self.sends.iter();
+        counted
+            .filter(|(at, is_in_touch)| *is_in_touch && is_late(*at))
+            .count()
+    }
+}
+
+impl Entry {
+    fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let now = ClockReading {
+            elapsed: now,
+            wall_clock: SystemTime::UNIX_EPOCH,
+        };
+        self.state.step(now, event)
+    }
+
+    fn exchange(&mut self, now: Duration, number: usize, agent: &mut Agent) {
+        let id = agent_name(number);
+        self.step(
+            now,
+            Event::EngineReported {
+                id: id.clone(),
+                version: Some(1),
+                is_switching: false,
+                process_count: 1,
+            },
+        );
+        let exchange = &mut self.exchanges[number];
+        let own_revision = self.state.crash_revision();
+        let crashes = exchange.crashes_to_report(now, &self.state, &id);
+        let reported = (!crashes.is_empty()).then_some(own_revision);
+        if reported.is_some() {
+            let event = controller::Event::CrashesReported(crashes);
+            agent.state.step(now, event);
+        }
+        let received = agent.state.crashes_after(exchange.received());
+        exchange.handle_reply(agent.incarnation, agent.state.crash_revision(), reported);
+        self.step(now, Event::CrashesReported(received));
+    }
+}
+
+fn agent_name(number: usize) -> Name {
+    format!("e{number}").into()
+}
+
+fn data_centre(agent: usize) -> &'static str {
+    DATA_CENTRES[agent % DATA_CENTRES.len()]
+}
+
+/// What happens in one step.
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    Nothing,
+    Send(usize),
+    RestartEntry(usize),
+    RestartAgent(usize),
+    CutEntry(usize, usize),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        8 => Just(Action::Nothing),
+        6 => any::<usize>().prop_map(Action::Send),
+        1 => any::<usize>().prop_map(Action::RestartEntry),
+        1 => any::<usize>().prop_map(Action::RestartAgent),
+        1 => (any::<usize>(), 0_usize..3).prop_map(|(entry, dc)| Action::CutEntry(entry, dc)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn crashing_request_is_sent_at_most_three_times_after_all_could_know(
+        entries in 1_usize..=16,
+        agents in 3_usize..=12,
+        actions in prop::collection::vec(action(), 150..250),
+    ) {
+        let mut fleet = Fleet::new(entries, agents);
+        for _ in 0..10 {
+            fleet.pass_step();
+        }
+        for action in actions {
+            match action {
+                Action::Nothing => {}
+                Action::Send(n) => fleet.send_crashing_request(n % entries),
+                Action::RestartEntry(n) => fleet.entries[n % entries] = fleet.new_entry(n % entries),
+                Action::RestartAgent(n) => fleet.agents[n % agents] = fleet.new_agent(n % agents),
+                Action::CutEntry(n, data_centre) => {
+                    let until = fleet.now + TOUCH_TIME;
+                    fleet.entries[n % entries].cut = Some((data_centre, until));
+                }
+            }
+            fleet.pass_step();
+        }
+        prop_assert!(fleet.late_sends() <= ALLOWED_LATE_SENDS, "{:?}", fleet.sends);
+    }
+}
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -94,6 +94,14 @@
     },
     /// Passes on a caller's request.
     Serve(ServeRequest),
+    /// Exchanges crashes of targets with an agent. The reply waits until the agent knows of
+    /// crashes beyond `known_revision`, or follows at once if there are `reported` ones.
+    Crashes {
+        /// The agent's revision up to which the requester knows the agent's crashes.
+        known_revision: u64,
+        /// Crashes that the requester reports.
+        reported: Vec<Crash>,
+    },
 }
 
 /// The reply to a [`Request`].
@@ -137,6 +145,15 @@
     Accepted,
     /// The process does not support requests of this kind.
     Unsupported,
+    /// The crashes that the agent knows of, beyond those that the requester knows.
+    Crashes {
+        /// Differs between the starts of the agent, each of which begins at revision zero.
+        incarnation: u64,
+        /// The agent's revision after them.
+        revision: u64,
+        /// The crashes.
+        crashes: Vec<Crash>,
+    },
 }
 
 /// The source of a model's weights.
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -1,6 +1,7 @@
 //! The I/O of an agent that keeps one model engine at the version that operators name.
 
 mod backends;
+mod crashes;
 mod peers;
 mod reservations;
 mod staging;
@@ -94,6 +95,8 @@
 pub struct Agent {
     options: AgentOptions,
     state: Mutex<Controller>,
+    /// The time of the start of this process, in milliseconds since the Unix epoch.
+    incarnation: u64,
     clock: Arc<dyn Clock>,
     record_writer: Arc<RecordWriter>,
     backends: Backends,
@@ -109,6 +112,8 @@
     upload_requests: Mutex<HashMap<u64, oneshot::Sender<Result<(), Denial>>>>,
     next_token: Mutex<u64>,
     engine_status: watch::Sender<EngineStatus>,
+    /// The revision of the crashes that the reducer knows of.
+    crash_revision: watch::Sender<u64>,
     /// Processes that asked for the state of the engine, and when they last asked.
     watchers: Mutex<HashMap<Name, Duration>>,
     config_version: Mutex<u64>,
@@ -140,6 +145,7 @@
         let download_pacer = Pacer::new(clock.clone(), options.download_bytes_per_second);
         Arc::new(Self {
             state: Mutex::new(controller),
+            incarnation: clock.now().unix_ms(),
             clock,
             record_writer,
             backends,
@@ -155,6 +161,7 @@
             upload_requests: Mutex::default(),
             next_token: Mutex::default(),
             engine_status,
+            crash_revision: watch::Sender::new(0),
             watchers: Mutex::default(),
             config_version: Mutex::default(),
             options,
@@ -220,11 +227,16 @@
     /// Passes an event to the reducer and executes the effects.
     fn handle_event(self: &Arc<Self>, event: Event) {
         let now = self.clock.now().elapsed;
-        let (effects, status) = {
+        let (effects, status, crash_revision) = {
             let mut state = lock(&self.state);
             let effects = state.step(now, event);
-            (effects, state.status())
+            (effects, state.status(), state.crash_revision())
         };
+        self.crash_revision.send_if_modified(|known| {
+            let changed = *known != crash_revision;
+            *known = crash_revision;
+            changed
+        });
         self.engine_status.send_if_modified(|known| {
             let changed = *known != status;
             *known = status;
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -60,7 +60,7 @@
 const SLICE_BYTES: usize = 4 << 10;
 
 /// How long a request for the state of the engine waits for a change.
-const MAX_STATUS_WAIT: Duration = Duration::from_secs(5);
+pub(super) const MAX_STATUS_WAIT: Duration = Duration::from_secs(5);
 
 /// The maximum number of downloads of a manifest from the origin. A manifest is accepted when two
 /// downloads are equal, because no digest of it is published and the origin may return corrupt
@@ -365,6 +365,13 @@
                 self.answer_reserve(prompt_tokens, cold_rate_per_second, responder)
                     .await;
             }
+            Request::Crashes {
+                known_revision,
+                reported,
+            } => {
+                self.answer_crashes(known_revision, reported, responder)
+                    .await
+            }
             Request::PromptPrefilled { number } => {
                 self.answer_prompt_prefilled(number, responder).await
             }
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -25,6 +25,7 @@
     PoolOptions, //
 };
 
+use super::crashes::exchange_crashes;
 use super::Router;
 
 /// How often the watches are adjusted to the list of engines.
@@ -32,7 +33,7 @@
 
 /// How long an agent may take to reply. It holds a request for up to five seconds until its state
 /// changes.
-const AGENT_TIMEOUT: Duration = Duration::from_secs(6);
+pub(super) const AGENT_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// The delay after a call to an agent failed.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -69,6 +70,7 @@
 pub async fn run_engine_watches(router: Router) {
     let agent_client = router.inner.agent_client.clone();
     let mut watches: BTreeMap<Name, (EngineTarget, JoinHandle<()>)> = BTreeMap::new();
+    let mut exchanges: BTreeMap<Name, (EngineTarget, JoinHandle<()>)> = BTreeMap::new();
     let mut sent_versions = Vec::new();
     loop {
         let engines = router.inner.state.borrow().engines();
@@ -77,15 +79,17 @@
         let versions = named_versions(&router);
         let must_restart = versions != sent_versions;
         sent_versions = versions;
-        watches.retain(|_, (engine, task)| {
-            let keep = !must_restart && engines.contains(engine);
-            if !keep {
-                task.abort();
-            }
-            keep
-        });
+        if must_restart {
+            stop_tasks(&mut watches, &[]);
+        }
+        stop_tasks(&mut watches, &engines);
+        stop_tasks(&mut exchanges, &engines);
         for engine in engines {
             let agent = agent_client.agent_address(engine.address);
+            exchanges.entry(engine.target.clone()).or_insert_with(|| {
+                let exchange = exchange_crashes(router.clone(), engine.clone(), agent);
+                (engine.clone(), tokio::task::spawn_local(exchange))
+            });
             watches.entry(engine.target.clone()).or_insert_with(|| {
                 let watch =
                     watch_engine(router.clone(), agent_client.clone(), engine.clone(), agent);
@@ -93,9 +97,24 @@
             });
         }
         tokio::time::sleep(REFRESH_INTERVAL).await;
+        router.check_crashes_to_report();
     }
 }
 
+/// Stops the tasks of all engines but these.
+fn stop_tasks(
+    tasks: &mut BTreeMap<Name, (EngineTarget, JoinHandle<()>)>,
+    engines: &[EngineTarget],
+) {
+    tasks.retain(|_, (engine, task)| {
+        let keep = engines.contains(engine);
+        if !keep {
+            task.abort();
+        }
+        keep
+    });
+}
+
 async fn watch_engine(
     router: Router,
     agent_client: AgentClient,
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! each message to another thread costs a wake-up.
 
 mod answers;
+mod crashes;
 mod engines;
 mod events;
 mod exchange;
@@ -33,7 +34,10 @@
     State,
     Summary, //
 };
-use tokio::sync::mpsc;
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
 use utils::clock::Clock;
 
 use crate::feed::{
@@ -99,6 +103,8 @@
     header_codec: HeaderCodec,
     pool: ConnectionPool,
     agent_client: AgentClient,
+    /// The revision of the crashes that the reducer knows of.
+    crash_revision: watch::Sender<u64>,
 }
 
 impl std::fmt::Debug for Router {
@@ -125,6 +131,7 @@
             record_writer,
             header_codec,
             agent_client,
+            crash_revision: watch::Sender::new(0),
         };
         Self {
             inner: Rc::new(inner),
@@ -134,11 +141,16 @@
     /// Passes an event to the reducer and executes the effects.
     pub fn handle_event(&self, event: Event) {
         let now = self.inner.clock.now();
-        let (effects, config_version) = {
+        let (effects, config_version, crash_revision) = {
             let mut state = self.inner.state.borrow_mut();
             let effects = state.step(now, event);
-            (effects, state.config_version())
+            (effects, state.config_version(), state.crash_revision())
         };
+        self.inner.crash_revision.send_if_modified(|known| {
+            let changed = *known != crash_revision;
+            *known = crash_revision;
+            changed
+        });
         for effect in effects {
             self.execute(config_version, effect);
         }
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -111,7 +111,7 @@
         });
     }
 
-    fn agent_message(&self, body: Request) -> Envelope<Request> {
+    pub(super) fn agent_message(&self, body: Request) -> Envelope<Request> {
         Envelope {
             sender: self.inner.agent_client.instance.clone(),
             sheet_version: self.inner.state.borrow().config_version(),
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -207,11 +207,13 @@
             .expect("the entry serves");
     }
 
+    /// Restarts the entries in turn, and waits until the last one counts as in touch again.
     async fn restart_entries(&mut self) {
         for entry in 0..ENTRIES {
             self.entries[entry].restart();
             self.wait_until_serving(entry).await;
         }
+        sleep(TOUCH_TIME).await;
     }
 
     /// Restarts the agents, and waits until the entries have found them again.
