An error answer no longer clears a request that crashed a target

Cause: any answer cleared the crashes counted for a request, also an error. A target that fails part of its requests answers 500 without running them, so the count began again. Change: only a success clears. Evidence: the test `error_answer_does_not_clear_a_request_that_crashed_a_target` failed before with 4 sends where 3 are expected, and passes.

--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -129,8 +129,9 @@
             .record_departure(now);
         self.update_target_after_exchange(now, &id, &request, fingerprint, outcome, effects);
         match outcome {
-            Outcome::Answered { .. } => {
-                if self.suspects.clear_request(now, fingerprint) {
+            Outcome::Answered { is_error } => {
+                // A failing target may answer with an error before it runs the request.
+                if !is_error && self.suspects.clear_request(now, fingerprint) {
                     effects.push(Effect::Record(Decision::SuspectCleared {
                         fingerprint,
                         request,
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -887,6 +887,50 @@
     assert!(matches!(router.receive("look").1, RequestResult::Sent(_)));
 }
 
+#[test]
+fn error_answer_does_not_clear_a_request_that_crashed_a_target() {
+    let lost = Outcome::Broken {
+        connection_lost: true,
+    };
+    struct Case {
+        name: &'static str,
+        is_error: bool,
+        expected_sends: usize,
+    }
+    let cases = [
+        Case {
+            name: "an error, which a failing target gives without running the request",
+            is_error: true,
+            expected_sends: 3,
+        },
+        Case {
+            name: "a success",
+            is_error: false,
+            expected_sends: 4,
+        },
+    ];
+    for case in cases {
+        let ids: Vec<String> = (0..8).map(|i| format!("d{i}")).collect();
+        let mut router = TestRouter::new();
+        for id in &ids {
+            router.step(Event::TargetListed(entry(id, "desk", "a")));
+        }
+        let answered = Outcome::Answered {
+            is_error: case.is_error,
+        };
+        let mut sends = 0;
+        let mut outcomes = [lost, answered, lost, lost, lost].into_iter();
+        for _ in 0..5 {
+            let (token, mut result) = router.receive_with("look", |r| r.fingerprint = 666);
+            while let RequestResult::Sent(_) = result {
+                sends += 1;
+                result = router.end_exchange(token, outcomes.next().unwrap());
+            }
+        }
+        assert_eq!(sends, case.expected_sends, "{}", case.name);
+    }
+}
+
 #[test]
 fn rejected_callers_get_different_retry_delays() {
     struct Case {
