The test of the crashing request uses the stand-in's own answers

Change: ordinary requests are answered by the stand-in target; the check of the request's sends is the same.

--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -29,7 +29,6 @@
     CALLERS_PORT, //
 };
 use standin::{
-    http_response,
     listen,
     listen_on,
     ReceivedRequest,
@@ -102,14 +101,7 @@
     ) -> Vec<ResponseStep> {
         let mut starts = self.starts.lock().unwrap();
         if request.path != CRASHING_PATH {
-            let id = request.header("x-medlarproxy-request-id").to_owned();
-            let headers = [
-                ("x-medlarproxy-request-id", id.as_str()),
-                ("x-medlarproxy-response-signature", "s"),
-            ];
-            return vec![ResponseStep::Write(http_response(
-                "200 OK", &headers, b"whole",
-            ))];
+            return Target::service(&self.name(*starts), &Runs::default()).respond(request);
         }
         *self.crashes.lock().unwrap() += 1;
         delete_target(&self.store, &self.name(*starts));
