Processes divide the extra retries by the number of processes that agents report

Callers of a site with more than eight entries could cause more repeats than operators allow, and so could entries that restart. `max_available` was an eighth of the extra retries, also with eleven or sixteen entries, and a restarted process began with all of it again. Change: `router::retry_share`. What own requests earn needs no knowledge of others. The extra retries are divided by the highest number of processes that agents reported in the last two minutes; half of the share can be saved, half accrues in a window; a process begins with nothing, and gets no extra retries before an agent has told it the number. This answers the load after faults, when most requests fail at once at every entry. Evidence: the property test retry_shares.rs (1 to 40 entries, restarts, entries that reach no agent) failed before with 9 entries and 1 failing request in 100 ms: 112 retries in a window, 111.6 allowed. The table test of the budget started with ten saved retries; it now checks the exact number for one, five and an unknown number of processes, which is as strict.

--- a/components/control/src/retry_budget.rs
+++ b/components/control/src/retry_budget.rs
@@ -32,10 +32,28 @@
         Self { options, available }
     }
 
+    /// Creates an empty budget.
+    pub fn empty(options: RetryBudgetOptions) -> Self {
+        Self {
+            options,
+            available: 0.0,
+        }
+    }
+
     /// Adds the share of one request to the budget.
     pub fn record_request(&mut self) {
-        self.available =
-            (self.available + self.options.retries_per_request).min(self.options.max_available);
+        self.add(self.options.retries_per_request);
+    }
+
+    /// Adds retries to the budget.
+    pub fn add(&mut self, retries: f64) {
+        self.available = (self.available + retries).min(self.options.max_available);
+    }
+
+    /// Changes the maximum number of unused retries.
+    pub fn set_max_available(&mut self, max_available: f64) {
+        self.options.max_available = max_available;
+        self.available = self.available.min(max_available);
     }
 
     /// Removes one retry from the budget. Returns whether there was one.
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -36,7 +36,7 @@
         match self.admit(now, &request) {
             Ok(pending) => {
                 let service = pending.service.name.clone();
-                self.budget(&service).record_request();
+                self.retry_share(now, &service).record_request();
                 self.pending.insert(token, pending);
                 self.dispatch_or_queue(now, token, effects);
             }
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -17,6 +17,7 @@
 pub mod queue;
 mod rejection;
 mod reservation;
+mod retry_share;
 pub mod selection;
 mod state;
 pub mod table;
@@ -41,6 +42,7 @@
 
 pub use crashes::CrashExchange;
 pub use rejection::RejectionReason;
+pub use retry_share::RetryLimit;
 pub use state::{
     EngineTarget,
     Options,
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -11,6 +11,7 @@
 
 use super::load::LoadReport;
 use super::rejection::RejectionReason;
+use super::retry_share::RetryShare;
 use super::state::State;
 use super::updates::millis;
 use super::{
@@ -18,7 +19,6 @@
     Outcome,
     Rejection, //
 };
-use crate::retry_budget::RetryBudget;
 
 /// How long a target is kept after its address turned out to belong to another instance, unless the
 /// list renews its entry.
@@ -234,7 +234,7 @@
             Some(RejectionReason::Quarantined)
         } else if now >= pending.deadline {
             Some(RejectionReason::TimedOut)
-        } else if !self.budget(&service).try_take_retry() {
+        } else if !self.try_take_retry(now, &service) {
             Some(RejectionReason::OutOfRetries)
         } else {
             None
@@ -324,12 +324,18 @@
         effects.push(Effect::Reject(token, rejection));
     }
 
-    /// The retry budget of a service.
-    pub(super) fn budget(&mut self, service: &Name) -> &mut RetryBudget {
-        let options = &self.options.budget;
-        self.budgets
+    /// The share of this process in the retries of a service.
+    pub(super) fn retry_share(&mut self, now: Duration, service: &Name) -> &mut RetryShare {
+        let limit = &self.options.retry_limit;
+        self.retry_shares
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(options.clone()))
+            .or_insert_with(|| RetryShare::new(now, limit.clone()))
+    }
+
+    fn try_take_retry(&mut self, now: Duration, service: &Name) -> bool {
+        let process_count = self.process_count.get();
+        self.retry_share(now, service)
+            .try_take_retry(now, process_count)
     }
 
     /// Upper bound of the configuration's age, for the record.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -24,6 +24,11 @@
 use super::lease::Lease;
 use super::pending::Pending;
 use super::queue::Queue;
+use super::retry_share::{
+    ProcessCount,
+    RetryLimit,
+    RetryShare, //
+};
 use super::selection::Location;
 use super::table::RoutingTable;
 use super::targets::Targets;
@@ -35,10 +40,6 @@
     Effect,
     Event, //
 };
-use crate::retry_budget::{
-    RetryBudget,
-    RetryBudgetOptions, //
-};
 use crate::CrashSuspects;
 
 /// Options of the reducer.
@@ -53,8 +54,8 @@
     /// How long after the end of `version_grace` the answer to a request that was sent to an older
     /// version may still begin.
     pub first_event_grace: Duration,
-    /// The retry budget of each service.
-    pub budget: RetryBudgetOptions,
+    /// The retries of each service that all processes together may make.
+    pub retry_limit: RetryLimit,
     /// Whether requests to model engines are reserved with their agents before they are sent.
     pub uses_reservations: bool,
     /// Seed of the random number generator.
@@ -83,7 +84,8 @@
     pub(super) required_versions: BTreeMap<Name, Vec<RequiredVersion>>,
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
-    pub(super) budgets: BTreeMap<Name, RetryBudget>,
+    pub(super) retry_shares: BTreeMap<Name, RetryShare>,
+    pub(super) process_count: ProcessCount,
     pub(super) pending: HashMap<u64, Pending>,
     pub(super) suspects: CrashSuspects,
     pub(super) is_draining: bool,
@@ -146,7 +148,8 @@
             required_versions: BTreeMap::new(),
             targets: Targets::default(),
             queues: BTreeMap::new(),
-            budgets: BTreeMap::new(),
+            retry_shares: BTreeMap::new(),
+            process_count: ProcessCount::default(),
             pending: HashMap::new(),
             suspects: CrashSuspects::default(),
             is_draining: false,
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -197,6 +197,7 @@
         };
         target.agent_reported_at = Some(now);
         target.process_count = process_count;
+        self.process_count.record(now, process_count);
         if target.entry.version == version && target.is_switching == is_switching {
             return;
         }
--- a/components/control/tests/crash_reports.rs
+++ b/components/control/tests/crash_reports.rs
@@ -12,7 +12,6 @@
     self,
     Controller, //
 };
-use control::retry_budget::RetryBudgetOptions;
 use control::router::config::{
     Config,
     EngineProfile,
@@ -29,6 +28,7 @@
     IncomingRequest,
     Options,
     Outcome,
+    RetryLimit,
     State, //
 };
 use proptest::prelude::*;
@@ -53,9 +53,10 @@
 const STEP: Duration = Duration::from_millis(100);
 
 /// The request's retries are not limited by the budget here.
-const BUDGET: RetryBudgetOptions = RetryBudgetOptions {
-    retries_per_request: 1.0,
-    max_available: 100.0,
+const RETRY_LIMIT: RetryLimit = RetryLimit {
+    retries_per_request: 3.0,
+    extra_retries: 1000.0,
+    window: Duration::from_secs(10),
 };
 
 fn config() -> Config {
@@ -173,7 +174,7 @@
                 lease_duration: Duration::from_secs(4),
                 version_grace: Duration::from_secs(6),
                 first_event_grace: Duration::from_millis(700),
-                budget: BUDGET,
+                retry_limit: RETRY_LIMIT,
                 uses_reservations: true,
                 seed: number as u64,
             }),
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -15,7 +15,6 @@
 };
 
 use control::controller::Reservations;
-use control::retry_budget::RetryBudgetOptions;
 use control::router::config::{
     Config,
     EngineProfile,
@@ -34,6 +33,7 @@
     Outcome,
     ReservationReply,
     ReservationRequest,
+    RetryLimit,
     State, //
 };
 use protocol::Backlog;
@@ -430,7 +430,11 @@
         },
         lease_duration: Duration::from_secs(4),
         version_grace: Duration::from_millis(6500),
-        budget: RetryBudgetOptions::default(),
+        retry_limit: RetryLimit {
+            retries_per_request: 0.3,
+            extra_retries: 100.0,
+            window: Duration::from_secs(10),
+        },
         first_event_grace: Duration::from_millis(700),
         uses_reservations: false,
         seed,
--- /dev/null
+++ b/components/control/tests/retry_shares.rs
@@ -0,0 +1,237 @@
+//! Retries of all entries together, which do not see each other's, against what operators allow.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    SystemTime, //
+};
+
+use control::router::config::{
+    Config,
+    Repeatability,
+    Route,
+    Service, //
+};
+use control::router::selection::Location;
+use control::router::targets::TargetEntry;
+use control::router::{
+    Effect,
+    Event,
+    IncomingRequest,
+    Options,
+    Outcome,
+    RetryLimit,
+    State, //
+};
+use proptest::prelude::*;
+use utils::clock::ClockReading;
+
+/// What operators allow all processes together: retries for each request, and extra retries in any
+/// window of this length.
+const RETRY_RATIO: f64 = 0.2;
+const EXTRA_RETRIES: f64 = 100.0;
+const WINDOW: Duration = Duration::from_secs(10);
+
+const STEP: Duration = Duration::from_millis(100);
+
+const DESKS: usize = 4;
+
+fn config() -> Config {
+    let route = Route {
+        name: "look".into(),
+        host: "host.example".into(),
+        prefix: "/look/".into(),
+        repeatability: Repeatability::Idempotent,
+        timeout: Duration::from_secs(6),
+        latency_objective: Duration::from_millis(400),
+        priority: 1,
+        services: vec![("desk".into(), 1)],
+        attempt_limit: 3,
+        allows_anonymous: true,
+        allowed_regions: Vec::new(),
+    };
+    let service = Service {
+        name: "desk".into(),
+        cold_rate_per_second: 0.0,
+        engine_profile: None,
+    };
+    Config {
+        version: 1,
+        routes: vec![Arc::new(route)],
+        services: BTreeMap::from([(service.name.clone(), Arc::new(service))]),
+        ..Config::default()
+    }
+}
+
+fn target(id: &str, service: &str) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: service.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "a".into(),
+        slots: Some(1000),
+        is_draining: false,
+        cold_remaining: Duration::ZERO,
+        version: None,
+        has_no_weights: false,
+        started_at_ms: 1,
+    }
+}
+
+struct Entry {
+    state: State,
+    /// Whether it reaches no agent, and so does not learn of the other entries.
+    is_alone: bool,
+}
+
+impl Entry {
+    fn new(now: Duration, number: usize, is_alone: bool) -> Self {
+        let state = State::new(Options {
+            location: Location {
+                data_centre: "a".into(),
+                ..Location::default()
+            },
+            lease_duration: Duration::from_secs(4),
+            version_grace: Duration::from_secs(6),
+            first_event_grace: Duration::from_millis(700),
+            retry_limit: RetryLimit {
+                retries_per_request: RETRY_RATIO,
+                extra_retries: EXTRA_RETRIES,
+                window: WINDOW,
+            },
+            uses_reservations: true,
+            seed: number as u64,
+        });
+        let mut entry = Self { state, is_alone };
+        entry.step(now, Event::ConfigRead(Arc::new(config())));
+        for desk in 0..DESKS {
+            entry.step(
+                now,
+                Event::TargetListed(target(&format!("d{desk}"), "desk")),
+            );
+        }
+        entry.step(now, Event::TargetListed(target("e1", "engines")));
+        entry
+    }
+
+    fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let now = ClockReading {
+            elapsed: now,
+            wall_clock: SystemTime::UNIX_EPOCH,
+        };
+        self.state.step(now, event)
+    }
+
+    /// Tells the entry how many processes use the agents.
+    fn hear_from_agent(&mut self, now: Duration, process_count: usize) {
+        if self.is_alone {
+            return;
+        }
+        self.step(
+            now,
+            Event::EngineReported {
+                id: "e1".into(),
+                version: Some(1),
+                is_switching: false,
+                process_count: process_count as u32,
+            },
+        );
+    }
+
+    /// Handles a request that no target runs. Returns how often it was sent again.
+    fn handle_failing_request(&mut self, now: Duration, token: u64) -> usize {
+        let request = IncomingRequest {
+            token,
+            request_id: format!("r{token}").into(),
+            host: "host.example".into(),
+            path: "/look/x".into(),
+            api_key: None,
+            timeout: None,
+            prompt_and_max_answer_tokens: None,
+            last_event_id: None,
+            fingerprint: token,
+        };
+        let mut effects = self.step(now, Event::RequestReceived(request));
+        let mut sends: usize = 0;
+        while effects.iter().any(|e| matches!(e, Effect::Forward(..))) {
+            sends += 1;
+            let ended = Event::ExchangeEnded {
+                token,
+                outcome: Outcome::WrongVersion,
+                longest_pause: Duration::ZERO,
+            };
+            effects = self.step(now, ended);
+        }
+        self.step(now, Event::CallerDisconnected(token));
+        sends.saturating_sub(1)
+    }
+}
+
+/// Requests and retries in each step of a window, and in the window before it.
+#[derive(Default)]
+struct Counts(VecDeque<(usize, usize)>);
+
+impl Counts {
+    /// Adds a step. Returns the retries of the window and how many are allowed.
+    fn add(&mut self, requests: usize, retries: usize) -> (f64, f64) {
+        let steps = (WINDOW.as_millis() / STEP.as_millis()) as usize;
+        self.0.push_back((requests, retries));
+        if self.0.len() > 2 * steps {
+            self.0.pop_front();
+        }
+        let newest = self.0.iter().rev();
+        let retries: usize = newest.clone().take(steps).map(|(_, retries)| retries).sum();
+        let requests_from = |start: usize| -> usize {
+            let window = newest.clone().skip(start).take(steps);
+            window.map(|(requests, _)| requests).sum()
+        };
+        let requests = [0, steps / 2, steps].map(requests_from);
+        let most = requests.into_iter().max().unwrap_or(0);
+        (retries as f64, RETRY_RATIO * most as f64 + EXTRA_RETRIES)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(32))]
+
+    #[test]
+    fn retries_of_all_entries_together_stay_within_the_budget(
+        entries in 1_usize..=40,
+        requests_per_step in 0_usize..12,
+        restarts in prop::collection::vec((0_usize..300, any::<usize>()), 0..40),
+        alone in prop::collection::vec(any::<prop::sample::Index>(), 0..4),
+    ) {
+        let mut now = Duration::from_secs(100);
+        let mut fleet: Vec<Entry> = (0..entries)
+            .map(|number| Entry::new(now, number, alone.iter().any(|i| i.index(entries) == number)))
+            .collect();
+        let mut counts = Counts::default();
+        let mut token = 0;
+        for step in 0..300 {
+            now += STEP;
+            for (at, number) in &restarts {
+                if *at == step {
+                    let number = number % entries;
+                    fleet[number] = Entry::new(now, number, fleet[number].is_alone);
+                }
+            }
+            for entry in &mut fleet {
+                entry.hear_from_agent(now, entries);
+            }
+            // Quiet at first, so that whatever a process may save up is saved.
+            let requests = if step < 100 { 0 } else { requests_per_step };
+            let mut retries = 0;
+            for _ in 0..requests {
+                token += 1;
+                let entry = &mut fleet[token as usize % entries];
+                retries += entry.handle_failing_request(now, token);
+            }
+            let (retries, allowed) = counts.add(requests, retries);
+            prop_assert!(retries <= allowed, "{retries} retries, {allowed} allowed");
+        }
+    }
+}
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -7,7 +7,6 @@
     SystemTime, //
 };
 
-use control::retry_budget::RetryBudgetOptions;
 use control::router::config::{
     Config,
     EngineProfile,
@@ -28,6 +27,7 @@
     Rejection,
     RejectionReason,
     ReservationReply,
+    RetryLimit,
     State, //
 };
 use protocol::Backlog;
@@ -35,6 +35,14 @@
 
 const LEASE: Duration = Duration::from_secs(4);
 
+fn retry_limit(retries_per_request: f64) -> RetryLimit {
+    RetryLimit {
+        retries_per_request,
+        extra_retries: 20.0,
+        window: Duration::from_secs(10),
+    }
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -174,10 +182,7 @@
                 },
                 lease_duration: LEASE,
                 version_grace: ms(6500),
-                budget: RetryBudgetOptions {
-                    retries_per_request: 0.2,
-                    max_available: 10.0,
-                },
+                retry_limit: retry_limit(1.0),
                 first_event_grace: Duration::from_millis(700),
                 uses_reservations: false,
                 seed: 1,
@@ -374,7 +379,7 @@
         location: Location::default(),
         lease_duration: LEASE,
         version_grace: ms(6500),
-        budget: RetryBudgetOptions::default(),
+        retry_limit: retry_limit(1.0),
         first_event_grace: Duration::from_millis(700),
         uses_reservations: false,
         seed: 1,
@@ -834,30 +839,67 @@
 }
 
 #[test]
-fn retries_are_limited_by_the_budget() {
-    let mut router = TestRouter::with_targets(&[("d1", "desk", "a"), ("d2", "desk", "b")]);
-    let mut rejected = 0;
-    for _ in 0..40 {
+fn retries_are_limited_by_the_share_of_the_process() {
+    struct Case {
+        name: &'static str,
+        process_count: Option<u32>,
+        /// What is saved at first, of 20 extra retries, and what the requests after it earn.
+        expected_retries: usize,
+    }
+    let cases = [
+        Case {
+            name: "the only process saves half of the extra retries",
+            process_count: Some(1),
+            expected_retries: 10 + 7,
+        },
+        Case {
+            name: "one of five processes",
+            process_count: Some(5),
+            expected_retries: 2 + 7,
+        },
+        Case {
+            name: "a process that knows of no others",
+            process_count: None,
+            expected_retries: 8,
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new();
+        router.state = State::new(Options {
+            retry_limit: retry_limit(0.2),
+            ..options()
+        });
+        router.step(Event::ConfigRead(Arc::new(config(1))));
+        for (id, service) in [("d1", "desk"), ("d2", "desk"), ("e1", "engines")] {
+            router.step(Event::TargetListed(entry(id, service, "a")));
+        }
+        if let Some(process_count) = case.process_count {
+            router.step(Event::EngineReported {
+                id: "e1".into(),
+                version: Some(1),
+                is_switching: false,
+                process_count,
+            });
+        }
+        router.renew();
         let (token, _) = router.receive("look");
-        match router.end_exchange(token, Outcome::Busy) {
-            RequestResult::Sent(_) => {
-                router.end_exchange(token, Outcome::Answered { is_error: false });
-            }
-            RequestResult::Rejected(rejection) => {
-                assert!(rejection.not_run);
-                rejected += 1;
-            }
-            RequestResult::Pending => {
-                router.step(Event::CallerDisconnected(token));
+        router.end_exchange(token, Outcome::Answered { is_error: false });
+        router.now += ms(20_000);
+        router.renew();
+        let mut retries = 0;
+        for _ in 0..40 {
+            let (token, _) = router.receive("look");
+            match router.end_exchange(token, Outcome::WrongVersion) {
+                RequestResult::Sent(_) => {
+                    retries += 1;
+                    router.end_exchange(token, Outcome::Answered { is_error: false });
+                }
+                RequestResult::Rejected(rejection) => assert!(rejection.not_run, "{}", case.name),
+                RequestResult::Pending => panic!("{}: no capacity", case.name),
             }
         }
-        // Let the load reports of busy targets lose their weight.
-        router.now += ms(60_000);
-        router.renew();
-        router.step(Event::TargetListed(entry("d1", "desk", "a")));
+        assert_eq!(retries, case.expected_retries, "{}", case.name);
     }
-    // The budget holds ten retries at the start, and forty requests add eight, a fifth each.
-    assert!((20..=24).contains(&rejected), "{rejected}");
 }
 
 #[test]
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use control::retry_budget::RetryBudgetOptions;
 use control::router::selection::Location;
 use control::router::{
     Options,
+    RetryLimit,
     State, //
 };
 use platform::{
@@ -48,13 +48,10 @@
 /// version.
 const VERSION_START_MARGIN: Duration = Duration::from_millis(350);
 
-/// The share of the permitted retry ratio that one process uses. It does not know the retries of
-/// other processes.
+/// The share of the permitted retry ratio that is used. The rest covers retries that the platform
+/// counts in another window than their requests.
 const RETRY_FRACTION: f64 = 0.7;
 
-/// The number of processes that the permitted extra retries are divided among.
-const RETRY_PROCESSES: f64 = 8.0;
-
 /// A stopping process exits by itself this long before the platform would kill it.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -124,16 +121,17 @@
             .operator_limits
             .version_switch_time
             .saturating_sub(VERSION_SEND_MARGIN),
-        budget: retry_budget(&settings.operator_limits),
+        retry_limit: retry_limit(&settings.operator_limits),
         first_event_grace: VERSION_SEND_MARGIN - VERSION_START_MARGIN,
         uses_reservations: true,
         seed: rank::weight(now_ms, &settings.instance),
     }
 }
 
-fn retry_budget(limits: &OperatorLimits) -> RetryBudgetOptions {
-    RetryBudgetOptions {
+fn retry_limit(limits: &OperatorLimits) -> RetryLimit {
+    RetryLimit {
         retries_per_request: limits.retries_per_request * RETRY_FRACTION,
-        max_available: (limits.extra_retries_per_window / RETRY_PROCESSES).max(1.0),
+        extra_retries: limits.extra_retries_per_window,
+        window: limits.retry_window,
     }
 }
