A target that falls silent and ends counts as crashed under the request

Cause: only a lost connection counted as a crash, and only while the target was still listed. A target that goes dark leaves an exchange that ends without an answer; one that is taken off the list before its connection ends was not counted at all. Change: the run of a request keeps the start of its target, so a lost connection counts without the entry. Silent exchanges are remembered for ten seconds; if that start of the target then disappears or is followed by another, without having said that it leaves, it crashed under them. Evidence: the test `request_under_which_targets_fell_silent_and_ended_is_quarantined` failed before in the cases that end, and passes, also where the target stays, leaves as planned or ends much later.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -124,6 +124,7 @@
             tried_targets: Vec::new(),
             may_have_run: false,
             assignment: None,
+            target_started_at_ms: 0,
             is_reserving: false,
             reservation_attempts: 0,
             expected_response_time: Duration::ZERO,
--- a/components/control/src/router/crashes.rs
+++ b/components/control/src/router/crashes.rs
@@ -4,10 +4,16 @@
 //! other, but all of them call the agents of model engines. So each process reports crashes to a few
 //! agents and learns from every agent what others reported.
 
-use std::collections::BTreeSet;
+use std::collections::{
+    BTreeSet,
+    VecDeque, //
+};
 use std::time::Duration;
 
-use protocol::Crash;
+use protocol::{
+    Crash,
+    Fingerprint, //
+};
 use utils::{
     rank,
     Name, //
@@ -20,6 +26,51 @@
 /// far as possible, so that the loss of one data centre leaves others.
 const REPORTED_AGENTS: usize = 3;
 
+/// How long after a target fell silent its end counts as a crash. The list drops a dead target after
+/// three heartbeats, and is read with a delay.
+const SILENCE_BEFORE_END: Duration = Duration::from_secs(10);
+
+/// The maximum number of silent exchanges that are remembered.
+const MAX_SILENT_EXCHANGES: usize = 256;
+
+/// One run of a request at one start of a target.
+#[derive(Clone, Debug)]
+pub(super) struct TargetRun {
+    pub fingerprint: Fingerprint,
+    pub request: Name,
+    pub target: Name,
+    /// When the target started, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+}
+
+/// The latest exchanges in which a target fell silent, with the time of their end.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SilentExchanges(VecDeque<(Duration, TargetRun)>);
+
+impl SilentExchanges {
+    /// Adds an exchange that ended without an answer while the connection was still open.
+    pub fn add(&mut self, now: Duration, run: TargetRun) {
+        if self.0.len() >= MAX_SILENT_EXCHANGES {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, run));
+    }
+
+    /// Removes and returns those of a start of a target that has now ended.
+    fn take(&mut self, now: Duration, target: &Name, started_at_ms: u64) -> Vec<TargetRun> {
+        let is_recent = |at: Duration| now.saturating_sub(at) < SILENCE_BEFORE_END;
+        self.0.retain(|(at, _)| is_recent(*at));
+        let is_of_target =
+            |run: &TargetRun| run.target == *target && run.started_at_ms == started_at_ms;
+        let (taken, kept) = std::mem::take(&mut self.0)
+            .into_iter()
+            .partition(|(_, run)| is_of_target(run));
+        self.0 = kept;
+        let taken: VecDeque<_> = taken;
+        taken.into_iter().map(|(_, run)| run).collect()
+    }
+}
+
 /// Up to where this process and one agent know each other's crashes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CrashExchange {
@@ -58,6 +109,38 @@
 }
 
 impl State {
+    /// Records that a target crashed while it ran a request of this process.
+    pub(super) fn observe_crash(
+        &mut self,
+        now: Duration,
+        run: TargetRun,
+        effects: &mut Vec<Effect>,
+    ) {
+        let crash = Crash {
+            fingerprint: run.fingerprint,
+            target: run.target,
+            start_count: run.started_at_ms,
+            is_cleared: false,
+        };
+        self.suspects.observe_crash(now, &crash);
+        let decision = self.suspects.decision(&crash, Some(run.request));
+        effects.push(Effect::Record(decision));
+    }
+
+    /// Handles the unplanned end of a target's start: it crashed during the exchanges in which it
+    /// fell silent before.
+    pub(super) fn handle_target_end(
+        &mut self,
+        now: Duration,
+        target: &Name,
+        started_at_ms: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        for run in self.silent_exchanges.take(now, target, started_at_ms) {
+            self.observe_crash(now, run, effects);
+        }
+    }
+
     /// Adds crashes that other processes observed.
     pub(super) fn add_crashes(
         &mut self,
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -213,6 +213,7 @@
         };
         target.load.add_request(pending.prompt_tokens);
         pending.is_prefill_pending = true;
+        pending.target_started_at_ms = target.entry.started_at_ms;
         pending.assignment = Some((id.clone(), now));
     }
 
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -2,13 +2,10 @@
 
 use std::time::Duration;
 
-use protocol::{
-    Crash,
-    Fingerprint, //
-};
 use record::Decision;
 use utils::Name;
 
+use super::crashes::TargetRun;
 use super::load::LoadReport;
 use super::rejection::RejectionReason;
 use super::retry_share::RetryShare;
@@ -116,8 +113,12 @@
             first_ms: pending.time_to_first_event.take().map(millis),
             pause_ms: millis(longest_pause),
         }));
-        let request = pending.id.clone();
-        let fingerprint = pending.fingerprint;
+        let run = TargetRun {
+            fingerprint: pending.fingerprint,
+            request: pending.id.clone(),
+            target: id.clone(),
+            started_at_ms: pending.target_started_at_ms,
+        };
         let service = pending.service.name.clone();
         let timed_out = Outcome::IdleTimeout == outcome || Outcome::DeadlineExceeded == outcome;
         if timed_out || matches!(outcome, Outcome::Broken { .. }) {
@@ -127,14 +128,14 @@
             .entry(service)
             .or_default()
             .record_departure(now);
-        self.update_target_after_exchange(now, &id, &request, fingerprint, outcome, effects);
+        self.update_target_after_exchange(now, &run, outcome, effects);
         match outcome {
             Outcome::Answered { is_error } => {
                 // A failing target may answer with an error before it runs the request.
-                if !is_error && self.suspects.clear_request(now, fingerprint) {
+                if !is_error && self.suspects.clear_request(now, run.fingerprint) {
                     effects.push(Effect::Record(Decision::SuspectCleared {
-                        fingerprint,
-                        request,
+                        fingerprint: run.fingerprint,
+                        request: run.request,
                         outcome: outcome_name(outcome).into(),
                     }));
                 }
@@ -151,13 +152,20 @@
     fn update_target_after_exchange(
         &mut self,
         now: Duration,
-        id: &Name,
-        request: &Name,
-        fingerprint: Fingerprint,
+        run: &TargetRun,
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(target) = self.targets.get_mut(id) else {
+        match outcome {
+            Outcome::Broken {
+                connection_lost: true,
+            } => self.observe_crash(now, run.clone(), effects),
+            Outcome::DeadlineExceeded | Outcome::IdleTimeout => {
+                self.silent_exchanges.add(now, run.clone());
+            }
+            _ => {}
+        }
+        let Some(target) = self.targets.get_mut(&run.target) else {
             return;
         };
         target.load.remove_request();
@@ -165,19 +173,8 @@
         match outcome {
             Outcome::Answered { is_error: false } => target.health.record_success(),
             Outcome::Answered { is_error: true } => {}
-            Outcome::Broken { connection_lost } => {
+            Outcome::Broken { .. } => {
                 target.health.record_failure(now);
-                if connection_lost {
-                    let crash = Crash {
-                        fingerprint,
-                        target: id.clone(),
-                        start_count: target.entry.started_at_ms,
-                        is_cleared: false,
-                    };
-                    self.suspects.observe_crash(now, &crash);
-                    let decision = self.suspects.decision(&crash, Some(request.clone()));
-                    effects.push(Effect::Record(decision));
-                }
             }
             Outcome::NotSent => target.health.record_unreachable(now),
             Outcome::DeadlineExceeded | Outcome::IdleTimeout => {
@@ -200,8 +197,8 @@
         if !was_ejected && target.health.is_ejected(now) {
             let failing_percent = (target.health.failure_rate() * 100.0).round() as u32;
             effects.push(Effect::Record(Decision::Rest {
-                target: id.clone(),
-                request: request.clone(),
+                target: run.target.clone(),
+                request: run.request.clone(),
                 failing_percent,
             }));
         }
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -51,6 +51,8 @@
     pub may_have_run: bool,
     /// The target that it is assigned to, and since when.
     pub assignment: Option<(Name, Duration)>,
+    /// When the target of the last assignment started, in milliseconds since the Unix epoch.
+    pub target_started_at_ms: u64,
     /// Whether a reservation at the assigned target is in progress; nothing was sent yet.
     pub is_reserving: bool,
     /// Number of reservations requested from agents.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -21,6 +21,7 @@
 use utils::Name;
 
 use super::config::Config;
+use super::crashes::SilentExchanges;
 use super::lease::Lease;
 use super::pending::Pending;
 use super::queue::Queue;
@@ -88,6 +89,7 @@
     pub(super) process_count: ProcessCount,
     pub(super) pending: HashMap<u64, Pending>,
     pub(super) suspects: CrashSuspects,
+    pub(super) silent_exchanges: SilentExchanges,
     pub(super) is_draining: bool,
     pub(super) is_stopping: bool,
     pub(super) rng: Pcg64Mcg,
@@ -152,6 +154,7 @@
             process_count: ProcessCount::default(),
             pending: HashMap::new(),
             suspects: CrashSuspects::default(),
+            silent_exchanges: SilentExchanges::default(),
             is_draining: false,
             is_stopping: false,
             rng: Pcg64Mcg::seed_from_u64(options.seed),
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -200,9 +200,9 @@
         }
     }
 
-    /// Removes a target. Returns whether it was known.
-    pub fn remove(&mut self, id: &str) -> bool {
-        self.by_id.remove(id).is_some()
+    /// Removes a target and returns it, if it was known.
+    pub fn remove(&mut self, id: &str) -> Option<Target> {
+        self.by_id.remove(id)
     }
 
     /// Schedules the removal of a target whose entry is missing, unless one is scheduled already.
@@ -212,8 +212,8 @@
         }
     }
 
-    /// Removes the targets whose scheduled removal is due, and returns their names.
-    pub fn remove_expired(&mut self, now: Duration) -> Vec<Name> {
+    /// Removes the targets whose scheduled removal is due, and returns them.
+    pub fn remove_expired(&mut self, now: Duration) -> Vec<Target> {
         let is_expired = |target: &Target| target.expires_at.is_some_and(|at| now >= at);
         let expired: Vec<Name> = self
             .by_id
@@ -221,10 +221,8 @@
             .filter(|target| is_expired(target))
             .map(|target| target.entry.id.clone())
             .collect();
-        for id in &expired {
-            self.by_id.remove(id);
-        }
-        expired
+        let removed = expired.iter().filter_map(|id| self.by_id.remove(id));
+        removed.collect()
     }
 
     /// The target with this name.
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -29,11 +29,8 @@
 impl State {
     /// Removes targets whose entries have expired and records changes of the lease.
     pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        for id in self.targets.remove_expired(now) {
-            effects.push(Effect::Record(Decision::TargetGone {
-                target: id,
-                reason: "missing from the list".into(),
-            }));
+        for target in self.targets.remove_expired(now) {
+            self.handle_target_removed(now, &target.entry, "missing from the list", effects);
         }
         if let Some(valid) = self.lease.take_validity_change(now) {
             let age = self.lease.age(now).unwrap_or_default();
@@ -69,6 +66,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let id = entry.id.clone();
+        let known = self.targets.get(&id);
+        let old_start = known.map(|target| target.entry.started_at_ms);
         let change = self.targets.update(now, entry);
         if change == EntryChange::Unchanged {
             return;
@@ -76,7 +75,10 @@
         let Some(target) = self.targets.get(&id) else {
             return;
         };
-        let entry = &target.entry;
+        let entry = target.entry.clone();
+        if let Some(old_start) = old_start.filter(|start| *start != entry.started_at_ms) {
+            self.handle_target_end(now, &id, old_start, effects);
+        }
         effects.push(Effect::Record(Decision::Target {
             target: id,
             service: entry.service.clone(),
@@ -98,14 +100,27 @@
     ) {
         if !grace.is_zero() {
             self.targets.expire_at(now + grace, id);
-        } else if self.targets.remove(id) {
-            effects.push(Effect::Record(Decision::TargetGone {
-                target: id.clone(),
-                reason: "taken off the list".into(),
-            }));
+        } else if let Some(target) = self.targets.remove(id) {
+            self.handle_target_removed(now, &target.entry, "taken off the list", effects);
         }
     }
 
+    fn handle_target_removed(
+        &mut self,
+        now: Duration,
+        entry: &TargetEntry,
+        reason: &str,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !entry.is_draining {
+            self.handle_target_end(now, &entry.id, entry.started_at_ms, effects);
+        }
+        effects.push(Effect::Record(Decision::TargetGone {
+            target: entry.id.clone(),
+            reason: reason.into(),
+        }));
+    }
+
     /// Schedules the removal of all targets that a complete list does not name. The grace period is
     /// for entries that expired while the list was unavailable.
     pub(super) fn expire_unlisted_targets(
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -929,6 +929,104 @@
     assert!(matches!(router.receive("look").1, RequestResult::Sent(_)));
 }
 
+#[test]
+fn request_under_which_targets_fell_silent_and_ended_is_quarantined() {
+    struct Case {
+        name: &'static str,
+        /// What happens to the target after the request ended.
+        end: fn(&mut TestRouter, TargetEntry),
+        outcome: Outcome,
+        is_quarantined: bool,
+    }
+    let unlisted: fn(&mut TestRouter, TargetEntry) = |router, entry| {
+        router.step(Event::TargetUnlisted {
+            id: entry.id,
+            grace: ms(500),
+        });
+        router.now += ms(600);
+        router.step(Event::Tick);
+    };
+    let restarted: fn(&mut TestRouter, TargetEntry) = |router, mut entry| {
+        let target = router.state.targets().get(&entry.id).unwrap();
+        entry.started_at_ms = target.entry.started_at_ms + 5000;
+        router.step(Event::TargetListed(entry));
+    };
+    let case = |name, end, outcome, is_quarantined| Case {
+        name,
+        end,
+        outcome,
+        is_quarantined,
+    };
+    let lost = Outcome::Broken {
+        connection_lost: true,
+    };
+    let cases = [
+        case("unlisted", unlisted, Outcome::IdleTimeout, true),
+        case("restarted", restarted, Outcome::DeadlineExceeded, true),
+        case(
+            "unlisted before the connection ended",
+            |_, _| {},
+            lost,
+            true,
+        ),
+        case("still there", |_, _| {}, Outcome::IdleTimeout, false),
+        case(
+            "unlisted long after",
+            |router, entry| {
+                router.now += ms(60_000);
+                router.step(Event::Tick);
+                router.step(Event::TargetUnlisted {
+                    id: entry.id,
+                    grace: Duration::ZERO,
+                });
+            },
+            Outcome::IdleTimeout,
+            false,
+        ),
+        case(
+            "left as planned",
+            |router, mut entry| {
+                let id = entry.id.clone();
+                entry.is_draining = true;
+                router.step(Event::TargetListed(entry));
+                router.step(Event::TargetUnlisted {
+                    id,
+                    grace: Duration::ZERO,
+                });
+            },
+            Outcome::IdleTimeout,
+            false,
+        ),
+    ];
+    for case in cases {
+        let mut router = TestRouter::new();
+        for id in ["d1", "d2"] {
+            router.step(Event::TargetListed(entry(id, "desk", "a")));
+        }
+        for _ in 0..2 {
+            let (token, result) = router.receive_with("order", |r| r.fingerprint = 666);
+            let listed = entry(result.target(), "desk", "a");
+            if case.outcome == lost {
+                router.step(Event::TargetUnlisted {
+                    id: listed.id.clone(),
+                    grace: Duration::ZERO,
+                });
+            }
+            router.end_exchange(token, case.outcome);
+            (case.end)(&mut router, listed);
+            router.now += ms(1000);
+            router.renew();
+        }
+        router.step(Event::TargetListed(entry("d3", "desk", "a")));
+        let (_, result) = router.receive_with("order", |r| r.fingerprint = 666);
+        let is_quarantined = matches!(
+            result,
+            RequestResult::Rejected(r) if r.reason == RejectionReason::Quarantined
+        );
+        assert_eq!(is_quarantined, case.is_quarantined, "{}", case.name);
+    }
+}
+
 #[test]
 fn error_answer_does_not_clear_a_request_that_crashed_a_target() {
     let lost = Outcome::Broken {
