Read and record the limit that a target names in its answers

Change: the adapter decodes it once into a `Notice`, what an answer says of its target; the router keeps the latest as state of that target, with its age, and writes `target_notice` when it changes and `limit` in each `forward` line. No decision uses it yet. Measured: tests of the platform crate pass.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -264,6 +264,11 @@
             target.spend_cold_allowance(now, rate);
         }
         let load = target.load.total_requests(now);
+        let notice_age = millis(target.notice.age(now));
+        let limit = target
+            .notice
+            .requests_per_second()
+            .map(|rate| (rate, notice_age));
         pending.tried_targets.push(id.clone());
         pending.assignment = Some((id.clone(), now));
         let request = ForwardRequest {
@@ -289,6 +294,7 @@
             lease_ms,
             load: load.round() as u32,
             asked: pending.reservation_attempts,
+            limit,
             version: request.version,
         }));
         effects.push(Effect::Forward(token, request));
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -12,6 +12,7 @@
 pub mod latency;
 pub mod lease;
 pub mod load;
+pub mod notice;
 mod outcomes;
 mod pending;
 pub mod queue;
@@ -38,6 +39,7 @@
 
 use config::Config;
 use load::LoadReport;
+use notice::Notice;
 use targets::TargetEntry;
 
 pub use crashes::CrashExchange;
@@ -168,6 +170,8 @@
         cold_remaining: Option<Duration>,
         /// The version that answers, if the head names it.
         version: Option<u64>,
+        /// What the target says of itself, or `None` if another target answered.
+        notice: Option<Notice>,
     },
     /// The first part of the answer was sent to the caller.
     ResponseStarted(u64),
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -7,6 +7,7 @@
 
 use super::crashes::TargetRun;
 use super::load::LoadReport;
+use super::notice::Notice;
 use super::rejection::RejectionReason;
 use super::retry_share::RetryShare;
 use super::state::State;
@@ -54,6 +55,32 @@
         }
     }
 
+    /// Updates what the target of a request says of itself.
+    pub(super) fn handle_notice(
+        &mut self,
+        now: Duration,
+        token: u64,
+        notice: Notice,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get(&token) else {
+            return;
+        };
+        let Some((id, _)) = &pending.assignment else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.notice.update(now, notice) {
+            effects.push(Effect::Record(Decision::TargetNotice {
+                target: id.clone(),
+                request: pending.id.clone(),
+                requests_per_second: notice.requests_per_second,
+            }));
+        }
+    }
+
     /// Records that the caller got the first part of an answer.
     pub(super) fn handle_response_started(&mut self, now: Duration, token: u64) {
         if let Some(pending) = self.pending.get_mut(&token) {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -205,7 +205,13 @@
                 load,
                 cold_remaining,
                 version,
-            } => self.handle_response_head(now, token, load, cold_remaining, version),
+                notice,
+            } => {
+                self.handle_response_head(now, token, load, cold_remaining, version);
+                if let Some(notice) = notice {
+                    self.handle_notice(now, token, notice, &mut effects);
+                }
+            }
             Event::ResponseStarted(token) => self.handle_response_started(now, token),
             Event::ExchangeEnded {
                 token,
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -8,6 +8,7 @@
 
 use super::health::Health;
 use super::load::TargetLoad;
+use super::notice::TargetNotice;
 
 /// A target's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,6 +57,8 @@
     pub cold_until: Duration,
     /// Its estimated load.
     pub load: TargetLoad,
+    /// What it says of itself in its answers.
+    pub notice: TargetNotice,
     /// Its health, by the outcomes of requests.
     pub health: Health,
     /// Whether it accepts no new requests until it has switched its weights.
@@ -82,6 +85,7 @@
             cold_until: now + entry.cold_remaining,
             entry,
             load: TargetLoad::default(),
+            notice: TargetNotice::default(),
             health: Health::default(),
             is_switching: false,
             process_count: 1,
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -380,6 +380,7 @@
                     load: Some(load),
                     cold_remaining: None,
                     version: Some(1),
+                    notice: None,
                 },
             );
             self.step(token, Event::ResponseStarted(token));
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -258,6 +258,7 @@
             load: None,
             cold_remaining: None,
             version: Some(1),
+            notice: None,
         });
         self.step(Event::ResponseStarted(token));
     }
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -122,6 +122,7 @@
             load: head.load,
             cold_remaining: head.cold_remaining,
             version: head.version,
+            notice: (head.execution != ExecutionStatus::WrongInstance).then_some(head.notice),
         });
         let refused = match head.execution {
             ExecutionStatus::Ran => None,
--- a/components/proxy/src/router/header_codec.rs
+++ b/components/proxy/src/router/header_codec.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use control::router::load::LoadReport;
+use control::router::notice::Notice;
 use control::router::ForwardRequest;
 use http::request;
 use http::response;
@@ -38,7 +39,7 @@
 }
 
 /// What the head of a target's response says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// The id of the request.
     pub id: Option<Name>,
@@ -52,6 +53,8 @@
     pub cold_remaining: Option<Duration>,
     /// The version of the weights that served the request.
     pub version: Option<u64>,
+    /// What the target says of itself.
+    pub notice: Notice,
 }
 
 /// The data for the headers of a request to a target.
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -232,6 +232,15 @@
         /// The share of failures among its latest responses, in percent.
         failing_percent: u32,
     },
+    /// What a target says of itself in its answers changed.
+    TargetNotice {
+        /// The target.
+        target: Name,
+        /// The request whose answer says so.
+        request: Name,
+        /// Requests per second that it takes from all processes together, if it limits them.
+        requests_per_second: Option<f64>,
+    },
     /// A data centre was taken out of service or back in.
     DataCentre {
         /// The data centre.
@@ -278,6 +287,10 @@
         /// Number of agents that were asked for a reservation.
         #[serde(default)]
         asked: u32,
+        /// Requests per second that the target takes from all processes together, if it limits
+        /// them, and the age of that notice in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limit: Option<(f64, u64)>,
         /// The version of the weights that must serve the request.
         version: Option<u64>,
     },
@@ -398,7 +411,8 @@
             | Self::CallerLeft { request, .. }
             | Self::Rest { request, .. }
             | Self::NoPlace { request, .. }
-            | Self::SuspectCleared { request, .. } => Some(request),
+            | Self::SuspectCleared { request, .. }
+            | Self::TargetNotice { request, .. } => Some(request),
             Self::Suspect { request, .. } => request.as_deref(),
             _ => None,
         }
@@ -424,6 +438,7 @@
             Self::TargetGone { .. } => "target_gone",
             Self::Engine { .. } => "engine",
             Self::Rest { .. } => "rest",
+            Self::TargetNotice { .. } => "target_notice",
             Self::DataCentre { .. } => "data_centre",
             Self::VersionNamed { .. } => "version_named",
             Self::Lease { .. } => "lease",
