Keep to the requests per second that a target says it takes

Callers' requests overloaded engines that had asked for less: 21 to 29 requests in 4 s where 11 to 17 were allowed. Cause: no process used the limit that a target names. Class: a fact that a target states of itself was not state of that target, so no way to it could ask; and the limit is a sum over all entries. Change: `notice` holds the fact with its age, for router and agent alike. The agent of an engine grants reservations up to the limit, over all entries; requests and replies of reservations carry the latest notice, so one entry's knowledge reaches the others. Without an answering agent, and at plain targets, each entry keeps to its share (`router::request_limit`). First sends, repeats and resumed streams all pass the same check when a target is chosen, and spend in `forward`. This answers the load of single engines in need beside healthy ones; if all are in need, requests are rejected before they are late.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use protocol::{
+    AgedNotice,
     Backlog,
     Crash,
     EngineStatus,
@@ -31,7 +32,10 @@
     Download,
     PlanContext, //
 };
-pub use self::reservations::Reservations;
+pub use self::reservations::{
+    KnownLimits,
+    Reservations, //
+};
 
 /// The version that engines run before operators name one.
 const INITIAL_VERSION: u64 = 1;
@@ -253,22 +257,26 @@
 
     /// Reserves capacity at the engine for a prompt of `prompt_tokens`. Returns the number of the
     /// reservation and the backlog ahead of it. There is no number if the engine accepts no request
-    /// now: it is about to load, or the last second has reached `cold_rate_per_second`.
+    /// now: it is about to load, or the limits are reached.
     pub fn reserve(
         &mut self,
         now: Duration,
         prompt_tokens: u32,
-        cold_rate_per_second: Option<u32>,
+        known: KnownLimits,
     ) -> (Option<u64>, Backlog) {
-        let is_rate_reached =
-            cold_rate_per_second.is_some_and(|r| self.reservations.made_in_last_second(now) >= r);
-        if is_rate_reached || self.status().is_switching {
+        if !self.reservations.is_allowed(now, known) || self.status().is_switching {
             return (None, self.reservations.backlog());
         }
         let (number, backlog) = self.reservations.reserve(now, prompt_tokens);
         (Some(number), backlog)
     }
 
+    /// The latest that any process knows the engine to say of itself, if it limits its requests or
+    /// has done so.
+    pub fn notice(&self, now: Duration) -> Option<AgedNotice> {
+        self.reservations.notice(now)
+    }
+
     /// Records that the engine has prefilled the prompt of a reservation.
     pub fn record_prompt_prefilled(&mut self, number: u64) {
         self.reservations.record_prompt_prefilled(number);
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -10,29 +10,81 @@
 };
 use std::time::Duration;
 
-use protocol::Backlog;
+use protocol::{
+    AgedNotice,
+    Backlog, //
+};
+
+use crate::notice::TargetNotice;
 
 /// The window over which the rate of reservations is counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// The longer window for limits that an engine names, which may be under one request per second.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// How long a limit holds for processes that have not heard of it, after another process has heard
+/// it from the engine.
+const MAX_LIMIT_AGE: Duration = Duration::from_secs(5);
+
+/// What a process that requests a reservation knows of the engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct KnownLimits {
+    /// Requests per second that the engine can handle in cold start, if it may be cold.
+    pub cold_rate_per_second: Option<u32>,
+    /// What the engine says of itself, if it limits its requests or has done so.
+    pub notice: Option<AgedNotice>,
+}
+
 /// The active reservations at an engine.
 #[derive(Clone, Debug, Default)]
 pub struct Reservations {
     next_number: u64,
     /// The prompt tokens that the engine has not prefilled yet, by reservation number.
     unprefilled_tokens: BTreeMap<u64, u32>,
-    /// When the reservations of the last second were made.
+    /// When the reservations of the last [`LIMIT_WINDOW`] were made.
     recent: VecDeque<Duration>,
+    /// The latest that any process knows the engine to say of itself.
+    notice: TargetNotice,
 }
 
 impl Reservations {
-    /// The number of reservations made in the last second, including those released since.
-    pub fn made_in_last_second(&mut self, now: Duration) -> u32 {
-        let is_outdated = |at: &Duration| now.saturating_sub(*at) >= RATE_WINDOW;
+    /// Adds what a process knows, and decides whether one more reservation is allowed. Those
+    /// released since count as well.
+    pub fn is_allowed(&mut self, now: Duration, known: KnownLimits) -> bool {
+        if let Some(notice) = known.notice {
+            self.notice.merge(now, notice);
+        }
+        let made_in_last_second = self.made_within(now, RATE_WINDOW);
+        let is_below_cold_rate = known
+            .cold_rate_per_second
+            .is_none_or(|rate| made_in_last_second < rate as usize);
+        let limit = self.notice.requests_per_second();
+        let is_known = known.notice.is_some() || self.notice.age(now) < MAX_LIMIT_AGE;
+        let is_below_limit = limit.filter(|_| is_known).is_none_or(|rate| {
+            let allowed = (rate * LIMIT_WINDOW.as_secs_f64()).max(1.0) as usize;
+            (made_in_last_second as f64) < rate.ceil().max(1.0)
+                && self.made_within(now, LIMIT_WINDOW) < allowed
+        });
+        is_below_cold_rate && is_below_limit
+    }
+
+    /// The latest that any process knows the engine to say of itself, if it limits its requests or
+    /// has done so.
+    pub fn notice(&self, now: Duration) -> Option<AgedNotice> {
+        self.notice.for_others(now)
+    }
+
+    fn made_within(&self, now: Duration, window: Duration) -> usize {
+        let is_recent = |at: &&Duration| now.saturating_sub(**at) < window;
+        self.recent.iter().rev().take_while(is_recent).count()
+    }
+
+    fn forget_old(&mut self, now: Duration) {
+        let is_outdated = |at: &Duration| now.saturating_sub(*at) >= LIMIT_WINDOW;
         while self.recent.front().is_some_and(is_outdated) {
             self.recent.pop_front();
         }
-        u32::try_from(self.recent.len()).unwrap_or(u32::MAX)
     }
 
     /// Reserves capacity for a prompt of `prompt_tokens`. Returns the number of the reservation and
@@ -41,7 +93,7 @@
         let backlog = self.backlog();
         let number = self.next_number;
         self.next_number += 1;
-        self.made_in_last_second(now);
+        self.forget_old(now);
         self.recent.push_back(now);
         self.unprefilled_tokens.insert(number, prompt_tokens);
         (number, backlog)
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -140,6 +140,8 @@
             } else {
                 pending.due.saturating_sub(now)
             },
+            uses_reservations: self.options.uses_reservations,
+            process_count: self.process_count.get(),
         }
     }
 
@@ -253,6 +255,9 @@
             model.and_then(|model| self.first_event_deadline(model, version));
         let requirements = self.requirements(now, pending);
         let has_constraint = requirements.versions != VersionConstraint::Any;
+        let target = self.targets.get(id);
+        let limited_rate =
+            target.and_then(|target| selection::limited_rate(now, target, &requirements));
         let (Some(pending), Some(target)) =
             (self.pending.get_mut(&token), self.targets.get_mut(id))
         else {
@@ -263,6 +268,9 @@
         {
             target.spend_cold_allowance(now, rate);
         }
+        if let Some(rate) = limited_rate {
+            target.spend_limit_allowance(now, rate);
+        }
         let load = target.load.total_requests(now);
         let notice_age = millis(target.notice.age(now));
         let limit = target
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -12,11 +12,11 @@
 pub mod latency;
 pub mod lease;
 pub mod load;
-pub mod notice;
 mod outcomes;
 mod pending;
 pub mod queue;
 mod rejection;
+pub mod request_limit;
 mod reservation;
 mod retry_share;
 pub mod selection;
@@ -30,16 +30,17 @@
 use std::time::Duration;
 
 use protocol::{
+    AgedNotice,
     Backlog,
     Crash,
-    Fingerprint, //
+    Fingerprint,
+    Notice, //
 };
 use record::Decision;
 use utils::Name;
 
 use config::Config;
 use load::LoadReport;
-use notice::Notice;
 use targets::TargetEntry;
 
 pub use crashes::CrashExchange;
@@ -228,13 +229,15 @@
 }
 
 /// An agent's reply to a reservation request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReservationReply {
     /// The work ahead of the request.
     pub backlog: Backlog,
     /// Whether the engine accepts requests now. It does not when it is about to load weights, or
-    /// when it got as many requests in the last second as it can handle in cold start.
+    /// when it recently got as many requests as it can handle in cold start or says it takes.
     pub accepts_requests: bool,
+    /// The latest that the agent knows the engine to say of itself, if the request said so too.
+    pub notice: Option<AgedNotice>,
 }
 
 /// A reservation request to the agent of an engine.
@@ -246,6 +249,8 @@
     pub prompt_tokens: u32,
     /// Requests per second that the engine can handle in cold start, from all processes together.
     pub cold_rate_per_second: Option<u32>,
+    /// What the engine says of itself, if that matters to other processes.
+    pub notice: Option<AgedNotice>,
 }
 
 /// The rejection of a request.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use protocol::Notice;
 use record::Decision;
 use utils::Name;
 
 use super::crashes::TargetRun;
 use super::load::LoadReport;
-use super::notice::Notice;
 use super::rejection::RejectionReason;
 use super::retry_share::RetryShare;
 use super::state::State;
@@ -55,14 +55,16 @@
         }
     }
 
-    /// Updates what the target of a request says of itself.
+    /// Updates what the target of a request said of itself at `given_at`.
     pub(super) fn handle_notice(
         &mut self,
         now: Duration,
         token: u64,
+        given_at: Duration,
         notice: Notice,
         effects: &mut Vec<Effect>,
     ) {
+        let random = self.random_fraction();
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
@@ -72,11 +74,12 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        if target.notice.update(now, notice) {
+        if target.update_notice(now, given_at, notice, random) {
             effects.push(Effect::Record(Decision::TargetNotice {
                 target: id.clone(),
                 request: pending.id.clone(),
                 requests_per_second: notice.requests_per_second,
+                age_ms: millis(now.saturating_sub(given_at)),
             }));
         }
     }
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -5,11 +5,15 @@
 
 use std::time::Duration;
 
-use protocol::Backlog;
+use protocol::{
+    AgedNotice,
+    Backlog, //
+};
 use record::Decision;
 use utils::Name;
 
 use super::rejection::RejectionReason;
+use super::request_limit;
 use super::selection;
 use super::state::State;
 use super::{
@@ -35,6 +39,7 @@
         unprefilled_tokens: 0,
     },
     accepts_requests: true,
+    notice: None,
 };
 
 impl State {
@@ -54,7 +59,9 @@
         let needs_reservation =
             self.options.uses_reservations && pending.service.engine_profile.is_some();
         // The caller of a stream that is resumed already sees a pause.
-        if !needs_reservation || pending.response_started || now < target.agent_backoff_until {
+        let is_limited = target.notice.requests_per_second().is_some();
+        let is_urgent = pending.response_started && !is_limited;
+        if !needs_reservation || is_urgent || now < target.agent_backoff_until {
             return false;
         }
         pending.is_reserving = true;
@@ -63,6 +70,7 @@
             address: target.entry.address,
             prompt_tokens: pending.prompt_tokens,
             cold_rate_per_second: selection::fleet_cold_rate(now, target, &pending.service),
+            notice: target.notice.for_others(now),
         };
         self.assign(now, token, id);
         effects.push(Effect::Reserve(token, request));
@@ -89,16 +97,25 @@
         };
         let prompt_tokens = pending.prompt_tokens;
         let request = pending.id.clone();
+        if let Some(AgedNotice { notice, age_ms }) = reply.and_then(|reply| reply.notice) {
+            let given_at = now.saturating_sub(Duration::from_millis(age_ms));
+            self.handle_notice(now, token, given_at, notice, effects);
+        }
         if let Some(target) = self.targets.get_mut(&id) {
             match reply {
                 Some(reply) => target.load.apply_backlog(now, reply.backlog, prompt_tokens),
                 None => target.agent_backoff_until = now + AGENT_BACKOFF,
             }
+            let limit = target.notice.requests_per_second();
+            if let (Some(limit), Some(false)) = (limit, reply.map(|r| r.accepts_requests)) {
+                target.limit_refused_until = now + request_limit::refusal_delay(limit);
+            }
         }
         self.record_agent_reachability(&id, reply.is_some(), effects);
         let ReservationReply {
             backlog,
             accepts_requests,
+            ..
         } = reply.unwrap_or(ASSUMED_REPLY);
         if let Some(reason) = self.reason_not_to_send(now, token) {
             self.unassign(token);
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -17,6 +17,10 @@
     self,
     EngineLoad, //
 };
+use super::request_limit::{
+    self,
+    Counting, //
+};
 use super::targets::{
     Target,
     Targets, //
@@ -124,6 +128,10 @@
     pub prompt_tokens: u32,
     /// Time left until the answer, or its first event, is late.
     pub time_left: Duration,
+    /// Whether requests to model engines are reserved with their agents.
+    pub uses_reservations: bool,
+    /// Number of processes that may send to the targets, if known.
+    pub process_count: Option<u32>,
 }
 
 /// The result of selecting a target.
@@ -198,7 +206,10 @@
     let limit = f64::from(concurrency_limit(now, target, requirements.service));
     // The number of requests is rounded: it is a fraction, since old load reports count less.
     let is_full = target.load.total_requests(now) + 1.0 > limit + 0.5;
-    if is_full || !has_cold_capacity(now, target, requirements.service) {
+    if is_full
+        || !has_cold_capacity(now, target, requirements.service)
+        || !has_limit_capacity(now, target, requirements)
+    {
         return None;
     }
     let expected = expected_response_time(now, target, requirements);
@@ -305,6 +316,32 @@
     (service.cold_rate_per_second > 0.0).then_some(service.cold_rate_per_second * COLD_RATE_SHARE)
 }
 
+/// Requests per second that this process may send to the target, if the target limits them.
+pub fn limited_rate(
+    now: Duration,
+    target: &Target,
+    requirements: &Requirements<'_>,
+) -> Option<f64> {
+    let has_agent = requirements.uses_reservations && requirements.service.engine_profile.is_some();
+    let counting = if !has_agent {
+        Counting::Nobody
+    } else if now < target.agent_backoff_until {
+        Counting::AgentSilent
+    } else {
+        Counting::ByAgent
+    };
+    let limit = target.notice.requests_per_second()?;
+    let rate = request_limit::process_rate(limit, counting, requirements.process_count);
+    Some(rate)
+}
+
+fn has_limit_capacity(now: Duration, target: &Target, requirements: &Requirements<'_>) -> bool {
+    match limited_rate(now, target, requirements) {
+        Some(rate) => now >= target.limit_refused_until && target.has_limit_allowance(now, rate),
+        None => true,
+    }
+}
+
 fn has_cold_capacity(now: Duration, target: &Target, service: &Service) -> bool {
     // Without the agent nothing limits the rate of all processes together. Agents do not answer
     // just after a restart of the whole system, when all processes choose the same targets.
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use protocol::Notice;
 use utils::Name;
 
+use crate::notice::TargetNotice;
+
 use super::health::Health;
 use super::load::TargetLoad;
-use super::notice::TargetNotice;
 
 /// A target's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,13 +43,27 @@
 /// How long an agent's report takes precedence over the list. Agents report every five seconds.
 const AGENT_REPORT_PRECEDENCE: Duration = Duration::from_secs(8);
 
-/// A token bucket that limits this process's requests to a cold target.
+/// A token bucket that limits this process's requests to a target.
 #[derive(Clone, Copy, Debug, Default)]
-struct ColdAllowance {
+struct RateAllowance {
     available: f64,
     updated_at: Duration,
 }
 
+impl RateAllowance {
+    fn available(&self, now: Duration, rate: f64) -> f64 {
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        // The bucket holds the requests of a tenth of a second, but at least one.
+        let capacity = (rate / 10.0).max(1.0);
+        (self.available + elapsed * rate).min(capacity)
+    }
+
+    fn spend(&mut self, now: Duration, rate: f64) {
+        self.available = self.available(now, rate) - 1.0;
+        self.updated_at = now;
+    }
+}
+
 /// One target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -76,7 +92,10 @@
     /// When it is removed because its entry is missing. Until then it is used, since the list may
     /// be incomplete.
     pub expires_at: Option<Duration>,
-    cold_allowance: ColdAllowance,
+    cold_allowance: RateAllowance,
+    limit_allowance: RateAllowance,
+    /// Until this time its agent is not asked, which refused a request because of the limit.
+    pub limit_refused_until: Duration,
 }
 
 impl Target {
@@ -94,7 +113,9 @@
             is_agent_unreachable: false,
             agent_reported_at: None,
             expires_at: None,
-            cold_allowance: ColdAllowance::default(),
+            cold_allowance: RateAllowance::default(),
+            limit_allowance: RateAllowance::default(),
+            limit_refused_until: Duration::ZERO,
         }
     }
 
@@ -123,22 +144,44 @@
 
     /// Whether this process may send a cold target one more request, at `rate` per second.
     pub fn has_cold_allowance(&self, now: Duration, rate: f64) -> bool {
-        self.available_cold_allowance(now, rate) >= 1.0
+        self.cold_allowance.available(now, rate) >= 1.0
     }
 
     /// Takes one request from the allowance for a cold target.
     pub fn spend_cold_allowance(&mut self, now: Duration, rate: f64) {
-        self.cold_allowance.available = self.available_cold_allowance(now, rate) - 1.0;
-        self.cold_allowance.updated_at = now;
+        self.cold_allowance.spend(now, rate);
     }
 
-    fn available_cold_allowance(&self, now: Duration, rate: f64) -> f64 {
-        let elapsed = now
-            .saturating_sub(self.cold_allowance.updated_at)
-            .as_secs_f64();
-        // The bucket holds the requests of a tenth of a second, but at least one.
-        let capacity = (rate / 10.0).max(1.0);
-        (self.cold_allowance.available + elapsed * rate).min(capacity)
+    /// Updates what the target said of itself at `given_at`. Returns whether it differs from
+    /// before. `random` is a number from zero to one: processes that learn of a limit together must
+    /// not all have saved a request at the same time.
+    pub fn update_notice(
+        &mut self,
+        now: Duration,
+        given_at: Duration,
+        notice: Notice,
+        random: f64,
+    ) -> bool {
+        let was_limited = self.notice.requests_per_second().is_some();
+        let is_changed = self.notice.update(given_at, notice);
+        if is_changed && !was_limited {
+            self.limit_allowance = RateAllowance {
+                available: random,
+                updated_at: now,
+            };
+        }
+        is_changed
+    }
+
+    /// Whether this process may send one more request to a target that limits them, at `rate` per
+    /// second.
+    pub fn has_limit_allowance(&self, now: Duration, rate: f64) -> bool {
+        self.limit_allowance.available(now, rate) >= 1.0
+    }
+
+    /// Takes one request from the allowance for a target that limits them.
+    pub fn spend_limit_allowance(&mut self, now: Duration, rate: f64) {
+        self.limit_allowance.spend(now, rate);
     }
 }
 
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -7,7 +7,8 @@
     Effect,
     EngineReport,
     Event,
-    ModelVersion, //
+    KnownLimits, //
+    ModelVersion,
 };
 use utils::digest::Digest;
 use weights::{
@@ -278,11 +279,15 @@
 #[test]
 fn reservations_at_a_cold_engine_stay_within_its_rate() {
     const RATE: u32 = 20;
+    let limits = KnownLimits {
+        cold_rate_per_second: Some(RATE),
+        notice: None,
+    };
     let mut controller = Controller::new("a1".into(), Limits::default(), false);
     let mut reserved_at: Vec<Duration> = Vec::new();
     for millis in 0..3000 {
         let now = Duration::from_millis(millis);
-        if let (Some(number), _) = controller.reserve(now, 100, Some(RATE)) {
+        if let (Some(number), _) = controller.reserve(now, 100, limits) {
             reserved_at.push(now);
             controller.release(number);
         }
@@ -297,7 +302,7 @@
         "{}",
         reserved_at.len()
     );
-    let (number, _) = controller.reserve(Duration::from_secs(3), 100, None);
+    let (number, _) = controller.reserve(Duration::from_secs(3), 100, KnownLimits::default());
     assert!(
         number.is_some(),
         "an engine that is not cold has no rate limit"
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -16,7 +16,10 @@
     SystemTime, //
 };
 
-use control::controller::Reservations;
+use control::controller::{
+    KnownLimits,
+    Reservations, //
+};
 use control::router::config::{
     Config,
     EngineProfile,
@@ -25,7 +28,6 @@
     Service, //
 };
 use control::router::load::LoadReport;
-use control::router::notice::Notice;
 use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
@@ -39,7 +41,10 @@
     RetryLimit,
     State, //
 };
-use protocol::Backlog;
+use protocol::{
+    Backlog,
+    Notice, //
+};
 use rand::{
     Rng,
     SeedableRng, //
@@ -162,8 +167,9 @@
     last_token: u64,
     /// The reservations of each engine's agent.
     reservations: Vec<Reservations>,
-    /// The reservation of each request: its engine, its number, and the backlog ahead of it.
-    reserved: HashMap<u64, (usize, u64, Backlog)>,
+    /// The reservation of each request: its engine, its number if it was granted, and the backlog
+    /// ahead of it.
+    reserved: HashMap<u64, (usize, Option<u64>, Backlog)>,
     unavailable: Vec<bool>,
     scenario: Scenario,
     started_at: Duration,
@@ -248,9 +254,10 @@
             SimulationEvent::ReservationReply(token) => {
                 let reservations = &simulation.reserved;
                 let reservation = reservations.get(&token).filter(|_| scenario.agents_answer);
-                let reply = reservation.map(|(engine, _, backlog)| ReservationReply {
+                let reply = reservation.map(|(engine, number, backlog)| ReservationReply {
                     backlog: *backlog,
-                    accepts_requests: !simulation.unavailable[*engine],
+                    accepts_requests: number.is_some() && !simulation.unavailable[*engine],
+                    notice: simulation.reservations[*engine].notice(simulation.now),
                 });
                 simulation.step(token, Event::ReservationReply { token, reply });
             }
@@ -308,7 +315,18 @@
     fn reserve(&mut self, token: u64, request: &ReservationRequest) {
         self.release(token);
         let engine = usize::from(request.address.port() - FIRST_PORT);
-        let (number, backlog) = self.reservations[engine].reserve(self.now, request.prompt_tokens);
+        let known = KnownLimits {
+            cold_rate_per_second: request.cold_rate_per_second,
+            notice: request.notice,
+        };
+        let reservations = &mut self.reservations[engine];
+        let number = reservations
+            .is_allowed(self.now, known)
+            .then(|| reservations.reserve(self.now, request.prompt_tokens));
+        let (number, backlog) = match number {
+            Some((number, backlog)) => (Some(number), backlog),
+            None => (None, reservations.backlog()),
+        };
         self.reserved.insert(token, (engine, number, backlog));
         self.schedule(
             self.now + AGENT_RESPONSE_TIME,
@@ -317,7 +335,7 @@
     }
 
     fn release(&mut self, token: u64) {
-        if let Some((engine, number, _)) = self.reserved.remove(&token) {
+        if let Some((engine, Some(number), _)) = self.reserved.remove(&token) {
             self.reservations[engine].release(number);
         }
     }
@@ -489,7 +507,7 @@
             queued: u32::try_from(e.waiting.len()).unwrap(),
         };
         for token in started {
-            if let Some((engine, number, _)) = self.reserved.get(&token) {
+            if let Some((engine, Some(number), _)) = self.reserved.get(&token) {
                 self.reservations[*engine].record_prompt_prefilled(*number);
             }
             if self.now - self.arrivals[&token].0 <= LATENCY_OBJECTIVE {
--- a/components/control/tests/request_limits.rs
+++ b/components/control/tests/request_limits.rs
@@ -149,6 +149,21 @@
     }
 }
 
+#[test]
+fn requests_beyond_the_limits_of_all_engines_are_rejected_before_they_are_late() {
+    let limits = (0..4).map(|engine| Limit {
+        engine,
+        ..limit(1.0)
+    });
+    let results = simulate(&Scenario {
+        limits: limits.collect(),
+        ..scenario(4, true, 1.0)
+    });
+    assert!(results.rejected > 0, "{results:?}");
+    let longest = results.longest_time_to_rejection;
+    assert!(longest <= Duration::from_millis(450), "{longest:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod suspects;
 
 pub use message::{
+    AgedNotice,
     Backlog,
     EngineStatus,
     Envelope,
@@ -15,6 +16,7 @@
     InstanceListUpdate,
     InstanceState,
     NamedVersion,
+    Notice,
     Reply,
     Request,
     Role,
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -102,6 +102,16 @@
         /// Crashes that the requester reports.
         reported: Vec<Crash>,
     },
+    /// Reserves capacity like [`Request::Reserve`], at an engine that limits its requests or has
+    /// done so. The reply is [`Reply::ReservedLimited`].
+    ReserveLimited {
+        /// Number of prompt tokens that the engine will prefill.
+        prompt_tokens: u32,
+        /// Maximum number of requests per second as in [`Request::Reserve`].
+        cold_rate_per_second: Option<u32>,
+        /// What the engine says of itself, as far as the requester knows.
+        known: AgedNotice,
+    },
 }
 
 /// The reply to a [`Request`].
@@ -154,6 +164,31 @@
         /// The crashes.
         crashes: Vec<Crash>,
     },
+    /// Capacity is reserved or refused, as in [`Reply::Reserved`].
+    ReservedLimited {
+        /// The number of the reservation at the agent, or `None` if the engine accepts no requests.
+        number: Option<u64>,
+        /// The work of the engine that precedes the reservation.
+        backlog: Backlog,
+        /// The latest that the agent knows the engine to say of itself.
+        known: AgedNotice,
+    },
+}
+
+/// What one answer of a target says of the target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Requests per second that it takes from all processes together, if it limits them.
+    pub requests_per_second: Option<f64>,
+}
+
+/// A notice and its age.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AgedNotice {
+    /// The notice.
+    pub notice: Notice,
+    /// Milliseconds since the target gave it.
+    pub age_ms: u64,
 }
 
 /// The source of a model's weights.
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -10,6 +10,7 @@
 };
 use control::controller::{
     Event,
+    KnownLimits,
     ModelVersion, //
 };
 use protocol::{
@@ -362,8 +363,22 @@
                 prompt_tokens,
                 cold_rate_per_second,
             } => {
-                self.answer_reserve(prompt_tokens, cold_rate_per_second, responder)
-                    .await;
+                let known = KnownLimits {
+                    cold_rate_per_second,
+                    notice: None,
+                };
+                self.answer_reserve(prompt_tokens, known, responder).await;
+            }
+            Request::ReserveLimited {
+                prompt_tokens,
+                cold_rate_per_second,
+                known,
+            } => {
+                let known = KnownLimits {
+                    cold_rate_per_second,
+                    notice: Some(known),
+                };
+                self.answer_reserve(prompt_tokens, known, responder).await;
             }
             Request::Crashes {
                 known_revision,
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use control::controller::KnownLimits;
 use protocol::Reply;
 use wire::Responder;
 
@@ -35,12 +36,23 @@
     pub(super) async fn answer_reserve(
         &self,
         prompt_tokens: u32,
-        cold_rate_per_second: Option<u32>,
+        known: KnownLimits,
         mut responder: Responder,
     ) {
         let now = self.clock.now().elapsed;
-        let (number, backlog) = lock(&self.state).reserve(now, prompt_tokens, cold_rate_per_second);
-        let reply = Reply::Reserved { number, backlog };
+        let (number, backlog, notice) = {
+            let mut state = lock(&self.state);
+            let (number, backlog) = state.reserve(now, prompt_tokens, known);
+            (number, backlog, state.notice(now))
+        };
+        let reply = match notice.filter(|_| known.notice.is_some()) {
+            None => Reply::Reserved { number, backlog },
+            Some(known) => Reply::ReservedLimited {
+                number,
+                backlog,
+                known,
+            },
+        };
         let Some(number) = number else {
             self.send_reply(responder, reply).await;
             return;
--- a/components/proxy/src/router/header_codec.rs
+++ b/components/proxy/src/router/header_codec.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use control::router::load::LoadReport;
-use control::router::notice::Notice;
 use control::router::ForwardRequest;
 use http::request;
 use http::response;
 use http::HeaderMap;
+use protocol::Notice;
 use utils::Name;
 
 /// What the head of a caller's request says.
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -9,6 +9,7 @@
     ReservationRequest, //
 };
 use protocol::{
+    AgedNotice,
     Backlog,
     Envelope,
     Reply,
@@ -46,31 +47,43 @@
         request: &ReservationRequest,
     ) -> Option<Reservation> {
         let agent = self.inner.agent_client.agent_address(request.address);
-        let message = self.agent_message(Request::Reserve {
-            prompt_tokens: request.prompt_tokens,
-            cold_rate_per_second: request.cold_rate_per_second,
-        });
+        let (prompt_tokens, cold_rate_per_second) =
+            (request.prompt_tokens, request.cold_rate_per_second);
+        let body = match request.notice {
+            None => Request::Reserve {
+                prompt_tokens,
+                cold_rate_per_second,
+            },
+            Some(known) => Request::ReserveLimited {
+                prompt_tokens,
+                cold_rate_per_second,
+                known,
+            },
+        };
+        let message = self.agent_message(body);
         let reply = self.request_reservation(agent, message).await;
-        let reservation_reply = reply
-            .as_ref()
-            .map(|(reservation, backlog)| ReservationReply {
-                backlog: *backlog,
-                accepts_requests: reservation.is_some(),
-            });
+        let reservation_reply =
+            reply
+                .as_ref()
+                .map(|(reservation, backlog, notice)| ReservationReply {
+                    backlog: *backlog,
+                    accepts_requests: reservation.is_some(),
+                    notice: *notice,
+                });
         self.handle_event(Event::ReservationReply {
             token,
             reply: reservation_reply,
         });
-        reply.and_then(|(reservation, _)| reservation)
+        reply.and_then(|(reservation, ..)| reservation)
     }
 
-    /// Returns the reservation, if the agent granted one, and the backlog of the engine. Returns
-    /// `None` if the agent did not reply.
+    /// Returns the reservation, if the agent granted one, the backlog of the engine and what the
+    /// agent knows the engine to say. Returns `None` if the agent did not reply.
     async fn request_reservation(
         &self,
         agent: SocketAddr,
         message: Envelope<Request>,
-    ) -> Option<(Option<Reservation>, Backlog)> {
+    ) -> Option<(Option<Reservation>, Backlog, Option<AgedNotice>)> {
         let pool = &self.inner.agent_client.pool;
         let call = match pool.call(agent, &message, RESERVATION_TIMEOUT).await {
             Ok(call) => call,
@@ -79,20 +92,27 @@
                 return None;
             }
         };
-        let Reply::Reserved { number, backlog } = call.reply.body else {
-            log::warn!(
-                target: LOG_TARGET,
-                "unexpected reply of agent {agent}: {:?}",
-                call.reply.body
-            );
-            return None;
+        let (number, backlog, notice) = match call.reply.body {
+            Reply::Reserved { number, backlog } => (number, backlog, None),
+            Reply::ReservedLimited {
+                number,
+                backlog,
+                known,
+            } => (number, backlog, Some(known)),
+            ref other => {
+                log::warn!(
+                    target: LOG_TARGET,
+                    "unexpected reply of agent {agent}: {other:?}"
+                );
+                return None;
+            }
         };
         let reservation = number.map(|number| Reservation {
             agent,
             number,
             _call: call,
         });
-        Some((reservation, backlog))
+        Some((reservation, backlog, notice))
     }
 
     /// Tells the agent in a separate task that the engine has prefilled the prompt.
