The crashing stand-in turns away requests for its earlier start

Its logs show three entries that sent to d-3-0 within 4 ms; the stand-in had crashed and started under a new name after the first, but ran the other two as well. Each entry then knew one and the same crash, so nothing was quarantined. A target of the platform answers 421 to a request that expects another start. Change: the stand-in checks the expected start before it runs the request, as it does for others. Sends, waits and the bound are the same.

--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -100,8 +100,9 @@
         address: std::net::SocketAddr,
     ) -> Vec<ResponseStep> {
         let mut starts = self.starts.lock().unwrap();
-        if request.path != CRASHING_PATH {
-            return Target::service(&self.name(*starts), &Runs::default()).respond(request);
+        let target = Target::service(&self.name(*starts), &Runs::default());
+        if request.path != CRASHING_PATH || target.rejects(request) {
+            return target.respond(request);
         }
         *self.crashes.lock().unwrap() += 1;
         delete_target(&self.store, &self.name(*starts));
