A target that says that it leaves gets nothing new

Change: `Notice` has the fact, `TargetNotice` keeps it for one start of the target; selection asks it beside the list's own state, for first sends, repeats, requests that waited or hold a reservation, and resumed streams. Agents exchange limits alone (`AgedLimit`), since the rest binds each entry by its own answers.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use protocol::{
-    AgedNotice,
+    AgedLimit,
     Backlog,
     Crash,
     EngineStatus,
@@ -271,10 +271,10 @@
         (Some(number), backlog)
     }
 
-    /// The latest that any process knows the engine to say of itself, if it limits its requests or
-    /// has done so.
-    pub fn notice(&self, now: Duration) -> Option<AgedNotice> {
-        self.reservations.notice(now)
+    /// The latest limit that any process knows the engine to name, if it limits its requests or has
+    /// done so.
+    pub fn limit(&self, now: Duration) -> Option<AgedLimit> {
+        self.reservations.limit(now)
     }
 
     /// Records that the engine has prefilled the prompt of a reservation.
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use protocol::{
-    AgedNotice,
+    AgedLimit,
     Backlog, //
 };
 
@@ -32,8 +32,8 @@
 pub struct KnownLimits {
     /// Requests per second that the engine can handle in cold start, if it may be cold.
     pub cold_rate_per_second: Option<u32>,
-    /// What the engine says of itself, if it limits its requests or has done so.
-    pub notice: Option<AgedNotice>,
+    /// The limit that the engine names, if it limits its requests or has done so.
+    pub limit: Option<AgedLimit>,
 }
 
 /// The active reservations at an engine.
@@ -44,7 +44,7 @@
     unprefilled_tokens: BTreeMap<u64, u32>,
     /// When the reservations of the last [`LIMIT_WINDOW`] were made.
     recent: VecDeque<Duration>,
-    /// The latest that any process knows the engine to say of itself.
+    /// The latest limit that any process knows the engine to name.
     notice: TargetNotice,
 }
 
@@ -52,15 +52,15 @@
     /// Adds what a process knows, and decides whether one more reservation is allowed. Those
     /// released since count as well.
     pub fn is_allowed(&mut self, now: Duration, known: KnownLimits) -> bool {
-        if let Some(notice) = known.notice {
-            self.notice.merge(now, notice);
+        if let Some(limit) = known.limit {
+            self.notice.merge(now, limit);
         }
         let made_in_last_second = self.made_within(now, RATE_WINDOW);
         let is_below_cold_rate = known
             .cold_rate_per_second
             .is_none_or(|rate| made_in_last_second < rate as usize);
         let limit = self.notice.requests_per_second();
-        let is_known = known.notice.is_some() || self.notice.age(now) < MAX_LIMIT_AGE;
+        let is_known = known.limit.is_some() || self.notice.limit_age(now) < MAX_LIMIT_AGE;
         let is_below_limit = limit.filter(|_| is_known).is_none_or(|rate| {
             let allowed = (rate * LIMIT_WINDOW.as_secs_f64()).max(1.0) as usize;
             (made_in_last_second as f64) < rate.ceil().max(1.0)
@@ -69,10 +69,10 @@
         is_below_cold_rate && is_below_limit
     }
 
-    /// The latest that any process knows the engine to say of itself, if it limits its requests or
-    /// has done so.
-    pub fn notice(&self, now: Duration) -> Option<AgedNotice> {
-        self.notice.for_others(now)
+    /// The latest limit that any process knows the engine to name, if it limits its requests or has
+    /// done so.
+    pub fn limit(&self, now: Duration) -> Option<AgedLimit> {
+        self.notice.limit_for_others(now)
     }
 
     fn made_within(&self, now: Duration, window: Duration) -> usize {
--- a/components/control/src/notice.rs
+++ b/components/control/src/notice.rs
@@ -2,59 +2,81 @@
 
 use std::time::Duration;
 
-use protocol::{
-    AgedNotice,
-    Notice, //
-};
+use protocol::AgedLimit;
 
-/// The latest notice of a target, and when the target gave it.
+/// What one answer of a target says of the target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Requests per second that it takes from all processes together, if it limits them.
+    pub requests_per_second: Option<f64>,
+    /// Whether it leaves, and wants no new requests.
+    pub is_leaving: bool,
+}
+
+/// What a target is known to say of itself, each fact with the time of the answer. It belongs to one
+/// start of the target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TargetNotice {
-    latest: Notice,
-    given_at: Option<Duration>,
+    limit: Option<f64>,
+    limit_given_at: Option<Duration>,
     /// Whether the target has limited its requests at any time.
     was_limited: bool,
+    leaving_since: Option<Duration>,
 }
 
 impl TargetNotice {
-    /// Replaces the notice by one that the target gave at `given_at`, unless a later one is known.
-    /// Returns whether it differs from the one before.
-    pub fn update(&mut self, given_at: Duration, notice: Notice) -> bool {
-        if self.given_at.is_some_and(|known| given_at < known) {
-            return false;
+    /// Adds what an answer says that was received now. Returns whether it changes anything.
+    pub fn update(&mut self, now: Duration, notice: Notice) -> bool {
+        let was_leaving = self.is_leaving();
+        if notice.is_leaving {
+            // An answer that does not say so may only have been sent earlier.
+            self.leaving_since.get_or_insert(now);
         }
-        let is_changed = self.latest != notice;
-        self.latest = notice;
-        self.given_at = Some(given_at);
-        self.was_limited |= notice.requests_per_second.is_some();
-        is_changed
+        self.set_limit(now, notice.requests_per_second) || was_leaving != self.is_leaving()
     }
 
-    /// Takes over the notice that another process knows. Returns whether it differs from the one
+    /// Takes over the limit that another process knows. Returns whether it differs from the one
     /// before.
-    pub fn merge(&mut self, now: Duration, other: AgedNotice) -> bool {
+    pub fn merge(&mut self, now: Duration, other: AgedLimit) -> bool {
         let age = Duration::from_millis(other.age_ms);
-        self.update(now.saturating_sub(age), other.notice)
+        self.set_limit(now.saturating_sub(age), other.requests_per_second)
     }
 
-    /// How long ago the target gave the notice; zero if it gave none.
-    pub fn age(&self, now: Duration) -> Duration {
-        self.given_at
+    /// Replaces the limit by one that the target named at `given_at`, unless a later one is known.
+    fn set_limit(&mut self, given_at: Duration, limit: Option<f64>) -> bool {
+        if self.limit_given_at.is_some_and(|known| given_at < known) {
+            return false;
+        }
+        let is_changed = self.limit != limit;
+        self.limit = limit;
+        self.limit_given_at = Some(given_at);
+        self.was_limited |= limit.is_some();
+        is_changed
+    }
+
+    /// How long ago the target named the limit; zero if it has said nothing.
+    pub fn limit_age(&self, now: Duration) -> Duration {
+        self.limit_given_at
             .map_or(Duration::ZERO, |at| now.saturating_sub(at))
     }
 
-    /// The notice for other processes, which need it only if the target limits its requests, or has
+    /// The limit for other processes, which need it only if the target limits its requests, or has
     /// done so and no longer does.
-    pub fn for_others(&self, now: Duration) -> Option<AgedNotice> {
-        let age_ms = u64::try_from(self.age(now).as_millis()).unwrap_or(u64::MAX);
-        self.was_limited.then_some(AgedNotice {
-            notice: self.latest,
+    pub fn limit_for_others(&self, now: Duration) -> Option<AgedLimit> {
+        let age_ms = u64::try_from(self.limit_age(now).as_millis()).unwrap_or(u64::MAX);
+        self.was_limited.then_some(AgedLimit {
+            requests_per_second: self.limit,
             age_ms,
         })
     }
 
     /// Requests per second that the target takes from all processes together, if it limits them.
     pub fn requests_per_second(&self) -> Option<f64> {
-        self.latest.requests_per_second
+        self.limit
+    }
+
+    /// Whether the target leaves. This holds until it starts again.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
     }
 }
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -271,7 +271,7 @@
             target.spend_limit_allowance(now, rate);
         }
         let load = target.load.total_requests(now);
-        let notice_age = millis(target.notice.age(now));
+        let notice_age = millis(target.notice.limit_age(now));
         let limit = target
             .notice
             .requests_per_second()
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -30,15 +30,15 @@
 use std::time::Duration;
 
 use protocol::{
-    AgedNotice,
+    AgedLimit,
     Backlog,
     Crash,
-    Fingerprint,
-    Notice, //
+    Fingerprint, //
 };
 use record::Decision;
 use utils::Name;
 
+use crate::notice::Notice;
 use config::Config;
 use load::LoadReport;
 use targets::TargetEntry;
@@ -236,8 +236,8 @@
     /// Whether the engine accepts requests now. It does not when it is about to load weights, or
     /// when it recently got as many requests as it can handle in cold start or says it takes.
     pub accepts_requests: bool,
-    /// The latest that the agent knows the engine to say of itself, if the request said so too.
-    pub notice: Option<AgedNotice>,
+    /// The latest limit that the agent knows the engine to name, if the request had one too.
+    pub limit: Option<AgedLimit>,
 }
 
 /// A reservation request to the agent of an engine.
@@ -249,8 +249,8 @@
     pub prompt_tokens: u32,
     /// Requests per second that the engine can handle in cold start, from all processes together.
     pub cold_rate_per_second: Option<u32>,
-    /// What the engine says of itself, if that matters to other processes.
-    pub notice: Option<AgedNotice>,
+    /// The limit that the engine names, if that matters to other processes.
+    pub limit: Option<AgedLimit>,
 }
 
 /// The rejection of a request.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -2,10 +2,15 @@
 
 use std::time::Duration;
 
-use protocol::Notice;
+use protocol::AgedLimit;
 use record::Decision;
 use utils::Name;
 
+use crate::notice::{
+    Notice,
+    TargetNotice, //
+};
+
 use super::crashes::TargetRun;
 use super::load::LoadReport;
 use super::rejection::RejectionReason;
@@ -55,14 +60,35 @@
         }
     }
 
-    /// Updates what the target of a request said of itself at `given_at`.
+    /// Adds what the target of a request says of itself.
     pub(super) fn handle_notice(
         &mut self,
         now: Duration,
         token: u64,
-        given_at: Duration,
         notice: Notice,
         effects: &mut Vec<Effect>,
+    ) {
+        self.update_notice(now, token, effects, |known| known.update(now, notice));
+    }
+
+    /// Adds the limit that an agent knows the target of a request to name.
+    pub(super) fn handle_limit(
+        &mut self,
+        now: Duration,
+        token: u64,
+        limit: AgedLimit,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.update_notice(now, token, effects, |known| known.merge(now, limit));
+    }
+
+    /// Changes what is known of the target of a request, and records it if `change` returns true.
+    fn update_notice(
+        &mut self,
+        now: Duration,
+        token: u64,
+        effects: &mut Vec<Effect>,
+        change: impl FnOnce(&mut TargetNotice) -> bool,
     ) {
         let random = self.random_fraction();
         let Some(pending) = self.pending.get(&token) else {
@@ -74,12 +100,13 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        if target.update_notice(now, given_at, notice, random) {
+        if target.update_notice(now, random, change) {
             effects.push(Effect::Record(Decision::TargetNotice {
                 target: id.clone(),
                 request: pending.id.clone(),
-                requests_per_second: notice.requests_per_second,
-                age_ms: millis(now.saturating_sub(given_at)),
+                requests_per_second: target.notice.requests_per_second(),
+                age_ms: millis(target.notice.limit_age(now)),
+                is_leaving: target.notice.is_leaving(),
             }));
         }
     }
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -5,10 +5,7 @@
 
 use std::time::Duration;
 
-use protocol::{
-    AgedNotice,
-    Backlog, //
-};
+use protocol::Backlog;
 use record::Decision;
 use utils::Name;
 
@@ -39,7 +36,7 @@
         unprefilled_tokens: 0,
     },
     accepts_requests: true,
-    notice: None,
+    limit: None,
 };
 
 impl State {
@@ -70,7 +67,7 @@
             address: target.entry.address,
             prompt_tokens: pending.prompt_tokens,
             cold_rate_per_second: selection::fleet_cold_rate(now, target, &pending.service),
-            notice: target.notice.for_others(now),
+            limit: target.notice.limit_for_others(now),
         };
         self.assign(now, token, id);
         effects.push(Effect::Reserve(token, request));
@@ -97,9 +94,8 @@
         };
         let prompt_tokens = pending.prompt_tokens;
         let request = pending.id.clone();
-        if let Some(AgedNotice { notice, age_ms }) = reply.and_then(|reply| reply.notice) {
-            let given_at = now.saturating_sub(Duration::from_millis(age_ms));
-            self.handle_notice(now, token, given_at, notice, effects);
+        if let Some(limit) = reply.and_then(|reply| reply.limit) {
+            self.handle_limit(now, token, limit, effects);
         }
         if let Some(target) = self.targets.get_mut(&id) {
             match reply {
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -258,7 +258,8 @@
     requirements: &Requirements<'_>,
 ) -> bool {
     let entry = &target.entry;
-    if entry.is_draining || entry.has_no_weights || target.is_switching {
+    let is_leaving = entry.is_draining || target.notice.is_leaving();
+    if is_leaving || entry.has_no_weights || target.is_switching {
         return false;
     }
     if out_data_centres.contains(&entry.data_centre)
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -209,7 +209,7 @@
             } => {
                 self.handle_response_head(now, token, load, cold_remaining, version);
                 if let Some(notice) = notice {
-                    self.handle_notice(now, token, now, notice, &mut effects);
+                    self.handle_notice(now, token, notice, &mut effects);
                 }
             }
             Event::ResponseStarted(token) => self.handle_response_started(now, token),
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use protocol::Notice;
 use utils::Name;
 
 use crate::notice::TargetNotice;
@@ -152,18 +151,17 @@
         self.cold_allowance.spend(now, rate);
     }
 
-    /// Updates what the target said of itself at `given_at`. Returns whether it differs from
-    /// before. `random` is a number from zero to one: processes that learn of a limit together must
-    /// not all have saved a request at the same time.
+    /// Changes what the target says of itself. Returns what `change` returns: whether it differs
+    /// from before. `random` is a number from zero to one: processes that learn of a limit together
+    /// must not all have saved a request at the same time.
     pub fn update_notice(
         &mut self,
         now: Duration,
-        given_at: Duration,
-        notice: Notice,
         random: f64,
+        change: impl FnOnce(&mut TargetNotice) -> bool,
     ) -> bool {
         let was_limited = self.notice.requests_per_second().is_some();
-        let is_changed = self.notice.update(given_at, notice);
+        let is_changed = change(&mut self.notice);
         if is_changed && !was_limited {
             self.limit_allowance = RateAllowance {
                 available: random,
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -281,7 +281,7 @@
     const RATE: u32 = 20;
     let limits = KnownLimits {
         cold_rate_per_second: Some(RATE),
-        notice: None,
+        limit: None,
     };
     let mut controller = Controller::new("a1".into(), Limits::default(), false);
     let mut reserved_at: Vec<Duration> = Vec::new();
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -20,6 +20,7 @@
     KnownLimits,
     Reservations, //
 };
+use control::notice::Notice;
 use control::router::config::{
     Config,
     EngineProfile,
@@ -41,10 +42,7 @@
     RetryLimit,
     State, //
 };
-use protocol::{
-    Backlog,
-    Notice, //
-};
+use protocol::Backlog;
 use rand::{
     Rng,
     SeedableRng, //
@@ -257,7 +255,7 @@
                 let reply = reservation.map(|(engine, number, backlog)| ReservationReply {
                     backlog: *backlog,
                     accepts_requests: number.is_some() && !simulation.unavailable[*engine],
-                    notice: simulation.reservations[*engine].notice(simulation.now),
+                    limit: simulation.reservations[*engine].limit(simulation.now),
                 });
                 simulation.step(token, Event::ReservationReply { token, reply });
             }
@@ -317,7 +315,7 @@
         let engine = usize::from(request.address.port() - FIRST_PORT);
         let known = KnownLimits {
             cold_rate_per_second: request.cold_rate_per_second,
-            notice: request.notice,
+            limit: request.limit,
         };
         let reservations = &mut self.reservations[engine];
         let number = reservations
@@ -385,6 +383,7 @@
             });
         Notice {
             requests_per_second: limit.map(|limit| limit.requests_per_second),
+            ..Notice::default()
         }
     }
 
--- /dev/null
+++ b/components/control/tests/notices.rs
@@ -0,0 +1,313 @@
+//! Requests to targets that say in their answers that they want none.
+
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    SystemTime, //
+};
+
+use control::notice::Notice;
+use control::router::config::{
+    Config,
+    Repeatability,
+    Route,
+    Service, //
+};
+use control::router::selection::Location;
+use control::router::targets::TargetEntry;
+use control::router::{
+    Effect,
+    Event,
+    IncomingRequest,
+    Options,
+    Outcome,
+    Rejection,
+    RejectionReason,
+    RetryLimit,
+    State, //
+};
+use utils::clock::ClockReading;
+
+const LEAVING: Notice = Notice {
+    requests_per_second: None,
+    is_leaving: true,
+};
+
+fn config() -> Config {
+    let route = |name: &str, repeatability| {
+        Arc::new(Route {
+            name: name.into(),
+            host: "host.example".into(),
+            prefix: format!("/{name}/").into(),
+            repeatability,
+            timeout: Duration::from_secs(6),
+            latency_objective: Duration::from_millis(400),
+            priority: 1,
+            services: vec![("desk".into(), 1)],
+            attempt_limit: 3,
+            allows_anonymous: true,
+            allowed_regions: Vec::new(),
+        })
+    };
+    let service = Service {
+        name: "desk".into(),
+        cold_rate_per_second: 0.0,
+        engine_profile: None,
+    };
+    Config {
+        version: 1,
+        routes: vec![
+            route("look", Repeatability::Idempotent),
+            route("chat", Repeatability::ResumableStream),
+        ],
+        services: [("desk".into(), Arc::new(service))].into(),
+        ..Config::default()
+    }
+}
+
+fn entry(id: &str, started_at_ms: u64) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: "desk".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "a".into(),
+        slots: Some(4),
+        is_draining: false,
+        cold_remaining: Duration::ZERO,
+        version: None,
+        has_no_weights: false,
+        started_at_ms,
+    }
+}
+
+struct TestRouter {
+    state: State,
+    now: Duration,
+    last_token: u64,
+}
+
+impl TestRouter {
+    /// Creates a reducer that knows the targets d1 and d2.
+    fn new() -> Self {
+        let state = State::new(Options {
+            location: Location {
+                data_centre: "a".into(),
+                ..Location::default()
+            },
+            lease_duration: Duration::from_secs(4),
+            version_grace: Duration::from_secs(6),
+            first_event_grace: Duration::from_millis(700),
+            retry_limit: RetryLimit {
+                retries_per_request: 1.0,
+                extra_retries: 100.0,
+                window: Duration::from_secs(10),
+            },
+            uses_reservations: false,
+            seed: 1,
+        });
+        let mut router = Self {
+            state,
+            now: Duration::from_secs(10),
+            last_token: 0,
+        };
+        router.step(Event::ConfigRead(Arc::new(config())));
+        router.step(Event::TargetListed(entry("d1", 1)));
+        router.step(Event::TargetListed(entry("d2", 1)));
+        router
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Effect> {
+        let now = ClockReading {
+            elapsed: self.now,
+            wall_clock: SystemTime::UNIX_EPOCH,
+        };
+        self.state.step(now, event)
+    }
+
+    /// Handles a request. Returns its token and the target that it is sent to, if it is.
+    fn receive(&mut self, route: &str) -> (u64, Option<String>) {
+        self.last_token += 1;
+        let token = self.last_token;
+        let effects = self.step(Event::RequestReceived(IncomingRequest {
+            token,
+            request_id: format!("r{token}").into(),
+            host: "host.example".into(),
+            path: format!("/{route}/x").into(),
+            api_key: None,
+            timeout: None,
+            prompt_and_max_answer_tokens: None,
+            last_event_id: None,
+            fingerprint: token,
+        }));
+        (token, sent_to(&effects))
+    }
+
+    fn receive_head(&mut self, token: u64, notice: Notice) {
+        self.step(Event::ResponseHead {
+            token,
+            load: None,
+            cold_remaining: None,
+            version: None,
+            notice: Some(notice),
+        });
+    }
+
+    /// Ends the exchange. Returns the target that the request is sent to next, if it is.
+    fn end(&mut self, token: u64, outcome: Outcome) -> Option<String> {
+        let effects = self.step(Event::ExchangeEnded {
+            token,
+            outcome,
+            longest_pause: Duration::ZERO,
+        });
+        sent_to(&effects)
+    }
+
+    /// Sends requests until one is answered by this target, with this notice.
+    fn answer_from(&mut self, id: &str, notice: Notice) {
+        for _ in 0..100 {
+            let (token, target) = self.receive("look");
+            let notice = if target.as_deref() == Some(id) {
+                notice
+            } else {
+                Notice::default()
+            };
+            self.receive_head(token, notice);
+            self.end(token, Outcome::Answered { is_error: false });
+            if target.as_deref() == Some(id) {
+                return;
+            }
+        }
+        panic!("{id} got no request");
+    }
+
+    /// The targets of some requests that are answered at once.
+    fn targets_of_requests(&mut self) -> Vec<Option<String>> {
+        let mut targets: Vec<Option<String>> = (0..30)
+            .map(|_| {
+                let (token, target) = self.receive("look");
+                self.receive_head(token, Notice::default());
+                self.end(token, Outcome::Answered { is_error: false });
+                target
+            })
+            .collect();
+        targets.sort();
+        targets.dedup();
+        targets
+    }
+}
+
+fn sent_to(effects: &[Effect]) -> Option<String> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Forward(_, request) => Some(request.target.to_string()),
+        _ => None,
+    })
+}
+
+fn rejection(effects: &[Effect]) -> Option<Rejection> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Reject(_, rejection) => Some(*rejection),
+        _ => None,
+    })
+}
+
+#[test]
+fn target_that_leaves_gets_nothing_new() {
+    struct Case {
+        name: &'static str,
+        /// What happens after d1 has said that it leaves.
+        then: fn(&mut TestRouter),
+        expected: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "at once",
+            then: |_| {},
+            expected: &["d2"],
+        },
+        Case {
+            name: "while the list still calls it ready",
+            then: |router| {
+                router.now += Duration::from_secs(20);
+                router.step(Event::TargetListed(entry("d1", 1)));
+            },
+            expected: &["d2"],
+        },
+        Case {
+            name: "after it has started again",
+            then: |router| {
+                router.step(Event::TargetListed(entry("d1", 2)));
+            },
+            expected: &["d1", "d2"],
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new();
+        router.answer_from("d1", LEAVING);
+        (case.then)(&mut router);
+        let targets: Vec<String> = router.targets_of_requests().into_iter().flatten().collect();
+        assert_eq!(targets, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn answer_that_was_under_way_does_not_take_back_that_a_target_leaves() {
+    let mut router = TestRouter::new();
+    let mut earlier = router.receive("look");
+    while earlier.1.as_deref() != Some("d1") {
+        earlier = router.receive("look");
+    }
+    router.answer_from("d1", LEAVING);
+    router.receive_head(earlier.0, Notice::default());
+    router.end(earlier.0, Outcome::Answered { is_error: false });
+    assert_eq!(router.targets_of_requests(), [Some("d2".to_owned())]);
+}
+
+#[test]
+fn repeats_and_resumed_streams_avoid_targets_that_leave() {
+    for (route, has_started) in [("look", false), ("chat", true)] {
+        let mut router = TestRouter::new();
+        router.step(Event::TargetListed(entry("d3", 1)));
+        router.answer_from("d1", LEAVING);
+        for _ in 0..20 {
+            let (token, _) = router.receive(route);
+            if has_started {
+                router.step(Event::ResponseHead {
+                    token,
+                    load: None,
+                    cold_remaining: None,
+                    version: Some(1),
+                    notice: Some(Notice::default()),
+                });
+                router.step(Event::ResponseStarted(token));
+            }
+            let broken = Outcome::Broken {
+                connection_lost: false,
+            };
+            assert_ne!(router.end(token, broken).as_deref(), Some("d1"), "{route}");
+            router.step(Event::CallerDisconnected(token));
+            router.now += Duration::from_secs(60);
+        }
+    }
+}
+
+#[test]
+fn requests_are_rejected_at_once_if_all_targets_leave() {
+    let mut router = TestRouter::new();
+    router.answer_from("d1", LEAVING);
+    router.answer_from("d2", LEAVING);
+    router.last_token += 1;
+    let effects = router.step(Event::RequestReceived(IncomingRequest {
+        token: router.last_token,
+        request_id: "r".into(),
+        host: "host.example".into(),
+        path: "/look/x".into(),
+        api_key: None,
+        timeout: None,
+        prompt_and_max_answer_tokens: None,
+        last_event_id: None,
+        fingerprint: 1,
+    }));
+    let rejection = rejection(&effects).expect("it is rejected");
+    assert_eq!(rejection.reason, RejectionReason::NoTarget);
+    assert!(rejection.not_run && rejection.retry_after.is_some());
+}
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -691,7 +691,7 @@
     let available = ReservationReply {
         backlog: Backlog::default(),
         accepts_requests: true,
-        notice: None,
+        limit: None,
     };
     for (attempt, reply) in [None, None, Some(available)].into_iter().enumerate() {
         // Longer than the backoff after an agent did not answer.
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -7,7 +7,7 @@
 mod suspects;
 
 pub use message::{
-    AgedNotice,
+    AgedLimit,
     Backlog,
     EngineStatus,
     Envelope,
@@ -16,7 +16,6 @@
     InstanceListUpdate,
     InstanceState,
     NamedVersion,
-    Notice,
     Reply,
     Request,
     Role,
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -109,8 +109,8 @@
         prompt_tokens: u32,
         /// Maximum number of requests per second as in [`Request::Reserve`].
         cold_rate_per_second: Option<u32>,
-        /// What the engine says of itself, as far as the requester knows.
-        known: AgedNotice,
+        /// The limit that the engine names, as far as the requester knows.
+        known: AgedLimit,
     },
 }
 
@@ -170,24 +170,17 @@
         number: Option<u64>,
         /// The work of the engine that precedes the reservation.
         backlog: Backlog,
-        /// The latest that the agent knows the engine to say of itself.
-        known: AgedNotice,
+        /// The latest limit that the agent knows the engine to name.
+        known: AgedLimit,
     },
 }
 
-/// What one answer of a target says of the target.
+/// The requests per second that a target says it takes, and the age of that answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Notice {
+pub struct AgedLimit {
     /// Requests per second that it takes from all processes together, if it limits them.
     pub requests_per_second: Option<f64>,
-}
-
-/// A notice and its age.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct AgedNotice {
-    /// The notice.
-    pub notice: Notice,
-    /// Milliseconds since the target gave it.
+    /// Milliseconds since the target said so.
     pub age_ms: u64,
 }
 
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -365,7 +365,7 @@
             } => {
                 let known = KnownLimits {
                     cold_rate_per_second,
-                    notice: None,
+                    limit: None,
                 };
                 self.answer_reserve(prompt_tokens, known, responder).await;
             }
@@ -376,7 +376,7 @@
             } => {
                 let known = KnownLimits {
                     cold_rate_per_second,
-                    notice: Some(known),
+                    limit: Some(known),
                 };
                 self.answer_reserve(prompt_tokens, known, responder).await;
             }
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -40,12 +40,12 @@
         mut responder: Responder,
     ) {
         let now = self.clock.now().elapsed;
-        let (number, backlog, notice) = {
+        let (number, backlog, limit) = {
             let mut state = lock(&self.state);
             let (number, backlog) = state.reserve(now, prompt_tokens, known);
-            (number, backlog, state.notice(now))
+            (number, backlog, state.limit(now))
         };
-        let reply = match notice.filter(|_| known.notice.is_some()) {
+        let reply = match limit.filter(|_| known.limit.is_some()) {
             None => Reply::Reserved { number, backlog },
             Some(known) => Reply::ReservedLimited {
                 number,
--- a/components/proxy/src/router/header_codec.rs
+++ b/components/proxy/src/router/header_codec.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use control::notice::Notice;
 use control::router::load::LoadReport;
 use control::router::ForwardRequest;
 use http::request;
 use http::response;
 use http::HeaderMap;
-use protocol::Notice;
 use utils::Name;
 
 /// What the head of a caller's request says.
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -9,7 +9,7 @@
     ReservationRequest, //
 };
 use protocol::{
-    AgedNotice,
+    AgedLimit,
     Backlog,
     Envelope,
     Reply,
@@ -49,7 +49,7 @@
         let agent = self.inner.agent_client.agent_address(request.address);
         let (prompt_tokens, cold_rate_per_second) =
             (request.prompt_tokens, request.cold_rate_per_second);
-        let body = match request.notice {
+        let body = match request.limit {
             None => Request::Reserve {
                 prompt_tokens,
                 cold_rate_per_second,
@@ -65,10 +65,10 @@
         let reservation_reply =
             reply
                 .as_ref()
-                .map(|(reservation, backlog, notice)| ReservationReply {
+                .map(|(reservation, backlog, limit)| ReservationReply {
                     backlog: *backlog,
                     accepts_requests: reservation.is_some(),
-                    notice: *notice,
+                    limit: *limit,
                 });
         self.handle_event(Event::ReservationReply {
             token,
@@ -77,13 +77,13 @@
         reply.and_then(|(reservation, ..)| reservation)
     }
 
-    /// Returns the reservation, if the agent granted one, the backlog of the engine and what the
-    /// agent knows the engine to say. Returns `None` if the agent did not reply.
+    /// Returns the reservation, if the agent granted one, the backlog of the engine and the limit
+    /// that the agent knows the engine to name. Returns `None` if the agent did not reply.
     async fn request_reservation(
         &self,
         agent: SocketAddr,
         message: Envelope<Request>,
-    ) -> Option<(Option<Reservation>, Backlog, Option<AgedNotice>)> {
+    ) -> Option<(Option<Reservation>, Backlog, Option<AgedLimit>)> {
         let pool = &self.inner.agent_client.pool;
         let call = match pool.call(agent, &message, RESERVATION_TIMEOUT).await {
             Ok(call) => call,
@@ -92,7 +92,7 @@
                 return None;
             }
         };
-        let (number, backlog, notice) = match call.reply.body {
+        let (number, backlog, limit) = match call.reply.body {
             Reply::Reserved { number, backlog } => (number, backlog, None),
             Reply::ReservedLimited {
                 number,
@@ -112,7 +112,7 @@
             number,
             _call: call,
         });
-        Some((reservation, backlog, notice))
+        Some((reservation, backlog, limit))
     }
 
     /// Tells the agent in a separate task that the engine has prefilled the prompt.
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -240,8 +240,10 @@
         request: Name,
         /// Requests per second that it takes from all processes together, if it limits them.
         requests_per_second: Option<f64>,
-        /// Milliseconds since the target said so; more than zero if an agent passed it on.
+        /// Milliseconds since the target named the limit; more than zero if an agent passed it on.
         age_ms: u64,
+        /// Whether it leaves.
+        is_leaving: bool,
     },
     /// A data centre was taken out of service or back in.
     DataCentre {
