A target that refuses with a delay gets nothing until then

Cause: the delay of a target's refusal was not read; a refusal only counted as a full target for a while. Selection leaves the target out, also for a request that holds a reservation. A request waits for it only if that is in time; if all targets that may serve it want nothing for longer, it is rejected at once with the shortest of these delays.

--- a/components/control/src/notice.rs
+++ b/components/control/src/notice.rs
@@ -4,6 +4,9 @@
 
 use protocol::AgedLimit;
 
+/// The longest time for which a target is left alone at its own word.
+const MAX_PAUSE: Duration = Duration::from_secs(3600);
+
 /// What one answer of a target says of the target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
@@ -11,6 +14,8 @@
     pub requests_per_second: Option<f64>,
     /// Whether it leaves, and wants no new requests.
     pub is_leaving: bool,
+    /// For how long it wants no requests from this process, if it refused one and says so.
+    pub wants_nothing_for: Option<Duration>,
 }
 
 /// What a target is known to say of itself, each fact with the time of the answer. It belongs to one
@@ -22,17 +27,25 @@
     /// Whether the target has limited its requests at any time.
     was_limited: bool,
     leaving_since: Option<Duration>,
+    /// Until this time it wants no requests from this process.
+    paused_until: Duration,
 }
 
 impl TargetNotice {
     /// Adds what an answer says that was received now. Returns whether it changes anything.
     pub fn update(&mut self, now: Duration, notice: Notice) -> bool {
         let was_leaving = self.is_leaving();
+        let was_paused = self.is_paused(now);
+        if let Some(pause) = notice.wants_nothing_for {
+            self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
+        }
         if notice.is_leaving {
             // An answer that does not say so may only have been sent earlier.
             self.leaving_since.get_or_insert(now);
         }
-        self.set_limit(now, notice.requests_per_second) || was_leaving != self.is_leaving()
+        self.set_limit(now, notice.requests_per_second)
+            || was_leaving != self.is_leaving()
+            || was_paused != self.is_paused(now)
     }
 
     /// Takes over the limit that another process knows. Returns whether it differs from the one
@@ -75,6 +88,16 @@
         self.limit
     }
 
+    /// How much longer the target wants no requests from this process.
+    pub fn pause(&self, now: Duration) -> Duration {
+        self.paused_until.saturating_sub(now)
+    }
+
+    /// Whether the target wants no requests from this process now.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        !self.pause(now).is_zero()
+    }
+
     /// Whether the target leaves. This holds until it starts again.
     pub fn is_leaving(&self) -> bool {
         self.leaving_since.is_some()
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -140,6 +140,11 @@
             } else {
                 pending.due.saturating_sub(now)
             },
+            may_wait: if pending.response_started {
+                Duration::ZERO
+            } else {
+                pending.dispatch_by.saturating_sub(now)
+            },
             uses_reservations: self.options.uses_reservations,
             process_count: self.process_count.get(),
         }
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -15,6 +15,7 @@
 use super::load::LoadReport;
 use super::rejection::RejectionReason;
 use super::retry_share::RetryShare;
+use super::selection;
 use super::state::State;
 use super::updates::millis;
 use super::{
@@ -107,6 +108,7 @@
                 requests_per_second: target.notice.requests_per_second(),
                 age_ms: millis(target.notice.limit_age(now)),
                 is_leaving: target.notice.is_leaving(),
+                pause_ms: millis(target.notice.pause(now)),
             }));
         }
     }
@@ -352,6 +354,7 @@
         reason: RejectionReason,
         effects: &mut Vec<Effect>,
     ) {
+        let pause = self.shortest_pause(now, token);
         let Some(pending) = self.pending.remove(&token) else {
             return;
         };
@@ -360,6 +363,7 @@
         }
         let not_run = !pending.may_have_run;
         let retry_after = self.retry_after(reason).filter(|_| not_run);
+        let retry_after = retry_after.map(|after| after.max(pause));
         effects.push(Effect::Record(Decision::TurnAway {
             request: pending.id.clone(),
             route: Some(pending.route.name.clone()),
@@ -378,6 +382,20 @@
         effects.push(Effect::Reject(token, rejection));
     }
 
+    /// How long all targets that may serve a request want none, or zero.
+    fn shortest_pause(&self, now: Duration, token: u64) -> Duration {
+        let pause = self.pending.get(&token).and_then(|pending| {
+            selection::shortest_pause(
+                now,
+                &self.targets,
+                &self.options.location,
+                &self.out_data_centres,
+                &self.requirements(now, pending),
+            )
+        });
+        pause.unwrap_or_default()
+    }
+
     /// The share of this process in the retries of a service.
     pub(super) fn retry_share(&mut self, now: Duration, service: &Name) -> &mut RetryShare {
         let limit = &self.options.retry_limit;
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -128,6 +128,8 @@
     pub prompt_tokens: u32,
     /// Time left until the answer, or its first event, is late.
     pub time_left: Duration,
+    /// How long it may still be queued.
+    pub may_wait: Duration,
     /// Whether requests to model engines are reserved with their agents.
     pub uses_reservations: bool,
     /// Number of processes that may send to the targets, if known.
@@ -162,6 +164,10 @@
         {
             continue;
         }
+        if target.notice.is_paused(now) {
+            any_eligible |= target.notice.pause(now) <= requirements.may_wait;
+            continue;
+        }
         any_eligible = true;
         let Some(estimate) = estimate(now, target, requirements) else {
             continue;
@@ -182,6 +188,21 @@
     }
 }
 
+/// How long it takes until the first target that may serve the request wants requests again, if all
+/// of these want none now.
+pub fn shortest_pause(
+    now: Duration,
+    targets: &Targets,
+    location: &Location,
+    out_data_centres: &BTreeSet<Name>,
+    requirements: &Requirements<'_>,
+) -> Option<Duration> {
+    let targets = targets.of_service(&requirements.service.name);
+    let eligible = targets.filter(|t| is_eligible(t, location, out_data_centres, requirements));
+    let shortest = eligible.map(|target| target.notice.pause(now)).min()?;
+    Some(shortest).filter(|pause| !pause.is_zero())
+}
+
 /// Whether a target that was selected earlier may still get the request.
 pub fn can_accept(
     now: Duration,
@@ -191,7 +212,8 @@
     requirements: &Requirements<'_>,
 ) -> bool {
     let is_usable = is_eligible(target, location, out_data_centres, requirements)
-        && !target.health.is_ejected(now);
+        && !target.health.is_ejected(now)
+        && !target.notice.is_paused(now);
     is_usable && estimate(now, target, requirements).is_some()
 }
 
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -31,6 +31,15 @@
 const LEAVING: Notice = Notice {
     requests_per_second: None,
     is_leaving: true,
+    wants_nothing_for: None,
+};
+
+/// What a target says with a refusal if it wants nothing for two seconds.
+const PAUSE: Duration = Duration::from_secs(2);
+const PAUSING: Notice = Notice {
+    requests_per_second: None,
+    is_leaving: false,
+    wants_nothing_for: Some(PAUSE),
 };
 
 fn config() -> Config {
@@ -124,11 +133,10 @@
         self.state.step(now, event)
     }
 
-    /// Handles a request. Returns its token and the target that it is sent to, if it is.
-    fn receive(&mut self, route: &str) -> (u64, Option<String>) {
+    fn handle_request(&mut self, route: &str) -> Vec<Effect> {
         self.last_token += 1;
         let token = self.last_token;
-        let effects = self.step(Event::RequestReceived(IncomingRequest {
+        self.step(Event::RequestReceived(IncomingRequest {
             token,
             request_id: format!("r{token}").into(),
             host: "host.example".into(),
@@ -138,8 +146,36 @@
             prompt_and_max_answer_tokens: None,
             last_event_id: None,
             fingerprint: token,
-        }));
-        (token, sent_to(&effects))
+        }))
+    }
+
+    /// Handles a request. Returns its token and the target that it is sent to, if it is.
+    fn receive(&mut self, route: &str) -> (u64, Option<String>) {
+        let effects = self.handle_request(route);
+        (self.last_token, sent_to(&effects))
+    }
+
+    /// Handles a request that is rejected at once.
+    fn receive_rejected(&mut self) -> Rejection {
+        let effects = self.handle_request("look");
+        rejection(&effects).expect("it is rejected")
+    }
+
+    /// Sends requests until one is refused by this target, with this notice. A target that refuses
+    /// counts as full until its load report is old.
+    fn refuse_from(&mut self, id: &str, notice: Notice) {
+        for _ in 0..100 {
+            let (token, target) = self.receive("look");
+            let is_target = target.as_deref() == Some(id);
+            self.receive_head(token, if is_target { notice } else { Notice::default() });
+            if is_target {
+                self.end(token, Outcome::WrongVersion);
+                self.step(Event::CallerDisconnected(token));
+                return;
+            }
+            self.end(token, Outcome::Answered { is_error: false });
+        }
+        panic!("{id} got no request");
     }
 
     fn receive_head(&mut self, token: u64, notice: Notice) {
@@ -196,6 +232,13 @@
     }
 }
 
+fn wants_nothing_for(pause: Duration) -> Notice {
+    Notice {
+        wants_nothing_for: Some(pause),
+        ..Notice::default()
+    }
+}
+
 fn sent_to(effects: &[Effect]) -> Option<String> {
     effects.iter().find_map(|effect| match effect {
         Effect::Forward(_, request) => Some(request.target.to_string()),
@@ -249,6 +292,86 @@
     }
 }
 
+#[test]
+fn target_that_wants_nothing_for_a_while_gets_nothing_until_then() {
+    let mut router = TestRouter::new();
+    router.refuse_from("d1", PAUSING);
+    for _ in 0..19 {
+        assert_eq!(router.targets_of_requests(), [Some("d2".to_owned())]);
+        router.now += PAUSE / 20;
+    }
+    router.now += PAUSE / 10;
+    let targets: Vec<String> = router.targets_of_requests().into_iter().flatten().collect();
+    assert_eq!(targets, ["d1", "d2"]);
+}
+
+#[test]
+fn shorter_time_of_a_later_refusal_does_not_end_the_longer_one() {
+    let mut router = TestRouter::new();
+    let mut earlier = router.receive("look");
+    while earlier.1.as_deref() != Some("d1") {
+        earlier = router.receive("look");
+    }
+    router.refuse_from("d1", PAUSING);
+    router.receive_head(
+        earlier.0,
+        Notice {
+            wants_nothing_for: Some(PAUSE / 10),
+            ..Notice::default()
+        },
+    );
+    router.end(earlier.0, Outcome::WrongVersion);
+    router.step(Event::CallerDisconnected(earlier.0));
+    router.now += PAUSE / 2;
+    assert_eq!(router.targets_of_requests(), [Some("d2".to_owned())]);
+}
+
+#[test]
+fn caller_is_told_when_the_first_target_wants_requests_again() {
+    struct Case {
+        name: &'static str,
+        pauses: [Duration; 2],
+        /// The shortest time after which the caller may come back.
+        expected: Duration,
+    }
+    let seconds = Duration::from_secs;
+    let cases = [
+        Case {
+            name: "both long",
+            pauses: [seconds(5), seconds(9)],
+            expected: seconds(5),
+        },
+        Case {
+            name: "longer than a day",
+            pauses: [seconds(600_000), seconds(700_000)],
+            expected: seconds(3600),
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new();
+        router.refuse_from("d1", wants_nothing_for(case.pauses[0]));
+        router.refuse_from("d2", wants_nothing_for(case.pauses[1]));
+        let rejection = router.receive_rejected();
+        assert_eq!(rejection.reason, RejectionReason::NoTarget, "{}", case.name);
+        assert!(rejection.not_run, "{}", case.name);
+        let after = rejection.retry_after.expect("a time to come back");
+        assert!(after >= case.expected, "{}: {after:?}", case.name);
+    }
+}
+
+#[test]
+fn request_waits_for_a_target_that_wants_requests_again_in_time() {
+    let mut router = TestRouter::new();
+    let pause = Duration::from_millis(150);
+    router.refuse_from("d1", wants_nothing_for(pause));
+    router.refuse_from("d2", wants_nothing_for(pause));
+    let (token, target) = router.receive("look");
+    assert_eq!(target, None);
+    router.now += pause * 2;
+    let effects = router.step(Event::Tick);
+    assert!(sent_to(&effects).is_some(), "request {token}: {effects:?}");
+}
+
 #[test]
 fn answer_that_was_under_way_does_not_take_back_that_a_target_leaves() {
     let mut router = TestRouter::new();
@@ -295,19 +418,7 @@
     let mut router = TestRouter::new();
     router.answer_from("d1", LEAVING);
     router.answer_from("d2", LEAVING);
-    router.last_token += 1;
-    let effects = router.step(Event::RequestReceived(IncomingRequest {
-        token: router.last_token,
-        request_id: "r".into(),
-        host: "host.example".into(),
-        path: "/look/x".into(),
-        api_key: None,
-        timeout: None,
-        prompt_and_max_answer_tokens: None,
-        last_event_id: None,
-        fingerprint: 1,
-    }));
-    let rejection = rejection(&effects).expect("it is rejected");
+    let rejection = router.receive_rejected();
     assert_eq!(rejection.reason, RejectionReason::NoTarget);
     assert!(rejection.not_run && rejection.retry_after.is_some());
 }
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -244,6 +244,8 @@
         age_ms: u64,
         /// Whether it leaves.
         is_leaving: bool,
+        /// How much longer it wants no requests from this process, in milliseconds.
+        pause_ms: u64,
     },
     /// A data centre was taken out of service or back in.
     DataCentre {
