Read the store anew when it was restored from a copy

Cause: the feed compared revisions of two eras; what was missing in a copy counted as removed at once, and each read of the copy renewed the lease. Change: the adapter reads the era of each answer; the feed reads everything when it changes, keeps what the copy lacks for 2.5 s (targets, data centres out of service), confirms nothing in that time, and then reads everything again. `medlarproxy_platform_restores_total` and a `dependency` line say so.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -40,6 +40,9 @@
     pub values: Vec<PublishedValue>,
     /// The revision of the source.
     pub revision: u64,
+    /// Rises each time the source was restored from a copy. Revisions of two eras cannot be
+    /// compared.
+    pub era: u64,
 }
 
 /// Why a call to the source failed.
@@ -90,6 +93,9 @@
     pub recovery_grace: Duration,
     /// How long after the recovery of the source `recovery_grace` applies.
     pub recovery_time: Duration,
+    /// How long a source that was restored from a copy may lack what was published before. Until
+    /// then, what it lacks counts as lost, and nothing is confirmed as current.
+    pub settle_time: Duration,
 }
 
 impl Default for FeedOptions {
@@ -101,6 +107,7 @@
             outage_grace: Duration::from_millis(2500),
             recovery_grace: Duration::from_millis(800),
             recovery_time: Duration::from_millis(1500),
+            settle_time: Duration::from_millis(2500),
         }
     }
 }
@@ -143,6 +150,11 @@
     options: FeedOptions,
     /// The revision up to which all changes were reported; `None` if all values must be read.
     revision: Option<u64>,
+    /// The era of the last response.
+    era: Option<u64>,
+    /// Until when a source that was restored from a copy may lack values. After that, all values
+    /// are read again.
+    settles_at: Option<Duration>,
     disabled_data_centres: BTreeSet<Name>,
     /// Whether the values at the start of the process were reported.
     is_started: bool,
@@ -167,6 +179,8 @@
         source,
         options,
         revision: None,
+        era: None,
+        settles_at: None,
         disabled_data_centres: BTreeSet::new(),
         is_started: false,
         has_failed: false,
@@ -187,6 +201,10 @@
     /// Makes one call to the source, and returns the delay before the next one.
     async fn poll(&mut self) -> Duration {
         let sent_at = self.elapsed();
+        if self.settles_at.is_some_and(|at| sent_at >= at) {
+            self.settles_at = None;
+            self.revision = None;
+        }
         let result = match self.revision {
             None => (self.source.read_all)().await,
             Some(revision) => (self.source.watch)(revision, self.options.max_wait).await,
@@ -194,11 +212,25 @@
         match result {
             Ok(changes) => {
                 let is_full_read = self.revision.is_none();
+                let is_restored = self
+                    .era
+                    .replace(changes.era)
+                    .is_some_and(|e| e != changes.era);
+                if is_restored {
+                    self.handle_restore(changes.era);
+                }
+                if is_restored && !is_full_read {
+                    // Changes since an earlier era's revision are incomplete.
+                    self.revision = None;
+                    return Duration::ZERO;
+                }
                 self.report_changes(changes, is_full_read);
                 self.has_failed = false;
-                (self.on_event)(FeedEvent::Confirmed(sent_at));
+                if self.settles_at.is_none() {
+                    (self.on_event)(FeedEvent::Confirmed(sent_at));
+                }
                 self.report_up();
-                self.options.delay_after_response
+                self.delay_after_response()
             }
             Err(SourceError::HistoryDropped) => {
                 // The next full read shows which entries were removed meanwhile, but may itself
@@ -217,6 +249,30 @@
         }
     }
 
+    /// Handles that the source was restored from a copy, which lacks the latest values until they
+    /// are published again.
+    fn handle_restore(&mut self, era: u64) {
+        self.settles_at = Some(self.elapsed() + self.options.settle_time);
+        // Targets that the copy lacks are kept as after an outage.
+        self.has_failed = true;
+        self.is_up = true;
+        metrics::counter!("medlarproxy_platform_restores_total").increment(1);
+        let detail = format!("restored from a copy, era {era}");
+        (self.on_event)(FeedEvent::SourceState {
+            is_up: true,
+            detail: detail.into(),
+        });
+    }
+
+    /// The delay after a response, which ends when a restored source has settled.
+    fn delay_after_response(&self) -> Duration {
+        let delay = self.options.delay_after_response;
+        match self.settles_at {
+            Some(at) => delay.min(at.saturating_sub(self.elapsed())),
+            None => delay,
+        }
+    }
+
     fn report_changes(&mut self, changes: PublishedChanges, is_full_read: bool) {
         let grace = self.grace_period();
         let mut listed: Vec<Name> = Vec::new();
@@ -236,10 +292,13 @@
                 names: listed,
                 grace,
             });
-            let enabled = self.disabled_data_centres.difference(&disabled);
-            let enabled: Vec<Name> = enabled.cloned().collect();
-            for name in enabled {
-                self.report_value(PublishedValue::DataCentreEnabled(name), grace);
+            // A restored source may only lack that a data centre is out of service.
+            if self.settles_at.is_none() {
+                let enabled = self.disabled_data_centres.difference(&disabled);
+                let enabled: Vec<Name> = enabled.cloned().collect();
+                for name in enabled {
+                    self.report_value(PublishedValue::DataCentreEnabled(name), grace);
+                }
             }
         }
         self.is_started = true;
