A target that drains keeps draining until it starts again

Change: within one start of a target, an entry that does not say that it drains is older. Evidence: `older_entry_of_a_restored_list_does_not_take_back_that_a_target_drains` failed before and passes.

--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -221,6 +221,8 @@
         }
         let was_cold = target.is_cold(now);
         let mut entry = entry;
+        // A target that drains does so until it stops; an entry that does not say so is older.
+        entry.is_draining |= target.entry.is_draining;
         // The list lags behind the agents' reports by seconds.
         if target.has_recent_agent_report(now) {
             entry.version = target.entry.version;
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -385,6 +385,19 @@
     assert_eq!(router.targets_of_requests(), [Some("d2".to_owned())]);
 }
 
+#[test]
+fn older_entry_of_a_restored_list_does_not_take_back_that_a_target_drains() {
+    let mut router = TestRouter::new();
+    let mut draining = entry("d1", 1);
+    draining.is_draining = true;
+    router.step(Event::TargetListed(draining));
+    router.step(Event::TargetListed(entry("d1", 1)));
+    assert_eq!(router.targets_of_requests(), [Some("d2".to_owned())]);
+    router.step(Event::TargetListed(entry("d1", 2)));
+    let targets: Vec<String> = router.targets_of_requests().into_iter().flatten().collect();
+    assert_eq!(targets, ["d1", "d2"]);
+}
+
 #[test]
 fn repeats_and_resumed_streams_avoid_targets_that_leave() {
     for (route, has_started) in [("look", false), ("chat", true)] {
