A target that said that it leaves did not crash when it is gone

Cause: an exchange in which a target fell silent counts as a crash once the target is gone, unless the list called it draining; one that had said so in an answer alone counted. Change: both are planned. Evidence: the added case of `request_under_which_targets_fell_silent_and_ended_is_quarantined` failed before and passes.

--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -14,6 +14,7 @@
 use super::table::RoutingTable;
 use super::targets::{
     EntryChange,
+    Target,
     TargetEntry, //
 };
 use super::Effect;
@@ -30,7 +31,7 @@
     /// Removes targets whose entries have expired and records changes of the lease.
     pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         for target in self.targets.remove_expired(now) {
-            self.handle_target_removed(now, &target.entry, "missing from the list", effects);
+            self.handle_target_removed(now, &target, "missing from the list", effects);
         }
         if let Some(valid) = self.lease.take_validity_change(now) {
             let age = self.lease.age(now).unwrap_or_default();
@@ -101,18 +102,19 @@
         if !grace.is_zero() {
             self.targets.expire_at(now + grace, id);
         } else if let Some(target) = self.targets.remove(id) {
-            self.handle_target_removed(now, &target.entry, "taken off the list", effects);
+            self.handle_target_removed(now, &target, "taken off the list", effects);
         }
     }
 
     fn handle_target_removed(
         &mut self,
         now: Duration,
-        entry: &TargetEntry,
+        target: &Target,
         reason: &str,
         effects: &mut Vec<Effect>,
     ) {
-        if !entry.is_draining {
+        let entry = &target.entry;
+        if !entry.is_draining && !target.notice.is_leaving() {
             self.handle_target_end(now, &entry.id, entry.started_at_ms, effects);
         }
         effects.push(Effect::Record(Decision::TargetGone {
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -7,6 +7,7 @@
     SystemTime, //
 };
 
+use control::notice::Notice;
 use control::router::config::{
     Config,
     EngineProfile,
@@ -985,6 +986,31 @@
             Outcome::IdleTimeout,
             false,
         ),
+        case(
+            "had said in an answer that it leaves",
+            |router, entry| {
+                let (token, target) = router.receive("order");
+                if target.target() == &*entry.id {
+                    router.step(Event::ResponseHead {
+                        token,
+                        load: None,
+                        cold_remaining: None,
+                        version: None,
+                        notice: Some(Notice {
+                            is_leaving: true,
+                            ..Notice::default()
+                        }),
+                    });
+                }
+                router.step(Event::CallerDisconnected(token));
+                router.step(Event::TargetUnlisted {
+                    id: entry.id,
+                    grace: Duration::ZERO,
+                });
+            },
+            Outcome::IdleTimeout,
+            false,
+        ),
         case(
             "left as planned",
             |router, mut entry| {
