The soak draws restored stores and a target that says that it leaves

Change: a fault restores the store from its last copy, and operators and targets write again; another lets one target say in all its answers that it leaves. The soak checks that an entry that has passed on such an answer sends nothing there two seconds later, unless it was stopped, paused or restarted since.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -63,6 +63,9 @@
     pub kind: RequestKind,
     pub key: &'static str,
     pub sent: Instant,
+    pub ended: Instant,
+    /// The number of the entry that got it.
+    pub entry: usize,
     pub result: RequestResult,
 }
 
@@ -79,6 +82,7 @@
 /// Sends requests to one entry until `until`.
 pub async fn run_caller(
     requests: RequestLog,
+    entry: usize,
     number: usize,
     ip: String,
     key: &'static str,
@@ -115,6 +119,8 @@
             kind,
             key,
             sent,
+            ended: Instant::now(),
+            entry,
             result,
         });
         tokio::time::sleep(REQUEST_PAUSE).await;
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::callers::{
     is_complete,
     LoggedRequest,
@@ -15,6 +17,9 @@
 /// How long a revoked API key may still work at any process.
 const KEY_REVOCATION_TIME: Duration = Duration::from_secs(5);
 
+/// How long after an answer that says that its target leaves a request may still reach the target.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// The statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -41,6 +46,7 @@
         violations.extend(check_runs(request, own_runs));
         violations.extend(check_key(environment, request, own_runs));
     }
+    violations.extend(check_leaving(environment, &requests, &runs_by_id));
     violations.extend(check_engines(environment));
     violations.extend(check_recovery(environment, &requests));
     for name in &environment.unexpected_exits {
@@ -87,6 +93,42 @@
     is_late.then(|| format!("{} ran with a key that was revoked long before", request.id))
 }
 
+/// Finds requests that an entry sent to the leaving target long after it had passed on an answer that
+/// says so.
+fn check_leaving(
+    environment: &Environment,
+    requests: &[LoggedRequest],
+    runs_by_id: &HashMap<&str, Vec<&Run>>,
+) -> Vec<String> {
+    let Some((target, leaving_since)) = &environment.leaving else {
+        return Vec::new();
+    };
+    let ran_there = |request: &LoggedRequest| {
+        let runs = runs_by_id.get(request.id.as_str());
+        runs.is_some_and(|runs| runs.iter().any(|run| run.target == *target))
+    };
+    // When each entry first passed on such an answer.
+    let mut told_at: HashMap<usize, Instant> = HashMap::new();
+    for request in requests {
+        let is_answered = matches!(request.result, RequestResult::Response(200, _));
+        if is_answered && request.sent > *leaving_since && ran_there(request) {
+            let first = told_at.entry(request.entry).or_insert(request.ended);
+            *first = request.ended.min(*first);
+        }
+    }
+    let is_late = |request: &&LoggedRequest| {
+        let Some(told_at) = told_at.get(&request.entry) else {
+            return false;
+        };
+        let mut disturbed = environment.disturbed_entries.iter();
+        let is_excused = disturbed.any(|(entry, at)| *entry == request.entry && at > told_at);
+        request.sent > *told_at + DRAIN_TIME && !is_excused && ran_there(request)
+    };
+    let late = requests.iter().filter(is_late);
+    late.map(|request| format!("{} reached a target that leaves", request.id))
+        .collect()
+}
+
 fn check_engines(environment: &Environment) -> Vec<String> {
     let mut violations = Vec::new();
     for (id, version, incomplete_loads) in environment.engines() {
--- a/tests/soak/environment.rs
+++ b/tests/soak/environment.rs
@@ -57,6 +57,7 @@
     id: String,
     service: &'static str,
     target: Target,
+    address: SocketAddr,
     proxy: Proxy,
 }
 
@@ -70,6 +71,10 @@
     pub faults_ended_at: Instant,
     /// Versions that operators named, and when.
     pub named_versions: Vec<(u64, Instant)>,
+    /// The target that says that it leaves, and since when.
+    pub leaving: Option<(String, Instant)>,
+    /// Entries that were stopped, paused or restarted, and when.
+    pub disturbed_entries: Vec<(usize, Instant)>,
     /// Processes that exited without being asked to stop, or with an error after they were asked.
     pub unexpected_exits: Vec<String>,
     folder: PathBuf,
@@ -99,6 +104,8 @@
             revoked_keys: Vec::new(),
             faults_ended_at: Instant::now(),
             named_versions: Vec::new(),
+            leaving: None,
+            disturbed_entries: Vec::new(),
             unexpected_exits: Vec::new(),
             origin: listen(handle_origin_request).await,
             folder,
@@ -170,6 +177,7 @@
             id,
             service,
             target,
+            address: server_address,
             proxy,
         });
         server_address
@@ -211,7 +219,14 @@
                 let number = entry * CALLERS_PER_ENTRY + i;
                 let key = API_KEYS[i % API_KEYS.len()];
                 let requests = self.requests.clone();
-                tokio::spawn(callers::run_caller(requests, number, ip, key, callers_end));
+                tokio::spawn(callers::run_caller(
+                    requests,
+                    entry,
+                    number,
+                    ip,
+                    key,
+                    callers_end,
+                ));
             }
         }
         while Instant::now() < until {
@@ -249,6 +264,9 @@
                 continue;
             };
             let was_asked_to_stop = self.asked_to_stop.remove(&i);
+            if i >= ENGINES {
+                self.disturbed_entries.push((i - ENGINES, Instant::now()));
+            }
             if !was_asked_to_stop || !succeeded {
                 self.unexpected_exits.push(process.addresses.name.clone());
             }
@@ -257,7 +275,7 @@
     }
 
     fn inject_fault(&mut self) {
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..14) {
             0 | 1 => self.change_store_link(),
             2 | 3 => self.change_target_link(),
             4 => self.pause_or_resume(),
@@ -267,6 +285,8 @@
             8 => self.change_store_fault(),
             9 => self.name_next_version(),
             10 => self.change_configuration(),
+            11 => self.restore_store(),
+            12 => self.announce_leaving(),
             _ => self.list_or_unlist_target(),
         }
     }
@@ -295,8 +315,48 @@
         self.targets[index].proxy.set_link(link);
     }
 
-    fn pause_or_resume(&mut self) {
+    /// Picks a process for a fault that excuses it from what it knew before.
+    fn disturb_process(&mut self) -> usize {
         let index = self.rng.random_range(0..self.processes.len());
+        if index >= ENGINES {
+            self.disturbed_entries
+                .push((index - ENGINES, Instant::now()));
+        }
+        index
+    }
+
+    /// Restores the store from its last copy, or takes one. Operators and targets write again what
+    /// was lost.
+    fn restore_store(&mut self) {
+        if !self.store.has_copy() || self.rng.random_bool(0.4) {
+            self.store.take_copy();
+            return;
+        }
+        self.store.restore();
+        publish_config(&self.store, self.config_version, &self.keys, self.origin);
+        if let Some((version, _)) = self.named_versions.last() {
+            publish_version(&self.store, *version);
+        }
+        for listed in &self.targets {
+            let address = match listed.service {
+                "engines" => listed.address,
+                _ => listed.proxy.address(),
+            };
+            publish_target(&self.store, &listed.id, listed.service, address, false);
+        }
+    }
+
+    /// Lets one target say that it leaves, until the end of the run.
+    fn announce_leaving(&mut self) {
+        if self.leaving.is_none() {
+            let leaving = &self.targets[0];
+            leaving.target.announce_leaving();
+            self.leaving = Some((leaving.id.clone(), Instant::now()));
+        }
+    }
+
+    fn pause_or_resume(&mut self) {
+        let index = self.disturb_process();
         let signal = if self.processes[index].is_paused {
             Signal::SIGCONT
         } else {
@@ -306,13 +366,13 @@
     }
 
     fn kill_and_restart(&mut self) {
-        let index = self.rng.random_range(0..self.processes.len());
+        let index = self.disturb_process();
         self.asked_to_stop.remove(&index);
         self.processes[index].restart();
     }
 
     fn request_stop(&mut self) {
-        let index = self.rng.random_range(0..self.processes.len());
+        let index = self.disturb_process();
         self.asked_to_stop.insert(index);
         self.processes[index].signal(Signal::SIGTERM);
     }
