One copy of waking watchers, of messages to agents and of their retry delay

Cause: read through the whole change: the closure that replaces a watched value stood three times, the delay after a failed call to an agent twice, and the engines' watch built by hand the message that `agent_message` builds. Change: `watch_value::send_if_changed`, one `RETRY_DELAY`, `agent_message` in both places. Behaviour stays. Measured: tests of control, platform and crashing_request pass.

--- a/components/control/src/router/crashes.rs
+++ b/components/control/src/router/crashes.rs
@@ -62,11 +62,9 @@
         self.0.retain(|(at, _)| is_recent(*at));
         let is_of_target =
             |run: &TargetRun| run.target == *target && run.started_at_ms == started_at_ms;
-        let (taken, kept) = std::mem::take(&mut self.0)
-            .into_iter()
-            .partition(|(_, run)| is_of_target(run));
+        let all = std::mem::take(&mut self.0).into_iter();
+        let (taken, kept): (VecDeque<_>, VecDeque<_>) = all.partition(|(_, run)| is_of_target(run));
         self.0 = kept;
-        let taken: VecDeque<_> = taken;
         taken.into_iter().map(|(_, run)| run).collect()
     }
 }
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -50,6 +50,7 @@
 use crate::links::Pacer;
 use crate::record_writer::RecordWriter;
 use crate::store::PieceStore;
+use crate::watch_value::send_if_changed;
 
 pub use backends::{
     BackendError,
@@ -232,16 +233,8 @@
             let effects = state.step(now, event);
             (effects, state.status(), state.crash_revision())
         };
-        self.crash_revision.send_if_modified(|known| {
-            let changed = *known != crash_revision;
-            *known = crash_revision;
-            changed
-        });
-        self.engine_status.send_if_modified(|known| {
-            let changed = *known != status;
-            *known = status;
-            changed
-        });
+        send_if_changed(&self.crash_revision, crash_revision);
+        send_if_changed(&self.engine_status, status);
         for effect in effects {
             self.execute(effect);
         }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod router;
 mod store;
 mod target;
+mod watch_value;
 
 pub use control_thread::ControlHandle;
 pub use error::ProxyError;
--- a/components/proxy/src/router/crashes.rs
+++ b/components/proxy/src/router/crashes.rs
@@ -14,16 +14,16 @@
     Request, //
 };
 
-use super::engines::AGENT_TIMEOUT;
+use super::engines::{
+    AGENT_TIMEOUT,
+    RETRY_DELAY, //
+};
 use super::Router;
 
 /// The delay before a new crash is reported, so that all requests of the crashed target are
 /// reported together.
 const REPORT_DELAY: Duration = Duration::from_millis(50);
 
-/// The delay after a call to an agent failed.
-const RETRY_DELAY: Duration = Duration::from_millis(700);
-
 /// Exchanges crashes with the agent of one engine while the future is polled.
 pub(super) async fn exchange_crashes(router: Router, engine: EngineTarget, agent: SocketAddr) {
     let mut exchange = CrashExchange::default();
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -13,7 +13,6 @@
 };
 use protocol::{
     EngineStatus,
-    Envelope,
     NamedVersion,
     Reply,
     Request, //
@@ -36,7 +35,7 @@
 pub(super) const AGENT_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// The delay after a call to an agent failed.
-const RETRY_DELAY: Duration = Duration::from_millis(700);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// The client of the agents on the instances of model engines.
 #[derive(Clone, Debug)]
@@ -125,18 +124,12 @@
     loop {
         let message = {
             let now = router.elapsed();
-            let state = router.inner.state.borrow();
-            let named = state.named_versions(now);
-            Envelope {
-                sender: agent_client.instance.clone(),
-                sheet_version: state.config_version(),
-                list_revision: 0,
-                body: Request::Engine {
-                    known,
-                    named,
-                    weight_source: engine.weight_source.clone(),
-                },
-            }
+            let named = router.inner.state.borrow().named_versions(now);
+            router.agent_message(Request::Engine {
+                known,
+                named,
+                weight_source: engine.weight_source.clone(),
+            })
         };
         match agent_client.pool.call(agent, &message, AGENT_TIMEOUT).await {
             Ok(call) => match call.reply.body {
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -45,6 +45,7 @@
     PublishedValue, //
 };
 use crate::record_writer::RecordWriter;
+use crate::watch_value::send_if_changed;
 
 use self::pool::ConnectionPool;
 use self::reservations::Reservation;
@@ -146,11 +147,7 @@
             let effects = state.step(now, event);
             (effects, state.config_version(), state.crash_revision())
         };
-        self.inner.crash_revision.send_if_modified(|known| {
-            let changed = *known != crash_revision;
-            *known = crash_revision;
-            changed
-        });
+        send_if_changed(&self.inner.crash_revision, crash_revision);
         for effect in effects {
             self.execute(config_version, effect);
         }
