Serve callers that return after all others under overload

Cause: with a third more load than the engines handle, every rejected caller returns once after one to two seconds, late for its objective, and took turns with callers that could still be answered on time.

Change: a caller returns if its timeout is shorter than the longest recent one of its team on the route by a sixth, and by the shortest delay that rejections name. Its request is dispatched after all others, takes a place at an engine only up to 0.6 of its slots, and is rejected at once while others wait. A team whose timeouts differ by less than a sixth is not affected, and without overload returning callers are served as before (test callers_that_return_after_a_burst_are_served).

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -7,7 +7,10 @@
 
 use super::config::Service;
 use super::pending::Pending;
-use super::rejection::RejectionReason;
+use super::rejection::{
+    RejectionReason,
+    RETRY_LATER_DELAY, //
+};
 use super::state::State;
 use super::table::choose_service;
 use super::updates::millis;
@@ -63,7 +66,7 @@
 
     /// Finds the route, team and service of a request, or the reason to reject it and its route.
     fn admit(
-        &self,
+        &mut self,
         now: Duration,
         request: &IncomingRequest,
     ) -> Result<Pending, (RejectionReason, Option<Name>)> {
@@ -102,16 +105,20 @@
         if self.suspects.is_quarantined(request.fingerprint) {
             return Err((RejectionReason::Quarantined, route_name));
         }
-        let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
-        let answer_time = answer_time(service, request);
+        let (route, service, team) = (route.clone(), service.clone(), team.cloned());
+        let caller_timeout = request.timeout.unwrap_or(route.timeout);
+        let timeout = caller_timeout.min(route.timeout);
+        let answer_time = answer_time(&service, request);
+        let team_name = team.as_ref().map(|team| &team.name);
+        let is_return = self
+            .first_attempts
+            .is_return(now, &route.name, team_name, caller_timeout);
         Ok(Pending {
             id: request.request_id.clone(),
-            route: route.clone(),
-            service: service.clone(),
-            team: team.cloned(),
             arrived: now,
             deadline: now + timeout,
             due: now + route.latency_objective,
+            is_overdue: is_return && route.latency_objective <= RETRY_LATER_DELAY,
             prompt_tokens: request
                 .prompt_and_max_answer_tokens
                 .map_or(0, |(prompt, _)| prompt),
@@ -132,6 +139,9 @@
             is_prefill_pending: false,
             time_to_first_event: None,
             response_started: false,
+            route,
+            service,
+            team,
         })
     }
 }
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -42,10 +42,10 @@
             return;
         };
         let service = pending.service.name.clone();
-        let priority = pending.priority();
+        let rank = pending.queue_rank();
         let response_started = pending.response_started;
         let queue = self.queues.entry(service.clone()).or_default();
-        let is_next = response_started || queue.iter().all(|queued| queued.priority > priority);
+        let is_next = response_started || queue.iter().all(|queued| queued.rank > rank);
         if is_next && self.try_dispatch(now, token, effects) {
             return;
         }
@@ -62,7 +62,7 @@
             return;
         };
         let service = pending.service.name.clone();
-        let priority = pending.priority();
+        let rank = pending.queue_rank();
         let (response_started, dispatch_by) = (pending.response_started, pending.dispatch_by);
         let until = if response_started {
             now + MAX_RESUME_WAIT
@@ -70,16 +70,14 @@
             dispatch_by
         };
         let queue = self.queues.entry(service).or_default();
-        let wait = queue.expected_wait(now, priority);
-        if !response_started && now.saturating_add(wait) > until {
+        let wait = queue.expected_wait(now, rank);
+        // A caller that returns while others wait is told at once to come back later.
+        let is_hopeless = rank.is_overdue && !queue.is_empty();
+        if !response_started && (is_hopeless || now.saturating_add(wait) > until) {
             self.reject(now, token, RejectionReason::Overload, effects);
             return;
         }
-        let request = QueuedRequest {
-            token,
-            priority,
-            until,
-        };
+        let request = QueuedRequest { token, rank, until };
         if response_started {
             queue.push_front(request);
         } else {
@@ -137,9 +135,12 @@
             prompt_tokens: pending.prompt_tokens,
             time_left: if pending.response_started || pending.service.engine_profile.is_none() {
                 Duration::MAX
+            } else if pending.is_overdue {
+                Duration::ZERO
             } else {
                 pending.due.saturating_sub(now)
             },
+            is_overdue: pending.is_overdue && !pending.response_started,
             may_wait: if pending.response_started {
                 Duration::ZERO
             } else {
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -8,6 +8,7 @@
 pub mod config;
 mod crashes;
 mod dispatch;
+mod first_attempts;
 pub mod health;
 pub mod latency;
 pub mod lease;
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -11,6 +11,7 @@
     Service,
     Team, //
 };
+use super::queue::QueueRank;
 
 /// How long a stream may stay silent before another target resumes it. Engines pause for up to half
 /// a second while they prefill long prompts of other requests; callers give up after three seconds.
@@ -41,6 +42,8 @@
     pub deadline: Duration,
     /// After this time the answer, or its first event, is late.
     pub due: Duration,
+    /// Whether the caller returned after a rejection, so that no answer is on time.
+    pub is_overdue: bool,
     /// The latest time to dispatch it so that its answer is on time.
     pub dispatch_by: Duration,
     pub prompt_tokens: u32,
@@ -76,6 +79,14 @@
         team.unwrap_or(self.route.priority)
     }
 
+    /// Its place in the order in which queued requests are dispatched.
+    pub fn queue_rank(&self) -> QueueRank {
+        QueueRank {
+            is_overdue: self.is_overdue,
+            priority: self.priority(),
+        }
+    }
+
     /// How many targets it was sent to.
     pub fn attempts(&self) -> u32 {
         u32::try_from(self.tried_targets.len()).unwrap_or(u32::MAX)
--- a/components/control/src/router/queue.rs
+++ b/components/control/src/router/queue.rs
@@ -2,6 +2,10 @@
 //!
 //! Under overload, a request waits only as long as its answer can still be on time. When the
 //! expected wait is longer than that, new requests are rejected at once instead of after a wait.
+//!
+//! Requests of callers that return too late for an answer on time are dispatched after all others.
+//! If they took turns, each of them would make another caller late: as many callers would be served,
+//! but fewer on time.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,18 +17,27 @@
 /// unevenly, so a shorter queue does not indicate overload.
 const MIN_QUEUE_LENGTH_FOR_WAIT: usize = 3;
 
+/// The place of a request in the order in which queued requests are dispatched; lower ones first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueRank {
+    /// Whether no answer can be on time any more.
+    pub is_overdue: bool,
+    /// Zero is the most urgent.
+    pub priority: u8,
+}
+
 /// A queued request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueuedRequest {
     /// The token of the request.
     pub token: u64,
-    /// Zero is the most urgent.
-    pub priority: u8,
+    /// Its place in the queue.
+    pub rank: QueueRank,
     /// When its queueing time is over.
     pub until: Duration,
 }
 
-/// The queue of one service, ordered by priority and then by arrival.
+/// The queue of one service, ordered by rank and then by arrival.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     requests: VecDeque<QueuedRequest>,
@@ -34,11 +47,9 @@
 }
 
 impl Queue {
-    /// Adds a request behind those of its priority.
+    /// Adds a request behind those of its rank.
     pub fn push(&mut self, request: QueuedRequest) {
-        let position = self
-            .requests
-            .partition_point(|r| r.priority <= request.priority);
+        let position = self.requests.partition_point(|r| r.rank <= request.rank);
         self.requests.insert(position, request);
     }
 
@@ -85,9 +96,9 @@
         self.departures * (-elapsed / DEPARTURE_RATE_TIME_CONSTANT.as_secs_f64()).exp()
     }
 
-    /// How long a request of `priority` that arrives now would wait.
-    pub fn expected_wait(&self, now: Duration, priority: u8) -> Duration {
-        let ahead = self.requests.partition_point(|r| r.priority <= priority);
+    /// How long a request of `rank` that arrives now would wait.
+    pub fn expected_wait(&self, now: Duration, rank: QueueRank) -> Duration {
+        let ahead = self.requests.partition_point(|r| r.rank <= rank);
         if ahead < MIN_QUEUE_LENGTH_FOR_WAIT {
             return Duration::ZERO;
         }
--- a/components/control/src/router/rejection.rs
+++ b/components/control/src/router/rejection.rs
@@ -9,7 +9,7 @@
 
 /// Minimum retry delay if no process can serve the request now. A switch of weights, a restart or a
 /// burst lasts for seconds, so an earlier retry would be rejected again.
-const RETRY_LATER_DELAY: Duration = Duration::from_millis(1000);
+pub(super) const RETRY_LATER_DELAY: Duration = Duration::from_millis(1000);
 
 /// Why a request was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -54,10 +54,14 @@
 /// prompts that arrive meanwhile are prefilled in the same iterations.
 const RESPONSE_TIME_MARGIN: f64 = 1.25;
 
-/// Share of its slots up to which a target takes requests whose answers will be late. Below it, a
-/// late answer delays no other request and is better than none.
+/// Share of its slots up to which a target takes requests whose answers will be late there. Below
+/// it, a late answer delays no other request and is better than none.
 const LATE_REQUEST_MAX_UTILIZATION: f64 = 0.25;
 
+/// Share of its slots up to which a target takes requests whose answers are late everywhere. The
+/// other slots are for requests that can be answered on time.
+const OVERDUE_REQUEST_MAX_UTILIZATION: f64 = 0.6;
+
 /// Response time of a plain target with one request per slot.
 const PLAIN_RESPONSE_TIME: Duration = Duration::from_millis(20);
 
@@ -128,6 +132,8 @@
     pub prompt_tokens: u32,
     /// Time left until the answer, or its first event, is late.
     pub time_left: Duration,
+    /// Whether no answer can be on time any more.
+    pub is_overdue: bool,
     /// How long it may still be queued.
     pub may_wait: Duration,
     /// Whether requests to model engines are reserved with their agents.
@@ -238,7 +244,12 @@
     let response_time = expected.mul_f64(target.load.slowdown());
     let is_late = response_time.mul_f64(RESPONSE_TIME_MARGIN) > requirements.time_left;
     let slots = f64::from(slots(target, requirements.service));
-    let is_busy = target.load.total_requests(now) > slots * LATE_REQUEST_MAX_UTILIZATION;
+    let max_utilization = if requirements.is_overdue {
+        OVERDUE_REQUEST_MAX_UTILIZATION
+    } else {
+        LATE_REQUEST_MAX_UTILIZATION
+    };
+    let is_busy = target.load.total_requests(now) > slots * max_utilization;
     (!is_late || !is_busy).then_some(Estimate {
         response_time,
         is_late,
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -22,6 +22,7 @@
 
 use super::config::Config;
 use super::crashes::SilentExchanges;
+use super::first_attempts::FirstAttempts;
 use super::lease::Lease;
 use super::pending::Pending;
 use super::queue::Queue;
@@ -87,6 +88,7 @@
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) retry_shares: BTreeMap<Name, RetryShare>,
     pub(super) process_count: ProcessCount,
+    pub(super) first_attempts: FirstAttempts,
     pub(super) pending: HashMap<u64, Pending>,
     pub(super) suspects: CrashSuspects,
     pub(super) silent_exchanges: SilentExchanges,
@@ -152,6 +154,7 @@
             queues: BTreeMap::new(),
             retry_shares: BTreeMap::new(),
             process_count: ProcessCount::default(),
+            first_attempts: FirstAttempts::default(),
             pending: HashMap::new(),
             suspects: CrashSuspects::default(),
             silent_exchanges: SilentExchanges::default(),
--- a/components/control/tests/admission_load.rs
+++ b/components/control/tests/admission_load.rs
@@ -145,3 +145,42 @@
     assert!(results.on_time * 2 >= results.requests, "{results:?}");
     assert!(results.longest_time_to_rejection <= ms(450), "{results:?}");
 }
+
+/// A third more load than the engines can handle, and every rejected caller tries once more. The
+/// callers that return must not displace others that can still be answered on time.
+#[test]
+fn callers_that_return_do_not_make_others_late_under_overload() {
+    let scenario = Scenario {
+        engines: 6,
+        processes: 5,
+        requests_per_second: 80.0,
+        duration: Duration::from_secs(20),
+        has_agents: true,
+        callers_return: true,
+        ..Scenario::default()
+    };
+    let results = simulate(&scenario);
+    let answered = results.on_time + results.late;
+    assert!(results.late * 10 <= answered, "{results:?}");
+    // Six engines answer about 48 requests per second on time.
+    assert!(results.on_time >= 48 * 20 * 8 / 10, "{results:?}");
+}
+
+/// Callers return when the overload has ended, and are served.
+#[test]
+fn callers_that_return_after_a_burst_are_served() {
+    let scenario = Scenario {
+        engines: 6,
+        processes: 5,
+        requests_per_second: 40.0,
+        duration: Duration::from_secs(20),
+        has_agents: true,
+        callers_return: true,
+        // No engine accepts requests for a moment.
+        unavailable: (0..6).map(|engine| (engine, ms(8000), ms(9000))).collect(),
+        ..Scenario::default()
+    };
+    let results = simulate(&scenario);
+    assert!(results.rejected >= 10, "{results:?}");
+    assert!(results.unserved * 5 <= results.rejected, "{results:?}");
+}
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -7,7 +7,8 @@
 use std::collections::{
     BTreeMap,
     BinaryHeap,
-    HashMap, //
+    HashMap,
+    HashSet, //
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,6 +57,7 @@
 const CHUNK_TOKENS: u32 = 2048;
 const PREFILL_TOKENS_PER_MS: f64 = 20.7;
 const LATENCY_OBJECTIVE: Duration = Duration::from_millis(450);
+const CALLER_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// What to simulate.
 #[derive(Clone, Debug)]
@@ -71,6 +73,8 @@
     pub has_agents: bool,
     /// Whether the agents answer.
     pub agents_answer: bool,
+    /// Whether callers that are rejected try once more, at the time that they are told.
+    pub callers_return: bool,
     pub limits: Vec<Limit>,
     /// The share of streams that break after their first event.
     pub broken_share: f64,
@@ -106,6 +110,7 @@
             unavailable: Vec::new(),
             has_agents: false,
             agents_answer: true,
+            callers_return: false,
             limits: Vec::new(),
             broken_share: 0.0,
             seed: 7,
@@ -120,10 +125,22 @@
     pub on_time: u32,
     pub late: u32,
     pub rejected: u32,
+    /// Requests that got no answer, also when the caller tried once more.
+    pub unserved: u32,
     pub longest_time_to_rejection: Duration,
     pub sends: Vec<Send>,
 }
 
+/// The caller of a request.
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    first_attempt_at: Duration,
+    /// How long it waits, from its first attempt on.
+    timeout: Duration,
+    prompt: u32,
+    answer: u32,
+}
+
 #[derive(Clone, Debug)]
 struct EngineRequest {
     token: u64,
@@ -145,6 +162,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum SimulationEvent {
     Arrival,
+    /// The caller of a rejected request tries again.
+    Return(u64),
     IterationEnds(usize),
     QueueTimeout(u64),
     SetUnavailable(usize, bool),
@@ -159,8 +178,9 @@
     last_sequence: u64,
     engines: Vec<Engine>,
     rng: Pcg64Mcg,
-    /// The arrival time, prompt tokens and answer tokens of each request.
-    arrivals: HashMap<u64, (Duration, u32, u32)>,
+    callers: HashMap<u64, Caller>,
+    /// Requests of callers that return after a rejection.
+    returned: HashSet<u64>,
     results: Results,
     last_token: u64,
     /// The reservations of each engine's agent.
@@ -197,7 +217,8 @@
         last_sequence: 0,
         engines: vec![Engine::default(); scenario.engines],
         rng: Pcg64Mcg::seed_from_u64(scenario.seed),
-        arrivals: HashMap::new(),
+        callers: HashMap::new(),
+        returned: HashSet::new(),
         results: Results::default(),
         last_token: 0,
         reservations: vec![Reservations::default(); scenario.engines],
@@ -236,6 +257,7 @@
                         .schedule(at + Duration::from_secs_f64(gap), SimulationEvent::Arrival);
                 }
             }
+            SimulationEvent::Return(token) => simulation.return_caller(token),
             SimulationEvent::IterationEnds(engine) => simulation.end_iteration(engine),
             SimulationEvent::QueueTimeout(token) => {
                 simulation.step(token, Event::QueueTimeout(token))
@@ -298,12 +320,9 @@
                     self.release(token);
                     self.schedule(until, SimulationEvent::QueueTimeout(token));
                 }
-                Effect::Reject(token, _) => {
+                Effect::Reject(token, rejection) => {
                     self.release(token);
-                    let elapsed = self.now - self.arrivals[&token].0;
-                    self.results.rejected += 1;
-                    self.results.longest_time_to_rejection =
-                        self.results.longest_time_to_rejection.max(elapsed);
+                    self.handle_rejection(token, rejection.retry_after);
                 }
                 Effect::Record(_) => {}
             }
@@ -338,14 +357,58 @@
         }
     }
 
+    fn handle_rejection(&mut self, token: u64, retry_after: Option<Duration>) {
+        self.results.rejected += 1;
+        let is_return = self.returned.contains(&token);
+        if !is_return {
+            let elapsed = self.now - self.callers[&token].first_attempt_at;
+            let longest = &mut self.results.longest_time_to_rejection;
+            *longest = elapsed.max(*longest);
+        }
+        match retry_after.filter(|_| self.scenario.callers_return && !is_return) {
+            Some(delay) => self.schedule(self.now + delay, SimulationEvent::Return(token)),
+            None => self.results.unserved += 1,
+        }
+    }
+
     fn arrive(&mut self) {
-        self.last_token += 1 + self.rng.random_range(0..self.states.len() as u64);
+        let token = self.next_token();
         self.results.requests += 1;
         let random_factor = |rng: &mut Pcg64Mcg| 0.3 + 1.4 * rng.random::<f64>();
         let prompt = (979.0 * random_factor(&mut self.rng)) as u32;
         let answer = (92.0 * random_factor(&mut self.rng)) as u32;
-        let token = self.last_token;
-        self.arrivals.insert(token, (self.now, prompt, answer));
+        let timeout = if self.scenario.callers_return {
+            CALLER_TIMEOUT.mul_f64(self.rng.random_range(0.85..1.0))
+        } else {
+            CALLER_TIMEOUT
+        };
+        let caller = Caller {
+            first_attempt_at: self.now,
+            timeout,
+            prompt,
+            answer,
+        };
+        self.callers.insert(token, caller);
+        self.receive(token);
+    }
+
+    /// The caller of a rejected request sends it to any process again.
+    fn return_caller(&mut self, rejected: u64) {
+        let token = self.next_token();
+        self.callers.insert(token, self.callers[&rejected]);
+        self.returned.insert(token);
+        self.receive(token);
+    }
+
+    /// The token of the next request, which goes to a random process.
+    fn next_token(&mut self) -> u64 {
+        self.last_token += 1 + self.rng.random_range(0..self.states.len() as u64);
+        self.last_token
+    }
+
+    fn receive(&mut self, token: u64) {
+        let caller = self.callers[&token];
+        let waited = self.now - caller.first_attempt_at;
         self.step(
             token,
             Event::RequestReceived(IncomingRequest {
@@ -354,8 +417,8 @@
                 host: "host".into(),
                 path: "/chat/x".into(),
                 api_key: None,
-                timeout: Some(Duration::from_secs(6)),
-                prompt_and_max_answer_tokens: Some((prompt, answer)),
+                timeout: Some(caller.timeout - waited),
+                prompt_and_max_answer_tokens: Some((caller.prompt, caller.answer)),
                 last_event_id: None,
                 fingerprint: token,
             }),
@@ -427,7 +490,7 @@
             at: self.now - self.started_at,
             told_for: told_at.map(|at| self.now - *at),
         });
-        let (_, prompt, answer) = self.arrivals[&token];
+        let Caller { prompt, answer, .. } = self.callers[&token];
         self.engines[engine].waiting.push(EngineRequest {
             token,
             unprefilled_tokens: prompt,
@@ -509,7 +572,7 @@
             if let Some((engine, Some(number), _)) = self.reserved.get(&token) {
                 self.reservations[*engine].record_prompt_prefilled(*number);
             }
-            if self.now - self.arrivals[&token].0 <= LATENCY_OBJECTIVE {
+            if self.now - self.callers[&token].first_attempt_at <= LATENCY_OBJECTIVE {
                 self.results.on_time += 1;
             } else {
                 self.results.late += 1;
@@ -592,7 +655,7 @@
         host: "host".into(),
         prefix: "/chat/".into(),
         repeatability: Repeatability::ResumableStream,
-        timeout: Duration::from_secs(6),
+        timeout: CALLER_TIMEOUT,
         latency_objective: LATENCY_OBJECTIVE,
         priority: 1,
         services: vec![("engines".into(), 1)],
