Agents make no reservation that its process would not use

Cause: an entry whose knowledge of an engine is old asks for a reservation, and gives it back if the backlog in the reply is too large. The agent counts it towards the rate that a cold engine can handle, also for a warm one if that rate is above its slots.

Change: the request for a reservation names the backlog with which it would be used, and the agent makes none beyond it. A refusal because of the backlog does not count as one because of a limit that the engine names.

--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use protocol::{
+    AcceptableBacklog,
     AgedLimit,
     Backlog, //
 };
@@ -27,13 +28,25 @@
 /// it from the engine.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(5);
 
-/// What a process that requests a reservation knows of the engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// What a process that requests a reservation knows of the engine and accepts.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct KnownLimits {
     /// Requests per second that the engine can handle in cold start, if it may be cold.
     pub cold_rate_per_second: Option<u32>,
     /// The limit that the engine names, if it limits its requests or has done so.
     pub limit: Option<AgedLimit>,
+    /// The backlog with which the process would use the reservation.
+    pub acceptable: AcceptableBacklog,
+}
+
+impl Default for KnownLimits {
+    fn default() -> Self {
+        Self {
+            cold_rate_per_second: None,
+            limit: None,
+            acceptable: AcceptableBacklog::ANY,
+        }
+    }
 }
 
 /// The active reservations at an engine.
@@ -50,7 +63,7 @@
 
 impl Reservations {
     /// Adds what a process knows, and decides whether one more reservation is allowed. Those
-    /// released since count as well.
+    /// released since count as well, so none is made that the process would not use.
     pub fn is_allowed(&mut self, now: Duration, known: KnownLimits) -> bool {
         if let Some(limit) = known.limit {
             self.notice.merge(now, limit);
@@ -66,7 +79,7 @@
             (made_in_last_second as f64) < rate.ceil().max(1.0)
                 && self.made_within(now, LIMIT_WINDOW) < allowed
         });
-        is_below_cold_rate && is_below_limit
+        is_below_cold_rate && is_below_limit && known.acceptable.includes(self.backlog())
     }
 
     /// The latest limit that any process knows the engine to name, if it limits its requests or has
--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -240,6 +240,18 @@
         &self.neighbours
     }
 
+    /// The requests without a reply so far: what was requested, from whom (`None` for the service)
+    /// and when.
+    pub fn pending_requests(&self) -> Vec<(String, Option<Name>, Duration)> {
+        let pending = self.pending.iter();
+        pending
+            .map(|(kind, request)| {
+                let recipient = request.recipient.clone();
+                (format!("{kind:?}"), recipient, request.sent_at)
+            })
+            .collect()
+    }
+
     /// One heartbeat effect for each neighbour.
     pub fn heartbeats(&self) -> impl Iterator<Item = Effect> + '_ {
         self.neighbours.iter().cloned().map(Effect::SendHeartbeat)
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use protocol::AcceptableBacklog;
 use record::Decision;
 use utils::Name;
 
@@ -134,6 +135,7 @@
             target_started_at_ms: 0,
             is_reserving: false,
             reservation_attempts: 0,
+            acceptable_backlog: AcceptableBacklog::ANY,
             expected_response_time: Duration::ZERO,
             version: None,
             is_prefill_pending: false,
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -31,6 +31,7 @@
 use std::time::Duration;
 
 use protocol::{
+    AcceptableBacklog,
     AgedLimit,
     Backlog,
     Crash,
@@ -252,6 +253,8 @@
     pub cold_rate_per_second: Option<u32>,
     /// The limit that the engine names, if that matters to other processes.
     pub limit: Option<AgedLimit>,
+    /// The backlog of the engine with which the request would be sent.
+    pub acceptable: AcceptableBacklog,
 }
 
 /// The rejection of a request.
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use protocol::Fingerprint;
+use protocol::{
+    AcceptableBacklog,
+    Fingerprint, //
+};
 use utils::Name;
 
 use super::config::{
@@ -58,6 +61,8 @@
     pub target_started_at_ms: u64,
     /// Whether a reservation at the assigned target is in progress; nothing was sent yet.
     pub is_reserving: bool,
+    /// The backlog with which the last requested reservation would be used.
+    pub acceptable_backlog: AcceptableBacklog,
     /// Number of reservations requested from agents.
     pub reservation_attempts: u32,
     /// The time to the answer, or to its first event, that was expected at the assigned target.
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -49,8 +49,7 @@
         id: &Name,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        let (Some(pending), Some(target)) = (self.pending.get_mut(&token), self.targets.get(id))
-        else {
+        let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
             return false;
         };
         let needs_reservation =
@@ -61,14 +60,19 @@
         if !needs_reservation || is_urgent || now < target.agent_backoff_until {
             return false;
         }
-        pending.is_reserving = true;
-        pending.reservation_attempts += 1;
+        let requirements = self.requirements(now, pending);
         let request = ReservationRequest {
             address: target.entry.address,
             prompt_tokens: pending.prompt_tokens,
             cold_rate_per_second: selection::fleet_cold_rate(now, target, &pending.service),
             limit: target.notice.limit_for_others(now),
+            acceptable: selection::acceptable_backlog(now, target, &requirements),
         };
+        if let Some(pending) = self.pending.get_mut(&token) {
+            pending.is_reserving = true;
+            pending.reservation_attempts += 1;
+            pending.acceptable_backlog = request.acceptable;
+        }
         self.assign(now, token, id);
         effects.push(Effect::Reserve(token, request));
         true
@@ -93,6 +97,7 @@
             return;
         };
         let prompt_tokens = pending.prompt_tokens;
+        let acceptable = pending.acceptable_backlog;
         let request = pending.id.clone();
         if let Some(limit) = reply.and_then(|reply| reply.limit) {
             self.handle_limit(now, token, limit, effects);
@@ -103,7 +108,10 @@
                 None => target.agent_backoff_until = now + AGENT_BACKOFF,
             }
             let limit = target.notice.requests_per_second();
-            if let (Some(limit), Some(false)) = (limit, reply.map(|r| r.accepts_requests)) {
+            let is_refused = |reply: ReservationReply| {
+                !reply.accepts_requests && acceptable.includes(reply.backlog)
+            };
+            if let (Some(limit), true) = (limit, reply.is_some_and(is_refused)) {
                 target.limit_refused_until = now + request_limit::refusal_delay(limit);
             }
         }
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -10,6 +10,7 @@
 };
 use std::time::Duration;
 
+use protocol::AcceptableBacklog;
 use utils::Name;
 
 use super::config::Service;
@@ -52,7 +53,7 @@
 
 /// Factor on the expected response time when it is compared with the time left. Other processes'
 /// prompts that arrive meanwhile are prefilled in the same iterations.
-const RESPONSE_TIME_MARGIN: f64 = 1.25;
+const RESPONSE_TIME_MARGIN: f64 = 1.3;
 
 /// Share of its slots up to which a target takes requests whose answers will be late there. Below
 /// it, a late answer delays no other request and is better than none.
@@ -62,6 +63,9 @@
 /// other slots are for requests that can be answered on time.
 const OVERDUE_REQUEST_MAX_UTILIZATION: f64 = 0.6;
 
+/// The largest number of prompt tokens ahead of a request that is told apart.
+const MAX_ACCEPTABLE_TOKENS: u32 = 1 << 17;
+
 /// Response time of a plain target with one request per slot.
 const PLAIN_RESPONSE_TIME: Duration = Duration::from_millis(20);
 
@@ -242,18 +246,72 @@
     }
     let expected = expected_response_time(now, target, requirements);
     let response_time = expected.mul_f64(target.load.slowdown());
-    let is_late = response_time.mul_f64(RESPONSE_TIME_MARGIN) > requirements.time_left;
-    let slots = f64::from(slots(target, requirements.service));
+    let is_late = is_late(response_time, requirements);
+    let is_busy = target.load.total_requests(now) > max_requests_if_late(target, requirements);
+    (!is_late || !is_busy).then_some(Estimate {
+        response_time,
+        is_late,
+    })
+}
+
+fn is_late(response_time: Duration, requirements: &Requirements<'_>) -> bool {
+    response_time.mul_f64(RESPONSE_TIME_MARGIN) > requirements.time_left
+}
+
+/// The number of requests at the target up to which it takes one whose answer will be late.
+fn max_requests_if_late(target: &Target, requirements: &Requirements<'_>) -> f64 {
     let max_utilization = if requirements.is_overdue {
         OVERDUE_REQUEST_MAX_UTILIZATION
     } else {
         LATE_REQUEST_MAX_UTILIZATION
     };
-    let is_busy = target.load.total_requests(now) > slots * max_utilization;
-    (!is_late || !is_busy).then_some(Estimate {
-        response_time,
-        is_late,
-    })
+    f64::from(slots(target, requirements.service)) * max_utilization
+}
+
+/// The largest backlog at a model engine with which the request would be sent there, whatever this
+/// process knows of the present one.
+pub fn acceptable_backlog(
+    now: Duration,
+    target: &Target,
+    requirements: &Requirements<'_>,
+) -> AcceptableBacklog {
+    let Some(engine) = &requirements.service.engine_profile else {
+        return AcceptableBacklog::ANY;
+    };
+    let limit = concurrency_limit(now, target, requirements.service);
+    let is_on_time = |unprefilled_tokens: u32| {
+        let load = EngineLoad {
+            requests: f64::from(limit.saturating_sub(1)),
+            unprefilled_tokens: f64::from(unprefilled_tokens),
+            slots: slots(target, requirements.service),
+        };
+        let expected = latency::time_to_first_event(engine, &load, requirements.prompt_tokens);
+        !is_late(expected.mul_f64(target.load.slowdown()), requirements)
+    };
+    let tokens = largest(MAX_ACCEPTABLE_TOKENS, is_on_time);
+    AcceptableBacklog {
+        requests: limit.saturating_sub(1),
+        unprefilled_tokens: tokens.unwrap_or(0),
+        requests_if_late: max_requests_if_late(target, requirements) as u32,
+    }
+}
+
+/// The largest number up to `max` for which `holds` is true. It must hold for all numbers below one
+/// for which it holds.
+fn largest(max: u32, holds: impl Fn(u32) -> bool) -> Option<u32> {
+    if !holds(0) {
+        return None;
+    }
+    let (mut low, mut high) = (0, max);
+    while low < high {
+        let middle = low + (high - low).div_ceil(2);
+        if holds(middle) {
+            low = middle;
+        } else {
+            high = middle - 1;
+        }
+    }
+    Some(low)
 }
 
 /// The expected time to the answer, or to its first event, from the load of the target and the
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -10,6 +10,7 @@
     KnownLimits, //
     ModelVersion,
 };
+use protocol::AcceptableBacklog;
 use utils::digest::Digest;
 use weights::{
     FailureCause,
@@ -281,7 +282,7 @@
     const RATE: u32 = 20;
     let limits = KnownLimits {
         cold_rate_per_second: Some(RATE),
-        limit: None,
+        ..KnownLimits::default()
     };
     let mut controller = Controller::new("a1".into(), Limits::default(), false);
     let mut reserved_at: Vec<Duration> = Vec::new();
@@ -308,3 +309,77 @@
         "an engine that is not cold has no rate limit"
     );
 }
+
+/// A reservation that its process would not use must neither be made nor count towards the rate.
+#[test]
+fn no_reservation_is_made_beyond_the_acceptable_backlog() {
+    struct Case {
+        name: &'static str,
+        acceptable: AcceptableBacklog,
+        is_granted: bool,
+    }
+    // Two requests of 100 prompt tokens each are ahead.
+    let cases = [
+        Case {
+            name: "just acceptable",
+            acceptable: AcceptableBacklog {
+                requests: 2,
+                unprefilled_tokens: 200,
+                requests_if_late: 0,
+            },
+            is_granted: true,
+        },
+        Case {
+            name: "too many requests",
+            acceptable: AcceptableBacklog {
+                requests: 1,
+                unprefilled_tokens: 1000,
+                requests_if_late: 1,
+            },
+            is_granted: false,
+        },
+        Case {
+            name: "too many prompt tokens",
+            acceptable: AcceptableBacklog {
+                requests: 8,
+                unprefilled_tokens: 199,
+                requests_if_late: 1,
+            },
+            is_granted: false,
+        },
+        Case {
+            name: "late, but the engine is hardly used",
+            acceptable: AcceptableBacklog {
+                requests: 8,
+                unprefilled_tokens: 0,
+                requests_if_late: 2,
+            },
+            is_granted: true,
+        },
+    ];
+    for case in cases {
+        const RATE: u32 = 3;
+        let mut controller = Controller::new("a1".into(), Limits::default(), false);
+        let limits = |acceptable| KnownLimits {
+            cold_rate_per_second: Some(RATE),
+            acceptable,
+            ..KnownLimits::default()
+        };
+        for _ in 0..2 {
+            let (number, _) = controller.reserve(ms(0), 100, limits(AcceptableBacklog::ANY));
+            assert!(number.is_some(), "{}", case.name);
+        }
+        for _ in 0..RATE {
+            let (number, _) = controller.reserve(ms(1), 100, limits(case.acceptable));
+            assert_eq!(number.is_some(), case.is_granted, "{}", case.name);
+            if let Some(number) = number {
+                controller.release(number);
+                break;
+            }
+        }
+        if !case.is_granted {
+            let (number, _) = controller.reserve(ms(2), 100, limits(AcceptableBacklog::ANY));
+            assert!(number.is_some(), "{}: the rate is not used up", case.name);
+        }
+    }
+}
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -335,6 +335,7 @@
         let known = KnownLimits {
             cold_rate_per_second: request.cold_rate_per_second,
             limit: request.limit,
+            acceptable: request.acceptable,
         };
         let reservations = &mut self.reservations[engine];
         let number = reservations
--- a/components/fleet/src/processes.rs
+++ b/components/fleet/src/processes.rs
@@ -383,6 +383,32 @@
         statuses
     }
 
+    /// Returns what the agent of each model target knows of the sheet, for messages of failed tests.
+    pub async fn sheet_states(&self) -> BTreeMap<Name, String> {
+        let mut states = BTreeMap::new();
+        for (name, node) in self.targets() {
+            let Some(agent) = node.agent else {
+                continue;
+            };
+            let state = agent.control().query(|state, _| {
+                let follower = state.follower();
+                let collector = follower.sheet_collector();
+                format!(
+                    "sheet {}, rejected {:?}, missing {:?}, pending {:?}, neighbours {:?}",
+                    collector.version(),
+                    collector.rejection(),
+                    collector.missing_sections(),
+                    follower.pending_requests(),
+                    follower.neighbours(),
+                )
+            });
+            if let Some(state) = state.await {
+                states.insert(name, state);
+            }
+        }
+        states
+    }
+
     /// Waits until every target with an agent is warm at `version` and every entry is ready.
     /// Returns whether this happened before the timeout.
     pub async fn wait_ready(&self, version: &str, timeout: Duration) -> bool {
--- a/components/fleet/tests/bursts.rs
+++ b/components/fleet/tests/bursts.rs
@@ -89,7 +89,12 @@
     }
     let ready = fleet.wait_ready(case.final_version, READY_TIMEOUT).await;
     let results = load.finish().await;
-    assert!(ready, "{name}: {:?}", fleet.statuses().await);
+    assert!(
+        ready,
+        "{name}: {:?}\n{:#?}",
+        fleet.statuses().await,
+        fleet.sheet_states().await
+    );
     assert_eq!(
         (results.failed, results.mixed_answers),
         (0, 0),
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod suspects;
 
 pub use message::{
+    AcceptableBacklog,
     AgedLimit,
     Backlog,
     EngineStatus,
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -86,6 +86,8 @@
         /// limit applies in cold start, and always if it is at least one request per slot and
         /// second.
         cold_rate_per_second: Option<u32>,
+        /// The backlog with which the requester would use the reservation.
+        acceptable: AcceptableBacklog,
     },
     /// Reports that the engine has prefilled the prompt of a reservation.
     PromptPrefilled {
@@ -111,6 +113,8 @@
         cold_rate_per_second: Option<u32>,
         /// The limit that the engine names, as far as the requester knows.
         known: AgedLimit,
+        /// The backlog with which the requester would use the reservation.
+        acceptable: AcceptableBacklog,
     },
 }
 
@@ -215,6 +219,34 @@
     pub unprefilled_tokens: u32,
 }
 
+/// The largest backlog with which a request would be sent to an engine. With a larger one the agent
+/// makes no reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptableBacklog {
+    /// Maximum number of requests with a reservation.
+    pub requests: u32,
+    /// Maximum number of prompt tokens that the engine has not prefilled yet.
+    pub unprefilled_tokens: u32,
+    /// Up to this number of requests, any number of prompt tokens is acceptable.
+    pub requests_if_late: u32,
+}
+
+impl AcceptableBacklog {
+    /// Accepts any backlog.
+    pub const ANY: Self = Self {
+        requests: u32::MAX,
+        unprefilled_tokens: u32::MAX,
+        requests_if_late: u32::MAX,
+    };
+
+    /// Whether a request would be sent to an engine with this backlog.
+    pub fn includes(&self, backlog: Backlog) -> bool {
+        let is_on_time = backlog.unprefilled_tokens <= self.unprefilled_tokens;
+        backlog.requests <= self.requests
+            && (is_on_time || backlog.requests <= self.requests_if_late)
+    }
+}
+
 /// The status of an engine, as reported by its agent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -362,10 +362,12 @@
             Request::Reserve {
                 prompt_tokens,
                 cold_rate_per_second,
+                acceptable,
             } => {
                 let known = KnownLimits {
                     cold_rate_per_second,
                     limit: None,
+                    acceptable,
                 };
                 self.answer_reserve(prompt_tokens, known, responder).await;
             }
@@ -373,10 +375,12 @@
                 prompt_tokens,
                 cold_rate_per_second,
                 known,
+                acceptable,
             } => {
                 let known = KnownLimits {
                     cold_rate_per_second,
                     limit: Some(known),
+                    acceptable,
                 };
                 self.answer_reserve(prompt_tokens, known, responder).await;
             }
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -47,17 +47,23 @@
         request: &ReservationRequest,
     ) -> Option<Reservation> {
         let agent = self.inner.agent_client.agent_address(request.address);
-        let (prompt_tokens, cold_rate_per_second) =
-            (request.prompt_tokens, request.cold_rate_per_second);
+        let ReservationRequest {
+            prompt_tokens,
+            cold_rate_per_second,
+            acceptable,
+            ..
+        } = *request;
         let body = match request.limit {
             None => Request::Reserve {
                 prompt_tokens,
                 cold_rate_per_second,
+                acceptable,
             },
             Some(known) => Request::ReserveLimited {
                 prompt_tokens,
                 cold_rate_per_second,
                 known,
+                acceptable,
             },
         };
         let message = self.agent_message(body);
