Pieces of a former version no longer count as held for the newer one

Cause: an agent told its reducer that a piece had arrived without saying of which manifest. If a newer sheet named another version while a fetch was ending, the event reached the transfer of the newer version, which counted the piece as held. The store lacks it, so handing the version to the engine failed every second for ever: the target stays at "staging", and those that wait for it never switch.

Change: results of fetches name their manifest, and are dropped if the transfer is of another one.

--- a/components/control/src/agent/mod.rs
+++ b/components/control/src/agent/mod.rs
@@ -45,6 +45,7 @@
     Ticket, //
 };
 use record::Decision;
+use utils::digest::Digest;
 use utils::Name;
 
 use crate::follower;
@@ -60,8 +61,11 @@
     Heartbeat(Name, Heartbeat),
     /// A heartbeat got no reply.
     HeartbeatFailed(Name),
-    /// An event of the weight transfer.
+    /// A peer requested a piece, or its request ended.
     Transfer(weights::Event),
+    /// An event of a fetch of a piece of this manifest. The sheet may have named another one since
+    /// the fetch began.
+    Fetched(Digest, weights::Event),
     /// An entry asks to run a request.
     RequestOffered(OfferedRequest),
     /// The entry that sent a request disconnected or cancelled it.
@@ -126,7 +130,7 @@
     /// Request the status of another target.
     RequestStatus(Name),
     /// Delete the stored pieces of every manifest except this one.
-    DeletePiecesExcept(Option<utils::digest::Digest>),
+    DeletePiecesExcept(Option<Digest>),
     /// Write a decision to the record.
     Record(Decision),
     /// No request or upload is left; the process may exit.
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -153,6 +153,13 @@
                 );
             }
             Event::Transfer(event) => self.step_transfer(elapsed, event, &mut effects),
+            Event::Fetched(manifest, event) => {
+                // A piece of another version has the same number as one of the current version.
+                let current = self.transfer.as_ref().map(|t| *t.plan().manifest());
+                if current == Some(manifest) {
+                    self.step_transfer(elapsed, event, &mut effects);
+                }
+            }
             Event::RequestOffered(offered) => self.handle_offer(now, offered, &mut effects),
             Event::RequestWithdrawn(token) => self.withdraw(elapsed, token, &mut effects),
             Event::FirstByteReceived(token) => self.first_byte(elapsed, token),
--- a/components/proxy/src/agent/pieces.rs
+++ b/components/proxy/src/agent/pieces.rs
@@ -136,7 +136,9 @@
                 weights::Event::FetchFailed(fetch.piece, fetch.source.clone(), cause)
             }
         };
-        self.node.control.send(Event::Transfer(event));
+        self.node
+            .control
+            .send(Event::Fetched(fetch.manifest, event));
     }
 
     /// Checks the digest of a piece and stores it. Returns the event for the control thread.
@@ -213,7 +215,7 @@
             }
             self.links.wait_to_receive(part.len()).await;
             data.extend_from_slice(&part);
-            self.report_progress(fetch.piece, &mut reported_at);
+            self.report_progress(fetch, &mut reported_at);
         }
         Ok(data.freeze())
     }
@@ -245,18 +247,20 @@
             let part = part.ok().flatten().ok_or(FailureCause::Unreachable)?;
             self.links.wait_to_receive(part.len()).await;
             data.extend_from_slice(&part);
-            self.report_progress(fetch.piece, &mut reported_at);
+            self.report_progress(fetch, &mut reported_at);
         }
         Ok(data.freeze())
     }
 
     /// Sends a progress event unless one was sent within [`PROGRESS_INTERVAL`].
-    fn report_progress(&self, piece: Piece, reported_at: &mut Duration) {
+    fn report_progress(&self, fetch: &PieceFetch, reported_at: &mut Duration) {
         let now = self.node.clock.now().elapsed;
         if now.saturating_sub(*reported_at) >= PROGRESS_INTERVAL {
             *reported_at = now;
-            let event = weights::Event::Progress(piece);
-            self.node.control.send(Event::Transfer(event));
+            let event = weights::Event::Progress(fetch.piece);
+            self.node
+                .control
+                .send(Event::Fetched(fetch.manifest, event));
         }
     }
 
