Update times follow from the operators' limit, the link and the time of staging

Cause: engines of a data centre loaded between 2.6 s and 6.7 s after the naming, whatever the limit for the old version, the size of the weights and the link.

Change: the window begins when the agent holds the weights, but not before a copy could have arrived over the link, and ends when requests are no longer sent to the old version. A property test draws limits from 2 to 60 s, downloads up to 40 s, and 1 to 100 engines.

--- a/components/control/src/controller/download.rs
+++ b/components/control/src/controller/download.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// The size of the version, once its manifest is known.
+    pub fn total_bytes(&self) -> Option<u64> {
+        Some(self.transfer.as_ref()?.manifest()?.total_bytes)
+    }
+
     pub fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.started_at)
     }
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -36,6 +36,7 @@
     KnownLimits,
     Reservations, //
 };
+pub use self::schedule::UpdateLimits;
 
 /// The version that engines run before operators name one.
 const INITIAL_VERSION: u64 = 1;
@@ -146,8 +147,8 @@
     Idle,
     /// The pieces are being written to the engine.
     Staging,
-    /// The engine holds the pieces and waits for its turn in the rolling update.
-    Waiting,
+    /// The engine holds the pieces since this time and waits for its turn in the rolling update.
+    Waiting(Duration),
     /// Since this time, no reservation is accepted, and the engine processes the prompts of
     /// requests that were sent before.
     Draining(Duration),
@@ -168,6 +169,7 @@
 pub struct Controller {
     name: Name,
     limits: Limits,
+    update_limits: UpdateLimits,
     /// Whether downloads wait for the engine, which may hold pieces already.
     wait_for_engine: bool,
     model: Option<Name>,
@@ -217,10 +219,16 @@
     ///
     /// `wait_for_engine` is set if the whole fleet starts. Engines that hold their pieces already
     /// are then about to come up, and downloads wait for them.
-    pub fn new(name: Name, limits: Limits, wait_for_engine: bool) -> Self {
+    pub fn new(
+        name: Name,
+        limits: Limits,
+        update_limits: UpdateLimits,
+        wait_for_engine: bool,
+    ) -> Self {
         Self {
             name,
             limits,
+            update_limits,
             wait_for_engine,
             model: None,
             versions: Vec::new(),
@@ -386,7 +394,7 @@
     fn handle_tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let is_updating = self.engine.is_none()
             || self.status().is_switching
-            || self.phase == UpdatePhase::Waiting;
+            || matches!(self.phase, UpdatePhase::Waiting(_));
         let interval = if is_updating {
             ENGINE_READ_INTERVAL_UPDATING
         } else {
@@ -581,7 +589,7 @@
             self.retry_at = now + RETRY_DELAY;
             return;
         }
-        self.phase = UpdatePhase::Waiting;
+        self.phase = UpdatePhase::Waiting(now);
         effects.push(Effect::Record(Decision::Staged {
             model: update.model.clone(),
             version: update.version,
@@ -624,8 +632,10 @@
             effects.push(Effect::Stage(newest));
             return;
         }
-        if self.phase == UpdatePhase::Waiting && !engine.is_busy && now >= self.update_time(now) {
-            self.phase = UpdatePhase::Draining(now);
+        if let UpdatePhase::Waiting(staged_at) = self.phase {
+            if !engine.is_busy && now >= self.update_time(staged_at) {
+                self.phase = UpdatePhase::Draining(now);
+            }
         }
         if let UpdatePhase::Draining(since) = self.phase {
             // Prompts that are not prefilled when the engine is ordered to load wait until the
@@ -672,20 +682,22 @@
         }
     }
 
-    /// When the engine may stop accepting requests in order to load the new version.
-    fn update_time(&self, now: Duration) -> Duration {
+    /// When the engine stops accepting requests in order to load the version that it holds since
+    /// `staged_at`.
+    fn update_time(&self, staged_at: Duration) -> Duration {
         let Some(running) = self.engine.and_then(|engine| engine.version) else {
-            return now;
+            return staged_at;
         };
         let mut newer = self.versions.iter().filter(|known| known.version > running);
-        let Some(named_at) = newer.next().and_then(|known| known.named_at) else {
-            return now;
+        let named_at = newer.next().and_then(|known| known.named_at);
+        let mut downloads = self.downloads.iter();
+        let staged = downloads.find(|d| self.update.as_ref() == Some(&d.model_version));
+        let (Some(named_at), Some(download)) = (named_at, staged) else {
+            return staged_at;
         };
-        let peers = self
-            .downloads
-            .last()
-            .map(|d| d.data_centre_peers(&self.name));
-        schedule::update_time(&self.name, &peers.unwrap_or_default(), named_at)
+        let total_bytes = download.total_bytes().unwrap_or_default();
+        let window = self.update_limits.window(named_at, staged_at, total_bytes);
+        window.update_time(&self.name, &download.data_centre_peers(&self.name))
     }
 
     fn millis_since_named(&self, now: Duration, version: u64) -> u64 {
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -7,9 +7,11 @@
     Effect,
     EngineReport,
     Event,
-    KnownLimits, //
+    KnownLimits,
     ModelVersion,
+    UpdateLimits, //
 };
+use proptest::prelude::*;
 use protocol::AcceptableBacklog;
 use utils::digest::Digest;
 use weights::{
@@ -17,12 +19,19 @@
     Limits,
     Manifest,
     Member,
+    Plan,
     Source, //
 };
 
 /// The number of chunks of each version.
 const CHUNKS: usize = 4;
 
+/// The 40 bytes of a version take 2.6 s on the link.
+const UPDATE_LIMITS: UpdateLimits = UpdateLimits {
+    old_version_time: Duration::from_secs(7),
+    download_bytes_per_second: 40.0 / 2.6,
+};
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -56,7 +65,7 @@
             ..Limits::default()
         };
         let mut agent = Self {
-            controller: Controller::new(names[0].as_str().into(), limits, false),
+            controller: Controller::new(names[0].as_str().into(), limits, UPDATE_LIMITS, false),
             now: ms(1000),
             origin_versions: vec![1, 2, 3],
             staging_succeeds: true,
@@ -134,6 +143,17 @@
         });
     }
 
+    /// Receives all pieces of a version at once.
+    fn receive_all(&mut self, version: u64) {
+        let key = version_key(version);
+        let manifest = weights::Event::ManifestReceived(Source::Origin, manifest(version));
+        self.handle(Event::Transfer(key, manifest));
+        for piece in 1..=CHUNKS as u32 {
+            let chunk = weights::Event::ChunkReceived(piece, Source::Origin);
+            self.handle(Event::Transfer(key, chunk));
+        }
+    }
+
     /// Advances the clock in steps of 50 ms. The engine reports at each step and loads a version in
     /// 300 ms.
     fn advance(&mut self, time: Duration) {
@@ -284,7 +304,7 @@
         cold_rate_per_second: Some(RATE),
         ..KnownLimits::default()
     };
-    let mut controller = Controller::new("a1".into(), Limits::default(), false);
+    let mut controller = Controller::new("a1".into(), Limits::default(), UPDATE_LIMITS, false);
     let mut reserved_at: Vec<Duration> = Vec::new();
     for millis in 0..3000 {
         let now = Duration::from_millis(millis);
@@ -359,7 +379,7 @@
     ];
     for case in cases {
         const RATE: u32 = 3;
-        let mut controller = Controller::new("a1".into(), Limits::default(), false);
+        let mut controller = Controller::new("a1".into(), Limits::default(), UPDATE_LIMITS, false);
         let limits = |acceptable| KnownLimits {
             cold_rate_per_second: Some(RATE),
             acceptable,
@@ -383,3 +403,68 @@
         }
     }
 }
+
+/// The names of the agents of a data centre in rank order, as an agent that plans a download sees it.
+fn agent_of_rank(rank: usize, count: usize, limits: UpdateLimits) -> Agent {
+    let names: Vec<String> = (0..count)
+        .map(|i| format!("10.0.{}.{}:1", i / 250, i % 250))
+        .collect();
+    let member = |name: &String| Member {
+        name: name.as_str().into(),
+        data_centre: "a".into(),
+        region: "north".into(),
+    };
+    let members: Vec<Member> = names.iter().map(member).collect();
+    let plan = Plan::from_members(
+        version_key(2),
+        "north".into(),
+        members.clone(),
+        names[0].as_str(),
+    );
+    let name = plan.unwrap().data_centre_peers(&names[0])[rank].clone();
+    let mut agent = Agent::new(1, Some(1));
+    agent.controller = Controller::new(name, Limits::default(), limits, false);
+    agent.handle(Event::Model("m".into()));
+    agent.handle(Event::Members {
+        members,
+        origin_region: "north".into(),
+    });
+    agent
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Whatever the time for the old version, the size of the weights and the number of engines, the
+    /// engines of a data centre load in the order of their ranks, none before it can hold the
+    /// weights, and none later than requests are sent to the old version, unless it got the weights
+    /// later.
+    #[test]
+    fn engines_load_in_rank_order_within_the_time_for_the_old_version(
+        old_version_ms in 2000u64..60_000,
+        download_ms in 50u64..40_000,
+        count in 1usize..100,
+        ranks in prop::collection::btree_set(0usize..100, 4),
+    ) {
+        let limits = UpdateLimits {
+            old_version_time: ms(old_version_ms),
+            download_bytes_per_second: 40.0 * 1000.0 / download_ms as f64,
+        };
+        let window_ends = old_version_ms.max(download_ms);
+        let mut last_order = ms(0);
+        for rank in ranks.into_iter().filter(|rank| *rank < count) {
+            let mut agent = agent_of_rank(rank, count, limits);
+            agent.advance(ms(500));
+            let named_at = agent.now;
+            agent.name_version(2);
+            agent.receive_all(2);
+            agent.advance(ms(window_ends + 1000));
+            prop_assert_eq!(agent.ordered_versions(), [2]);
+            let ordered_at = agent.orders[0].1 - named_at;
+            prop_assert!(ordered_at >= ms(download_ms.min(old_version_ms)));
+            prop_assert!(ordered_at <= ms(old_version_ms + 100), "{:?}", ordered_at);
+            prop_assert!(ordered_at >= last_order);
+            last_order = ordered_at;
+        }
+    }
+}
--- a/components/control/tests/crash_reports.rs
+++ b/components/control/tests/crash_reports.rs
@@ -10,7 +10,8 @@
 
 use control::controller::{
     self,
-    Controller, //
+    Controller,
+    UpdateLimits, //
 };
 use control::router::config::{
     Config,
@@ -159,7 +160,15 @@
 
     fn new_agent(&self, number: usize) -> Agent {
         Agent {
-            state: Controller::new(agent_name(number), Limits::default(), false),
+            state: Controller::new(
+                agent_name(number),
+                Limits::default(),
+                UpdateLimits {
+                    old_version_time: Duration::from_secs(7),
+                    download_bytes_per_second: 1e6,
+                },
+                false,
+            ),
             incarnation: self.now.as_millis() as u64,
         }
     }
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use control::controller::Controller;
+use control::controller::{
+    Controller,
+    UpdateLimits, //
+};
 use proxy::controller::{
     Agent,
     AgentOptions, //
@@ -18,6 +21,7 @@
 
 use super::{
     listen,
+    old_version_time,
     wait_for_stop_signal,
     CommandResult,
     Process, //
@@ -112,9 +116,14 @@
         upload_bytes_per_second: settings.link_bytes_per_second * UPLOAD_SHARE,
         download_bytes_per_second: settings.link_bytes_per_second * DOWNLOAD_SHARE,
     };
+    let update_limits = UpdateLimits {
+        old_version_time: old_version_time(&settings.operator_limits),
+        download_bytes_per_second: options.download_bytes_per_second,
+    };
     let controller = Controller::new(
         address.to_string().into(),
         limits(),
+        update_limits,
         settings.is_first_start,
     );
     let http = proxy::http_client();
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -30,19 +30,17 @@
 
 use super::{
     listen,
+    old_version_time,
     wait_for_stop_signal,
     CommandResult,
-    Process, //
+    Process,
+    VERSION_SEND_MARGIN, //
 };
 
 /// The lease of the configuration, as a share of the time within which a revoked API key must stop
 /// working. The rest of that time covers the transmission of a request to its target.
 const LEASE_FRACTION: f64 = 0.8;
 
-/// How long before the deadline for older versions no more requests are sent to targets that run
-/// them: a request that is sent must also start before the deadline.
-const VERSION_SEND_MARGIN: Duration = Duration::from_millis(1000);
-
 /// How long before the deadline for older versions a request must have started on such a target;
 /// otherwise it is sent to another one. Covers the delay until this process learns of a new
 /// version.
@@ -117,10 +115,7 @@
             .operator_limits
             .key_revocation_time
             .mul_f64(LEASE_FRACTION),
-        version_grace: settings
-            .operator_limits
-            .version_switch_time
-            .saturating_sub(VERSION_SEND_MARGIN),
+        version_grace: old_version_time(&settings.operator_limits),
         retry_limit: retry_limit(&settings.operator_limits),
         first_event_grace: VERSION_SEND_MARGIN - VERSION_START_MARGIN,
         uses_reservations: true,
--- a/src/cmd/platform/mod.rs
+++ b/src/cmd/platform/mod.rs
@@ -10,7 +10,10 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusBuilder;
-use platform::NodeSettings;
+use platform::{
+    NodeSettings,
+    OperatorLimits, //
+};
 use proxy::{
     ProxyError,
     RecordWriter, //
@@ -46,6 +49,10 @@
 /// callers.
 const LATENCY_BUCKETS_SECONDS: [f64; 9] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.5, 1.0, 3.0];
 
+/// How long before the deadline for older versions no more requests are sent to targets that run
+/// them: a request that is sent must also start before the deadline.
+const VERSION_SEND_MARGIN: Duration = Duration::from_millis(1000);
+
 /// Connections that may wait to be accepted. Callers reconnect at the same time after a fault.
 const LISTEN_BACKLOG: u32 = 1024;
 
@@ -90,6 +97,13 @@
     settings_file.ok_or(ProxyError::NoSettings(platform::SETTINGS_VARIABLE))
 }
 
+/// How long after a version was named requests are still sent to the one before it.
+fn old_version_time(limits: &OperatorLimits) -> Duration {
+    limits
+        .version_switch_time
+        .saturating_sub(VERSION_SEND_MARGIN)
+}
+
 /// The settings and services that both roles use.
 struct Process {
     settings: NodeSettings,
