A target that never ends its answer no longer holds its request

Cause: the body of a refusal was read in full, up to 8 MiB or the caller's deadline, before the request went to another target; a body with bytes of no progress (a chunk size of zeros without end) was awaited until the deadline; a stream of comments or empty events was forwarded as long as it came, past the deadline, since a timeout does not expire while bytes are ready.

Change: the body of a refusal is read beside the request, at most 16 KiB and 200 ms; each part of a plain answer must arrive within the idle timeout; a stream ends at its deadline, and counts as broken after 16 KiB without an event that has an id.

--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use control::router::{
     Event,
     ForwardRequest,
@@ -38,6 +41,12 @@
 /// The longest response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// The longest body of a refusal that is read so that its connection can be used again.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+
+/// How long the body of a refusal may take.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// A caller's request. It may be sent to several targets in turn.
 #[derive(Clone, Debug)]
 pub(super) struct CallerRequest {
@@ -137,8 +146,7 @@
             is_signed: head.is_signed,
         };
         if let Some(outcome) = refused {
-            // Reads the body only so that the connection can be used again.
-            let _body = self.read_to_end(response, forward_request.deadline).await;
+            self.discard_body(response);
             return Err(outcome);
         }
         // A response without a signature did not come from the target, whatever its status.
@@ -192,26 +200,59 @@
         Ok(request)
     }
 
+    /// Reads the body of a refusal, only so that the connection can be used again. The request does
+    /// not wait for that: the body may never end.
+    fn discard_body(&self, response: TargetResponse) {
+        let router = self.clone();
+        tokio::task::spawn_local(async move {
+            let body = Limited::new(response.body, MAX_REFUSAL_BYTES).collect();
+            if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, body).await {
+                router.release_connection(response.connection, &response.parts);
+            }
+        });
+    }
+
     /// Reads the body of a response and returns the connection to the pool.
     pub(super) async fn read_to_end(
         &self,
         response: TargetResponse,
-        deadline: Duration,
+        forward_request: &ForwardRequest,
     ) -> Result<(Parts, Bytes), Outcome> {
         let TargetResponse {
             parts,
-            body,
+            mut body,
             connection,
             ..
         } = response;
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let body = timeout(self.time_left(deadline), body).await;
-        let body = body.map_err(|_| Outcome::DeadlineExceeded)?;
-        let body = body.map_err(|_| Outcome::Broken {
-            connection_lost: true,
-        })?;
+        let mut bytes = BytesMut::new();
+        loop {
+            let time_left = self.time_left(forward_request.deadline);
+            if time_left.is_zero() {
+                return Err(Outcome::DeadlineExceeded);
+            }
+            let idle_timeout = time_left.min(forward_request.idle_timeout);
+            let frame = match timeout(idle_timeout, body.frame()).await {
+                Ok(None) => break,
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => {
+                    return Err(Outcome::Broken {
+                        connection_lost: true,
+                    })
+                }
+                Err(_) if idle_timeout < time_left => return Err(Outcome::IdleTimeout),
+                Err(_) => return Err(Outcome::DeadlineExceeded),
+            };
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+            if bytes.len() > MAX_RESPONSE_BYTES {
+                return Err(Outcome::Broken {
+                    connection_lost: false,
+                });
+            }
+        }
         self.release_connection(connection, &parts);
-        Ok((parts, body.to_bytes()))
+        Ok((parts, bytes.freeze()))
     }
 
     /// Returns a connection to the pool after a complete response.
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -60,6 +60,8 @@
     pub last_event_id: Option<u64>,
     /// When the last part of the response was received.
     pub last_part_at: Option<Duration>,
+    /// Bytes of the stream since the last event with an id.
+    pub bytes_without_event: usize,
     /// The longest time between two parts of the response.
     pub longest_pause: Duration,
     /// Capacity that is reserved for the request at a model engine.
@@ -220,6 +222,7 @@
             last_event_id: head.last_event_id,
             received_at: self.elapsed(),
             last_part_at: None,
+            bytes_without_event: 0,
             longest_pause: Duration::ZERO,
             reservation: None,
             rx,
@@ -287,10 +290,7 @@
         forward_request: &ForwardRequest,
     ) -> Result<Response<Body>, Outcome> {
         let is_error = response.is_server_error();
-        let (mut parts, body) = self
-            .router
-            .read_to_end(response, forward_request.deadline)
-            .await?;
+        let (mut parts, body) = self.router.read_to_end(response, forward_request).await?;
         remove_hop_by_hop_headers(&mut parts.headers);
         // The server sets the length of the forwarded body itself. A response to HEAD has no body,
         // and keeps the length that the target declared.
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -38,6 +38,10 @@
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
 const MAX_BUFFERED_BATCHES: usize = 16;
 
+/// How many bytes of comments and events without an id may come in a row. Targets send a few to keep
+/// a connection open.
+const MAX_BYTES_WITHOUT_EVENT: usize = 16 << 10;
+
 type BodyPart = Result<Frame<Bytes>, BodyError>;
 
 /// The result of reading the next events of a stream.
@@ -123,6 +127,7 @@
             };
             drop(response);
             splitter.clear();
+            self.bytes_without_event = 0;
             let resumed = tokio::select! {
                 resumed = self.resume(outcome) => resumed,
                 () = tx.closed() => return,
@@ -173,6 +178,11 @@
         if let Some(last) = self.last_part_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(last));
         }
+        self.bytes_without_event = if batch.count == 0 {
+            self.bytes_without_event + batch.bytes.len()
+        } else {
+            0
+        };
         self.last_event_id = batch.last_id.or(self.last_event_id);
     }
 
@@ -193,6 +203,10 @@
     ) -> ReadResult {
         loop {
             let time_left = self.router.time_left(forward_request.deadline);
+            // A target that always has bytes ready would never let the timeout below expire.
+            if time_left.is_zero() {
+                return ReadResult::Failed(Outcome::DeadlineExceeded);
+            }
             let is_first = self.last_part_at.is_none();
             let idle_timeout = self
                 .router
@@ -218,14 +232,19 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if let Some(batch) = splitter.push(&data) {
-                return ReadResult::Events(batch);
-            }
-            if splitter.is_too_long() {
+            let batch = splitter.push(&data);
+            let bytes_without_event = match &batch {
+                Some(batch) if batch.count == 0 => self.bytes_without_event + batch.bytes.len(),
+                _ => 0,
+            };
+            if splitter.is_too_long() || bytes_without_event > MAX_BYTES_WITHOUT_EVENT {
                 return ReadResult::Failed(Outcome::Broken {
                     connection_lost: false,
                 });
             }
+            if let Some(batch) = batch {
+                return ReadResult::Events(batch);
+            }
         }
     }
 }
