--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -58,6 +58,7 @@
                     retry_after_ms: rejection.retry_after.map(millis),
                     held_ms: 0,
                     attempts: 0,
+                    returned: false,
                     lease_ms: self.lease_age_ms(now),
                 }));
                 effects.push(Effect::Reject(token, rejection));
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -330,6 +330,8 @@
         held_ms: u64,
         /// Number of targets to which it was sent.
         attempts: u32,
+        /// Whether its timeout says that the caller was rejected before.
+        returned: bool,
         /// Upper bound of the configuration's age, in milliseconds.
         lease_ms: u64,
     },
--- a/components/record/tests/trace_and_line_writer.rs
+++ b/components/record/tests/trace_and_line_writer.rs
@@ -23,6 +23,7 @@
         retry_after_ms: Some(300),
         held_ms: 0,
         attempts: 0,
+        returned: false,
         lease_ms: 4100,
     }
 }
