Entries call new agents a few at a time, near ones first

Cause: an entry that starts calls the agents of all engines at once; each call needs a connection and an HTTP/2 handshake on a fifth of a core.

Change: at most eight agents that were never called are called each 100 ms, those of the own data centre first, then those of the region, then the others in an order of its own for each process. Requests to engines whose agents were not called yet use the list, and a reservation connects on demand. Watches that restart because a version was named have their connections and are not limited.

--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -82,19 +82,36 @@
     pub regions: BTreeMap<Name, Name>,
 }
 
+/// The distance of a data centre from this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Distance {
+    SameDataCentre,
+    SameRegion,
+    OtherRegion,
+}
+
 impl Location {
     /// The region of a data centre.
     pub fn region_of(&self, data_centre: &str) -> Option<&Name> {
         self.regions.get(data_centre)
     }
 
-    fn distance_penalty(&self, data_centre: &str) -> Duration {
+    /// How far away a data centre is.
+    pub(super) fn distance(&self, data_centre: &str) -> Distance {
         if *data_centre == *self.data_centre {
-            Duration::ZERO
+            Distance::SameDataCentre
         } else if self.region_of(data_centre) == self.region_of(&self.data_centre) {
-            OTHER_DATA_CENTRE_PENALTY
+            Distance::SameRegion
         } else {
-            OTHER_REGION_PENALTY
+            Distance::OtherRegion
+        }
+    }
+
+    fn distance_penalty(&self, data_centre: &str) -> Duration {
+        match self.distance(data_centre) {
+            Distance::SameDataCentre => Duration::ZERO,
+            Distance::SameRegion => OTHER_DATA_CENTRE_PENALTY,
+            Distance::OtherRegion => OTHER_REGION_PENALTY,
         }
     }
 }
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -18,7 +18,10 @@
 };
 use rand_pcg::Pcg64Mcg;
 use utils::clock::ClockReading;
-use utils::Name;
+use utils::{
+    rank,
+    Name, //
+};
 
 use super::config::Config;
 use super::crashes::SilentExchanges;
@@ -33,7 +36,10 @@
 };
 use super::selection::Location;
 use super::table::RoutingTable;
-use super::targets::Targets;
+use super::targets::{
+    Target,
+    Targets, //
+};
 use super::updates::{
     millis,
     AgentReport, //
@@ -277,13 +283,21 @@
         newest.collect()
     }
 
-    /// The targets that are model engines.
+    /// The targets that are model engines, those of near data centres first. Each process has its
+    /// own order of the others, so that processes that start together do not all call the same agents
+    /// at the same time.
     pub fn engines(&self) -> Vec<EngineTarget> {
         let Some(table) = &self.table else {
             return Vec::new();
         };
         let config = table.config();
-        let engines = self.targets.iter().filter_map(|target| {
+        let location = &self.options.location;
+        let mut targets: Vec<&Target> = self.targets.iter().collect();
+        targets.sort_by_cached_key(|target| {
+            let distance = location.distance(&target.entry.data_centre);
+            (distance, rank::weight(self.options.seed, &target.entry.id))
+        });
+        let engines = targets.into_iter().filter_map(|target| {
             let service = config.services.get(&target.entry.service)?;
             let model = service.engine_profile.as_ref()?.model.clone();
             Some(EngineTarget {
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -1148,3 +1148,20 @@
         assert!(delays.len() > 4, "{}: {delays:?}", case.name);
     }
 }
+
+#[test]
+fn engines_of_near_data_centres_come_first() {
+    let entries = [
+        ("e1", "engines", "c"),
+        ("e2", "engines", "b"),
+        ("e3", "engines", "a"),
+        ("e4", "engines", "c"),
+        ("e5", "engines", "a"),
+        ("d1", "desk", "a"),
+    ];
+    let router = TestRouter::with_targets(&entries);
+    let data_centre = |id: &str| entries.iter().find(|entry| entry.0 == id).unwrap().2;
+    let engines = router.state.engines();
+    let order: Vec<&str> = engines.iter().map(|e| data_centre(&e.target)).collect();
+    assert_eq!(order, ["a", "a", "b", "c", "c"]);
+}
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -3,7 +3,10 @@
 //! The platform's list of targets is seconds behind. An agent reports at once that its engine stops
 //! accepting requests to load other weights, and that it accepts them again.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +33,13 @@
 /// How often the watches are adjusted to the list of engines.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How often watches are started while some are missing.
+const START_INTERVAL: Duration = Duration::from_millis(100);
+
+/// New agents that are called at once. Each needs a connection, and a process that starts must serve
+/// callers meanwhile.
+const MAX_STARTS_AT_ONCE: usize = 8;
+
 /// How long an agent may take to reply. It holds a request for up to five seconds until its state
 /// changes.
 pub(super) const AGENT_TIMEOUT: Duration = Duration::from_secs(6);
@@ -71,8 +81,9 @@
     let mut watches: BTreeMap<Name, (EngineTarget, JoinHandle<()>)> = BTreeMap::new();
     let mut exchanges: BTreeMap<Name, (EngineTarget, JoinHandle<()>)> = BTreeMap::new();
     let mut sent_versions = Vec::new();
+    let mut called: BTreeSet<SocketAddr> = BTreeSet::new();
     loop {
-        let engines = router.inner.state.borrow().engines();
+        let mut engines = router.inner.state.borrow().engines();
         // Restarts all watches when a version is named: the requests that agents are holding do not
         // contain it.
         let versions = named_versions(&router);
@@ -83,8 +94,13 @@
         }
         stop_tasks(&mut watches, &engines);
         stop_tasks(&mut exchanges, &engines);
+        called.retain(|address| engines.iter().any(|engine| engine.address == *address));
+        let count = engines.len();
+        limit_starts(&mut engines, &called);
+        let are_all_called = engines.len() == count;
         for engine in engines {
             let agent = agent_client.agent_address(engine.address);
+            called.insert(engine.address);
             exchanges.entry(engine.target.clone()).or_insert_with(|| {
                 let exchange = exchange_crashes(router.clone(), engine.clone(), agent);
                 (engine.clone(), tokio::task::spawn_local(exchange))
@@ -95,11 +111,26 @@
                 (engine, tokio::task::spawn_local(watch))
             });
         }
-        tokio::time::sleep(REFRESH_INTERVAL).await;
+        let interval = if are_all_called {
+            REFRESH_INTERVAL
+        } else {
+            START_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
         router.check_crashes_to_report();
     }
 }
 
+/// Leaves out the engines beyond the first few whose agents were not called yet.
+fn limit_starts(engines: &mut Vec<EngineTarget>, called: &BTreeSet<SocketAddr>) {
+    let mut starts = 0;
+    engines.retain(|engine| {
+        let is_new = !called.contains(&engine.address);
+        starts += usize::from(is_new);
+        !is_new || starts <= MAX_STARTS_AT_ONCE
+    });
+}
+
 /// Stops the tasks of all engines but these.
 fn stop_tasks(
     tasks: &mut BTreeMap<Name, (EngineTarget, JoinHandle<()>)>,
