--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -120,6 +120,7 @@
             arrived: now,
             deadline: now + timeout,
             due: now + route.latency_objective,
+            // A longer objective may still be met after the shortest delay.
             is_overdue: is_return && route.latency_objective <= RETRY_LATER_DELAY,
             prompt_tokens: request
                 .prompt_and_max_answer_tokens
--- a/components/control/src/router/first_attempts.rs
+++ b/components/control/src/router/first_attempts.rs
@@ -11,8 +11,8 @@
 
 use super::rejection::RETRY_LATER_DELAY;
 
-/// The part of the longest timeout, as a divisor, by which the timeouts of first attempts may
-/// differ.
+/// The timeouts of first attempts differ by up to this part of the longest one; the constant is its
+/// divisor.
 const FIRST_ATTEMPT_SPREAD_DIVISOR: u32 = 6;
 
 /// How long a timeout counts as recent, at least. It counts for up to twice this time.
