--- a/components/control/src/follower.rs
+++ b/components/control/src/follower.rs
@@ -6,6 +6,7 @@
 //! with the number of data centres, not with the number of processes.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -240,16 +241,9 @@
         &self.neighbours
     }
 
-    /// The requests without a reply so far: what was requested, from whom (`None` for the service)
-    /// and when.
-    pub fn pending_requests(&self) -> Vec<(String, Option<Name>, Duration)> {
-        let pending = self.pending.iter();
-        pending
-            .map(|(kind, request)| {
-                let recipient = request.recipient.clone();
-                (format!("{kind:?}"), recipient, request.sent_at)
-            })
-            .collect()
+    /// The requests without a reply so far, for diagnostic messages.
+    pub fn pending_requests(&self) -> impl fmt::Debug + '_ {
+        &self.pending
     }
 
     /// One heartbeat effect for each neighbour.
