Bodies of targets are read in one place

Reading a plain answer repeated the loop that reads a stream: deadline, idle timeout, end and loss. Both now call read_part. The bytes without an event were counted twice, once before they were forwarded and once after, in a field of the request; the splitter of the stream counts them now, beside the other bound of a stream, and starts anew with the next target.

--- a/components/proxy/src/router/events.rs
+++ b/components/proxy/src/router/events.rs
@@ -8,12 +8,18 @@
 /// The longest event of a valid stream.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// How many bytes of comments and events without an id may come in a row. Targets send a few to keep
+/// a connection open.
+const MAX_BYTES_WITHOUT_ID: usize = 16 << 10;
+
 /// Collects the bytes of a stream until they form complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
     /// How many bytes of `buf` were searched for the end of an event.
     scanned_bytes: usize,
+    /// The bytes of complete events since the last one with an id.
+    bytes_without_id: usize,
 }
 
 /// Consecutive complete events.
@@ -35,6 +41,11 @@
         let bytes = self.buf.split_to(end).freeze();
         self.scanned_bytes = 0;
         let (last_id, count) = read_ids(&bytes);
+        self.bytes_without_id = if count == 0 {
+            self.bytes_without_id + bytes.len()
+        } else {
+            0
+        };
         Some(EventBatch {
             bytes,
             last_id,
@@ -47,15 +58,14 @@
         !self.buf.is_empty()
     }
 
-    /// Whether the partial event is longer than a valid event.
+    /// Whether more bytes than in a valid stream came without an event that has an id.
     pub fn is_too_long(&self) -> bool {
-        self.buf.len() > MAX_EVENT_BYTES
+        self.buf.len() > MAX_EVENT_BYTES || self.bytes_without_id > MAX_BYTES_WITHOUT_ID
     }
 
-    /// Discards the partial event.
+    /// Discards the partial event, before another stream.
     pub fn clear(&mut self) {
-        self.buf.clear();
-        self.scanned_bytes = 0;
+        *self = Self::default();
     }
 
     /// The position after the last empty line, which ends an event.
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -83,7 +83,7 @@
     }
 
     /// How long to wait for the next part of a response; `is_first` if none was received yet.
-    pub(super) fn idle_timeout(
+    fn idle_timeout(
         &self,
         forward_request: &ForwardRequest,
         time_left: Duration,
@@ -225,14 +225,35 @@
             ..
         } = response;
         let mut bytes = BytesMut::new();
+        while let Some(part) = self.read_part(&mut body, forward_request, false).await? {
+            bytes.extend_from_slice(&part);
+            if bytes.len() > MAX_RESPONSE_BYTES {
+                return Err(Outcome::Broken {
+                    connection_lost: false,
+                });
+            }
+        }
+        self.release_connection(connection, &parts);
+        Ok((parts, bytes.freeze()))
+    }
+
+    /// Reads the next part of the body of a response, or `None` at its end; `is_first` if none was
+    /// received yet.
+    pub(super) async fn read_part(
+        &self,
+        body: &mut Incoming,
+        forward_request: &ForwardRequest,
+        is_first: bool,
+    ) -> Result<Option<Bytes>, Outcome> {
         loop {
             let time_left = self.time_left(forward_request.deadline);
+            // A target that always has bytes ready would never let the timeout below expire.
             if time_left.is_zero() {
                 return Err(Outcome::DeadlineExceeded);
             }
-            let idle_timeout = time_left.min(forward_request.idle_timeout);
+            let idle_timeout = self.idle_timeout(forward_request, time_left, is_first);
             let frame = match timeout(idle_timeout, body.frame()).await {
-                Ok(None) => break,
+                Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => {
                     return Err(Outcome::Broken {
@@ -242,17 +263,11 @@
                 Err(_) if idle_timeout < time_left => return Err(Outcome::IdleTimeout),
                 Err(_) => return Err(Outcome::DeadlineExceeded),
             };
+            // Trailers are not forwarded.
             if let Ok(data) = frame.into_data() {
-                bytes.extend_from_slice(&data);
-            }
-            if bytes.len() > MAX_RESPONSE_BYTES {
-                return Err(Outcome::Broken {
-                    connection_lost: false,
-                });
+                return Ok(Some(data));
             }
         }
-        self.release_connection(connection, &parts);
-        Ok((parts, bytes.freeze()))
     }
 
     /// Returns a connection to the pool after a complete response.
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -60,8 +60,6 @@
     pub last_event_id: Option<u64>,
     /// When the last part of the response was received.
     pub last_part_at: Option<Duration>,
-    /// Bytes of the stream since the last event with an id.
-    pub bytes_without_event: usize,
     /// The longest time between two parts of the response.
     pub longest_pause: Duration,
     /// Capacity that is reserved for the request at a model engine.
@@ -222,7 +220,6 @@
             last_event_id: head.last_event_id,
             received_at: self.elapsed(),
             last_part_at: None,
-            bytes_without_event: 0,
             longest_pause: Duration::ZERO,
             reservation: None,
             rx,
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -9,16 +9,12 @@
 };
 use http::Response;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{
-    BodyExt,
-    StreamBody, //
-};
+use http_body_util::StreamBody;
 use hyper::body::{
     Frame,
     Incoming, //
 };
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 
 use super::answers::{
     remove_hop_by_hop_headers,
@@ -38,10 +34,6 @@
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
 const MAX_BUFFERED_BATCHES: usize = 16;
 
-/// How many bytes of comments and events without an id may come in a row. Targets send a few to keep
-/// a connection open.
-const MAX_BYTES_WITHOUT_EVENT: usize = 16 << 10;
-
 type BodyPart = Result<Frame<Bytes>, BodyError>;
 
 /// The result of reading the next events of a stream.
@@ -127,7 +119,6 @@
             };
             drop(response);
             splitter.clear();
-            self.bytes_without_event = 0;
             let resumed = tokio::select! {
                 resumed = self.resume(outcome) => resumed,
                 () = tx.closed() => return,
@@ -178,11 +169,6 @@
         if let Some(last) = self.last_part_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(last));
         }
-        self.bytes_without_event = if batch.count == 0 {
-            self.bytes_without_event + batch.bytes.len()
-        } else {
-            0
-        };
         self.last_event_id = batch.last_id.or(self.last_event_id);
     }
 
@@ -202,42 +188,20 @@
         forward_request: &ForwardRequest,
     ) -> ReadResult {
         loop {
-            let time_left = self.router.time_left(forward_request.deadline);
-            // A target that always has bytes ready would never let the timeout below expire.
-            if time_left.is_zero() {
-                return ReadResult::Failed(Outcome::DeadlineExceeded);
-            }
             let is_first = self.last_part_at.is_none();
-            let idle_timeout = self
-                .router
-                .idle_timeout(forward_request, time_left, is_first);
-            let frame = match timeout(idle_timeout, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => {
-                    return ReadResult::Failed(Outcome::Broken {
-                        connection_lost: true,
-                    })
-                }
+            let part = self.router.read_part(body, forward_request, is_first).await;
+            let part = match part {
+                Ok(Some(part)) => part,
                 Ok(None) if splitter.has_partial_event() => {
                     return ReadResult::Failed(Outcome::Broken {
                         connection_lost: true,
                     })
                 }
                 Ok(None) => return ReadResult::End,
-                Err(_) if idle_timeout < time_left => {
-                    return ReadResult::Failed(Outcome::IdleTimeout)
-                }
-                Err(_) => return ReadResult::Failed(Outcome::DeadlineExceeded),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let batch = splitter.push(&data);
-            let bytes_without_event = match &batch {
-                Some(batch) if batch.count == 0 => self.bytes_without_event + batch.bytes.len(),
-                _ => 0,
+                Err(outcome) => return ReadResult::Failed(outcome),
             };
-            if splitter.is_too_long() || bytes_without_event > MAX_BYTES_WITHOUT_EVENT {
+            let batch = splitter.push(&part);
+            if splitter.is_too_long() {
                 return ReadResult::Failed(Outcome::Broken {
                     connection_lost: false,
                 });
