One request for a reservation, with its terms in one type

What a reservation depends on stood in four places: the fields of two requests that differed by the limit of the engine, the agent's KnownLimits and the router's ReservationRequest; a second reply carried the limit back. ReservationTerms holds them now, from the router's decision to the agent's, and the limit is optional in the one request and the one reply. Decisions are unchanged; the tests keep their assertions.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -15,7 +15,8 @@
     Backlog,
     Crash,
     EngineStatus,
-    NamedVersion, //
+    NamedVersion,
+    ReservationTerms, //
 };
 use record::Decision;
 use utils::digest::Digest;
@@ -32,10 +33,7 @@
     Download,
     PlanContext, //
 };
-pub use self::reservations::{
-    KnownLimits,
-    Reservations, //
-};
+pub use self::reservations::Reservations;
 pub use self::schedule::UpdateLimits;
 
 /// The version that engines run before operators name one.
@@ -270,9 +268,9 @@
         &mut self,
         now: Duration,
         prompt_tokens: u32,
-        known: KnownLimits,
+        terms: &ReservationTerms,
     ) -> (Option<u64>, Backlog) {
-        if !self.reservations.is_allowed(now, known) || self.status().is_switching {
+        if !self.reservations.is_allowed(now, terms) || self.status().is_switching {
             return (None, self.reservations.backlog());
         }
         let (number, backlog) = self.reservations.reserve(now, prompt_tokens);
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use protocol::{
-    AcceptableBacklog,
     AgedLimit,
-    Backlog, //
+    Backlog,
+    ReservationTerms, //
 };
 
 use crate::notice::TargetNotice;
@@ -28,27 +28,6 @@
 /// it from the engine.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(5);
 
-/// What a process that requests a reservation knows of the engine and accepts.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct KnownLimits {
-    /// Requests per second that the engine can handle in cold start, if it may be cold.
-    pub cold_rate_per_second: Option<u32>,
-    /// The limit that the engine names, if it limits its requests or has done so.
-    pub limit: Option<AgedLimit>,
-    /// The backlog with which the process would use the reservation.
-    pub acceptable: AcceptableBacklog,
-}
-
-impl Default for KnownLimits {
-    fn default() -> Self {
-        Self {
-            cold_rate_per_second: None,
-            limit: None,
-            acceptable: AcceptableBacklog::ANY,
-        }
-    }
-}
-
 /// The active reservations at an engine.
 #[derive(Clone, Debug, Default)]
 pub struct Reservations {
@@ -62,24 +41,24 @@
 }
 
 impl Reservations {
-    /// Adds what a process knows, and decides whether one more reservation is allowed. Those
+    /// Adds what the requester knows, and decides whether one more reservation is allowed. Those
     /// released since count as well, so none is made that the process would not use.
-    pub fn is_allowed(&mut self, now: Duration, known: KnownLimits) -> bool {
-        if let Some(limit) = known.limit {
+    pub fn is_allowed(&mut self, now: Duration, terms: &ReservationTerms) -> bool {
+        if let Some(limit) = terms.limit {
             self.notice.merge(now, limit);
         }
         let made_in_last_second = self.made_within(now, RATE_WINDOW);
-        let is_below_cold_rate = known
+        let is_below_cold_rate = terms
             .cold_rate_per_second
             .is_none_or(|rate| made_in_last_second < rate as usize);
         let limit = self.notice.requests_per_second();
-        let is_known = known.limit.is_some() || self.notice.limit_age(now) < MAX_LIMIT_AGE;
+        let is_known = terms.limit.is_some() || self.notice.limit_age(now) < MAX_LIMIT_AGE;
         let is_below_limit = limit.filter(|_| is_known).is_none_or(|rate| {
             let allowed = (rate * LIMIT_WINDOW.as_secs_f64()).max(1.0) as usize;
             (made_in_last_second as f64) < rate.ceil().max(1.0)
                 && self.made_within(now, LIMIT_WINDOW) < allowed
         });
-        is_below_cold_rate && is_below_limit && known.acceptable.includes(self.backlog())
+        is_below_cold_rate && is_below_limit && terms.acceptable.includes(self.backlog())
     }
 
     /// The latest limit that any process knows the engine to name, if it limits its requests or has
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -31,11 +31,11 @@
 use std::time::Duration;
 
 use protocol::{
-    AcceptableBacklog,
     AgedLimit,
     Backlog,
     Crash,
-    Fingerprint, //
+    Fingerprint,
+    ReservationTerms, //
 };
 use record::Decision;
 use utils::Name;
@@ -249,12 +249,8 @@
     pub address: SocketAddr,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
-    /// Requests per second that the engine can handle in cold start, from all processes together.
-    pub cold_rate_per_second: Option<u32>,
-    /// The limit that the engine names, if that matters to other processes.
-    pub limit: Option<AgedLimit>,
-    /// The backlog of the engine with which the request would be sent.
-    pub acceptable: AcceptableBacklog,
+    /// What the reservation depends on.
+    pub terms: ReservationTerms,
 }
 
 /// The rejection of a request.
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use protocol::Backlog;
+use protocol::{
+    Backlog,
+    ReservationTerms, //
+};
 use record::Decision;
 use utils::Name;
 
@@ -64,14 +67,16 @@
         let request = ReservationRequest {
             address: target.entry.address,
             prompt_tokens: pending.prompt_tokens,
-            cold_rate_per_second: selection::fleet_cold_rate(now, target, &pending.service),
-            limit: target.notice.limit_for_others(now),
-            acceptable: selection::acceptable_backlog(now, target, &requirements),
+            terms: ReservationTerms {
+                cold_rate_per_second: selection::fleet_cold_rate(now, target, &pending.service),
+                limit: target.notice.limit_for_others(now),
+                acceptable: selection::acceptable_backlog(now, target, &requirements),
+            },
         };
         if let Some(pending) = self.pending.get_mut(&token) {
             pending.is_reserving = true;
             pending.reservation_attempts += 1;
-            pending.acceptable_backlog = request.acceptable;
+            pending.acceptable_backlog = request.terms.acceptable;
         }
         self.assign(now, token, id);
         effects.push(Effect::Reserve(token, request));
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -7,12 +7,14 @@
     Effect,
     EngineReport,
     Event,
-    KnownLimits,
     ModelVersion,
     UpdateLimits, //
 };
 use proptest::prelude::*;
-use protocol::AcceptableBacklog;
+use protocol::{
+    AcceptableBacklog,
+    ReservationTerms, //
+};
 use utils::digest::Digest;
 use weights::{
     FailureCause,
@@ -300,15 +302,15 @@
 #[test]
 fn reservations_at_a_cold_engine_stay_within_its_rate() {
     const RATE: u32 = 20;
-    let limits = KnownLimits {
+    let limits = ReservationTerms {
         cold_rate_per_second: Some(RATE),
-        ..KnownLimits::default()
+        ..ReservationTerms::default()
     };
     let mut controller = Controller::new("a1".into(), Limits::default(), UPDATE_LIMITS, false);
     let mut reserved_at: Vec<Duration> = Vec::new();
     for millis in 0..3000 {
         let now = Duration::from_millis(millis);
-        if let (Some(number), _) = controller.reserve(now, 100, limits) {
+        if let (Some(number), _) = controller.reserve(now, 100, &limits) {
             reserved_at.push(now);
             controller.release(number);
         }
@@ -323,7 +325,7 @@
         "{}",
         reserved_at.len()
     );
-    let (number, _) = controller.reserve(Duration::from_secs(3), 100, KnownLimits::default());
+    let (number, _) = controller.reserve(Duration::from_secs(3), 100, &ReservationTerms::default());
     assert!(
         number.is_some(),
         "an engine that is not cold has no rate limit"
@@ -380,17 +382,17 @@
     for case in cases {
         const RATE: u32 = 3;
         let mut controller = Controller::new("a1".into(), Limits::default(), UPDATE_LIMITS, false);
-        let limits = |acceptable| KnownLimits {
+        let limits = |acceptable| ReservationTerms {
             cold_rate_per_second: Some(RATE),
             acceptable,
-            ..KnownLimits::default()
+            ..ReservationTerms::default()
         };
         for _ in 0..2 {
-            let (number, _) = controller.reserve(ms(0), 100, limits(AcceptableBacklog::ANY));
+            let (number, _) = controller.reserve(ms(0), 100, &limits(AcceptableBacklog::ANY));
             assert!(number.is_some(), "{}", case.name);
         }
         for _ in 0..RATE {
-            let (number, _) = controller.reserve(ms(1), 100, limits(case.acceptable));
+            let (number, _) = controller.reserve(ms(1), 100, &limits(case.acceptable));
             assert_eq!(number.is_some(), case.is_granted, "{}", case.name);
             if let Some(number) = number {
                 controller.release(number);
@@ -398,7 +400,7 @@
             }
         }
         if !case.is_granted {
-            let (number, _) = controller.reserve(ms(2), 100, limits(AcceptableBacklog::ANY));
+            let (number, _) = controller.reserve(ms(2), 100, &limits(AcceptableBacklog::ANY));
             assert!(number.is_some(), "{}: the rate is not used up", case.name);
         }
     }
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -17,10 +17,7 @@
     SystemTime, //
 };
 
-use control::controller::{
-    KnownLimits,
-    Reservations, //
-};
+use control::controller::Reservations;
 use control::notice::Notice;
 use control::router::config::{
     Config,
@@ -332,14 +329,9 @@
     fn reserve(&mut self, token: u64, request: &ReservationRequest) {
         self.release(token);
         let engine = usize::from(request.address.port() - FIRST_PORT);
-        let known = KnownLimits {
-            cold_rate_per_second: request.cold_rate_per_second,
-            limit: request.limit,
-            acceptable: request.acceptable,
-        };
         let reservations = &mut self.reservations[engine];
         let number = reservations
-            .is_allowed(self.now, known)
+            .is_allowed(self.now, &request.terms)
             .then(|| reservations.reserve(self.now, request.prompt_tokens));
         let (number, backlog) = match number {
             Some((number, backlog)) => (Some(number), backlog),
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -19,6 +19,7 @@
     NamedVersion,
     Reply,
     Request,
+    ReservationTerms,
     Role,
     WeightSource, //
 };
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -82,12 +82,8 @@
     Reserve {
         /// Number of prompt tokens that the engine will prefill.
         prompt_tokens: u32,
-        /// Maximum number of requests per second from all processes together, if limited. The
-        /// limit applies in cold start, and always if it is at least one request per slot and
-        /// second.
-        cold_rate_per_second: Option<u32>,
-        /// The backlog with which the requester would use the reservation.
-        acceptable: AcceptableBacklog,
+        /// What the reservation depends on.
+        terms: ReservationTerms,
     },
     /// Reports that the engine has prefilled the prompt of a reservation.
     PromptPrefilled {
@@ -104,18 +100,6 @@
         /// Crashes that the requester reports.
         reported: Vec<Crash>,
     },
-    /// Reserves capacity like [`Request::Reserve`], at an engine that limits its requests or has
-    /// done so. The reply is [`Reply::ReservedLimited`].
-    ReserveLimited {
-        /// Number of prompt tokens that the engine will prefill.
-        prompt_tokens: u32,
-        /// Maximum number of requests per second as in [`Request::Reserve`].
-        cold_rate_per_second: Option<u32>,
-        /// The limit that the engine names, as far as the requester knows.
-        known: AgedLimit,
-        /// The backlog with which the requester would use the reservation.
-        acceptable: AcceptableBacklog,
-    },
 }
 
 /// The reply to a [`Request`].
@@ -152,6 +136,8 @@
         number: Option<u64>,
         /// The work of the engine that precedes the reservation.
         backlog: Backlog,
+        /// The latest limit that the agent knows the engine to name, if the requester knew of one.
+        limit: Option<AgedLimit>,
     },
     /// The report was received.
     Acknowledged,
@@ -168,15 +154,28 @@
         /// The crashes.
         crashes: Vec<Crash>,
     },
-    /// Capacity is reserved or refused, as in [`Reply::Reserved`].
-    ReservedLimited {
-        /// The number of the reservation at the agent, or `None` if the engine accepts no requests.
-        number: Option<u64>,
-        /// The work of the engine that precedes the reservation.
-        backlog: Backlog,
-        /// The latest limit that the agent knows the engine to name.
-        known: AgedLimit,
-    },
+}
+
+/// What a reservation depends on: what the requester knows of the engine, and what it accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReservationTerms {
+    /// Maximum number of requests per second from all processes together, if limited. The limit
+    /// applies in cold start, and always if it is at least one request per slot and second.
+    pub cold_rate_per_second: Option<u32>,
+    /// The limit that the engine names, if it limits its requests or has done so.
+    pub limit: Option<AgedLimit>,
+    /// The backlog with which the requester would use the reservation.
+    pub acceptable: AcceptableBacklog,
+}
+
+impl Default for ReservationTerms {
+    fn default() -> Self {
+        Self {
+            cold_rate_per_second: None,
+            limit: None,
+            acceptable: AcceptableBacklog::ANY,
+        }
+    }
 }
 
 /// The requests per second that a target says it takes, and the age of that answer.
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -10,7 +10,6 @@
 };
 use control::controller::{
     Event,
-    KnownLimits,
     ModelVersion, //
 };
 use protocol::{
@@ -361,29 +360,8 @@
             }
             Request::Reserve {
                 prompt_tokens,
-                cold_rate_per_second,
-                acceptable,
-            } => {
-                let known = KnownLimits {
-                    cold_rate_per_second,
-                    limit: None,
-                    acceptable,
-                };
-                self.answer_reserve(prompt_tokens, known, responder).await;
-            }
-            Request::ReserveLimited {
-                prompt_tokens,
-                cold_rate_per_second,
-                known,
-                acceptable,
-            } => {
-                let known = KnownLimits {
-                    cold_rate_per_second,
-                    limit: Some(known),
-                    acceptable,
-                };
-                self.answer_reserve(prompt_tokens, known, responder).await;
-            }
+                terms,
+            } => self.answer_reserve(prompt_tokens, &terms, responder).await,
             Request::Crashes {
                 known_revision,
                 reported,
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use control::controller::KnownLimits;
-use protocol::Reply;
+use protocol::{
+    Reply,
+    ReservationTerms, //
+};
 use wire::Responder;
 
 use super::{
@@ -36,22 +38,19 @@
     pub(super) async fn answer_reserve(
         &self,
         prompt_tokens: u32,
-        known: KnownLimits,
+        terms: &ReservationTerms,
         mut responder: Responder,
     ) {
         let now = self.clock.now().elapsed;
         let (number, backlog, limit) = {
             let mut state = lock(&self.state);
-            let (number, backlog) = state.reserve(now, prompt_tokens, known);
+            let (number, backlog) = state.reserve(now, prompt_tokens, terms);
             (number, backlog, state.limit(now))
         };
-        let reply = match limit.filter(|_| known.limit.is_some()) {
-            None => Reply::Reserved { number, backlog },
-            Some(known) => Reply::ReservedLimited {
-                number,
-                backlog,
-                known,
-            },
+        let reply = Reply::Reserved {
+            number,
+            backlog,
+            limit: limit.filter(|_| terms.limit.is_some()),
         };
         let Some(number) = number else {
             self.send_reply(responder, reply).await;
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -9,8 +9,6 @@
     ReservationRequest, //
 };
 use protocol::{
-    AgedLimit,
-    Backlog,
     Envelope,
     Reply,
     Request, //
@@ -47,49 +45,25 @@
         request: &ReservationRequest,
     ) -> Option<Reservation> {
         let agent = self.inner.agent_client.agent_address(request.address);
-        let ReservationRequest {
-            prompt_tokens,
-            cold_rate_per_second,
-            acceptable,
-            ..
-        } = *request;
-        let body = match request.limit {
-            None => Request::Reserve {
-                prompt_tokens,
-                cold_rate_per_second,
-                acceptable,
-            },
-            Some(known) => Request::ReserveLimited {
-                prompt_tokens,
-                cold_rate_per_second,
-                known,
-                acceptable,
-            },
-        };
-        let message = self.agent_message(body);
-        let reply = self.request_reservation(agent, message).await;
-        let reservation_reply =
-            reply
-                .as_ref()
-                .map(|(reservation, backlog, limit)| ReservationReply {
-                    backlog: *backlog,
-                    accepts_requests: reservation.is_some(),
-                    limit: *limit,
-                });
-        self.handle_event(Event::ReservationReply {
-            token,
-            reply: reservation_reply,
+        let message = self.agent_message(Request::Reserve {
+            prompt_tokens: request.prompt_tokens,
+            terms: request.terms,
         });
-        reply.and_then(|(reservation, ..)| reservation)
+        let (reservation, reply) = match self.request_reservation(agent, message).await {
+            Some((reservation, reply)) => (reservation, Some(reply)),
+            None => (None, None),
+        };
+        self.handle_event(Event::ReservationReply { token, reply });
+        reservation
     }
 
-    /// Returns the reservation, if the agent granted one, the backlog of the engine and the limit
-    /// that the agent knows the engine to name. Returns `None` if the agent did not reply.
+    /// Returns the reservation, if the agent granted one, and its reply. Returns `None` if the agent
+    /// did not reply.
     async fn request_reservation(
         &self,
         agent: SocketAddr,
         message: Envelope<Request>,
-    ) -> Option<(Option<Reservation>, Backlog, Option<AgedLimit>)> {
+    ) -> Option<(Option<Reservation>, ReservationReply)> {
         let pool = &self.inner.agent_client.pool;
         let call = match pool.call(agent, &message, RESERVATION_TIMEOUT).await {
             Ok(call) => call,
@@ -98,27 +72,30 @@
                 return None;
             }
         };
-        let (number, backlog, limit) = match call.reply.body {
-            Reply::Reserved { number, backlog } => (number, backlog, None),
-            Reply::ReservedLimited {
-                number,
-                backlog,
-                known,
-            } => (number, backlog, Some(known)),
-            ref other => {
-                log::warn!(
-                    target: LOG_TARGET,
-                    "unexpected reply of agent {agent}: {other:?}"
-                );
-                return None;
-            }
+        let Reply::Reserved {
+            number,
+            backlog,
+            limit,
+        } = call.reply.body
+        else {
+            log::warn!(
+                target: LOG_TARGET,
+                "unexpected reply of agent {agent}: {:?}",
+                call.reply.body
+            );
+            return None;
+        };
+        let reply = ReservationReply {
+            backlog,
+            accepts_requests: number.is_some(),
+            limit,
         };
         let reservation = number.map(|number| Reservation {
             agent,
             number,
             _call: call,
         });
-        Some((reservation, backlog, limit))
+        Some((reservation, reply))
     }
 
     /// Tells the agent in a separate task that the engine has prefilled the prompt.
