Callers that return: less state, and two faults mended

One pair of windows for all callers takes the place of a pair for each, which a tick scanned ten times a second; the longest timeouts count as long as before. A caller that has returned is due at once, so the time left needs no case of its own, and admitting a request copies nothing before it is certain.

Faults: a stream that is resumed was ranked as overdue in the queue though it goes first, which put the queue out of order for the estimate of the wait; it no longer is (no test, the order was wrong only while such a stream waited). Lines of the record written before the field returned was added could not be read by trace and audit; the field has a default, with a test that fails without it.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -107,21 +107,29 @@
         if self.suspects.is_quarantined(request.fingerprint) {
             return Err((RejectionReason::Quarantined, route_name));
         }
-        let (route, service, team) = (route.clone(), service.clone(), team.cloned());
         let caller_timeout = request.timeout.unwrap_or(route.timeout);
         let timeout = caller_timeout.min(route.timeout);
-        let answer_time = answer_time(&service, request);
-        let team_name = team.as_ref().map(|team| &team.name);
+        let answer_time = answer_time(service, request);
+        let team_name = team.map(|team| &team.name);
         let is_return = self
             .first_attempts
             .is_return(now, &route.name, team_name, caller_timeout);
+        // A longer objective may still be met after the shortest delay.
+        let has_returned = is_return && route.latency_objective <= RETRY_LATER_DELAY;
+        let due = if has_returned {
+            now
+        } else {
+            now + route.latency_objective
+        };
         Ok(Pending {
             id: request.request_id.clone(),
+            route: route.clone(),
+            service: service.clone(),
+            team: team.cloned(),
             arrived: now,
             deadline: now + timeout,
-            due: now + route.latency_objective,
-            // A longer objective may still be met after the shortest delay.
-            is_overdue: is_return && route.latency_objective <= RETRY_LATER_DELAY,
+            due,
+            has_returned,
             prompt_tokens: request
                 .prompt_and_max_answer_tokens
                 .map_or(0, |(prompt, _)| prompt),
@@ -143,9 +151,6 @@
             is_prefill_pending: false,
             time_to_first_event: None,
             response_started: false,
-            route,
-            service,
-            team,
         })
     }
 }
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -135,12 +135,10 @@
             prompt_tokens: pending.prompt_tokens,
             time_left: if pending.response_started || pending.service.engine_profile.is_none() {
                 Duration::MAX
-            } else if pending.is_overdue {
-                Duration::ZERO
             } else {
                 pending.due.saturating_sub(now)
             },
-            is_overdue: pending.is_overdue && !pending.response_started,
+            is_overdue: pending.is_overdue(),
             may_wait: if pending.response_started {
                 Duration::ZERO
             } else {
--- a/components/control/src/router/first_attempts.rs
+++ b/components/control/src/router/first_attempts.rs
@@ -18,38 +18,15 @@
 /// How long a timeout counts as recent, at least. It counts for up to twice this time.
 const WINDOW: Duration = Duration::from_secs(10);
 
-/// The longest timeouts of one team on one route, in the current and the previous window.
-#[derive(Clone, Copy, Debug)]
-struct LongestTimeouts {
-    window_started_at: Duration,
-    current: Duration,
-    previous: Duration,
-}
+/// A route, and the team if the caller has a key.
+type Callers = (Name, Option<Name>);
 
-impl LongestTimeouts {
-    fn record(&mut self, now: Duration, timeout: Duration) {
-        let age = now.saturating_sub(self.window_started_at);
-        if age >= WINDOW {
-            self.previous = if age < WINDOW * 2 {
-                self.current
-            } else {
-                Duration::ZERO
-            };
-            self.current = Duration::ZERO;
-            self.window_started_at = now;
-        }
-        self.current = self.current.max(timeout);
-    }
-
-    fn longest(&self) -> Duration {
-        self.current.max(self.previous)
-    }
-}
-
-/// The timeouts of callers' first attempts, by route and team.
+/// The longest timeouts in the current window and the one before it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FirstAttempts {
-    timeouts: HashMap<(Name, Option<Name>), LongestTimeouts>,
+    window_started_at: Duration,
+    current: HashMap<Callers, Duration>,
+    previous: HashMap<Callers, Duration>,
 }
 
 impl FirstAttempts {
@@ -61,21 +38,25 @@
         team: Option<&Name>,
         timeout: Duration,
     ) -> bool {
-        let key = (route.clone(), team.cloned());
-        let known = self.timeouts.entry(key).or_insert(LongestTimeouts {
-            window_started_at: now,
-            current: Duration::ZERO,
-            previous: Duration::ZERO,
-        });
-        known.record(now, timeout);
-        let longest = known.longest();
+        self.start_window(now);
+        let callers = (route.clone(), team.cloned());
+        let previous = self.previous.get(&callers).copied().unwrap_or_default();
+        let current = self.current.entry(callers).or_default();
+        *current = timeout.max(*current);
+        let longest = previous.max(*current);
         let spread = longest / FIRST_ATTEMPT_SPREAD_DIVISOR;
         longest.saturating_sub(timeout) >= spread.max(RETRY_LATER_DELAY)
     }
 
-    /// Forgets timeouts that are no longer recent.
-    pub fn expire(&mut self, now: Duration) {
-        self.timeouts
-            .retain(|_, known| now.saturating_sub(known.window_started_at) < WINDOW * 2);
+    fn start_window(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.window_started_at);
+        if age < WINDOW {
+            return;
+        }
+        self.window_started_at = now;
+        self.previous = std::mem::take(&mut self.current);
+        if age >= WINDOW * 2 {
+            self.previous.clear();
+        }
     }
 }
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -372,7 +372,7 @@
             retry_after_ms: retry_after.map(millis),
             held_ms: millis(now.saturating_sub(pending.arrived)),
             attempts: pending.attempts(),
-            returned: pending.is_overdue,
+            returned: pending.has_returned,
             lease_ms: self.lease_age_ms(now),
         }));
         let rejection = Rejection {
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -45,8 +45,8 @@
     pub deadline: Duration,
     /// After this time the answer, or its first event, is late.
     pub due: Duration,
-    /// Whether the caller returned after a rejection, so that no answer is on time.
-    pub is_overdue: bool,
+    /// Whether the caller was rejected before, and so long ago that no answer is on time.
+    pub has_returned: bool,
     /// The latest time to dispatch it so that its answer is on time.
     pub dispatch_by: Duration,
     pub prompt_tokens: u32,
@@ -84,10 +84,16 @@
         team.unwrap_or(self.route.priority)
     }
 
+    /// Whether no answer can be on time any more. An answer that has begun must not pause, however
+    /// late it began.
+    pub fn is_overdue(&self) -> bool {
+        self.has_returned && !self.response_started
+    }
+
     /// Its place in the order in which queued requests are dispatched.
     pub fn queue_rank(&self) -> QueueRank {
         QueueRank {
-            is_overdue: self.is_overdue,
+            is_overdue: self.is_overdue(),
             priority: self.priority(),
         }
     }
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -41,7 +41,6 @@
             }));
         }
         self.suspects.expire(now);
-        self.first_attempts.expire(now);
     }
 
     /// Replaces the configuration if the new one has a higher version.
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -331,6 +331,7 @@
         /// Number of targets to which it was sent.
         attempts: u32,
         /// Whether its timeout says that the caller was rejected before.
+        #[serde(default)]
         returned: bool,
         /// Upper bound of the configuration's age, in milliseconds.
         lease_ms: u64,
--- a/components/record/tests/trace_and_line_writer.rs
+++ b/components/record/tests/trace_and_line_writer.rs
@@ -28,6 +28,15 @@
     }
 }
 
+#[test]
+fn lines_of_earlier_releases_can_be_read() {
+    let mut line = serde_json::to_value(turn_away("r-1", "overload")).unwrap();
+    let added_later = line.as_object_mut().unwrap().remove("returned");
+    assert!(added_later.is_some());
+    let read: Decision = serde_json::from_value(line).unwrap();
+    assert_eq!(read, turn_away("r-1", "overload"));
+}
+
 #[test]
 fn trace_contains_steps_with_prior_decisions() {
     let mut first = RecordChain::new("entry-1".into(), 1);
