Twins in the agent watches, the fleet's queries and the agents of a test

- The addresses of agents that were called are those of the running exchanges; the set beside them is gone.
- Status and sheet state of the fleet's agents are read by one query.
- The test agent of a rank was made for one agent and then given another reducer; both are started by one function now, from one list of members.
Assertions are unchanged.

--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -66,8 +66,14 @@
             give_up_duration: ms(500),
             ..Limits::default()
         };
+        let controller = Controller::new(names[0].as_str().into(), limits, UPDATE_LIMITS, false);
+        Self::start(controller, &names, running)
+    }
+
+    /// Starts the reducer of one of the agents `names` of a data centre.
+    fn start(controller: Controller, names: &[String], running: Option<u64>) -> Self {
         let mut agent = Self {
-            controller: Controller::new(names[0].as_str().into(), limits, UPDATE_LIMITS, false),
+            controller,
             now: ms(1000),
             origin_versions: vec![1, 2, 3],
             staging_succeeds: true,
@@ -78,13 +84,8 @@
             orders: Vec::new(),
         };
         agent.handle(Event::Model("m".into()));
-        let member = |name: &String| Member {
-            name: name.as_str().into(),
-            data_centre: "a".into(),
-            region: "north".into(),
-        };
         agent.handle(Event::Members {
-            members: names.iter().map(member).collect(),
+            members: members(names),
             origin_region: "north".into(),
         });
         agent
@@ -406,32 +407,25 @@
     }
 }
 
-/// The names of the agents of a data centre in rank order, as an agent that plans a download sees it.
-fn agent_of_rank(rank: usize, count: usize, limits: UpdateLimits) -> Agent {
-    let names: Vec<String> = (0..count)
-        .map(|i| format!("10.0.{}.{}:1", i / 250, i % 250))
-        .collect();
+/// The agents of data centre `a`.
+fn members(names: &[String]) -> Vec<Member> {
     let member = |name: &String| Member {
         name: name.as_str().into(),
         data_centre: "a".into(),
         region: "north".into(),
     };
-    let members: Vec<Member> = names.iter().map(member).collect();
-    let plan = Plan::from_members(
-        version_key(2),
-        "north".into(),
-        members.clone(),
-        names[0].as_str(),
-    );
+    names.iter().map(member).collect()
+}
+
+/// The agent that is the one of this rank when a data centre of `count` agents updates to version 2.
+fn agent_of_rank(rank: usize, count: usize, limits: UpdateLimits) -> Agent {
+    let names: Vec<String> = (0..count)
+        .map(|i| format!("10.0.{}.{}:1", i / 250, i % 250))
+        .collect();
+    let plan = Plan::from_members(version_key(2), "north".into(), members(&names), &names[0]);
     let name = plan.unwrap().data_centre_peers(&names[0])[rank].clone();
-    let mut agent = Agent::new(1, Some(1));
-    agent.controller = Controller::new(name, Limits::default(), limits, false);
-    agent.handle(Event::Model("m".into()));
-    agent.handle(Event::Members {
-        members,
-        origin_region: "north".into(),
-    });
-    agent
+    let controller = Controller::new(name, Limits::default(), limits, false);
+    Agent::start(controller, &names, Some(1))
 }
 
 proptest! {
--- a/components/fleet/src/processes.rs
+++ b/components/fleet/src/processes.rs
@@ -16,6 +16,7 @@
 };
 use std::time::Duration;
 
+use control::agent::State;
 use protocol::{
     Instance,
     InstanceState,
@@ -58,6 +59,7 @@
 use tokio::net::TcpListener;
 use utils::clock::{
     Clock,
+    ClockReading,
     SystemClock, //
 };
 use utils::digest::Digest;
@@ -368,45 +370,42 @@
 
     /// Returns the status of each model target that has an agent.
     pub async fn statuses(&self) -> BTreeMap<Name, TargetStatus> {
-        let mut statuses = BTreeMap::new();
-        for (name, node) in self.targets() {
-            let Some(agent) = node.agent else {
-                continue;
-            };
-            let status = agent
-                .control()
-                .query(|state, now| state.status(now.elapsed));
-            if let Some(status) = status.await {
-                statuses.insert(name, status);
-            }
-        }
-        statuses
+        self.query_agents(|state, now| state.status(now.elapsed))
+            .await
     }
 
     /// Returns what the agent of each model target knows of the sheet, for messages of failed tests.
     pub async fn sheet_states(&self) -> BTreeMap<Name, String> {
-        let mut states = BTreeMap::new();
+        let describe = |state: &State, _| {
+            let follower = state.follower();
+            let collector = follower.sheet_collector();
+            format!(
+                "sheet {}, rejected {:?}, missing {:?}, pending {:?}, neighbours {:?}",
+                collector.version(),
+                collector.rejection(),
+                collector.missing_sections(),
+                follower.pending_requests(),
+                follower.neighbours(),
+            )
+        };
+        self.query_agents(describe).await
+    }
+
+    /// Runs a query on the state of the agent of each model target.
+    async fn query_agents<R: Send + 'static>(
+        &self,
+        query: impl Fn(&State, ClockReading) -> R + Copy + Send + 'static,
+    ) -> BTreeMap<Name, R> {
+        let mut results = BTreeMap::new();
         for (name, node) in self.targets() {
             let Some(agent) = node.agent else {
                 continue;
             };
-            let state = agent.control().query(|state, _| {
-                let follower = state.follower();
-                let collector = follower.sheet_collector();
-                format!(
-                    "sheet {}, rejected {:?}, missing {:?}, pending {:?}, neighbours {:?}",
-                    collector.version(),
-                    collector.rejection(),
-                    collector.missing_sections(),
-                    follower.pending_requests(),
-                    follower.neighbours(),
-                )
-            });
-            if let Some(state) = state.await {
-                states.insert(name, state);
+            if let Some(result) = agent.control().query(query).await {
+                results.insert(name, result);
             }
         }
-        states
+        results
     }
 
     /// Waits until every target with an agent is warm at `version` and every entry is ready.
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -3,10 +3,7 @@
 //! The platform's list of targets is seconds behind. An agent reports at once that its engine stops
 //! accepting requests to load other weights, and that it accepts them again.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -75,13 +72,15 @@
     }
 }
 
+/// The task of each engine, by target.
+type EngineTasks = BTreeMap<Name, (EngineTarget, JoinHandle<()>)>;
+
 /// Watches all engines while the future is polled.
 pub async fn run_engine_watches(router: Router) {
     let agent_client = router.inner.agent_client.clone();
-    let mut watches: BTreeMap<Name, (EngineTarget, JoinHandle<()>)> = BTreeMap::new();
-    let mut exchanges: BTreeMap<Name, (EngineTarget, JoinHandle<()>)> = BTreeMap::new();
+    let mut watches = EngineTasks::new();
+    let mut exchanges = EngineTasks::new();
     let mut sent_versions = Vec::new();
-    let mut called: BTreeSet<SocketAddr> = BTreeSet::new();
     loop {
         let mut engines = router.inner.state.borrow().engines();
         // Restarts all watches when a version is named: the requests that agents are holding do not
@@ -94,13 +93,11 @@
         }
         stop_tasks(&mut watches, &engines);
         stop_tasks(&mut exchanges, &engines);
-        called.retain(|address| engines.iter().any(|engine| engine.address == *address));
         let count = engines.len();
-        limit_starts(&mut engines, &called);
+        limit_starts(&mut engines, &exchanges);
         let are_all_called = engines.len() == count;
         for engine in engines {
             let agent = agent_client.agent_address(engine.address);
-            called.insert(engine.address);
             exchanges.entry(engine.target.clone()).or_insert_with(|| {
                 let exchange = exchange_crashes(router.clone(), engine.clone(), agent);
                 (engine.clone(), tokio::task::spawn_local(exchange))
@@ -121,21 +118,18 @@
     }
 }
 
-/// Leaves out the engines beyond the first few whose agents were not called yet.
-fn limit_starts(engines: &mut Vec<EngineTarget>, called: &BTreeSet<SocketAddr>) {
+/// Leaves out the engines beyond the first few with whose agents there is no exchange yet.
+fn limit_starts(engines: &mut Vec<EngineTarget>, exchanges: &EngineTasks) {
     let mut starts = 0;
     engines.retain(|engine| {
-        let is_new = !called.contains(&engine.address);
+        let is_new = !exchanges.contains_key(&engine.target);
         starts += usize::from(is_new);
         !is_new || starts <= MAX_STARTS_AT_ONCE
     });
 }
 
 /// Stops the tasks of all engines but these.
-fn stop_tasks(
-    tasks: &mut BTreeMap<Name, (EngineTarget, JoinHandle<()>)>,
-    engines: &[EngineTarget],
-) {
+fn stop_tasks(tasks: &mut EngineTasks, engines: &[EngineTarget]) {
     tasks.retain(|_, (engine, task)| {
         let keep = engines.contains(engine);
         if !keep {
