Tests of the forwarding reducer share their routes, targets and requests

The tests of notices, retry shares, crash reports and of the router wrote the same route, target, request, options and clock; tests/routers has one of each, and a test names what differs. No assertion is touched. The load simulation (tests/engines) keeps its own: its engines, limits and times are those of the load.

--- a/components/control/tests/crash_reports.rs
+++ b/components/control/tests/crash_reports.rs
@@ -1,12 +1,11 @@
 //! A request that crashes targets, sent to entries that know of each other's crashes only through
 //! agents. Entries and agents restart, and links between them are cut.
 
+mod routers;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    SystemTime, //
-};
+use std::time::Duration;
 
 use control::controller::{
     self,
@@ -17,23 +16,26 @@
     Config,
     EngineProfile,
     Repeatability,
-    Route,
     Service, //
 };
-use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
     CrashExchange,
     Effect,
     Event,
     IncomingRequest,
-    Options,
     Outcome,
     RetryLimit,
     State, //
 };
 use proptest::prelude::*;
-use utils::clock::ClockReading;
+use routers::{
+    clock,
+    options,
+    request,
+    route,
+    target, //
+};
 use utils::Name;
 use weights::Limits;
 
@@ -61,19 +63,6 @@
 };
 
 fn config() -> Config {
-    let route = Route {
-        name: "look".into(),
-        host: "host.example".into(),
-        prefix: "/look/".into(),
-        repeatability: Repeatability::Idempotent,
-        timeout: Duration::from_secs(6),
-        latency_objective: Duration::from_millis(400),
-        priority: 1,
-        services: vec![("desk".into(), 1)],
-        attempt_limit: 3,
-        allows_anonymous: true,
-        allowed_regions: Vec::new(),
-    };
     let service = |name: &str, engine_profile| {
         let service = Service {
             name: name.into(),
@@ -93,27 +82,12 @@
     };
     Config {
         version: 1,
-        routes: vec![Arc::new(route)],
+        routes: vec![Arc::new(route("look", "desk", Repeatability::Idempotent))],
         services: BTreeMap::from([service("engines", Some(engine)), service("desk", None)]),
         ..Config::default()
     }
 }
 
-fn target(id: &str, service: &str, data_centre: &str, started_at_ms: u64) -> TargetEntry {
-    TargetEntry {
-        id: id.into(),
-        service: service.into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: data_centre.into(),
-        slots: Some(4),
-        is_draining: false,
-        cold_remaining: Duration::ZERO,
-        version: (service == "engines").then_some(1),
-        has_no_weights: false,
-        started_at_ms,
-    }
-}
-
 struct Entry {
     state: State,
     exchanges: Vec<CrashExchange>,
@@ -175,25 +149,14 @@
 
     fn new_entry(&self, number: usize) -> Entry {
         let mut entry = Entry {
-            state: State::new(Options {
-                location: Location {
-                    data_centre: "a".into(),
-                    ..Location::default()
-                },
-                lease_duration: Duration::from_secs(4),
-                version_grace: Duration::from_secs(6),
-                first_event_grace: Duration::from_millis(700),
-                retry_limit: RETRY_LIMIT,
-                uses_reservations: true,
-                seed: number as u64,
-            }),
+            state: State::new(options(RETRY_LIMIT, number as u64)),
             exchanges: vec![CrashExchange::default(); self.agents.len()],
             cut: None,
             in_touch_from: self.now + TOUCH_TIME,
         };
         entry.step(self.now, Event::ConfigRead(Arc::new(config())));
         for agent in 0..self.agents.len() {
-            let listed = target(&agent_name(agent), "engines", data_centre(agent), 1);
+            let listed = target(&agent_name(agent), "engines", data_centre(agent));
             entry.step(self.now, Event::TargetListed(listed));
         }
         entry
@@ -203,15 +166,8 @@
     fn send_crashing_request(&mut self, entry: usize) {
         self.last_token += 1;
         let request = IncomingRequest {
-            token: self.last_token,
-            request_id: format!("r{}", self.last_token).into(),
-            host: "host.example".into(),
-            path: "/look/x".into(),
-            api_key: None,
-            timeout: None,
-            prompt_and_max_answer_tokens: None,
-            last_event_id: None,
             fingerprint: CRASHING,
+            ..request(self.last_token, "/look/x")
         };
         let mut effects = self.entries[entry].step(self.now, Event::RequestReceived(request));
         while effects.iter().any(|e| matches!(e, Effect::Forward(..))) {
@@ -241,7 +197,10 @@
         for entry in &mut self.entries {
             entry.cut = entry.cut.filter(|(_, until)| *until > self.now);
             for (desk, start) in self.desk_starts.iter().enumerate() {
-                let listed = target(&format!("d{desk}"), "desk", "a", *start);
+                let listed = TargetEntry {
+                    started_at_ms: *start,
+                    ..target(&format!("d{desk}"), "desk", "a")
+                };
                 entry.step(self.now, Event::TargetListed(listed));
             }
             entry.step(self.now, Event::Tick);
@@ -269,11 +228,7 @@
 
 impl Entry {
     fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
-        let now = ClockReading {
-            elapsed: now,
-            wall_clock: SystemTime::UNIX_EPOCH,
-        };
-        self.state.step(now, event)
+        self.state.step(clock(now), event)
     }
 
     fn exchange(&mut self, now: Duration, number: usize, agent: &mut Agent) {
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -1,24 +1,20 @@
 //! Requests to targets that say in their answers that they want none.
 
+mod routers;
+
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    SystemTime, //
-};
+use std::time::Duration;
 
 use control::notice::Notice;
 use control::router::config::{
     Config,
     Repeatability,
-    Route,
     Service, //
 };
-use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
     Effect,
     Event,
-    IncomingRequest,
     Options,
     Outcome,
     Rejection,
@@ -26,7 +22,13 @@
     RetryLimit,
     State, //
 };
-use utils::clock::ClockReading;
+use routers::{
+    clock,
+    options,
+    request,
+    route,
+    target, //
+};
 
 const LEAVING: Notice = Notice {
     requests_per_second: None,
@@ -43,21 +45,7 @@
 };
 
 fn config() -> Config {
-    let route = |name: &str, repeatability| {
-        Arc::new(Route {
-            name: name.into(),
-            host: "host.example".into(),
-            prefix: format!("/{name}/").into(),
-            repeatability,
-            timeout: Duration::from_secs(6),
-            latency_objective: Duration::from_millis(400),
-            priority: 1,
-            services: vec![("desk".into(), 1)],
-            attempt_limit: 3,
-            allows_anonymous: true,
-            allowed_regions: Vec::new(),
-        })
-    };
+    let route = |name, repeatability| Arc::new(route(name, "desk", repeatability));
     let service = Service {
         name: "desk".into(),
         cold_rate_per_second: 0.0,
@@ -74,18 +62,11 @@
     }
 }
 
+/// A target in the start at `started_at_ms`.
 fn entry(id: &str, started_at_ms: u64) -> TargetEntry {
     TargetEntry {
-        id: id.into(),
-        service: "desk".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "a".into(),
-        slots: Some(4),
-        is_draining: false,
-        cold_remaining: Duration::ZERO,
-        version: None,
-        has_no_weights: false,
         started_at_ms,
+        ..target(id, "desk", "a")
     }
 }
 
@@ -98,21 +79,14 @@
 impl TestRouter {
     /// Creates a reducer that knows the targets d1 and d2.
     fn new() -> Self {
+        let retry_limit = RetryLimit {
+            retries_per_request: 1.0,
+            extra_retries: 100.0,
+            window: Duration::from_secs(10),
+        };
         let state = State::new(Options {
-            location: Location {
-                data_centre: "a".into(),
-                ..Location::default()
-            },
-            lease_duration: Duration::from_secs(4),
-            version_grace: Duration::from_secs(6),
-            first_event_grace: Duration::from_millis(700),
-            retry_limit: RetryLimit {
-                retries_per_request: 1.0,
-                extra_retries: 100.0,
-                window: Duration::from_secs(10),
-            },
             uses_reservations: false,
-            seed: 1,
+            ..options(retry_limit, 1)
         });
         let mut router = Self {
             state,
@@ -126,27 +100,13 @@
     }
 
     fn step(&mut self, event: Event) -> Vec<Effect> {
-        let now = ClockReading {
-            elapsed: self.now,
-            wall_clock: SystemTime::UNIX_EPOCH,
-        };
-        self.state.step(now, event)
+        self.state.step(clock(self.now), event)
     }
 
     fn handle_request(&mut self, route: &str) -> Vec<Effect> {
         self.last_token += 1;
-        let token = self.last_token;
-        self.step(Event::RequestReceived(IncomingRequest {
-            token,
-            request_id: format!("r{token}").into(),
-            host: "host.example".into(),
-            path: format!("/{route}/x").into(),
-            api_key: None,
-            timeout: None,
-            prompt_and_max_answer_tokens: None,
-            last_event_id: None,
-            fingerprint: token,
-        }))
+        let request = request(self.last_token, &format!("/{route}/x"));
+        self.step(Event::RequestReceived(request))
     }
 
     /// Handles a request. Returns its token and the target that it is sent to, if it is.
--- a/components/control/tests/retry_shares.rs
+++ b/components/control/tests/retry_shares.rs
@@ -1,31 +1,32 @@
 //! Sums over all entries, which do not see each other's requests, against what operators allow.
 
+mod routers;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    SystemTime, //
-};
+use std::time::Duration;
 
 use control::router::config::{
     Config,
     Repeatability,
-    Route,
     Service, //
 };
-use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
     Effect,
     Event,
-    IncomingRequest,
-    Options,
     Outcome,
     RetryLimit,
     State, //
 };
 use proptest::prelude::*;
-use utils::clock::ClockReading;
+use routers::{
+    clock,
+    options,
+    request,
+    route,
+    target, //
+};
 
 /// What operators allow all processes together: retries for each request, and extra retries in any
 /// window of this length.
@@ -43,19 +44,6 @@
 const ALLOWED_COLD_REQUESTS: f64 = 1.5 * COLD_RATE + 5.0;
 
 fn config() -> Config {
-    let route = |name: &str, service: &str| Route {
-        name: name.into(),
-        host: "host.example".into(),
-        prefix: format!("/{name}/").into(),
-        repeatability: Repeatability::Idempotent,
-        timeout: Duration::from_secs(6),
-        latency_objective: Duration::from_millis(400),
-        priority: 1,
-        services: vec![(service.into(), 1)],
-        attempt_limit: 3,
-        allows_anonymous: true,
-        allowed_regions: Vec::new(),
-    };
     let service = |name: &str| Service {
         name: name.into(),
         cold_rate_per_second: COLD_RATE,
@@ -64,7 +52,7 @@
     Config {
         version: 1,
         routes: [("look", "desk"), ("cold", "cold")]
-            .map(|(name, service)| Arc::new(route(name, service)))
+            .map(|(name, service)| Arc::new(route(name, service, Repeatability::Idempotent)))
             .to_vec(),
         services: ["desk", "cold"]
             .map(|name| (name.into(), Arc::new(service(name))))
@@ -73,32 +61,12 @@
     }
 }
 
-fn target(id: &str, service: &str) -> TargetEntry {
+/// A target whose slots do not limit its requests.
+fn large_target(id: &str, service: &str) -> TargetEntry {
     TargetEntry {
-        id: id.into(),
-        service: service.into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "a".into(),
         slots: Some(1000),
-        is_draining: false,
-        cold_remaining: Duration::ZERO,
         version: None,
-        has_no_weights: false,
-        started_at_ms: 1,
-    }
-}
-
-fn request(token: u64, path: &str) -> IncomingRequest {
-    IncomingRequest {
-        token,
-        request_id: format!("r{token}").into(),
-        host: "host.example".into(),
-        path: path.into(),
-        api_key: None,
-        timeout: None,
-        prompt_and_max_answer_tokens: None,
-        last_event_id: None,
-        fingerprint: token,
+        ..target(id, service, "a")
     }
 }
 
@@ -110,40 +78,26 @@
 
 impl Entry {
     fn new(now: Duration, number: usize, is_alone: bool) -> Self {
-        let state = State::new(Options {
-            location: Location {
-                data_centre: "a".into(),
-                ..Location::default()
-            },
-            lease_duration: Duration::from_secs(4),
-            version_grace: Duration::from_secs(6),
-            first_event_grace: Duration::from_millis(700),
-            retry_limit: RetryLimit {
-                retries_per_request: RETRY_RATIO,
-                extra_retries: EXTRA_RETRIES,
-                window: WINDOW,
-            },
-            uses_reservations: true,
-            seed: number as u64,
-        });
+        let retry_limit = RetryLimit {
+            retries_per_request: RETRY_RATIO,
+            extra_retries: EXTRA_RETRIES,
+            window: WINDOW,
+        };
+        let state = State::new(options(retry_limit, number as u64));
         let mut entry = Self { state, is_alone };
         entry.step(now, Event::ConfigRead(Arc::new(config())));
         for desk in 0..DESKS {
             entry.step(
                 now,
-                Event::TargetListed(target(&format!("d{desk}"), "desk")),
+                Event::TargetListed(large_target(&format!("d{desk}"), "desk")),
             );
         }
-        entry.step(now, Event::TargetListed(target("e1", "engines")));
+        entry.step(now, Event::TargetListed(large_target("e1", "engines")));
         entry
     }
 
     fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
-        let now = ClockReading {
-            elapsed: now,
-            wall_clock: SystemTime::UNIX_EPOCH,
-        };
-        self.state.step(now, event)
+        self.state.step(clock(now), event)
     }
 
     /// Tells the entry how many processes use the agents.
@@ -202,7 +156,7 @@
             let mut sends = 0;
             for entry in &mut fleet {
                 entry.hear_from_agent(now, entries);
-                let mut cold = target("c1", "cold");
+                let mut cold = large_target("c1", "cold");
                 cold.cold_remaining = Duration::from_secs(10);
                 entry.step(now, Event::TargetListed(cold));
                 for _ in 0..200 / entries {
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -1,11 +1,10 @@
 //! Tests of the reducer that forwards requests: dispatch, rejections and retries.
 
+mod routers;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    SystemTime, //
-};
+use std::time::Duration;
 
 use control::notice::Notice;
 use control::router::config::{
@@ -32,7 +31,10 @@
     State, //
 };
 use protocol::Backlog;
-use utils::clock::ClockReading;
+use routers::{
+    clock,
+    target, //
+};
 
 const LEASE: Duration = Duration::from_secs(4);
 
@@ -50,17 +52,9 @@
 
 fn route(name: &str, service: &str, repeatability: Repeatability) -> Arc<Route> {
     Arc::new(Route {
-        name: name.into(),
-        host: "host.example".into(),
-        prefix: format!("/{name}/").into(),
-        repeatability,
-        timeout: ms(6000),
-        latency_objective: ms(400),
-        priority: 1,
-        services: vec![(service.into(), 1)],
         attempt_limit: 2,
         allows_anonymous: name == "open",
-        allowed_regions: Vec::new(),
+        ..routers::route(name, service, repeatability)
     })
 }
 
@@ -105,16 +99,8 @@
 
 fn entry(id: &str, service: &str, data_centre: &str) -> TargetEntry {
     TargetEntry {
-        id: id.into(),
-        service: service.into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: data_centre.into(),
-        slots: Some(4),
-        is_draining: false,
-        cold_remaining: Duration::ZERO,
-        version: (service == "engines").then_some(1),
-        has_no_weights: false,
         started_at_ms: 7,
+        ..target(id, service, data_centre)
     }
 }
 
@@ -209,11 +195,7 @@
     }
 
     fn step(&mut self, event: Event) -> Vec<Effect> {
-        let now = ClockReading {
-            elapsed: self.now,
-            wall_clock: SystemTime::UNIX_EPOCH,
-        };
-        self.state.step(now, event)
+        self.state.step(clock(self.now), event)
     }
 
     fn receive_with(
--- /dev/null
+++ b/components/control/tests/routers/mod.rs
@@ -0,0 +1,93 @@
+//! Configurations, targets and requests for the tests of the reducer that forwards requests.
+
+#![allow(dead_code, reason = "each test program uses a part of this module")]
+
+use std::time::{
+    Duration,
+    SystemTime, //
+};
+
+use control::router::config::{
+    Repeatability,
+    Route, //
+};
+use control::router::selection::Location;
+use control::router::targets::TargetEntry;
+use control::router::{
+    IncomingRequest,
+    Options,
+    RetryLimit, //
+};
+use utils::clock::ClockReading;
+
+/// The time `elapsed` after the start of the clock.
+pub fn clock(elapsed: Duration) -> ClockReading {
+    ClockReading {
+        elapsed,
+        wall_clock: SystemTime::UNIX_EPOCH,
+    }
+}
+
+/// The options of a process in data centre `a`, which reserves capacity with agents.
+pub fn options(retry_limit: RetryLimit, seed: u64) -> Options {
+    Options {
+        location: Location {
+            data_centre: "a".into(),
+            ..Location::default()
+        },
+        lease_duration: Duration::from_secs(4),
+        version_grace: Duration::from_secs(6),
+        first_event_grace: Duration::from_millis(700),
+        retry_limit,
+        uses_reservations: true,
+        seed,
+    }
+}
+
+/// A route for `/NAME/`, which needs no key.
+pub fn route(name: &str, service: &str, repeatability: Repeatability) -> Route {
+    Route {
+        name: name.into(),
+        host: "host.example".into(),
+        prefix: format!("/{name}/").into(),
+        repeatability,
+        timeout: Duration::from_secs(6),
+        latency_objective: Duration::from_millis(400),
+        priority: 1,
+        services: vec![(service.into(), 1)],
+        attempt_limit: 3,
+        allows_anonymous: true,
+        allowed_regions: Vec::new(),
+    }
+}
+
+/// A target in its first start, which runs version 1 if it is one of the `engines`.
+pub fn target(id: &str, service: &str, data_centre: &str) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: service.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: data_centre.into(),
+        slots: Some(4),
+        is_draining: false,
+        cold_remaining: Duration::ZERO,
+        version: (service == "engines").then_some(1),
+        has_no_weights: false,
+        started_at_ms: 1,
+    }
+}
+
+/// A request without a key, unlike all others.
+pub fn request(token: u64, path: &str) -> IncomingRequest {
+    IncomingRequest {
+        token,
+        request_id: format!("r{token}").into(),
+        host: "host.example".into(),
+        path: path.into(),
+        api_key: None,
+        timeout: None,
+        prompt_and_max_answer_tokens: None,
+        last_event_id: None,
+        fingerprint: token,
+    }
+}
