--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -49,8 +49,11 @@
 const ENGINES: usize = 3;
 const DESKS: usize = 4;
 
-/// The path of the request that crashes targets, on a route whose requests run at most once.
-const CRASHING_PATH: &str = "/order/crash";
+/// The request that crashes targets, on a route whose requests run at most once.
+const CRASHING_ORDER: (&str, &str) = ("POST", "/order/crash");
+
+/// The same on a route whose requests are sent to a second target after a crash.
+const CRASHING_LOOKUP: (&str, &str) = ("GET", "/look/crash");
 
 /// `touch_ms` of the platform: what a process must have learned within this time counts for it.
 const TOUCH_TIME: Duration = Duration::from_secs(3);
@@ -101,7 +104,7 @@
     ) -> Vec<ResponseStep> {
         let mut starts = self.starts.lock().unwrap();
         let target = Target::service(&self.name(*starts), &Runs::default());
-        if request.path != CRASHING_PATH || target.rejects(request) {
+        if !request.path.ends_with("/crash") || target.rejects(request) {
             return target.respond(request);
         }
         *self.crashes.lock().unwrap() += 1;
@@ -174,12 +177,12 @@
     }
 
     /// Sends a request to an entry and returns its answer, or nothing if there is none.
-    async fn send(&self, entry: usize, path: &str) -> String {
+    async fn send(&self, entry: usize, (method, path): (&str, &str)) -> String {
         let ip = &self.entries[entry].addresses.ip;
         let Ok(mut tcp) = TcpStream::connect(format!("{ip}:{CALLERS_PORT}")).await else {
             return String::new();
         };
-        let text = request_text("POST", path, "r-1", API_KEYS[0]);
+        let text = request_text(method, path, "r-1", API_KEYS[0]);
         let mut buf = vec![0; 4096];
         let exchange = async {
             tcp.write_all(text.as_bytes()).await?;
@@ -191,7 +194,11 @@
 
     async fn wait_until_serving(&mut self, entry: usize) {
         let serving = async {
-            while !self.send(entry, "/order/x").await.contains("200 OK") {
+            while !self
+                .send(entry, ("POST", "/order/x"))
+                .await
+                .contains("200 OK")
+            {
                 sleep(Duration::from_millis(50)).await;
             }
         };
@@ -220,23 +227,33 @@
 
 struct Case {
     name: &'static str,
+    request: (&'static str, &'static str),
     restarts_agents: bool,
     restarts_entries: bool,
 }
 
-const CASES: [Case; 3] = [
+const CASES: [Case; 4] = [
     Case {
         name: "no restart",
+        request: CRASHING_ORDER,
+        restarts_agents: false,
+        restarts_entries: false,
+    },
+    Case {
+        name: "repeatable, no restart",
+        request: CRASHING_LOOKUP,
         restarts_agents: false,
         restarts_entries: false,
     },
     Case {
         name: "entries restarted in turn",
+        request: CRASHING_ORDER,
         restarts_agents: false,
         restarts_entries: true,
     },
     Case {
         name: "agents restarted, then entries in turn",
+        request: CRASHING_ORDER,
         restarts_agents: true,
         restarts_entries: true,
     },
@@ -247,7 +264,7 @@
     let mut fleet = Fleet::start(number).await;
     let mut entry = 0;
     while fleet.crash_count() < 3 && entry < 3 * ENTRIES {
-        fleet.send(entry % ENTRIES, CRASHING_PATH).await;
+        fleet.send(entry % ENTRIES, case.request).await;
         entry += 1;
     }
     sleep(TOUCH_TIME).await;
@@ -259,7 +276,7 @@
         fleet.restart_entries().await;
     }
     for entry in 0..3 * ENTRIES {
-        fleet.send(entry % ENTRIES, CRASHING_PATH).await;
+        fleet.send(entry % ENTRIES, case.request).await;
     }
     fleet.crash_count() - before
 }
