--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -322,7 +322,11 @@
     }
 
     pub(super) fn record_suspect(&self, crash: &protocol::Crash, effects: &mut Vec<Effect>) {
-        effects.push(Effect::Record(self.suspects.decision(crash, None)));
+        effects.push(Effect::Record(self.suspects.decision(
+            crash,
+            None,
+            Vec::new(),
+        )));
     }
 
     fn step_transfer(
--- a/components/control/src/crash_suspects.rs
+++ b/components/control/src/crash_suspects.rs
@@ -8,7 +8,8 @@
 
 use protocol::{
     Crash,
-    Fingerprint, //
+    Fingerprint,
+    PromptPartId, //
 };
 use record::Decision;
 use utils::Name;
@@ -107,20 +108,27 @@
         let mut decisions = Vec::new();
         for crash in crashes {
             if self.record_crash(now, crash) {
-                decisions.push(self.decision(crash, None));
+                decisions.push(self.decision(crash, None, Vec::new()));
             }
         }
         decisions
     }
 
-    /// The line of the record for a crash, and the request if this process sent it.
-    pub fn decision(&self, crash: &Crash, request: Option<Name>) -> Decision {
+    /// The line of the record for a crash, with the request and the shared parts of its prompt if
+    /// this process sent it.
+    pub fn decision(
+        &self,
+        crash: &Crash,
+        request: Option<Name>,
+        prompt_parts: Vec<PromptPartId>,
+    ) -> Decision {
         Decision::Suspect {
             fingerprint: crash.fingerprint,
             target: crash.target.clone(),
             quarantined: self.is_quarantined(crash.fingerprint),
             request,
             crashes: self.uncleared_crashes(crash.fingerprint),
+            prompt_parts,
         }
     }
 
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -139,6 +139,7 @@
                     .saturating_sub(answer_time)
                     .min(timeout),
             fingerprint: request.fingerprint,
+            shared_prompt_parts: request.shared_prompt_parts.clone(),
             tried_targets: Vec::new(),
             may_have_run: false,
             assignment: None,
--- a/components/control/src/router/crashes.rs
+++ b/components/control/src/router/crashes.rs
@@ -12,7 +12,8 @@
 
 use protocol::{
     Crash,
-    Fingerprint, //
+    Fingerprint,
+    PromptPartId, //
 };
 use utils::{
     rank,
@@ -37,6 +38,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct TargetRun {
     pub fingerprint: Fingerprint,
+    pub shared_prompt_parts: Vec<PromptPartId>,
     pub request: Name,
     pub target: Name,
     /// When the target started, in milliseconds since the Unix epoch.
@@ -121,7 +123,9 @@
             is_cleared: false,
         };
         self.suspects.observe_crash(now, &crash);
-        let decision = self.suspects.decision(&crash, Some(run.request));
+        let decision = self
+            .suspects
+            .decision(&crash, Some(run.request), run.shared_prompt_parts);
         effects.push(Effect::Record(decision));
     }
 
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -35,6 +35,7 @@
     Backlog,
     Crash,
     Fingerprint,
+    PromptPartId,
     ReservationTerms, //
 };
 use record::Decision;
@@ -76,6 +77,8 @@
     pub last_event_id: Option<u64>,
     /// The same for all requests of a caller that have the same content.
     pub fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share, in their order.
+    pub shared_prompt_parts: Vec<PromptPartId>,
 }
 
 /// The outcome of sending a request to a target.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -174,6 +174,7 @@
         }));
         let run = TargetRun {
             fingerprint: pending.fingerprint,
+            shared_prompt_parts: pending.shared_prompt_parts.clone(),
             request: pending.id.clone(),
             target: id.clone(),
             started_at_ms: pending.target_started_at_ms,
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -5,7 +5,8 @@
 
 use protocol::{
     AcceptableBacklog,
-    Fingerprint, //
+    Fingerprint,
+    PromptPartId, //
 };
 use utils::Name;
 
@@ -51,6 +52,8 @@
     pub dispatch_by: Duration,
     pub prompt_tokens: u32,
     pub fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share, in their order.
+    pub shared_prompt_parts: Vec<PromptPartId>,
     /// Targets that it was sent to.
     pub tried_targets: Vec<Name>,
     /// Whether a target may have run it.
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -414,6 +414,7 @@
                 prompt_and_max_answer_tokens: Some((caller.prompt, caller.answer)),
                 last_event_id: None,
                 fingerprint: token,
+                shared_prompt_parts: Vec::new(),
             }),
         );
     }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -215,6 +215,7 @@
             prompt_and_max_answer_tokens: Some((1000, 100)),
             last_event_id: None,
             fingerprint: token,
+            shared_prompt_parts: Vec::new(),
         };
         change(&mut request);
         let effects = self.step(Event::RequestReceived(request));
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -89,5 +89,6 @@
         prompt_and_max_answer_tokens: None,
         last_event_id: None,
         fingerprint: token,
+        shared_prompt_parts: Vec::new(),
     }
 }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -43,5 +43,6 @@
 };
 pub use suspects::{
     Crash,
-    Fingerprint, //
+    Fingerprint,
+    PromptPartId, //
 };
--- a/components/protocol/src/suspects.rs
+++ b/components/protocol/src/suspects.rs
@@ -9,6 +9,10 @@
 /// Identifies requests with the same content for the same model or service.
 pub type Fingerprint = u64;
 
+/// Identifies a part of prompts with the same content, for example a document that many requests
+/// refer to.
+pub type PromptPartId = u64;
+
 /// A crash of a target while it was running a request.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
--- a/components/proxy/src/router/header_codec.rs
+++ b/components/proxy/src/router/header_codec.rs
@@ -8,6 +8,7 @@
 use http::request;
 use http::response;
 use http::HeaderMap;
+use protocol::PromptPartId;
 use utils::Name;
 
 /// What the head of a caller's request says.
@@ -23,6 +24,8 @@
     pub prompt_and_max_answer_tokens: Option<(u32, u32)>,
     /// The number of the last event that the caller already received, if a stream is resumed.
     pub last_event_id: Option<u64>,
+    /// The parts of the prompt that other requests may share, in their order.
+    pub shared_prompt_parts: Vec<PromptPartId>,
 }
 
 /// What the head of a target's response says about the execution of the request.
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -235,6 +235,7 @@
             prompt_and_max_answer_tokens: head.prompt_and_max_answer_tokens,
             last_event_id: head.last_event_id,
             fingerprint,
+            shared_prompt_parts: head.shared_prompt_parts,
         }));
         Ok(request)
     }
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -4,6 +4,7 @@
     Fingerprint,
     Guard,
     Outcome,
+    PromptPartId,
     Refusal, //
 };
 use serde::{
@@ -168,6 +169,9 @@
         /// Number of crashes under such requests that this process knows of and has not cleared.
         #[serde(default)]
         crashes: usize,
+        /// The parts of the request's prompt that other requests may share, if this process sent it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        prompt_parts: Vec<PromptPartId>,
     },
     /// A request during which a target crashed ended normally at another target, so it did not
     /// cause the crash.
--- a/components/record/tests/audit.rs
+++ b/components/record/tests/audit.rs
@@ -303,6 +303,7 @@
                         quarantined: true,
                         request: None,
                         crashes: 2,
+                        prompt_parts: Vec::new(),
                     },
                 ),
                 (2, 1, run(1, Guard::Repeatable)),
