--- a/components/control/src/router/crashes.rs
+++ b/components/control/src/router/crashes.rs
@@ -162,11 +162,10 @@
     /// The crashes after `revision` that are to be reported to the agent of this target: none if
     /// others are to be told instead.
     fn crashes_to_report(&self, now: Duration, target: &Name, revision: u64) -> Vec<Crash> {
-        let crashes = self.suspects.changes_to_report(revision);
-        if crashes.is_empty() || !self.reported_agents(now).contains(target) {
+        if self.crash_revision() <= revision || !self.reported_agents(now).contains(target) {
             return Vec::new();
         }
-        crashes
+        self.suspects.changes_to_report(revision)
     }
 
     /// The targets whose agents this process reports crashes to.
