--- a/components/control/tests/crash_reports.rs
+++ b/components/control/tests/crash_reports.rs
@@ -7,14 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control::controller::{
-    self,
-    Controller,
-    UpdateLimits, //
-};
 use control::router::config::{
     Config,
-    EngineProfile,
     Repeatability,
     Service, //
 };
@@ -31,13 +25,15 @@
 use proptest::prelude::*;
 use routers::{
     clock,
+    engine_service,
+    exchange_crashes,
     options,
     request,
     route,
-    target, //
+    target,
+    Agent, //
 };
 use utils::Name;
-use weights::Limits;
 
 /// The fingerprint of the crashing request.
 const CRASHING: u64 = 666;
@@ -63,27 +59,17 @@
 };
 
 fn config() -> Config {
-    let service = |name: &str, engine_profile| {
-        let service = Service {
-            name: name.into(),
-            cold_rate_per_second: 0.0,
-            engine_profile,
-        };
-        (service.name.clone(), Arc::new(service))
-    };
-    let engine = EngineProfile {
-        model: "m".into(),
-        slots: 4,
-        step_time: Duration::from_millis(10),
-        steps_per_iteration: 5,
-        prefill_chunk_tokens: None,
-        typical_answer_tokens: 100,
-        prefill_tokens_per_second: 20_000.0,
+    let desk = Service {
+        name: "desk".into(),
+        cold_rate_per_second: 0.0,
+        engine_profile: None,
     };
+    let services = [engine_service(), desk];
+    let services = services.map(|service| (service.name.clone(), Arc::new(service)));
     Config {
         version: 1,
         routes: vec![Arc::new(route("look", "desk", Repeatability::Idempotent))],
-        services: BTreeMap::from([service("engines", Some(engine)), service("desk", None)]),
+        services: BTreeMap::from(services),
         ..Config::default()
     }
 }
@@ -96,11 +82,6 @@
     in_touch_from: Duration,
 }
 
-struct Agent {
-    state: Controller,
-    incarnation: u64,
-}
-
 struct Fleet {
     now: Duration,
     entries: Vec<Entry>,
@@ -133,18 +114,7 @@
     }
 
     fn new_agent(&self, number: usize) -> Agent {
-        Agent {
-            state: Controller::new(
-                agent_name(number),
-                Limits::default(),
-                UpdateLimits {
-                    old_version_time: Duration::from_secs(7),
-                    download_bytes_per_second: 1e6,
-                },
-                false,
-            ),
-            incarnation: self.now.as_millis() as u64,
-        }
+        Agent::new(self.now, &agent_name(number))
     }
 
     fn new_entry(&self, number: usize) -> Entry {
@@ -243,16 +213,7 @@
             },
         );
         let exchange = &mut self.exchanges[number];
-        let own_revision = self.state.crash_revision();
-        let crashes = exchange.crashes_to_report(now, &self.state, &id);
-        let reported = (!crashes.is_empty()).then_some(own_revision);
-        if reported.is_some() {
-            let event = controller::Event::CrashesReported(crashes);
-            agent.state.step(now, event);
-        }
-        let received = agent.state.crashes_after(exchange.received());
-        exchange.handle_reply(agent.incarnation, agent.state.crash_revision(), reported);
-        self.step(now, Event::CrashesReported(received));
+        exchange_crashes(now, &id, &mut self.state, exchange, agent);
     }
 }
 
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -7,18 +7,29 @@
     SystemTime, //
 };
 
+use control::controller::{
+    self,
+    Controller,
+    UpdateLimits, //
+};
 use control::router::config::{
+    EngineProfile,
     Repeatability,
-    Route, //
+    Route,
+    Service, //
 };
 use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
+    CrashExchange,
+    Event,
     IncomingRequest,
     Options,
-    RetryLimit, //
+    RetryLimit,
+    State, //
 };
 use utils::clock::ClockReading;
+use weights::Limits;
 
 /// The time `elapsed` after the start of the clock.
 pub fn clock(elapsed: Duration) -> ClockReading {
@@ -92,3 +103,64 @@
         shared_prompt_parts: Vec::new(),
     }
 }
+
+/// The service `engines`, whose targets serve the model `m`.
+pub fn engine_service() -> Service {
+    Service {
+        name: "engines".into(),
+        cold_rate_per_second: 0.0,
+        engine_profile: Some(EngineProfile {
+            model: "m".into(),
+            slots: 4,
+            step_time: Duration::from_millis(10),
+            steps_per_iteration: 5,
+            prefill_chunk_tokens: None,
+            typical_answer_tokens: 100,
+            prefill_tokens_per_second: 20_000.0,
+        }),
+    }
+}
+
+/// An agent, as far as it passes on crashes.
+pub struct Agent {
+    state: Controller,
+    incarnation: u64,
+}
+
+impl Agent {
+    /// An agent that starts at this time.
+    pub fn new(now: Duration, id: &str) -> Self {
+        let update_limits = UpdateLimits {
+            old_version_time: Duration::from_secs(7),
+            download_bytes_per_second: 1e6,
+        };
+        Self {
+            state: Controller::new(id.into(), Limits::default(), update_limits, false),
+            incarnation: now.as_millis() as u64,
+        }
+    }
+}
+
+/// Exchanges crashes between an entry and the agent of the engine `id`.
+pub fn exchange_crashes(
+    now: Duration,
+    id: &str,
+    entry: &mut State,
+    exchange: &mut CrashExchange,
+    agent: &mut Agent,
+) {
+    let own_revision = entry.crash_revision();
+    let crashes = exchange.crashes_to_report(now, entry, &id.into());
+    let is_known = agent.state.crash_revision() == exchange.received();
+    if crashes.is_empty() && is_known {
+        return;
+    }
+    let reported = (!crashes.is_empty()).then_some(own_revision);
+    if reported.is_some() {
+        let event = controller::Event::CrashesReported(crashes);
+        agent.state.step(now, event);
+    }
+    let received = agent.state.crashes_after(exchange.received());
+    exchange.handle_reply(agent.incarnation, agent.state.crash_revision(), reported);
+    entry.step(clock(now), Event::CrashesReported(received));
+}
