Search for a crashing part only among parts with enough crashes

Each report of crashes examined every suspect, up to 4096, with copies of their crashes. The result is the same; crashing_prompts.rs and the tables of crash_suspects pass.

--- a/components/control/src/crash_suspects/prompt_parts.rs
+++ b/components/control/src/crash_suspects/prompt_parts.rs
@@ -77,10 +77,13 @@
     pub(super) fn update_quarantined_parts(&mut self) -> Vec<Decision> {
         let mut quarantined = BTreeSet::new();
         let mut explained = BTreeSet::new();
-        let joint = self.joint_crashes();
-        while let Some((part, crashes)) = self.next_culprit(&explained, &joint) {
-            quarantined.insert(part);
-            explained.extend(crashes);
+        let candidates = self.candidates();
+        if !candidates.is_empty() {
+            let joint = self.joint_crashes();
+            while let Some((part, crashes)) = self.next_culprit(&candidates, &explained, &joint) {
+                quarantined.insert(part);
+                explained.extend(crashes);
+            }
         }
         let before = std::mem::replace(&mut self.quarantined_parts, quarantined);
         self.explained = explained;
@@ -107,17 +110,29 @@
         }
     }
 
+    /// The parts under which enough targets crashed, whatever the cause.
+    fn candidates(&self) -> Vec<(PromptPartId, &Evidence)> {
+        let parts = self
+            .by_suspect
+            .iter()
+            .filter_map(|(suspect, evidence)| match suspect {
+                Suspect::PromptPart(part) => Some((*part, evidence)),
+                Suspect::Request(_) => None,
+            });
+        let has_enough =
+            |evidence: &Evidence| evidence.uncleared().nth(QUARANTINE_ROUNDS - 1).is_some();
+        parts.filter(|(_, evidence)| has_enough(evidence)).collect()
+    }
+
     /// A part that crashed enough targets in a row, and the crashes under it beyond those that are
     /// `explained`. Of several parts it is the last in its prompt, which the fewest requests share.
     fn next_culprit(
         &self,
+        candidates: &[(PromptPartId, &Evidence)],
         explained: &BTreeSet<CrashId>,
         joint: &BTreeSet<&CrashId>,
     ) -> Option<(PromptPartId, Vec<CrashId>)> {
-        let culprits = self.by_suspect.iter().filter_map(|(suspect, evidence)| {
-            let Suspect::PromptPart(part) = suspect else {
-                return None;
-            };
+        let culprits = candidates.iter().filter_map(|(part, evidence)| {
             let crashes = unexplained(evidence, explained);
             let counted: Vec<_> = crashes.iter().filter(|id| !joint.contains(id)).collect();
             let rounds: BTreeSet<u32> = counted.iter().map(|id| evidence.round(id)).collect();
