Test with real processes: a part of prompts crashes engines

Five entries and three agents; requests whose prompts share a part and a first part crash the engines, each under a new name afterwards. The desks and engines of the fleet are one stand-in.

--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -1,5 +1,5 @@
-//! A request that crashes each target that runs it, sent by its caller to one entry after the other.
-//! The entries and agents are real processes.
+//! A request that crashes each target that runs it, and requests with a part of their prompts that does
+//! so, sent by callers to one entry after the other. The entries and agents are real processes.
 
 #[path = "soak/processes.rs"]
 #[expect(dead_code, reason = "the soak also signals processes")]
@@ -7,6 +7,7 @@
 #[path = "../platform/tests/standin/mod.rs"]
 mod standin;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{
     Arc,
@@ -21,6 +22,8 @@
 };
 use standin::publish::{
     delete_target,
+    has_prompt_part,
+    prompt_request_text,
     publish_config,
     publish_target,
     request_text,
@@ -64,54 +67,93 @@
 /// How long processes may take to start, and callers wait for an answer.
 const TIME_LIMIT: Duration = Duration::from_secs(10);
 
-/// A plain target that crashes when it gets the crashing request and starts again under a new name.
+/// The part of prompts that crashes engines, and the parts of a sound prompt.
+const CRASHING_PART: &str = "bad";
+const SOUND_PARTS: [&str; 3] = ["5", "7", "f1"];
+
+/// The delay between two callers that send requests with the crashing part.
+const CALLER_INTERVAL: Duration = Duration::from_millis(400);
+
+/// A target that crashes when it gets a crashing request and starts again under a new name.
 #[derive(Clone)]
-struct Desk {
+struct CrashingTarget {
     store: Store,
+    service: &'static str,
     number: usize,
     starts: Arc<Mutex<usize>>,
+    target: Arc<Mutex<Target>>,
     crashes: Arc<Mutex<usize>>,
 }
 
-impl Desk {
-    fn name(&self, start: usize) -> String {
-        format!("d-{}-{start}", self.number)
-    }
-
-    async fn start(store: &Store, number: usize, crashes: &Arc<Mutex<usize>>) {
-        let desk = Self {
+impl CrashingTarget {
+    /// Starts a target on an address, and returns the address with its port.
+    async fn start(
+        store: &Store,
+        service: &'static str,
+        number: usize,
+        crashes: &Arc<Mutex<usize>>,
+        address: &str,
+    ) -> SocketAddr {
+        let crashing = Self {
             store: store.clone(),
+            service,
             number,
             starts: Arc::default(),
+            target: Arc::new(Mutex::new(new_target(service, number, 0))),
             crashes: crashes.clone(),
         };
-        let address = Arc::new(Mutex::new(None));
-        let own_address = address.clone();
-        let responder = desk.clone();
-        let bound = listen(move |request| {
+        let address_cell = Arc::new(Mutex::new(None));
+        let own_address = address_cell.clone();
+        let responder = crashing.clone();
+        let bound = listen_on(address, move |request| {
             let address = own_address.lock().unwrap().unwrap();
             responder.respond(request, address)
         })
         .await;
-        *address.lock().unwrap() = Some(bound);
-        publish_target(store, &desk.name(0), "desk", bound, false);
+        *address_cell.lock().unwrap() = Some(bound);
+        publish_target(
+            store,
+            &target_name(service, number, 0),
+            service,
+            bound,
+            false,
+        );
+        bound
     }
 
-    fn respond(
-        &self,
-        request: &ReceivedRequest,
-        address: std::net::SocketAddr,
-    ) -> Vec<ResponseStep> {
+    fn respond(&self, request: &ReceivedRequest, address: SocketAddr) -> Vec<ResponseStep> {
         let mut starts = self.starts.lock().unwrap();
-        let target = Target::service(&self.name(*starts), &Runs::default());
-        if !request.path.ends_with("/crash") || target.rejects(request) {
+        let mut target = self.target.lock().unwrap();
+        let is_crashing =
+            request.path.ends_with("/crash") || has_prompt_part(request, CRASHING_PART);
+        if !is_crashing || target.rejects(request) {
             return target.respond(request);
         }
         *self.crashes.lock().unwrap() += 1;
-        delete_target(&self.store, &self.name(*starts));
+        let name = |start| target_name(self.service, self.number, start);
+        delete_target(&self.store, &name(*starts));
         *starts += 1;
-        publish_target(&self.store, &self.name(*starts), "desk", address, false);
-        vec![ResponseStep::Reset]
+        let begun_answer = target.respond(request).into_iter().take(1);
+        *target = new_target(self.service, self.number, *starts);
+        publish_target(&self.store, &name(*starts), self.service, address, false);
+        if self.service == "engines" {
+            begun_answer.chain([ResponseStep::Reset]).collect()
+        } else {
+            vec![ResponseStep::Reset]
+        }
+    }
+}
+
+fn target_name(service: &str, number: usize, start: usize) -> String {
+    format!("{service}-{number}-{start}")
+}
+
+fn new_target(service: &str, number: usize, start: usize) -> Target {
+    let name = target_name(service, number, start);
+    if service == "engines" {
+        Target::engine(&name, &Runs::default())
+    } else {
+        Target::service(&name, &Runs::default())
     }
 }
 
@@ -126,13 +168,13 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crashing-{number}"));
         std::fs::create_dir_all(&folder).unwrap();
         let run = std::process::id() % 200 + 20;
-        let ip = |host: usize| format!("127.{run}.{}.{host}", 251 + number);
+        let ip = |host: usize| format!("127.{run}.{}.{host}", 240 + number);
         let store = Store::default();
         let origin = listen(standin::engine::handle_origin_request).await;
         publish_config(&store, 1, &API_KEYS, origin);
         let crashes = Arc::default();
         for desk in 0..DESKS {
-            Desk::start(&store, desk, &crashes).await;
+            CrashingTarget::start(&store, "desk", desk, &crashes, "127.0.0.1:0").await;
         }
         let store_address = store.start().await;
         let process = |role, name: String, ip, engine| {
@@ -146,11 +188,8 @@
         };
         let mut agents = Vec::new();
         for i in 0..ENGINES {
-            let id = format!("e-{i}");
-            let engine = Target::engine(&id, &Runs::default());
-            let responder = move |request: &ReceivedRequest| engine.respond(request);
-            let address = listen_on(&format!("{}:8001", ip(100 + i)), responder).await;
-            publish_target(&store, &id, "engines", address, false);
+            let address = format!("{}:8001", ip(100 + i));
+            let address = CrashingTarget::start(&store, "engines", i, &crashes, &address).await;
             agents.push(process(
                 "agent",
                 format!("agent-{i}"),
@@ -176,13 +215,23 @@
         *self.crashes.lock().unwrap()
     }
 
-    /// Sends a request to an entry and returns its answer, or nothing if there is none.
+    /// Sends a request to an entry and returns the beginning of its answer, or nothing if there is none.
     async fn send(&self, entry: usize, (method, path): (&str, &str)) -> String {
+        let text = request_text(method, path, "r-1", API_KEYS[0]);
+        self.exchange(entry, &text).await
+    }
+
+    /// Sends a request whose prompt consists of these parts.
+    async fn send_prompt(&self, entry: usize, parts: &[&str]) -> String {
+        let text = prompt_request_text("r-1", API_KEYS[0], parts);
+        self.exchange(entry, &text).await
+    }
+
+    async fn exchange(&self, entry: usize, text: &str) -> String {
         let ip = &self.entries[entry].addresses.ip;
         let Ok(mut tcp) = TcpStream::connect(format!("{ip}:{CALLERS_PORT}")).await else {
             return String::new();
         };
-        let text = request_text(method, path, "r-1", API_KEYS[0]);
         let mut buf = vec![0; 4096];
         let exchange = async {
             tcp.write_all(text.as_bytes()).await?;
@@ -201,6 +250,13 @@
             {
                 sleep(Duration::from_millis(50)).await;
             }
+            while !self
+                .send_prompt(entry, &SOUND_PARTS)
+                .await
+                .contains("200 OK")
+            {
+                sleep(Duration::from_millis(50)).await;
+            }
         };
         timeout(TIME_LIMIT, serving)
             .await
@@ -296,3 +352,48 @@
     let too_many = late_sends.iter().any(|(_, n)| *n > ALLOWED_LATE_SENDS);
     assert!(!too_many, "late sends: {late_sends:?}");
 }
+
+/// Returns how many engines crashed after the time allowed for learning of the part, and how many of
+/// the sound requests, one to each entry, were answered.
+async fn run_crashing_part(restarts_entries: bool) -> (usize, usize) {
+    let mut fleet = Fleet::start(8 + u8::from(restarts_entries)).await;
+    let own_part = |caller: usize| format!("a{caller}");
+    for caller in 0..3 * ENTRIES {
+        let own = own_part(caller);
+        let parts = [SOUND_PARTS[0], CRASHING_PART, &own];
+        fleet.send_prompt(caller % ENTRIES, &parts).await;
+        sleep(CALLER_INTERVAL).await;
+    }
+    sleep(TOUCH_TIME).await;
+    let before = fleet.crash_count();
+    if restarts_entries {
+        fleet.restart_entries().await;
+    }
+    let mut answered = 0;
+    for entry in 0..ENTRIES {
+        let own = own_part(100 + entry);
+        let parts = [SOUND_PARTS[0], CRASHING_PART, &own];
+        fleet.send_prompt(entry, &parts).await;
+        let answer = fleet.send_prompt(entry, &SOUND_PARTS).await;
+        answered += usize::from(answer.contains("200 OK"));
+    }
+    (fleet.crash_count() - before, answered)
+}
+
+#[test]
+fn part_that_crashed_engines_is_sent_on_by_no_entry_while_sound_requests_are_served() {
+    let runs = [false, true].map(|restarts_entries| {
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Runtime::new().unwrap();
+            runtime.block_on(run_crashing_part(restarts_entries))
+        })
+    });
+    for (run, restarts_entries) in runs.into_iter().zip([false, true]) {
+        let (late_sends, answered) = run.join().unwrap();
+        assert!(
+            late_sends <= ALLOWED_LATE_SENDS,
+            "{late_sends}, {restarts_entries}"
+        );
+        assert_eq!(answered, ENTRIES, "entries restarted: {restarts_entries}");
+    }
+}
