Entries that reach no agent exchange crashes with each other

While no agent could be reached, each entry counted a request's crashes alone, and a chosen agent that had died was told for up to eight seconds what nobody else learned.

Entries call those that the platform names, only while they reach no agent; an agent whose exchange failed is out of reach until it reports again.

--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -46,7 +46,10 @@
 use load::LoadReport;
 use targets::TargetEntry;
 
-pub use crashes::CrashExchange;
+pub use crashes::{
+    CrashExchange,
+    CrashPeer, //
+};
 pub use rejection::RejectionReason;
 pub use retry_share::RetryLimit;
 pub use state::{
@@ -162,8 +165,10 @@
         /// Number of processes that query the agent, and so may send to the target.
         process_count: u32,
     },
-    /// An agent passed on crashes that other processes observed.
+    /// An agent or an entry passed on crashes that other processes observed.
     CrashesReported(Vec<Crash>),
+    /// An exchange of crashes with the agent of this target failed.
+    CrashExchangeFailed(Name),
     /// A caller's request was received completely.
     RequestReceived(IncomingRequest),
     /// The head of an answer was received.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -206,6 +206,7 @@
                 self.update_engine(now, &id, report, &mut effects);
             }
             Event::CrashesReported(crashes) => self.add_crashes(now, &crashes, &mut effects),
+            Event::CrashExchangeFailed(target) => self.handle_exchange_failed(now, &target),
             Event::RequestReceived(request) => self.handle_request(now, request, &mut effects),
             Event::ResponseHead {
                 token,
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -88,6 +88,8 @@
     pub is_agent_unreachable: bool,
     /// When its agent last reported its version.
     pub agent_reported_at: Option<Duration>,
+    /// When an exchange of crashes with its agent last failed.
+    pub agent_failed_at: Option<Duration>,
     /// When it is removed because its entry is missing. Until then it is used, since the list may
     /// be incomplete.
     pub expires_at: Option<Duration>,
@@ -111,6 +113,7 @@
             agent_backoff_until: Duration::ZERO,
             is_agent_unreachable: false,
             agent_reported_at: None,
+            agent_failed_at: None,
             expires_at: None,
             cold_allowance: RateAllowance::default(),
             limit_allowance: RateAllowance::default(),
@@ -136,6 +139,11 @@
         self.agent_reported_at.is_some_and(is_recent)
     }
 
+    /// Whether its agent reported its state recently, and no call of it failed since.
+    pub fn has_reachable_agent(&self, now: Duration) -> bool {
+        self.has_recent_agent_report(now) && self.agent_failed_at <= self.agent_reported_at
+    }
+
     /// Whether the target is in cold start, in which it can handle fewer requests.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.cold_until
--- a/components/control/tests/crash_reports.rs
+++ b/components/control/tests/crash_reports.rs
@@ -15,6 +15,7 @@
 use control::router::targets::TargetEntry;
 use control::router::{
     CrashExchange,
+    CrashPeer,
     Effect,
     Event,
     IncomingRequest,
@@ -274,3 +275,53 @@
         prop_assert!(fleet.late_sends() <= ALLOWED_LATE_SENDS, "{:?}", fleet.sends);
     }
 }
+
+#[test]
+fn other_entries_are_asked_only_while_no_agent_can_be_reached() {
+    struct Case {
+        name: &'static str,
+        /// When the agent of the only engine reported, and when an exchange with it failed, in
+        /// milliseconds before now.
+        reported_ms_ago: Option<u64>,
+        failed_ms_ago: Option<u64>,
+        asks_entries: bool,
+    }
+    let case = |name, reported_ms_ago, failed_ms_ago, asks_entries| Case {
+        name,
+        reported_ms_ago,
+        failed_ms_ago,
+        asks_entries,
+    };
+    let cases = [
+        case("no report yet", None, None, true),
+        case("reported", Some(500), None, false),
+        case("reported long ago", Some(9000), None, true),
+        case("failed since", Some(500), Some(100), true),
+        case("reported since", Some(100), Some(500), false),
+    ];
+    for case in cases {
+        let fleet = Fleet::new(1, 1);
+        let mut state = fleet.new_entry(0).state;
+        let now = fleet.now + Duration::from_secs(20);
+        let reported = Event::EngineReported {
+            id: agent_name(0),
+            version: Some(1),
+            is_switching: false,
+            process_count: 1,
+        };
+        let failed = Event::CrashExchangeFailed(agent_name(0));
+        let mut events = [
+            (case.reported_ms_ago, reported),
+            (case.failed_ms_ago, failed),
+        ];
+        events.sort_by_key(|(ms_ago, _)| std::cmp::Reverse(*ms_ago));
+        for (ms_ago, event) in events {
+            if let Some(ms_ago) = ms_ago {
+                state.step(clock(now - Duration::from_millis(ms_ago)), event);
+            }
+        }
+        let asks_entries = state.exchanges_crashes_with(now, &CrashPeer::Entry);
+        assert_eq!(asks_entries, case.asks_entries, "{}", case.name);
+        assert!(state.exchanges_crashes_with(now, &CrashPeer::Agent(agent_name(0))));
+    }
+}
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -22,6 +22,7 @@
 use control::router::targets::TargetEntry;
 use control::router::{
     CrashExchange,
+    CrashPeer,
     Event,
     IncomingRequest,
     Options,
@@ -150,7 +151,7 @@
     agent: &mut Agent,
 ) {
     let own_revision = entry.crash_revision();
-    let crashes = exchange.crashes_to_report(now, entry, &id.into());
+    let crashes = exchange.crashes_to_report(now, entry, &CrashPeer::Agent(id.into()));
     let is_known = agent.state.crash_revision() == exchange.received();
     if crashes.is_empty() && is_known {
         return;
--- a/components/proxy/src/controller/crashes.rs
+++ b/components/proxy/src/controller/crashes.rs
@@ -9,32 +9,31 @@
 };
 use wire::Responder;
 
-use super::peers::MAX_STATUS_WAIT;
 use super::{
     lock,
     Agent, //
 };
+use crate::crash_replies::wait_for_crashes;
 
 impl Agent {
     /// Adds the reported crashes and replies with those beyond `known_revision`. Without a report,
-    /// the reply waits for such crashes, or for `MAX_STATUS_WAIT`.
+    /// the reply waits for such crashes, but not for ever.
     pub(super) async fn answer_crashes(
         self: &Arc<Self>,
         known_revision: u64,
         reported: Vec<Crash>,
         mut responder: Responder,
     ) {
-        if reported.is_empty() {
-            let mut revision = self.crash_revision.subscribe();
-            let changed = revision.wait_for(|revision| *revision > known_revision);
-            let waited = tokio::select! {
-                waited = tokio::time::timeout(MAX_STATUS_WAIT, changed) => waited,
-                () = responder.wait_closed() => return,
-            };
-            // Releases the read lock on the revision, which must not be held during the reply.
-            drop(waited);
-        } else {
+        if !reported.is_empty() {
             self.handle_event(Event::CrashesReported(reported));
+        } else if !wait_for_crashes(
+            self.crash_revision.subscribe(),
+            known_revision,
+            &mut responder,
+        )
+        .await
+        {
+            return;
         }
         let now = self.clock.now().elapsed;
         let reply = {
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 mod control_thread;
 pub mod controller;
+mod crash_replies;
 pub mod entry;
 mod error;
 pub mod feed;
--- a/components/proxy/src/router/crashes.rs
+++ b/components/proxy/src/router/crashes.rs
@@ -1,39 +1,48 @@
-//! Exchanges crashes of targets with the agents.
+//! Exchanges crashes of targets with the agents, or with other entries while no agent is reached.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use control::router::{
     CrashExchange,
-    EngineTarget,
+    CrashPeer,
     Event, //
 };
 use protocol::{
     Crash,
+    Envelope,
     Reply,
     Request, //
 };
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use wire::Responder;
 
 use super::engines::{
     AGENT_TIMEOUT,
     RETRY_DELAY, //
 };
 use super::Router;
+use crate::crash_replies::wait_for_crashes;
 
 /// The delay before a new crash is reported, so that all requests of the crashed target are
 /// reported together.
 const REPORT_DELAY: Duration = Duration::from_millis(50);
 
-/// Exchanges crashes with the agent of one engine while the future is polled.
-pub(super) async fn exchange_crashes(router: Router, engine: EngineTarget, agent: SocketAddr) {
+/// Exchanges crashes with a process at an address while the future is polled.
+pub(super) async fn exchange_crashes(router: Router, peer: CrashPeer, address: SocketAddr) {
     let mut exchange = CrashExchange::default();
     loop {
+        if !router.exchanges_crashes_with(&peer) {
+            tokio::time::sleep(RETRY_DELAY).await;
+            continue;
+        }
         let own_revision = router.inner.state.borrow().crash_revision();
-        let crashes = router.crashes_to_report(&engine, &exchange);
+        let crashes = router.crashes_to_report(&peer, &exchange);
         let is_report = !crashes.is_empty();
         let reply = tokio::select! {
-            reply = router.call_crashes(agent, exchange.received(), crashes) => reply,
-            () = router.wait_for_crashes_to_report(&engine, &exchange), if !is_report => continue,
+            reply = router.call_crashes(address, exchange.received(), crashes) => reply,
+            () = router.wait_for_crashes_to_report(&peer, &exchange), if !is_report => continue,
         };
         match reply {
             Some((incarnation, revision)) => {
@@ -41,6 +50,10 @@
                 exchange.handle_reply(incarnation, revision, reported);
             }
             None => {
+                if let CrashPeer::Agent(target) = &peer {
+                    router.handle_event(Event::CrashExchangeFailed(target.clone()));
+                    router.check_crashes_to_report();
+                }
                 exchange = CrashExchange::default();
                 tokio::time::sleep(RETRY_DELAY).await;
             }
@@ -48,6 +61,66 @@
     }
 }
 
+/// Exchanges crashes with other entries while the future is polled: calls those whose addresses are
+/// known, and answers the calls that arrive at the listener.
+pub async fn exchange_crashes_with_entries(
+    router: Router,
+    listener: TcpListener,
+    known_entries: Vec<SocketAddr>,
+) {
+    let own_address = listener.local_addr().ok();
+    for entry in known_entries {
+        if Some(entry) != own_address {
+            let exchange = exchange_crashes(router.clone(), CrashPeer::Entry, entry);
+            tokio::task::spawn_local(exchange);
+        }
+    }
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let serving = wire::serve(listener, move |request, responder| {
+        // The receiver lives as long as the listener.
+        let _sent = tx.send((request, responder));
+        std::future::ready(())
+    });
+    let answering = async {
+        while let Some((request, responder)) = rx.recv().await {
+            tokio::task::spawn_local(answer(router.clone(), request, responder));
+        }
+    };
+    tokio::join!(serving, answering);
+}
+
+async fn answer(router: Router, request: Envelope<Request>, mut responder: Responder) {
+    let reply = match request.body {
+        Request::Crashes {
+            known_revision,
+            reported,
+        } => {
+            if !reported.is_empty() {
+                router.handle_event(Event::CrashesReported(reported));
+            } else if !wait_for_crashes(
+                router.inner.crash_revision.subscribe(),
+                known_revision,
+                &mut responder,
+            )
+            .await
+            {
+                return;
+            }
+            router.crashes_after(known_revision)
+        }
+        _ => Reply::Unsupported,
+    };
+    let envelope = Envelope {
+        sender: router.inner.agent_client.instance.clone(),
+        sheet_version: router.inner.state.borrow().config_version(),
+        list_revision: 0,
+        body: reply,
+    };
+    if let Err(e) = responder.send_last(&envelope).await {
+        log::debug!("cannot send crashes to {}: {e}", request.sender);
+    }
+}
+
 impl Router {
     /// Wakes the exchanges with all agents, since agents that became reachable or unreachable
     /// change which of them are told of crashes.
@@ -57,27 +130,41 @@
         }
     }
 
-    fn crashes_to_report(&self, engine: &EngineTarget, exchange: &CrashExchange) -> Vec<Crash> {
+    fn exchanges_crashes_with(&self, peer: &CrashPeer) -> bool {
+        let state = self.inner.state.borrow();
+        state.exchanges_crashes_with(self.elapsed(), peer)
+    }
+
+    fn crashes_after(&self, known_revision: u64) -> Reply {
+        let state = self.inner.state.borrow();
+        Reply::Crashes {
+            incarnation: self.inner.incarnation,
+            revision: state.crash_revision(),
+            crashes: state.crashes_after(self.elapsed(), known_revision),
+        }
+    }
+
+    fn crashes_to_report(&self, peer: &CrashPeer, exchange: &CrashExchange) -> Vec<Crash> {
         let state = self.inner.state.borrow();
-        exchange.crashes_to_report(self.elapsed(), &state, &engine.target)
+        exchange.crashes_to_report(self.elapsed(), &state, peer)
     }
 
-    async fn wait_for_crashes_to_report(&self, engine: &EngineTarget, exchange: &CrashExchange) {
+    async fn wait_for_crashes_to_report(&self, peer: &CrashPeer, exchange: &CrashExchange) {
         let mut revision = self.inner.crash_revision.subscribe();
         // The sender lives as long as this router.
         while revision.changed().await.is_ok() {
-            if !self.crashes_to_report(engine, exchange).is_empty() {
+            if !self.crashes_to_report(peer, exchange).is_empty() {
                 tokio::time::sleep(REPORT_DELAY).await;
                 return;
             }
         }
     }
 
-    /// Exchanges crashes with an agent and applies its reply. Returns the agent's incarnation and
-    /// revision, or `None` if the call failed.
+    /// Exchanges crashes with a process and applies its reply. Returns its incarnation and revision,
+    /// or `None` if the call failed.
     async fn call_crashes(
         &self,
-        agent: SocketAddr,
+        address: SocketAddr,
         known_revision: u64,
         reported: Vec<Crash>,
     ) -> Option<(u64, u64)> {
@@ -86,7 +173,7 @@
             reported,
         });
         let pool = &self.inner.agent_client.pool;
-        match pool.call(agent, &message, AGENT_TIMEOUT).await {
+        match pool.call(address, &message, AGENT_TIMEOUT).await {
             Ok(call) => match call.reply.body {
                 Reply::Crashes {
                     incarnation,
@@ -97,12 +184,12 @@
                     Some((incarnation, revision))
                 }
                 other => {
-                    log::warn!("unexpected reply of agent {agent}: {other:?}");
+                    log::warn!("unexpected reply of {address}: {other:?}");
                     None
                 }
             },
             Err(e) => {
-                log::debug!("cannot exchange crashes with agent {agent}: {e}");
+                log::debug!("cannot exchange crashes with {address}: {e}");
                 None
             }
         }
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use control::router::{
+    CrashPeer,
     EngineTarget,
     Event, //
 };
@@ -99,7 +100,11 @@
         for engine in engines {
             let agent = agent_client.agent_address(engine.address);
             exchanges.entry(engine.target.clone()).or_insert_with(|| {
-                let exchange = exchange_crashes(router.clone(), engine.clone(), agent);
+                let exchange = exchange_crashes(
+                    router.clone(),
+                    CrashPeer::Agent(engine.target.clone()),
+                    agent,
+                );
                 (engine.clone(), tokio::task::spawn_local(exchange))
             });
             watches.entry(engine.target.clone()).or_insert_with(|| {
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -50,6 +50,7 @@
 use self::pool::ConnectionPool;
 use self::reservations::Reservation;
 
+pub use crashes::exchange_crashes_with_entries;
 pub use engines::{
     run_engine_watches,
     AgentClient, //
@@ -100,6 +101,8 @@
     requests: RefCell<HashMap<u64, mpsc::UnboundedSender<Command>>>,
     next_token: Cell<u64>,
     clock: Arc<dyn Clock>,
+    /// The time of the start of this process, in milliseconds since the Unix epoch.
+    incarnation: u64,
     record_writer: Arc<RecordWriter>,
     header_codec: HeaderCodec,
     pool: ConnectionPool,
@@ -128,6 +131,7 @@
             requests: RefCell::default(),
             next_token: Cell::new(0),
             pool: ConnectionPool::new(clock.clone()),
+            incarnation: clock.now().unix_ms(),
             clock,
             record_writer,
             header_codec,
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -17,6 +17,7 @@
     FeedOptions, //
 };
 use proxy::router::{
+    exchange_crashes_with_entries,
     run_engine_watches,
     serve_callers,
     serve_readiness,
@@ -83,6 +84,12 @@
     let timer = router.clone();
     tokio::task::spawn_local(async move { timer.run_timer().await });
     tokio::task::spawn_local(run_engine_watches(router.clone()));
+    if let Some(address) = settings.entry_peer_address {
+        let known_entries = settings.known_entries.clone();
+        let exchange =
+            exchange_crashes_with_entries(router.clone(), listen(address)?, known_entries);
+        tokio::task::spawn_local(exchange);
+    }
     let shutdown = ShutdownSignal::default();
     tokio::task::spawn_local(serve_callers(
         router.clone(),
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -52,6 +52,9 @@
 const ENGINES: usize = 3;
 const DESKS: usize = 4;
 
+/// The entries whose addresses all processes know.
+const SEEDS: usize = 3;
+
 /// The request that crashes targets, on a route whose requests run at most once.
 const CRASHING_ORDER: (&str, &str) = ("POST", "/order/crash");
 
@@ -164,7 +167,7 @@
 }
 
 impl Fleet {
-    async fn start(number: u8) -> Self {
+    async fn start(number: u8, has_agents: bool) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crashing-{number}"));
         std::fs::create_dir_all(&folder).unwrap();
         let run = std::process::id() % 200 + 20;
@@ -177,12 +180,13 @@
             CrashingTarget::start(&store, "desk", desk, &crashes, "127.0.0.1:0").await;
         }
         let store_address = store.start().await;
-        let process = |role, name: String, ip, engine| {
+        let process = |role, name: String, own_ip, engine| {
             let addresses = ProcessAddresses {
                 name,
-                ip,
+                ip: own_ip,
                 store: store_address,
                 engine,
+                seeds: (0..SEEDS).map(|i| ip(10 + i)).collect(),
             };
             Process::start(&folder, role, addresses)
         };
@@ -190,12 +194,10 @@
         for i in 0..ENGINES {
             let address = format!("{}:8001", ip(100 + i));
             let address = CrashingTarget::start(&store, "engines", i, &crashes, &address).await;
-            agents.push(process(
-                "agent",
-                format!("agent-{i}"),
-                ip(100 + i),
-                Some(address),
-            ));
+            if has_agents {
+                let name = format!("agent-{i}");
+                agents.push(process("agent", name, ip(100 + i), Some(address)));
+            }
         }
         let entries = (0..ENTRIES)
             .map(|i| process("entry", format!("entry-{i}"), ip(10 + i), None))
@@ -283,32 +285,51 @@
 
 struct Case {
     name: &'static str,
+    has_agents: bool,
     request: (&'static str, &'static str),
     restarts_agents: bool,
     restarts_entries: bool,
 }
 
-const CASES: [Case; 4] = [
+const CASES: [Case; 6] = [
     Case {
         name: "no restart",
+        has_agents: true,
         request: CRASHING_ORDER,
         restarts_agents: false,
         restarts_entries: false,
     },
     Case {
         name: "repeatable, no restart",
+        has_agents: true,
         request: CRASHING_LOOKUP,
         restarts_agents: false,
         restarts_entries: false,
     },
+    Case {
+        name: "no agents",
+        has_agents: false,
+        request: CRASHING_ORDER,
+        restarts_agents: false,
+        restarts_entries: false,
+    },
+    Case {
+        name: "no agents, entries restarted in turn",
+        has_agents: false,
+        request: CRASHING_ORDER,
+        restarts_agents: false,
+        restarts_entries: true,
+    },
     Case {
         name: "entries restarted in turn",
+        has_agents: true,
         request: CRASHING_ORDER,
         restarts_agents: false,
         restarts_entries: true,
     },
     Case {
         name: "agents restarted, then entries in turn",
+        has_agents: true,
         request: CRASHING_ORDER,
         restarts_agents: true,
         restarts_entries: true,
@@ -317,7 +338,7 @@
 
 /// Returns how often the request was sent to targets after the time allowed for learning of it.
 async fn run_case(number: u8, case: &Case) -> usize {
-    let mut fleet = Fleet::start(number).await;
+    let mut fleet = Fleet::start(number, case.has_agents).await;
     let mut entry = 0;
     while fleet.crash_count() < 3 && entry < 3 * ENTRIES {
         fleet.send(entry % ENTRIES, case.request).await;
@@ -356,7 +377,7 @@
 /// Returns how many engines crashed after the time allowed for learning of the part, and how many of
 /// the sound requests, one to each entry, were answered.
 async fn run_crashing_part(restarts_entries: bool) -> (usize, usize) {
-    let mut fleet = Fleet::start(8 + u8::from(restarts_entries)).await;
+    let mut fleet = Fleet::start(8 + u8::from(restarts_entries), true).await;
     let own_part = |caller: usize| format!("a{caller}");
     for caller in 0..3 * ENTRIES {
         let own = own_part(caller);
--- a/tests/soak/environment.rs
+++ b/tests/soak/environment.rs
@@ -197,6 +197,7 @@
             ip,
             store: proxy.address(),
             engine,
+            seeds: (0..ENTRIES.min(3)).map(|i| self.ip(10 + i)).collect(),
         };
         self.store_proxies.push(proxy);
         self.processes
