--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 pub mod config;
+mod crash_exchange;
 mod crashes;
 mod dispatch;
 mod first_attempts;
@@ -46,7 +47,7 @@
 use load::LoadReport;
 use targets::TargetEntry;
 
-pub use crashes::{
+pub use crash_exchange::{
     CrashExchange,
     CrashPeer, //
 };
