Forget crashes one by one when they are ten minutes old

A part of prompts that is always in use kept every crash under it, and each report repeated them all, since only its last crash decided when it was forgotten. The new table test holds more than ten crashes of ten minutes before this change. Quarantine ends as before, ten minutes after the crashes.

--- a/components/control/src/crash_suspects/evidence.rs
+++ b/components/control/src/crash_suspects/evidence.rs
@@ -69,6 +69,16 @@
         is_new
     }
 
+    /// Removes the crashes that are not to be kept.
+    pub fn retain_crashes(&mut self, is_kept: impl Fn(&CrashId) -> bool) {
+        self.by_id.retain(|id, _| is_kept(id));
+    }
+
+    /// Whether no crash is left.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
     /// Marks all crashes as not caused by the suspect.
     pub fn clear(&mut self, now: Duration) {
         self.learned_at = now;
--- a/components/control/src/crash_suspects/mod.rs
+++ b/components/control/src/crash_suspects/mod.rs
@@ -33,7 +33,7 @@
 /// the other.
 const CRASH_PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
-/// How long a request stays suspected after the last crash was learned.
+/// How long a crash counts.
 const SUSPICION_TIME: Duration = Duration::from_secs(600);
 
 /// How long a crash is included in heartbeats.
@@ -78,6 +78,9 @@
 impl CrashSuspects {
     /// Adds a crash. Returns whether the report contains anything new.
     pub fn record_crash(&mut self, now: Duration, crash: &Crash) -> bool {
+        if Duration::from_millis(crash.age_ms) >= SUSPICION_TIME {
+            return false;
+        }
         let evidence = self.by_suspect.entry(crash.suspect).or_default();
         let is_new = evidence.add(now, crash);
         if is_new {
@@ -183,25 +186,32 @@
             })
     }
 
-    /// Removes suspects whose last crash was learned long ago, and those that are too many. Returns
-    /// the decisions to write to the record.
+    /// Removes crashes of long ago, and suspects that are too many. Returns the decisions to write to
+    /// the record.
     pub fn expire(&mut self, now: Duration) -> Vec<Decision> {
-        let count = self.by_suspect.len();
-        self.by_suspect
-            .retain(|_, evidence| now.saturating_sub(evidence.learned_at) < SUSPICION_TIME);
+        let crash_count = self.ended_at.len();
         self.ended_at
             .retain(|_, at| time_since(now, *at) < SUSPICION_TIME);
-        self.remove_excess();
-        if self.by_suspect.len() == count {
-            return Vec::new();
+        let has_expired = self.ended_at.len() < crash_count;
+        if has_expired {
+            let ended_at = &self.ended_at;
+            self.by_suspect.retain(|_, evidence| {
+                evidence.retain_crashes(|id| ended_at.contains_key(id));
+                !evidence.is_empty()
+            });
+        }
+        if self.remove_excess() || has_expired {
+            self.update_quarantined_parts()
+        } else {
+            Vec::new()
         }
-        self.update_quarantined_parts()
     }
 
-    fn remove_excess(&mut self) {
+    /// Removes suspects beyond the maximum number. Returns whether there were any.
+    fn remove_excess(&mut self) -> bool {
         let excess = self.by_suspect.len().saturating_sub(MAX_SUSPECTS);
         if excess == 0 {
-            return;
+            return false;
         }
         let mut order: Vec<_> = self
             .by_suspect
@@ -212,6 +222,7 @@
         for (_, _, suspect) in order.into_iter().take(excess) {
             self.by_suspect.remove(&suspect);
         }
+        true
     }
 
     /// Sets the number of targets that may crash.
--- a/components/control/src/crash_suspects/tests.rs
+++ b/components/control/src/crash_suspects/tests.rs
@@ -257,3 +257,19 @@
     started_later.add_reported(ms(10), &reported);
     assert!(started_later.is_part_quarantined(PART));
 }
+
+#[test]
+fn crashes_of_long_ago_are_forgotten_though_their_part_is_still_seen() {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..100 {
+        let at = ms(60_000 * number);
+        let (_, crash) = part_crash(0, &number.to_string(), 1);
+        suspects.add_reported(at, &[crash]);
+        suspects.clear_parts(at, &[PART]);
+        suspects.expire(at);
+        assert!(
+            suspects.changes_after(at, 0).len() <= 10,
+            "after {number} crashes"
+        );
+    }
+}
