Report only the crashes that changed, and clear parts locally after one crash

Now a report holds the crashes that changed; all of a suspect when its quarantine begins or ends. A part with a single crash is cleared by each entry itself, and others are told only after two, before which no quarantine can come. The two new tables hold this.

--- a/components/control/src/crash_suspects/evidence.rs
+++ b/components/control/src/crash_suspects/evidence.rs
@@ -29,6 +29,8 @@
     is_cleared: bool,
     /// By [`time_of_crash`].
     ended_at: Duration,
+    /// The revision of [`super::CrashSuspects`] in which it last changed.
+    revision: u64,
 }
 
 /// What is known of one suspect.
@@ -40,23 +42,28 @@
     /// Whether this process sent a request that was running during one of the crashes, or one that
     /// cleared the suspect.
     pub is_first_hand: bool,
+    /// Whether others are told at once that the suspect was cleared here.
+    pub is_clearing_urgent: bool,
     /// The revision of [`super::CrashSuspects`] in which it last changed.
     pub revision: u64,
 }
 
 impl Evidence {
-    /// Adds a crash. Returns whether it says anything new.
-    pub fn add(&mut self, now: Duration, crash: &Crash) -> bool {
+    /// Adds a crash, which is noted as changed in `revision` if it says anything new. Returns whether
+    /// it does.
+    pub fn add(&mut self, now: Duration, crash: &Crash, revision: u64) -> bool {
         self.position = self.position.max(crash.position);
         let id = (crash.target.clone(), crash.start_count);
         let added = CrashState {
             round: crash.round,
             is_cleared: crash.is_cleared,
             ended_at: time_of_crash(now, crash),
+            revision,
         };
         let Some(known) = self.by_id.get_mut(&id) else {
             self.by_id.insert(id, added);
             self.learned_at = now;
+            self.revision = revision;
             return true;
         };
         let is_new = (added.is_cleared && !known.is_cleared) || added.round > known.round;
@@ -65,6 +72,8 @@
         known.ended_at = known.ended_at.min(added.ended_at);
         if is_new {
             self.learned_at = now;
+            self.revision = revision;
+            known.revision = revision;
         }
         is_new
     }
@@ -80,10 +89,20 @@
     }
 
     /// Marks all crashes as not caused by the suspect.
-    pub fn clear(&mut self, now: Duration) {
+    pub fn clear(&mut self, now: Duration, revision: u64) {
         self.learned_at = now;
-        for state in self.by_id.values_mut() {
+        self.revision = revision;
+        for state in self.by_id.values_mut().filter(|state| !state.is_cleared) {
             state.is_cleared = true;
+            state.revision = revision;
+        }
+    }
+
+    /// Notes all crashes as changed, so that they are reported again.
+    pub fn touch(&mut self, revision: u64) {
+        self.revision = revision;
+        for state in self.by_id.values_mut() {
+            state.revision = revision;
         }
     }
 
@@ -107,9 +126,16 @@
         self.by_id.get(id).map_or(0, |state| state.round)
     }
 
-    /// All crashes, as they are reported.
-    pub fn crashes(&self, now: Duration, suspect: Suspect) -> impl Iterator<Item = Crash> + '_ {
-        self.by_id.iter().map(move |(id, state)| Crash {
+    /// The crashes that changed after `revision`, as they are reported.
+    pub fn crashes_after(
+        &self,
+        now: Duration,
+        suspect: Suspect,
+        revision: u64,
+    ) -> impl Iterator<Item = Crash> + '_ {
+        let changed = self.by_id.iter();
+        let changed = changed.filter(move |(_, state)| state.revision > revision);
+        changed.map(move |(id, state)| Crash {
             suspect,
             target: id.0.clone(),
             start_count: id.1,
--- a/components/control/src/crash_suspects/mod.rs
+++ b/components/control/src/crash_suspects/mod.rs
@@ -81,16 +81,22 @@
         if Duration::from_millis(crash.age_ms) >= SUSPICION_TIME {
             return false;
         }
+        let revision = self.revision + 1;
         let evidence = self.by_suspect.entry(crash.suspect).or_default();
-        let is_new = evidence.add(now, crash);
-        if is_new {
-            let id = (crash.target.clone(), crash.start_count);
-            let ended_at = time_of_crash(now, crash);
-            let known = self.ended_at.entry(id).or_insert(ended_at);
-            *known = ended_at.min(*known);
-            self.note_change(crash.suspect);
+        if !evidence.add(now, crash, revision) {
+            return false;
+        }
+        self.revision = revision;
+        let id = (crash.target.clone(), crash.start_count);
+        let ended_at = time_of_crash(now, crash);
+        let known = self.ended_at.entry(id).or_insert(ended_at);
+        *known = ended_at.min(*known);
+        if let Suspect::Request(fingerprint) = crash.suspect {
+            if self.is_quarantined(fingerprint) {
+                self.report_again(crash.suspect);
+            }
         }
-        is_new
+        true
     }
 
     /// Adds crashes during a request that this process sent. Returns the decisions to write to the
@@ -240,13 +246,14 @@
         let all = self.by_suspect.iter();
         let changed = all.filter(|(_, evidence)| evidence.revision > revision);
         changed
-            .flat_map(|(suspect, evidence)| evidence.crashes(now, *suspect))
+            .flat_map(|(suspect, evidence)| evidence.crashes_after(now, *suspect, revision))
             .collect()
     }
 
     /// The changes after `revision` that this process reports to others: those that it made itself,
     /// and those of quarantined suspects, which must outlast the processes that observed them. None
-    /// if they only clear requests: those are reported together with later ones.
+    /// if they only clear suspects and none of that is urgent: those are reported together with later
+    /// ones.
     pub fn changes_to_report(&self, now: Duration, revision: u64) -> Vec<Crash> {
         let is_told = |suspect: &Suspect, evidence: &Evidence| {
             evidence.revision > revision
@@ -257,15 +264,15 @@
             .iter()
             .filter(|(suspect, evidence)| is_told(suspect, evidence))
             .collect();
-        let can_wait = |(suspect, evidence): &(&Suspect, &Evidence)| {
-            matches!(suspect, Suspect::Request(_)) && evidence.uncleared().next().is_none()
+        let can_wait = |(_, evidence): &(&Suspect, &Evidence)| {
+            evidence.uncleared().next().is_none() && !evidence.is_clearing_urgent
         };
         if changed.iter().all(can_wait) {
             return Vec::new();
         }
         let changed = changed.into_iter();
         changed
-            .flat_map(|(suspect, evidence)| evidence.crashes(now, *suspect))
+            .flat_map(|(suspect, evidence)| evidence.crashes_after(now, *suspect, revision))
             .collect()
     }
 
@@ -276,7 +283,7 @@
             if now.saturating_sub(evidence.learned_at) >= MAX_GOSSIP_AGE {
                 continue;
             }
-            let crashes = evidence.crashes(now, *suspect);
+            let crashes = evidence.crashes_after(now, *suspect, 0);
             recent.extend(crashes.map(|crash| (evidence.learned_at, crash)));
         }
         recent.sort_by(|a, b| b.cmp(a));
@@ -303,16 +310,17 @@
 
     /// Marks all crashes of a suspect as not caused by it.
     fn clear(&mut self, now: Duration, suspect: Suspect) {
+        self.revision += 1;
         if let Some(evidence) = self.by_suspect.get_mut(&suspect) {
-            evidence.clear(now);
-            self.note_change(suspect);
+            evidence.clear(now, self.revision);
         }
     }
 
-    fn note_change(&mut self, suspect: Suspect) {
+    /// Reports all crashes of a suspect to others again, which may not know all of them.
+    fn report_again(&mut self, suspect: Suspect) {
         self.revision += 1;
         if let Some(evidence) = self.by_suspect.get_mut(&suspect) {
-            evidence.revision = self.revision;
+            evidence.touch(self.revision);
         }
     }
 }
--- a/components/control/src/crash_suspects/prompt_parts.rs
+++ b/components/control/src/crash_suspects/prompt_parts.rs
@@ -60,7 +60,10 @@
             let suspect = Suspect::PromptPart(*part);
             let evidence = self.by_suspect.get_mut(&suspect);
             if let Some(evidence) = evidence.filter(|e| e.uncleared().next().is_some()) {
-                evidence.is_first_hand = true;
+                // After one crash others need not be told at once: they clear the part themselves.
+                let is_urgent = evidence.uncleared().nth(1).is_some();
+                evidence.is_clearing_urgent = is_urgent;
+                evidence.is_first_hand |= is_urgent;
                 self.clear(now, suspect);
                 is_changed = true;
             }
@@ -92,8 +95,7 @@
             .copied()
             .collect();
         for part in &changed {
-            // Others are told again, since they may not know all crashes.
-            self.note_change(Suspect::PromptPart(*part));
+            self.report_again(Suspect::PromptPart(*part));
         }
         changed
             .iter()
--- a/components/control/src/crash_suspects/tests.rs
+++ b/components/control/src/crash_suspects/tests.rs
@@ -273,3 +273,33 @@
         );
     }
 }
+
+#[test]
+fn only_the_crashes_that_changed_are_reported() {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..50 {
+        let before = suspects.revision();
+        let (_, crash) = part_crash(0, &number.to_string(), 1);
+        let at = ms(1000 * number);
+        suspects.observe_crashes(at, &[crash]);
+        assert_eq!(suspects.changes_to_report(at, before).len(), 1);
+        let before = suspects.revision();
+        suspects.clear_parts(at, &[PART]);
+        assert_eq!(suspects.changes_after(at, before).len(), 1);
+        // Another entry clears the part itself after a single crash.
+        assert!(suspects.changes_to_report(at, before).is_empty());
+    }
+}
+
+#[test]
+fn clearing_after_several_crashes_is_reported_at_once() {
+    let mut suspects = CrashSuspects::default();
+    for (at, crash) in [part_crash(1000, "a", 1), part_crash(2000, "b", 2)] {
+        suspects.add_reported(ms(at), &[crash]);
+    }
+    let before = suspects.revision();
+    suspects.clear_parts(ms(3000), &[PART]);
+    let reported = suspects.changes_to_report(ms(3000), before);
+    assert_eq!(reported.len(), 2);
+    assert!(reported.iter().all(|crash| crash.is_cleared));
+}
