One way to take reports of crashes, to make messages, and to leave out explained crashes

Agents and entries answered requests for crashes by two copies of one branch; entries wrote out an envelope that agent_message already makes (now envelope); crashes that a part explains were left out in two places, with copies of their ids for each request that is sent. No behaviour changes; tests are untouched.

--- a/components/control/src/crash_suspects/evidence.rs
+++ b/components/control/src/crash_suspects/evidence.rs
@@ -1,6 +1,9 @@
 //! The crashes during the requests of one suspect.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::time::Duration;
 
 use protocol::{
@@ -112,6 +115,14 @@
         all.filter(|(_, state)| !state.is_cleared).map(|(id, _)| id)
     }
 
+    /// The crashes that the suspect may have caused, without those that are `explained` by another.
+    pub fn unexplained<'a>(
+        &'a self,
+        explained: &'a BTreeSet<CrashId>,
+    ) -> impl Iterator<Item = &'a CrashId> {
+        self.uncleared().filter(|id| !explained.contains(*id))
+    }
+
     /// The round of a crash under a request that is sent now, after this crash.
     pub fn round_after(&self, now: Duration, id: &CrashId) -> u32 {
         let Some(state) = self.by_id.get(id) else {
--- a/components/control/src/crash_suspects/mod.rs
+++ b/components/control/src/crash_suspects/mod.rs
@@ -184,12 +184,7 @@
     pub fn uncleared_crashes(&self, fingerprint: Fingerprint) -> usize {
         self.by_suspect
             .get(&Suspect::Request(fingerprint))
-            .map_or(0, |evidence| {
-                evidence
-                    .uncleared()
-                    .filter(|id| !self.explained.contains(id))
-                    .count()
-            })
+            .map_or(0, |evidence| evidence.unexplained(&self.explained).count())
     }
 
     /// Removes crashes of long ago, and suspects that are too many. Returns the decisions to write to
--- a/components/control/src/crash_suspects/prompt_parts.rs
+++ b/components/control/src/crash_suspects/prompt_parts.rs
@@ -47,8 +47,8 @@
         let Some(evidence) = self.by_suspect.get(&Suspect::PromptPart(part)) else {
             return 1;
         };
-        let crashes = unexplained(evidence, &self.explained);
-        let rounds = crashes.iter().map(|id| evidence.round_after(now, id));
+        let crashes = evidence.unexplained(&self.explained);
+        let rounds = crashes.map(|id| evidence.round_after(now, id));
         rounds.max().unwrap_or(1)
     }
 
@@ -135,7 +135,7 @@
         joint: &BTreeSet<&CrashId>,
     ) -> Option<(PromptPartId, Vec<CrashId>)> {
         let culprits = candidates.iter().filter_map(|(part, evidence)| {
-            let crashes = unexplained(evidence, explained);
+            let crashes: Vec<CrashId> = evidence.unexplained(explained).cloned().collect();
             let counted: Vec<_> = crashes.iter().filter(|id| !joint.contains(id)).collect();
             let rounds: BTreeSet<u32> = counted.iter().map(|id| evidence.round(id)).collect();
             let is_culprit = rounds.len() >= QUARANTINE_ROUNDS
@@ -179,8 +179,3 @@
         joint
     }
 }
-
-fn unexplained(evidence: &Evidence, explained: &BTreeSet<CrashId>) -> Vec<CrashId> {
-    let ids = evidence.uncleared().filter(|id| !explained.contains(*id));
-    ids.cloned().collect()
-}
--- a/components/proxy/src/controller/crashes.rs
+++ b/components/proxy/src/controller/crashes.rs
@@ -13,7 +13,7 @@
     lock,
     Agent, //
 };
-use crate::crash_replies::wait_for_crashes;
+use crate::crash_replies::add_or_wait_for_crashes;
 
 impl Agent {
     /// Adds the reported crashes and replies with those beyond `known_revision`. Without a report,
@@ -24,15 +24,14 @@
         reported: Vec<Crash>,
         mut responder: Responder,
     ) {
-        if !reported.is_empty() {
-            self.handle_event(Event::CrashesReported(reported));
-        } else if !wait_for_crashes(
+        let is_awaited = add_or_wait_for_crashes(
+            reported,
+            |crashes| self.handle_event(Event::CrashesReported(crashes)),
             self.crash_revision.subscribe(),
             known_revision,
             &mut responder,
-        )
-        .await
-        {
+        );
+        if !is_awaited.await {
             return;
         }
         let now = self.clock.now().elapsed;
--- a/components/proxy/src/router/crashes.rs
+++ b/components/proxy/src/router/crashes.rs
@@ -23,7 +23,7 @@
     RETRY_DELAY, //
 };
 use super::Router;
-use crate::crash_replies::wait_for_crashes;
+use crate::crash_replies::add_or_wait_for_crashes;
 
 /// The delay before a new crash is reported, so that all requests of the crashed target are
 /// reported together.
@@ -95,28 +95,21 @@
             known_revision,
             reported,
         } => {
-            if !reported.is_empty() {
-                router.handle_event(Event::CrashesReported(reported));
-            } else if !wait_for_crashes(
+            let is_awaited = add_or_wait_for_crashes(
+                reported,
+                |crashes| router.handle_event(Event::CrashesReported(crashes)),
                 router.inner.crash_revision.subscribe(),
                 known_revision,
                 &mut responder,
-            )
-            .await
-            {
+            );
+            if !is_awaited.await {
                 return;
             }
             router.crashes_after(known_revision)
         }
         _ => Reply::Unsupported,
     };
-    let envelope = Envelope {
-        sender: router.inner.agent_client.instance.clone(),
-        sheet_version: router.inner.state.borrow().config_version(),
-        list_revision: 0,
-        body: reply,
-    };
-    if let Err(e) = responder.send_last(&envelope).await {
+    if let Err(e) = responder.send_last(&router.envelope(reply)).await {
         log::debug!("cannot send crashes to {}: {e}", request.sender);
     }
 }
@@ -168,7 +161,7 @@
         known_revision: u64,
         reported: Vec<Crash>,
     ) -> Option<(u64, u64)> {
-        let message = self.agent_message(Request::Crashes {
+        let message = self.envelope(Request::Crashes {
             known_revision,
             reported,
         });
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -155,7 +155,7 @@
         let message = {
             let now = router.elapsed();
             let named = router.inner.state.borrow().named_versions(now);
-            router.agent_message(Request::Engine {
+            router.envelope(Request::Engine {
                 known,
                 named,
                 weight_source: engine.weight_source.clone(),
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -45,7 +45,7 @@
         request: &ReservationRequest,
     ) -> Option<Reservation> {
         let agent = self.inner.agent_client.agent_address(request.address);
-        let message = self.agent_message(Request::Reserve {
+        let message = self.envelope(Request::Reserve {
             prompt_tokens: request.prompt_tokens,
             terms: request.terms,
         });
@@ -101,7 +101,7 @@
     /// Tells the agent in a separate task that the engine has prefilled the prompt.
     pub(super) fn report_prompt_prefilled(&self, reservation: &Reservation) {
         let (agent, number) = (reservation.agent, reservation.number);
-        let message = self.agent_message(Request::PromptPrefilled { number });
+        let message = self.envelope(Request::PromptPrefilled { number });
         let pool = self.inner.agent_client.pool.clone();
         tokio::task::spawn_local(async move {
             if let Err(e) = pool.call(agent, &message, PROMPT_PREFILLED_TIMEOUT).await {
@@ -114,7 +114,8 @@
         });
     }
 
-    pub(super) fn agent_message(&self, body: Request) -> Envelope<Request> {
+    /// Makes a message of this process.
+    pub(super) fn envelope<T>(&self, body: T) -> Envelope<T> {
         Envelope {
             sender: self.inner.agent_client.instance.clone(),
             sheet_version: self.inner.state.borrow().config_version(),
