--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -54,6 +54,19 @@
     pub version: Option<u64>,
     /// Whether it is carrying out an order.
     pub is_busy: bool,
+    /// How long work takes now, in percent of the usual time, if it says so.
+    pub slowness_percent: Option<u16>,
+    /// The use of its memory, if it says so.
+    pub memory: Option<EngineMemory>,
+}
+
+/// The use of an engine's memory, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineMemory {
+    /// Tokens whose memory cannot be freed while their requests run.
+    pub used_tokens: u64,
+    /// Tokens that fit.
+    pub total_tokens: u64,
 }
 
 /// A version of a model. Its key and the number of a piece identify the piece.
--- a/components/control/src/router/load.rs
+++ b/components/control/src/router/load.rs
@@ -24,6 +24,8 @@
     pub running: u32,
     /// Queued requests.
     pub queued: u32,
+    /// How long work takes now, in percent of the usual time, if the target says so.
+    pub slowness_percent: Option<u16>,
 }
 
 /// The estimated load of one target.
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -35,6 +35,7 @@
     AgedLimit,
     Backlog,
     Crash,
+    EngineCondition,
     Fingerprint,
     PromptPartId,
     ReservationTerms, //
@@ -249,6 +250,8 @@
     pub accepts_requests: bool,
     /// The latest limit that the agent knows the engine to name, if the request had one too.
     pub limit: Option<AgedLimit>,
+    /// What the agent knows of the engine.
+    pub condition: EngineCondition,
 }
 
 /// A reservation request to the agent of an engine.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -242,9 +242,12 @@
             Outcome::Busy => {
                 let slots = target.entry.slots.unwrap_or_default();
                 let running = slots.max(target.load.own_requests());
-                target
-                    .load
-                    .apply_report(now, LoadReport { running, queued: 0 });
+                let report = LoadReport {
+                    running,
+                    queued: 0,
+                    slowness_percent: None,
+                };
+                target.load.apply_report(now, report);
             }
             Outcome::WrongVersion => target.entry.version = None,
             Outcome::WrongInstance => {
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -7,6 +7,7 @@
 
 use protocol::{
     Backlog,
+    EngineCondition,
     ReservationTerms, //
 };
 use record::Decision;
@@ -40,6 +41,11 @@
     },
     accepts_requests: true,
     limit: None,
+    condition: EngineCondition {
+        slowness_percent: None,
+        learned_limit: None,
+        waiting: 0,
+    },
 };
 
 impl State {
@@ -71,6 +77,8 @@
                 cold_rate_per_second: selection::fleet_cold_rate(now, target, &pending.service),
                 limit: target.notice.limit_for_others(now),
                 acceptable: selection::acceptable_backlog(now, target, &requirements),
+                claim: None,
+                timing: None,
             },
         };
         if let Some(pending) = self.pending.get_mut(&token) {
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -79,7 +79,7 @@
             staging_succeeds: true,
             engine: EngineReport {
                 version: running,
-                is_busy: false,
+                ..EngineReport::default()
             },
             orders: Vec::new(),
         };
@@ -167,7 +167,7 @@
                 if self.engine.is_busy && self.now >= ordered_at + ms(300) {
                     self.engine = EngineReport {
                         version: Some(version),
-                        is_busy: false,
+                        ..EngineReport::default()
                     };
                 }
             }
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -40,7 +40,10 @@
     RetryLimit,
     State, //
 };
-use protocol::Backlog;
+use protocol::{
+    Backlog,
+    EngineCondition, //
+};
 use rand::{
     Rng,
     SeedableRng, //
@@ -275,6 +278,7 @@
                     backlog: *backlog,
                     accepts_requests: number.is_some() && !simulation.unavailable[*engine],
                     limit: simulation.reservations[*engine].limit(simulation.now),
+                    condition: EngineCondition::default(),
                 });
                 simulation.step(token, Event::ReservationReply { token, reply });
             }
@@ -561,6 +565,7 @@
         let load = LoadReport {
             running: u32::try_from(e.running.len()).unwrap(),
             queued: u32::try_from(e.waiting.len()).unwrap(),
+            slowness_percent: None,
         };
         for token in started {
             if let Some((engine, Some(number), _)) = self.reserved.get(&token) {
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -30,7 +30,10 @@
     RetryLimit,
     State, //
 };
-use protocol::Backlog;
+use protocol::{
+    Backlog,
+    EngineCondition, //
+};
 use routers::{
     clock,
     target, //
@@ -676,6 +679,7 @@
         backlog: Backlog::default(),
         accepts_requests: true,
         limit: None,
+        condition: EngineCondition::default(),
     };
     for (attempt, reply) in [None, None, Some(available)].into_iter().enumerate() {
         // Longer than the backoff after an agent did not answer.
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -2,14 +2,12 @@
 
 mod message;
 mod outcome;
+mod reservation;
 mod serve;
 mod status;
 mod suspects;
 
 pub use message::{
-    AcceptableBacklog,
-    AgedLimit,
-    Backlog,
     EngineStatus,
     Envelope,
     Heartbeat,
@@ -19,7 +17,6 @@
     NamedVersion,
     Reply,
     Request,
-    ReservationTerms,
     Role,
     WeightSource, //
 };
@@ -28,6 +25,16 @@
     Outcome,
     Refusal, //
 };
+pub use reservation::{
+    AcceptableBacklog,
+    AgedLimit,
+    Backlog,
+    Claim,
+    ClaimRank,
+    EngineCondition,
+    ReservationTerms,
+    Timing, //
+};
 pub use serve::{
     Guard,
     ResponseFrame,
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -15,6 +15,12 @@
     TransferReport, //
 };
 
+use crate::reservation::{
+    AgedLimit,
+    Backlog,
+    EngineCondition,
+    ReservationTerms, //
+};
 use crate::serve::{
     ServeRequest,
     Ticket, //
@@ -138,6 +144,15 @@
         backlog: Backlog,
         /// The latest limit that the agent knows the engine to name, if the requester knew of one.
         limit: Option<AgedLimit>,
+        /// What the agent knows of the engine.
+        condition: EngineCondition,
+    },
+    /// The reservation request waits at the agent. [`Reply::Reserved`] follows in the same call.
+    Waiting {
+        /// The work of the engine that precedes the reservation.
+        backlog: Backlog,
+        /// What the agent knows of the engine.
+        condition: EngineCondition,
     },
     /// The report was received.
     Acknowledged,
@@ -156,37 +171,6 @@
     },
 }
 
-/// What a reservation depends on: what the requester knows of the engine, and what it accepts.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ReservationTerms {
-    /// Maximum number of requests per second from all processes together, if limited. The limit
-    /// applies in cold start, and always if it is at least one request per slot and second.
-    pub cold_rate_per_second: Option<u32>,
-    /// The limit that the engine names, if it limits its requests or has done so.
-    pub limit: Option<AgedLimit>,
-    /// The backlog with which the requester would use the reservation.
-    pub acceptable: AcceptableBacklog,
-}
-
-impl Default for ReservationTerms {
-    fn default() -> Self {
-        Self {
-            cold_rate_per_second: None,
-            limit: None,
-            acceptable: AcceptableBacklog::ANY,
-        }
-    }
-}
-
-/// The requests per second that a target says it takes, and the age of that answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct AgedLimit {
-    /// Requests per second that it takes from all processes together, if it limits them.
-    pub requests_per_second: Option<f64>,
-    /// Milliseconds since the target said so.
-    pub age_ms: u64,
-}
-
 /// The source of a model's weights.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightSource {
@@ -209,43 +193,6 @@
     pub age_ms: Option<u64>,
 }
 
-/// Pending work of an engine, from the reservations of all processes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Backlog {
-    /// Number of requests with a reservation.
-    pub requests: u32,
-    /// Number of prompt tokens that the engine has not prefilled yet.
-    pub unprefilled_tokens: u32,
-}
-
-/// The largest backlog with which a request would be sent to an engine. With a larger one the agent
-/// makes no reservation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AcceptableBacklog {
-    /// Maximum number of requests with a reservation.
-    pub requests: u32,
-    /// Maximum number of prompt tokens that the engine has not prefilled yet.
-    pub unprefilled_tokens: u32,
-    /// Up to this number of requests, any number of prompt tokens is acceptable.
-    pub requests_if_late: u32,
-}
-
-impl AcceptableBacklog {
-    /// Accepts any backlog.
-    pub const ANY: Self = Self {
-        requests: u32::MAX,
-        unprefilled_tokens: u32::MAX,
-        requests_if_late: u32::MAX,
-    };
-
-    /// Whether a request would be sent to an engine with this backlog.
-    pub fn includes(&self, backlog: Backlog) -> bool {
-        let is_on_time = backlog.unprefilled_tokens <= self.unprefilled_tokens;
-        backlog.requests <= self.requests
-            && (is_on_time || backlog.requests <= self.requests_if_late)
-    }
-}
-
 /// The status of an engine, as reported by its agent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use protocol::{
+    EngineCondition,
     Reply,
     ReservationTerms, //
 };
@@ -51,6 +52,7 @@
             number,
             backlog,
             limit: limit.filter(|_| terms.limit.is_some()),
+            condition: EngineCondition::default(),
         };
         let Some(number) = number else {
             self.send_reply(responder, reply).await;
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -76,6 +76,7 @@
             number,
             backlog,
             limit,
+            condition,
         } = call.reply.body
         else {
             log::warn!(
@@ -89,6 +90,7 @@
             backlog,
             accepts_requests: number.is_some(),
             limit,
+            condition,
         };
         let reservation = number.map(|number| Reservation {
             agent,
