--- a/components/control/src/router/config.rs
+++ b/components/control/src/router/config.rs
@@ -66,6 +66,8 @@
     pub timeout: Duration,
     /// The latency objective for the answer, or for the first event of a stream.
     pub latency_objective: Duration,
+    /// The longest pause between two events of a stream that is on time, if there is an objective.
+    pub pause_objective: Option<Duration>,
     /// The priority; zero is the most urgent.
     pub priority: u8,
     /// The services among which its requests are split, and their weights.
@@ -120,6 +122,12 @@
     pub typical_answer_tokens: u32,
     /// Prompt tokens prefilled per second.
     pub prefill_tokens_per_second: f64,
+    /// Added to the time of a decode step for each running request.
+    pub step_time_per_request: Option<Duration>,
+    /// Slowdown of a decode step by its context, per thousand tokens, as configured.
+    pub context_slowdown_per_1000_tokens: Option<f64>,
+    /// Tokens that fit into its memory.
+    pub memory_tokens: Option<u64>,
 }
 
 /// Limits on callers' requests and connections.
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -78,6 +78,8 @@
     pub timeout: Option<Duration>,
     /// Tokens of the prompt, and the maximum number of tokens of the answer.
     pub prompt_and_max_answer_tokens: Option<(u32, u32)>,
+    /// The caller's estimate of the tokens of the answer, which is often wrong.
+    pub answer_tokens_hint: Option<u32>,
     /// The last event that the caller has already received.
     pub last_event_id: Option<u64>,
     /// The same for all requests of a caller that have the same content.
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -416,6 +416,7 @@
                 api_key: None,
                 timeout: Some(caller.timeout - waited),
                 prompt_and_max_answer_tokens: Some((caller.prompt, caller.answer)),
+                answer_tokens_hint: None,
                 last_event_id: None,
                 fingerprint: token,
                 shared_prompt_parts: Vec::new(),
@@ -643,6 +644,9 @@
         prefill_chunk_tokens: Some(CHUNK_TOKENS),
         typical_answer_tokens: 92,
         prefill_tokens_per_second: PREFILL_TOKENS_PER_MS * 1000.0,
+        step_time_per_request: None,
+        context_slowdown_per_1000_tokens: None,
+        memory_tokens: None,
     };
     let service = Service {
         name: "engines".into(),
@@ -656,6 +660,7 @@
         repeatability: Repeatability::ResumableStream,
         timeout: CALLER_TIMEOUT,
         latency_objective: LATENCY_OBJECTIVE,
+        pause_objective: None,
         priority: 1,
         services: vec![("engines".into(), 1)],
         attempt_limit: 2,
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -70,6 +70,9 @@
         prefill_chunk_tokens: Some(2048),
         typical_answer_tokens: 100,
         prefill_tokens_per_second: 20_000.0,
+        step_time_per_request: None,
+        context_slowdown_per_1000_tokens: None,
+        memory_tokens: None,
     }
 }
 
@@ -216,6 +219,7 @@
             api_key: Some("key".into()),
             timeout: Some(ms(6000)),
             prompt_and_max_answer_tokens: Some((1000, 100)),
+            answer_tokens_hint: None,
             last_event_id: None,
             fingerprint: token,
             shared_prompt_parts: Vec::new(),
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -65,6 +65,7 @@
         repeatability,
         timeout: Duration::from_secs(6),
         latency_objective: Duration::from_millis(400),
+        pause_objective: None,
         priority: 1,
         services: vec![(service.into(), 1)],
         attempt_limit: 3,
@@ -99,6 +100,7 @@
         api_key: None,
         timeout: None,
         prompt_and_max_answer_tokens: None,
+        answer_tokens_hint: None,
         last_event_id: None,
         fingerprint: token,
         shared_prompt_parts: Vec::new(),
@@ -118,6 +120,9 @@
             prefill_chunk_tokens: None,
             typical_answer_tokens: 100,
             prefill_tokens_per_second: 20_000.0,
+            step_time_per_request: None,
+            context_slowdown_per_1000_tokens: None,
+            memory_tokens: None,
         }),
     }
 }
--- a/components/proxy/src/router/header_codec.rs
+++ b/components/proxy/src/router/header_codec.rs
@@ -22,6 +22,8 @@
     pub timeout: Option<Duration>,
     /// The number of tokens of the prompt, and the maximum number of tokens of the answer.
     pub prompt_and_max_answer_tokens: Option<(u32, u32)>,
+    /// The caller's estimate of the tokens of the answer, which is often wrong.
+    pub answer_tokens_hint: Option<u32>,
     /// The number of the last event that the caller already received, if a stream is resumed.
     pub last_event_id: Option<u64>,
     /// The parts of the prompt that other requests may share, in their order.
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -233,6 +233,7 @@
             api_key: head.api_key,
             timeout: head.timeout,
             prompt_and_max_answer_tokens: head.prompt_and_max_answer_tokens,
+            answer_tokens_hint: head.answer_tokens_hint,
             last_event_id: head.last_event_id,
             fingerprint,
             shared_prompt_parts: head.shared_prompt_parts,
