Reported speed of targets in the selection and in reservations

Cause: engines take 2.5 times as long for some 600 ms at a time. A measured average is too slow for that, so requests were sent to engines that were slow at the moment, and answers came late. Change: TargetLoad uses the slowness that a target reports while it is fresh and agrees with what is measured. Entries name the timing of a request to agents of targets that report it. The agent then reads its engine's report every 200 ms and refuses requests whose answers would be late, or for which the memory would be too small. The simulated engines change their speed, answer at different lengths and have a bounded memory.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -7,6 +7,7 @@
 mod download;
 mod reservations;
 mod schedule;
+pub mod timing;
 
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
     AgedLimit,
     Backlog,
     Crash,
+    EngineCondition,
     EngineStatus,
     NamedVersion,
     ReservationTerms, //
@@ -36,6 +38,7 @@
 };
 pub use self::reservations::Reservations;
 pub use self::schedule::UpdateLimits;
+use self::timing::EngineSpeed;
 
 /// The version that engines run before operators name one.
 const INITIAL_VERSION: u64 = 1;
@@ -198,6 +201,9 @@
     /// Crashes of any targets that entries reported, which are passed on to all entries.
     suspects: CrashSuspects,
     engine: Option<EngineReport>,
+    engine_reported_at: Duration,
+    /// When an entry last asked for a prediction.
+    timing_requested_at: Option<Duration>,
     retry_at: Duration,
     engine_read_at: Duration,
     members_read_at: Option<Duration>,
@@ -216,6 +222,16 @@
 /// The interval of engine reports otherwise. They are cheap, as the engine is on the same instance.
 const ENGINE_READ_INTERVAL_IDLE: Duration = Duration::from_millis(500);
 
+/// The interval of engine reports while entries ask for predictions. Engines change their speed about
+/// every 600 ms.
+const ENGINE_READ_INTERVAL_PREDICTING: Duration = Duration::from_millis(200);
+
+/// How long after a request for a prediction the speed of the engine is followed.
+const SPEED_FOLLOWING_TIME: Duration = Duration::from_secs(5);
+
+/// How long the speed and the memory that an engine reported are used.
+const MAX_SPEED_AGE: Duration = Duration::from_millis(600);
+
 /// The interval of reading the list of engines while pieces are missing.
 const MEMBERS_READ_INTERVAL_DOWNLOADING: Duration = Duration::from_millis(3000);
 
@@ -252,6 +268,8 @@
             reservations: Reservations::default(),
             suspects: CrashSuspects::default(),
             engine: None,
+            engine_reported_at: Duration::ZERO,
+            timing_requested_at: None,
             retry_at: Duration::ZERO,
             engine_read_at: Duration::ZERO,
             members_read_at: None,
@@ -284,13 +302,42 @@
         prompt_tokens: u32,
         terms: &ReservationTerms,
     ) -> (Option<u64>, Backlog) {
-        if !self.reservations.is_allowed(now, terms) || self.status().is_switching {
+        if terms.timing.is_some() {
+            self.timing_requested_at = Some(now);
+            self.reservations.set_speed(self.engine_speed(now));
+        }
+        let is_allowed = self.reservations.is_allowed(now, prompt_tokens, terms);
+        if !is_allowed || self.status().is_switching {
             return (None, self.reservations.backlog());
         }
-        let (number, backlog) = self.reservations.reserve(now, prompt_tokens);
+        let (number, backlog) = self.reservations.reserve(now, prompt_tokens, terms);
         (Some(number), backlog)
     }
 
+    /// What the engine said of its speed and memory, unless that is too old.
+    fn engine_speed(&self, now: Duration) -> EngineSpeed {
+        let is_recent = now.saturating_sub(self.engine_reported_at) < MAX_SPEED_AGE;
+        let report = self.engine.filter(|_| is_recent).unwrap_or_default();
+        EngineSpeed {
+            slowness_percent: report.slowness_percent,
+            memory: report.memory,
+        }
+    }
+
+    /// What the agent knows of the engine, for an entry that asks for a prediction.
+    pub fn condition(&self, now: Duration) -> EngineCondition {
+        EngineCondition {
+            slowness_percent: self.engine_speed(now).slowness_percent,
+            ..EngineCondition::default()
+        }
+    }
+
+    /// Whether entries asked for predictions recently, so that ticks must be frequent.
+    pub fn is_following_speed(&self, now: Duration) -> bool {
+        let is_recent = |at: Duration| now.saturating_sub(at) < SPEED_FOLLOWING_TIME;
+        self.timing_requested_at.is_some_and(is_recent)
+    }
+
     /// The latest limit that any process knows the engine to name, if it limits its requests or has
     /// done so.
     pub fn limit(&self, now: Duration) -> Option<AgedLimit> {
@@ -411,6 +458,8 @@
             || matches!(self.phase, UpdatePhase::Waiting(_));
         let interval = if is_updating {
             ENGINE_READ_INTERVAL_UPDATING
+        } else if self.is_following_speed(now) {
+            ENGINE_READ_INTERVAL_PREDICTING
         } else {
             ENGINE_READ_INTERVAL_IDLE
         };
@@ -558,6 +607,7 @@
             }));
         }
         let previous = std::mem::replace(&mut self.engine, report);
+        self.engine_reported_at = now;
         let Some(report) = report else {
             // An engine that restarts has lost its order.
             if matches!(self.phase, UpdatePhase::Loading(_)) {
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -18,6 +18,12 @@
 
 use crate::notice::TargetNotice;
 
+use super::timing::{
+    self,
+    EngineSpeed,
+    ReservedWork, //
+};
+
 /// The window over which the rate of reservations is counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -34,6 +40,10 @@
     next_number: u64,
     /// The prompt tokens that the engine has not prefilled yet, by reservation number.
     unprefilled_tokens: BTreeMap<u64, u32>,
+    /// The tokens of the prompt and of the expected answer, by reservation number.
+    expected_tokens: BTreeMap<u64, u32>,
+    /// What the engine said of itself recently.
+    speed: EngineSpeed,
     /// When the reservations of the last [`LIMIT_WINDOW`] were made.
     recent: VecDeque<Duration>,
     /// The latest limit that any process knows the engine to name.
@@ -41,9 +51,20 @@
 }
 
 impl Reservations {
-    /// Adds what the requester knows, and decides whether one more reservation is allowed. Those
-    /// released since count as well, so none is made that the process would not use.
-    pub fn is_allowed(&mut self, now: Duration, terms: &ReservationTerms) -> bool {
+    /// Sets what the engine said of itself recently.
+    pub fn set_speed(&mut self, speed: EngineSpeed) {
+        self.speed = speed;
+    }
+
+    /// Adds what the requester knows, and decides whether one more reservation for a prompt of
+    /// `prompt_tokens` is allowed. Those released since count as well, so none is made that the
+    /// process would not use.
+    pub fn is_allowed(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> bool {
         if let Some(limit) = terms.limit {
             self.notice.merge(now, limit);
         }
@@ -58,7 +79,24 @@
             (made_in_last_second as f64) < rate.ceil().max(1.0)
                 && self.made_within(now, LIMIT_WINDOW) < allowed
         });
-        is_below_cold_rate && is_below_limit && terms.acceptable.includes(self.backlog())
+        is_below_cold_rate
+            && is_below_limit
+            && terms.acceptable.includes(self.backlog())
+            && self.is_on_time(prompt_tokens, terms)
+    }
+
+    /// Whether the answer is predicted to be on time, if the requester gave what that depends on.
+    fn is_on_time(&self, prompt_tokens: u32, terms: &ReservationTerms) -> bool {
+        let Some(timing) = &terms.timing else {
+            return true;
+        };
+        let expected_tokens = self.expected_tokens.values().copied();
+        let work = ReservedWork {
+            backlog: self.backlog(),
+            memory_tokens: expected_tokens.map(u64::from).sum(),
+            slots: terms.acceptable.requests.saturating_add(1),
+        };
+        timing::should_accept(timing, &self.speed, &work, prompt_tokens)
     }
 
     /// The latest limit that any process knows the engine to name, if it limits its requests or has
@@ -81,13 +119,21 @@
 
     /// Reserves capacity for a prompt of `prompt_tokens`. Returns the number of the reservation and
     /// the backlog ahead of it.
-    pub fn reserve(&mut self, now: Duration, prompt_tokens: u32) -> (u64, Backlog) {
+    pub fn reserve(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> (u64, Backlog) {
         let backlog = self.backlog();
         let number = self.next_number;
         self.next_number += 1;
         self.forget_old(now);
         self.recent.push_back(now);
         self.unprefilled_tokens.insert(number, prompt_tokens);
+        let answer_tokens = terms.timing.map_or(0, |timing| timing.answer_tokens);
+        let expected_tokens = prompt_tokens.saturating_add(answer_tokens);
+        self.expected_tokens.insert(number, expected_tokens);
         (number, backlog)
     }
 
@@ -102,6 +148,7 @@
     /// Releases a reservation.
     pub fn release(&mut self, number: u64) {
         self.unprefilled_tokens.remove(&number);
+        self.expected_tokens.remove(&number);
     }
 
     /// The reserved requests and the prompt tokens that the engine has not prefilled yet.
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -135,6 +135,7 @@
             prompt_tokens: request
                 .prompt_and_max_answer_tokens
                 .map_or(0, |(prompt, _)| prompt),
+            answer_tokens: answer_tokens(service, request),
             dispatch_by: now
                 + route
                     .latency_objective
@@ -152,6 +153,7 @@
             reservation_attempts: 0,
             acceptable_backlog: AcceptableBacklog::ANY,
             expected_response_time: Duration::ZERO,
+            reported_slowness: None,
             version: None,
             is_prefill_pending: false,
             time_to_first_event: None,
@@ -160,6 +162,15 @@
     }
 }
 
+/// The expected tokens of the answer: the caller's estimate, or else those of a typical answer.
+fn answer_tokens(service: &Service, request: &IncomingRequest) -> u32 {
+    let profile = service.engine_profile.as_ref();
+    let typical = profile.map_or(0, |engine| engine.typical_answer_tokens);
+    let max = request.prompt_and_max_answer_tokens.map(|(_, max)| max);
+    let expected = request.answer_tokens_hint.unwrap_or(typical);
+    expected.min(max.unwrap_or(u32::MAX))
+}
+
 /// The assumed time from sending a request until its answer, or the first event of a stream.
 fn answer_time(service: &Service, request: &IncomingRequest) -> Duration {
     let Some(engine) = &service.engine_profile else {
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -205,8 +205,10 @@
         };
         let expected =
             selection::expected_response_time(now, target, &self.requirements(now, pending));
+        let reported_slowness = target.load.reported_slowness(now);
         if let Some(pending) = self.pending.get_mut(&token) {
             pending.expected_response_time = expected;
+            pending.reported_slowness = reported_slowness;
         }
     }
 
--- a/components/control/src/router/latency.rs
+++ b/components/control/src/router/latency.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::batch::BatchTiming;
+
 use super::config::EngineProfile;
 
 /// Prompt tokens that an engine prefills in one iteration, if the configuration does not say.
@@ -28,20 +30,21 @@
     load: &EngineLoad,
     prompt_tokens: u32,
 ) -> Duration {
-    let iteration_time = engine.step_time * engine.steps_per_iteration.max(1);
     let tokens = load.unprefilled_tokens + f64::from(prompt_tokens);
-    let prefill = saturating_seconds(tokens / engine.prefill_tokens_per_second.max(1.0));
-    let chunk = f64::from(
-        engine
-            .prefill_chunk_tokens
-            .unwrap_or(DEFAULT_PREFILL_CHUNK_TOKENS)
-            .max(1),
-    );
-    let iterations = (tokens / chunk).ceil().max(1.0);
-    // On average half an iteration passes before the engine admits the request. One iteration after
-    // the prefill writes the event.
-    let decode = iteration_time.mul_f64(iterations + 0.5);
-    prefill + decode + slot_wait(engine, load)
+    let first_event = batch_timing(engine).time_to_first_event(tokens);
+    first_event + slot_wait(engine, load)
+}
+
+/// What a batch iteration takes according to the profile, whatever the number of running requests.
+pub fn batch_timing(engine: &EngineProfile) -> BatchTiming {
+    let chunk_tokens = engine
+        .prefill_chunk_tokens
+        .unwrap_or(DEFAULT_PREFILL_CHUNK_TOKENS);
+    BatchTiming {
+        iteration: engine.step_time * engine.steps_per_iteration.max(1),
+        prefill_tokens_per_second: engine.prefill_tokens_per_second,
+        chunk_tokens: f64::from(chunk_tokens.max(1)),
+    }
 }
 
 /// The expected time until a slot is free.
@@ -55,7 +58,3 @@
     let slot_interval = answer_time / load.slots.max(1);
     slot_interval.mul_f64(excess)
 }
-
-fn saturating_seconds(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX)
-}
--- a/components/control/src/router/load.rs
+++ b/components/control/src/router/load.rs
@@ -1,4 +1,8 @@
 //! The estimated load of one target, from this process's requests and from the target's reports.
+//!
+//! Targets of one service differ in speed, and engines become several times slower for a few hundred
+//! milliseconds, several of them at any time. That is shorter than a measured average can follow, so
+//! the slowness that targets report counts as long as it is fresh and agrees with the measurements.
 
 use std::time::Duration;
 
@@ -17,6 +21,28 @@
 /// Bounds of a single measured slowdown, since unrelated causes may delay single answers.
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.6, 4.0);
 
+/// How long a reported slowness counts; its weight falls linearly to zero. Engines change their speed
+/// about this often.
+const SLOWNESS_TTL: Duration = Duration::from_millis(600);
+
+/// Bounds of the ratio of measured to reported slowness that is attributed to the expected times. A
+/// report that differs more is wrong: a slow engine takes 2.5 times as long.
+const BIAS_BOUNDS: (f64, f64) = (0.7, 1.6);
+
+/// Factor between the reported slowness and the moving average from which on a measurement tells which
+/// of the two is right.
+const TELLING_FACTOR: f64 = 1.25;
+
+/// How much a measurement that contradicts the reported slowness takes from the weight of reports.
+const CONTRADICTION_PENALTY: f64 = 0.2;
+
+/// How much a measurement that confirms the reported slowness adds to the weight of reports. It is more
+/// than a contradiction takes, since the speed often changes between the report and the first event.
+const CONFIRMATION_REWARD: f64 = 0.25;
+
+/// Weight of the reports of a target from which on they are passed to its agent.
+const MIN_CREDIBLE_WEIGHT: f64 = 0.5;
+
 /// A target's report of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -43,6 +69,19 @@
     backlog_reported_at: Option<Duration>,
     /// The slowdown minus one, so that the default value zero means no slowdown.
     excess_slowdown: f64,
+    reported_slowness: Option<ReportedSlowness>,
+    /// What measurements that contradict the reported slowness took from its weight, from zero to one.
+    slowness_distrust: f64,
+    /// The ratio of measured to reported slowness, minus one.
+    excess_bias: f64,
+}
+
+/// What a target last reported of its speed.
+#[derive(Clone, Copy, Debug)]
+struct ReportedSlowness {
+    /// How many times as long as usual work takes.
+    factor: f64,
+    at: Duration,
 }
 
 impl TargetLoad {
@@ -70,8 +109,37 @@
 
     /// Applies a load report of the target.
     pub fn apply_report(&mut self, now: Duration, report: LoadReport) {
-        self.other_requests = (report.running + report.queued).saturating_sub(self.own_requests);
+        let requests = report.running.saturating_add(report.queued);
+        self.other_requests = requests.saturating_sub(self.own_requests);
         self.reported_at = Some(now);
+        if let Some(percent) = report.slowness_percent {
+            self.reported_slowness = Some(ReportedSlowness {
+                factor: f64::from(percent) / 100.0,
+                at: now,
+            });
+        }
+    }
+
+    /// Applies the slowness that the agent of the target reports, if the target itself has reported
+    /// one before.
+    pub fn apply_agent_slowness(&mut self, now: Duration, percent: u16) {
+        if let Some(reported) = &mut self.reported_slowness {
+            *reported = ReportedSlowness {
+                factor: f64::from(percent) / 100.0,
+                at: now,
+            };
+        }
+    }
+
+    /// Whether the target reports its slowness, and measurements do not contradict it.
+    pub fn has_credible_slowness(&self) -> bool {
+        self.reported_slowness.is_some() && 1.0 - self.slowness_distrust >= MIN_CREDIBLE_WEIGHT
+    }
+
+    /// The reported slowness as a factor, unless it is too old.
+    pub fn reported_slowness(&self, now: Duration) -> Option<f64> {
+        let reported = self.reported_slowness?;
+        (slowness_weight(now, reported.at) > 0.0).then_some(reported.factor)
     }
 
     /// Applies an agent's report of the backlog ahead of a request of this process with
@@ -92,18 +160,63 @@
         (weight > 0.0).then_some(self.other_unprefilled_tokens as f64 * weight)
     }
 
-    /// Updates the slowdown with the expected and the actual time to a first event.
-    pub fn record_first_event(&mut self, expected: Duration, actual: Duration) {
+    /// Updates the slowdown with the expected and the actual time to a first event. `reported` is the
+    /// slowness that was reported when the request was sent, if there was a fresh report.
+    pub fn record_first_event(
+        &mut self,
+        expected: Duration,
+        actual: Duration,
+        reported: Option<f64>,
+    ) {
         let ratio = actual.as_secs_f64() / expected.as_secs_f64().max(0.001);
         let (min, max) = SLOWDOWN_BOUNDS;
-        self.excess_slowdown += (ratio.clamp(min, max) - self.slowdown()) * SLOWDOWN_WEIGHT;
+        let ratio = ratio.clamp(min, max);
+        if let Some(reported) = reported {
+            self.judge_report(reported, ratio);
+        }
+        self.excess_slowdown += (ratio - self.measured_slowdown()) * SLOWDOWN_WEIGHT;
+    }
+
+    /// Compares what the reported slowness and the moving average predicted with what was measured.
+    fn judge_report(&mut self, reported: f64, measured: f64) {
+        let predicted = reported * self.bias();
+        let average = self.measured_slowdown();
+        if relative_difference(predicted, average) > TELLING_FACTOR {
+            let is_confirmed =
+                relative_difference(predicted, measured) < relative_difference(average, measured);
+            let change = if is_confirmed {
+                -CONFIRMATION_REWARD
+            } else {
+                CONTRADICTION_PENALTY
+            };
+            self.slowness_distrust = (self.slowness_distrust + change).clamp(0.0, 1.0);
+        }
+        let (min, max) = BIAS_BOUNDS;
+        let bias = (measured / reported).clamp(min, max);
+        self.excess_bias += (bias - self.bias()) * SLOWDOWN_WEIGHT;
+    }
+
+    /// How many times as long as expected the target takes to the first event: by its last report,
+    /// as far as that is fresh and measurements do not contradict it, and as measured otherwise.
+    pub fn slowdown(&self, now: Duration) -> f64 {
+        let measured = self.measured_slowdown();
+        let Some(reported) = self.reported_slowness else {
+            return measured;
+        };
+        let weight = slowness_weight(now, reported.at) * (1.0 - self.slowness_distrust);
+        measured + (reported.factor * self.bias() - measured) * weight
     }
 
     /// Moving average of actual over expected times to the first event.
-    pub fn slowdown(&self) -> f64 {
+    fn measured_slowdown(&self) -> f64 {
         1.0 + self.excess_slowdown
     }
 
+    /// Moving average of measured over reported slowness: the error of the expected times.
+    fn bias(&self) -> f64 {
+        1.0 + self.excess_bias
+    }
+
     /// Requests of this process at the target.
     pub fn own_requests(&self) -> u32 {
         self.own_requests
@@ -124,3 +237,14 @@
         f64::from(self.own_requests) + self.other_requests(now)
     }
 }
+
+/// The weight of a slowness that was reported at `at`, from zero to one.
+fn slowness_weight(now: Duration, at: Duration) -> f64 {
+    let age = now.saturating_sub(at);
+    (1.0 - age.as_secs_f64() / SLOWNESS_TTL.as_secs_f64()).max(0.0)
+}
+
+/// The larger of two positive numbers divided by the smaller one.
+fn relative_difference(a: f64, b: f64) -> f64 {
+    (a / b).max(b / a)
+}
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -25,6 +25,7 @@
 mod state;
 pub mod table;
 pub mod targets;
+mod timing;
 mod updates;
 
 use std::net::SocketAddr;
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -126,9 +126,11 @@
             if let (Some((_, since)), Some(target)) = (assignment, target) {
                 let elapsed = now.saturating_sub(*since);
                 pending.time_to_first_event = Some(elapsed);
-                target
-                    .load
-                    .record_first_event(pending.expected_response_time, elapsed);
+                target.load.record_first_event(
+                    pending.expected_response_time,
+                    elapsed,
+                    pending.reported_slowness,
+                );
             }
         }
         self.mark_prefilled(token);
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -55,6 +55,8 @@
     /// The latest time to dispatch it so that its answer is on time.
     pub dispatch_by: Duration,
     pub prompt_tokens: u32,
+    /// Expected tokens of the answer.
+    pub answer_tokens: u32,
     pub fingerprint: Fingerprint,
     /// The parts of the prompt that other requests may share, in their order.
     pub shared_prompt_parts: Vec<PromptPartId>,
@@ -78,6 +80,8 @@
     pub reservation_attempts: u32,
     /// The time to the answer, or to its first event, that was expected at the assigned target.
     pub expected_response_time: Duration,
+    /// The slowness that the assigned target had reported when this was expected.
+    pub reported_slowness: Option<f64>,
     /// The version of the weights that began the answer.
     pub version: Option<u64>,
     /// Whether its prompt still counts as not prefilled at the assigned target.
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -17,6 +17,7 @@
 use super::request_limit;
 use super::selection;
 use super::state::State;
+use super::timing;
 use super::{
     Effect,
     ReservationReply,
@@ -78,7 +79,7 @@
                 limit: target.notice.limit_for_others(now),
                 acceptable: selection::acceptable_backlog(now, target, &requirements),
                 claim: None,
-                timing: None,
+                timing: timing::timing(now, target, pending, &requirements),
             },
         };
         if let Some(pending) = self.pending.get_mut(&token) {
@@ -117,7 +118,12 @@
         }
         if let Some(target) = self.targets.get_mut(&id) {
             match reply {
-                Some(reply) => target.load.apply_backlog(now, reply.backlog, prompt_tokens),
+                Some(reply) => {
+                    target.load.apply_backlog(now, reply.backlog, prompt_tokens);
+                    if let Some(percent) = reply.condition.slowness_percent {
+                        target.load.apply_agent_slowness(now, percent);
+                    }
+                }
                 None => target.agent_backoff_until = now + AGENT_BACKOFF,
             }
             let limit = target.notice.requests_per_second();
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -262,7 +262,7 @@
         return None;
     }
     let expected = expected_response_time(now, target, requirements);
-    let response_time = expected.mul_f64(target.load.slowdown());
+    let response_time = expected.mul_f64(target.load.slowdown(now));
     let is_late = is_late(response_time, requirements);
     let is_busy = target.load.total_requests(now) > max_requests_if_late(target, requirements);
     (!is_late || !is_busy).then_some(Estimate {
@@ -303,7 +303,7 @@
             slots: slots(target, requirements.service),
         };
         let expected = latency::time_to_first_event(engine, &load, requirements.prompt_tokens);
-        !is_late(expected.mul_f64(target.load.slowdown()), requirements)
+        !is_late(expected.mul_f64(target.load.slowdown(now)), requirements)
     };
     let tokens = largest(MAX_ACCEPTABLE_TOKENS, is_on_time);
     AcceptableBacklog {
@@ -332,7 +332,7 @@
 }
 
 /// The expected time to the answer, or to its first event, from the load of the target and the
-/// engine profile of the service. The target's measured slowdown is not included.
+/// engine profile of the service. The target's slowdown is not included.
 pub fn expected_response_time(
     now: Duration,
     target: &Target,
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -17,7 +17,11 @@
     SystemTime, //
 };
 
-use control::controller::Reservations;
+use control::controller::timing::EngineSpeed;
+use control::controller::{
+    EngineMemory,
+    Reservations, //
+};
 use control::notice::Notice;
 use control::router::config::{
     Config,
@@ -58,6 +62,8 @@
 const PREFILL_TOKENS_PER_MS: f64 = 20.7;
 const LATENCY_OBJECTIVE: Duration = Duration::from_millis(450);
 const CALLER_TIMEOUT: Duration = Duration::from_secs(6);
+/// How many times as long as others the long answers are.
+const LONG_ANSWER_FACTOR: u32 = 5;
 
 /// What to simulate.
 #[derive(Clone, Debug)]
@@ -78,9 +84,47 @@
     pub limits: Vec<Limit>,
     /// The share of streams that break after their first event.
     pub broken_share: f64,
+    /// How engines change their speed, if they do.
+    pub speed: Option<SpeedChanges>,
+    /// What engines say of their speed.
+    pub speed_figures: SpeedFigures,
+    /// The longest pause between events of an answer that is on time.
+    pub pause_objective: Option<Duration>,
+    /// Whether a tenth of the answers are several times as long as the others.
+    pub has_long_answers: bool,
+    /// Tokens that fit into the memory of an engine, if that is limited.
+    pub memory_tokens: Option<u64>,
     pub seed: u64,
 }
 
+/// Engines that are slow for a time, as random periods of equal length.
+#[derive(Clone, Copy, Debug)]
+pub struct SpeedChanges {
+    /// The share of the periods in which an engine is slow.
+    pub slow_share: f64,
+    /// How many times as long work takes then.
+    pub factor: f64,
+    pub period: Duration,
+}
+
+/// What engines say of their speed and memory, in answers and to their agents.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SpeedFigures {
+    /// Nothing.
+    #[default]
+    Missing,
+    /// The truth, which agents read every 200 ms.
+    True,
+    /// The truth, which agents know at once.
+    Oracle,
+    /// Always this percentage.
+    Always(u16),
+    /// The opposite of the truth.
+    Inverted,
+    /// Slow as often as in truth, but at other times.
+    Unrelated,
+}
+
 /// Requests per second that an engine says it takes, in all its answers between two times.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -113,6 +157,11 @@
             callers_return: false,
             limits: Vec::new(),
             broken_share: 0.0,
+            speed: None,
+            speed_figures: SpeedFigures::Missing,
+            pause_objective: None,
+            has_long_answers: false,
+            memory_tokens: None,
             seed: 7,
         }
     }
@@ -128,6 +177,11 @@
     /// Requests that got no answer, also when the caller tried once more.
     pub unserved: u32,
     pub longest_time_to_rejection: Duration,
+    /// Requests with long answers, and those of them that were answered.
+    pub long_requests: u32,
+    pub long_answered: u32,
+    /// Requests that an engine preempted because its memory was full.
+    pub preempted: u32,
     pub sends: Vec<Send>,
 }
 
@@ -139,6 +193,7 @@
     timeout: Duration,
     prompt: u32,
     answer: u32,
+    is_long: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -146,8 +201,11 @@
     token: u64,
     unprefilled_tokens: u32,
     remaining_tokens: u32,
-    /// Whether its first event was sent.
-    has_started: bool,
+    /// Tokens that it holds in memory.
+    memory_tokens: u32,
+    /// When its last event was sent.
+    last_event_at: Option<Duration>,
+    longest_pause: Duration,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -169,6 +227,8 @@
     SetUnavailable(usize, bool),
     ReservationReply(u64),
     AgentReports,
+    /// The agents read the reports of their engines.
+    EngineReports,
 }
 
 struct Simulation {
@@ -181,6 +241,8 @@
     callers: HashMap<u64, Caller>,
     /// Requests of callers that return after a rejection.
     returned: HashSet<u64>,
+    /// Requests whose first event was on time.
+    on_time: HashSet<u64>,
     results: Results,
     last_token: u64,
     /// The reservations of each engine's agent.
@@ -189,6 +251,8 @@
     /// ahead of it.
     reserved: HashMap<u64, (usize, Option<u64>, Backlog)>,
     unavailable: Vec<bool>,
+    /// What each agent knows of its engine.
+    known_speed: Vec<EngineCondition>,
     scenario: Scenario,
     started_at: Duration,
     /// When a process first got an answer of an engine with a limit, by process and engine.
@@ -198,6 +262,9 @@
 /// The interval at which agents report their engines' state.
 const AGENT_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The interval at which agents read the reports of their engines while they predict answers.
+const ENGINE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Response time of an agent.
 const AGENT_RESPONSE_TIME: Duration = Duration::from_millis(2);
 
@@ -219,16 +286,18 @@
         rng: Pcg64Mcg::seed_from_u64(scenario.seed),
         callers: HashMap::new(),
         returned: HashSet::new(),
+        on_time: HashSet::new(),
         results: Results::default(),
         last_token: 0,
         reservations: vec![Reservations::default(); scenario.engines],
         reserved: HashMap::new(),
         unavailable: vec![false; scenario.engines],
+        known_speed: vec![EngineCondition::default(); scenario.engines],
         scenario: scenario.clone(),
         started_at: Duration::from_secs(100),
         told_at: HashMap::new(),
     };
-    simulation.step_all(&Event::ConfigRead(Arc::new(config())));
+    simulation.step_all(&Event::ConfigRead(Arc::new(config(scenario))));
     for engine in 0..scenario.engines {
         simulation.step_all(&Event::TargetListed(entry(engine)));
     }
@@ -236,6 +305,9 @@
     if !scenario.limits.is_empty() {
         simulation.schedule(start, SimulationEvent::AgentReports);
     }
+    if scenario.speed_figures != SpeedFigures::Missing {
+        simulation.schedule(start, SimulationEvent::EngineReports);
+    }
     for (engine, from, to) in &scenario.unavailable {
         simulation.schedule(
             start + *from,
@@ -278,10 +350,19 @@
                     backlog: *backlog,
                     accepts_requests: number.is_some() && !simulation.unavailable[*engine],
                     limit: simulation.reservations[*engine].limit(simulation.now),
-                    condition: EngineCondition::default(),
+                    condition: simulation.known_speed[*engine],
                 });
                 simulation.step(token, Event::ReservationReply { token, reply });
             }
+            SimulationEvent::EngineReports => {
+                for engine in 0..scenario.engines {
+                    simulation.read_engine(engine);
+                }
+                if at < start + scenario.duration {
+                    simulation
+                        .schedule(at + ENGINE_REPORT_INTERVAL, SimulationEvent::EngineReports);
+                }
+            }
             SimulationEvent::AgentReports => {
                 simulation.report_engines();
                 if at < start + scenario.duration {
@@ -333,10 +414,13 @@
     fn reserve(&mut self, token: u64, request: &ReservationRequest) {
         self.release(token);
         let engine = usize::from(request.address.port() - FIRST_PORT);
+        if self.scenario.speed_figures == SpeedFigures::Oracle {
+            self.read_engine(engine);
+        }
         let reservations = &mut self.reservations[engine];
         let number = reservations
-            .is_allowed(self.now, &request.terms)
-            .then(|| reservations.reserve(self.now, request.prompt_tokens));
+            .is_allowed(self.now, request.prompt_tokens, &request.terms)
+            .then(|| reservations.reserve(self.now, request.prompt_tokens, &request.terms));
         let (number, backlog) = match number {
             Some((number, backlog)) => (Some(number), backlog),
             None => (None, reservations.backlog()),
@@ -373,7 +457,12 @@
         self.results.requests += 1;
         let random_factor = |rng: &mut Pcg64Mcg| 0.3 + 1.4 * rng.random::<f64>();
         let prompt = (979.0 * random_factor(&mut self.rng)) as u32;
-        let answer = (92.0 * random_factor(&mut self.rng)) as u32;
+        let mut answer = (92.0 * random_factor(&mut self.rng)) as u32;
+        let is_long = self.scenario.has_long_answers && self.rng.random_bool(0.1);
+        if is_long {
+            answer *= LONG_ANSWER_FACTOR;
+            self.results.long_requests += 1;
+        }
         let timeout = if self.scenario.callers_return {
             CALLER_TIMEOUT.mul_f64(self.rng.random_range(0.85..1.0))
         } else {
@@ -384,6 +473,7 @@
             timeout,
             prompt,
             answer,
+            is_long,
         };
         self.callers.insert(token, caller);
         self.receive(token);
@@ -416,7 +506,7 @@
                 api_key: None,
                 timeout: Some(caller.timeout - waited),
                 prompt_and_max_answer_tokens: Some((caller.prompt, caller.answer)),
-                answer_tokens_hint: None,
+                answer_tokens_hint: self.scenario.has_long_answers.then_some(caller.answer),
                 last_event_id: None,
                 fingerprint: token,
                 shared_prompt_parts: Vec::new(),
@@ -494,11 +584,96 @@
             token,
             unprefilled_tokens: prompt,
             remaining_tokens: answer,
-            has_started: false,
+            memory_tokens: 0,
+            last_event_at: None,
+            longest_pause: Duration::ZERO,
         });
         self.start_iteration(engine);
     }
 
+    /// Preempts the newest requests of an engine whose memory is too small for the next iteration.
+    fn preempt(&mut self, engine: usize) {
+        let Some(total) = self.scenario.memory_tokens else {
+            return;
+        };
+        let e = &mut self.engines[engine];
+        let needed = |r: &EngineRequest| u64::from(r.memory_tokens + r.unprefilled_tokens);
+        while e.running.len() > 1 && e.running.iter().map(needed).sum::<u64>() > total {
+            let Some(mut request) = e.running.pop() else {
+                return;
+            };
+            // A request that has not begun only waits.
+            self.results.preempted += u32::from(request.memory_tokens > 0);
+            request.unprefilled_tokens += request.memory_tokens;
+            request.memory_tokens = 0;
+            e.waiting.insert(0, request);
+        }
+    }
+
+    /// When the engine has done what takes it `work` at the usual speed.
+    fn end_of_work(&self, engine: usize, mut work: Duration) -> Duration {
+        let Some(speed) = self.scenario.speed else {
+            return self.now + work;
+        };
+        let mut at = self.now;
+        loop {
+            let (factor, until) = self.factor(engine, at, speed);
+            let time = work.mul_f64(factor);
+            if at + time <= until {
+                return at + time;
+            }
+            work = work.saturating_sub((until - at).div_f64(factor));
+            at = until;
+        }
+    }
+
+    /// How many times as long work takes at a time, and until when that holds.
+    fn factor(&self, engine: usize, at: Duration, speed: SpeedChanges) -> (f64, Duration) {
+        // The periods of the engines begin at different times.
+        let offset = speed.period.mul_f64(engine as f64 * 0.37 % 1.0);
+        let period = (at + offset).as_nanos() / speed.period.as_nanos();
+        let until = speed.period * u32::try_from(period + 1).unwrap() - offset;
+        let key = [self.scenario.seed, engine as u64, period as u64].map(u64::to_be_bytes);
+        let random = Pcg64Mcg::seed_from_u64(utils::rank::hash_key(&key.concat())).random::<f64>();
+        let factor = if random < speed.slow_share {
+            speed.factor
+        } else {
+            1.0
+        };
+        (factor, until.max(at + Duration::from_nanos(1)))
+    }
+
+    /// What an engine says of its speed now, in percent.
+    fn slowness_figure(&self, engine: usize) -> Option<u16> {
+        let speed = self.scenario.speed?;
+        let percent = |engine, at| (self.factor(engine, at, speed).0 * 100.0) as u16;
+        let (truth, slow) = (percent(engine, self.now), (speed.factor * 100.0) as u16);
+        match self.scenario.speed_figures {
+            SpeedFigures::Missing => None,
+            SpeedFigures::True | SpeedFigures::Oracle => Some(truth),
+            SpeedFigures::Always(percent) => Some(percent),
+            SpeedFigures::Inverted => Some(slow + 100 - truth),
+            SpeedFigures::Unrelated => Some(percent(engine + 1000, self.now)),
+        }
+    }
+
+    /// The agent reads the report of its engine.
+    fn read_engine(&mut self, engine: usize) {
+        let slowness_percent = self.slowness_figure(engine);
+        let running = self.engines[engine].running.iter();
+        let used_tokens = running.map(|r| u64::from(r.memory_tokens)).sum();
+        let memory = self.scenario.memory_tokens;
+        let memory = memory.map(|total_tokens| EngineMemory {
+            used_tokens,
+            total_tokens,
+        });
+        self.reservations[engine].set_speed(EngineSpeed {
+            slowness_percent,
+            memory,
+        });
+        self.known_speed[engine].slowness_percent = slowness_percent;
+    }
+
     fn start_iteration(&mut self, engine: usize) {
         let e = &mut self.engines[engine];
         if e.in_iteration {
@@ -510,6 +685,8 @@
         if e.running.is_empty() {
             return;
         }
+        self.preempt(engine);
+        let e = &mut self.engines[engine];
         let mut remaining_tokens = CHUNK_TOKENS;
         e.prefill_tokens = Vec::new();
         for request in &e.running {
@@ -529,7 +706,8 @@
             STEP_TIME
         };
         e.in_iteration = true;
-        let ends_at = self.now + step_time + Duration::from_secs_f64(prefill_seconds);
+        let ends_at =
+            self.end_of_work(engine, step_time + Duration::from_secs_f64(prefill_seconds));
         self.schedule(ends_at, SimulationEvent::IterationEnds(engine));
     }
 
@@ -538,18 +716,26 @@
         e.in_iteration = false;
         let mut started = Vec::new();
         let mut completed = Vec::new();
+        let mut paused = Vec::new();
         for (request, tokens) in e.running.iter_mut().zip(&e.prefill_tokens) {
             if request.unprefilled_tokens > 0 {
                 request.unprefilled_tokens -= tokens;
+                request.memory_tokens += tokens;
                 continue;
             }
-            if !request.has_started {
-                request.has_started = true;
-                started.push(request.token);
+            match request.last_event_at {
+                Some(at) => request.longest_pause = request.longest_pause.max(self.now - at),
+                None => started.push(request.token),
             }
+            request.last_event_at = Some(self.now);
+            request.memory_tokens += STEPS_PER_ITERATION.min(request.remaining_tokens);
             request.remaining_tokens = request.remaining_tokens.saturating_sub(STEPS_PER_ITERATION);
             if request.remaining_tokens == 0 {
                 completed.push(request.token);
+                let limit = self.scenario.pause_objective.unwrap_or(Duration::MAX);
+                if request.longest_pause > limit {
+                    paused.push(request.token);
+                }
             }
         }
         e.running.retain(|request| request.remaining_tokens > 0);
@@ -568,11 +754,18 @@
             queued: u32::try_from(e.waiting.len()).unwrap(),
             slowness_percent: None,
         };
+        let load = LoadReport {
+            slowness_percent: self.slowness_figure(engine),
+            ..load
+        };
         for token in started {
             if let Some((engine, Some(number), _)) = self.reserved.get(&token) {
                 self.reservations[*engine].record_prompt_prefilled(*number);
             }
-            if self.now - self.callers[&token].first_attempt_at <= LATENCY_OBJECTIVE {
+            let caller = self.callers[&token];
+            self.results.long_answered += u32::from(caller.is_long);
+            if self.now - caller.first_attempt_at <= LATENCY_OBJECTIVE {
+                self.on_time.insert(token);
                 self.results.on_time += 1;
             } else {
                 self.results.late += 1;
@@ -586,6 +779,12 @@
             };
             self.end_exchange(token, outcome);
         }
+        for token in paused {
+            if self.on_time.remove(&token) {
+                self.results.on_time -= 1;
+                self.results.late += 1;
+            }
+        }
         for token in completed {
             self.release(token);
             self.end_exchange(token, Outcome::Answered { is_error: false });
@@ -635,7 +834,7 @@
     }
 }
 
-fn config() -> Config {
+fn config(scenario: &Scenario) -> Config {
     let engine_profile = EngineProfile {
         model: "m".into(),
         slots: 16,
@@ -660,7 +859,7 @@
         repeatability: Repeatability::ResumableStream,
         timeout: CALLER_TIMEOUT,
         latency_objective: LATENCY_OBJECTIVE,
-        pause_objective: None,
+        pause_objective: scenario.pause_objective,
         priority: 1,
         services: vec![("engines".into(), 1)],
         attempt_limit: 2,
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -173,7 +173,12 @@
     pub async fn run_timer(self: Arc<Self>) {
         loop {
             self.handle_event(Event::Tick);
-            let interval = if lock(&self.state).is_updating() {
+            let now = self.clock.now().elapsed;
+            let is_busy = {
+                let state = lock(&self.state);
+                state.is_updating() || state.is_following_speed(now)
+            };
+            let interval = if is_busy {
                 BUSY_TICK_INTERVAL
             } else {
                 IDLE_TICK_INTERVAL
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -43,16 +43,20 @@
         mut responder: Responder,
     ) {
         let now = self.clock.now().elapsed;
-        let (number, backlog, limit) = {
+        let (number, backlog, limit, condition) = {
             let mut state = lock(&self.state);
             let (number, backlog) = state.reserve(now, prompt_tokens, terms);
-            (number, backlog, state.limit(now))
+            (number, backlog, state.limit(now), state.condition(now))
         };
         let reply = Reply::Reserved {
             number,
             backlog,
             limit: limit.filter(|_| terms.limit.is_some()),
-            condition: EngineCondition::default(),
+            condition: if terms.timing.is_some() {
+                condition
+            } else {
+                EngineCondition::default()
+            },
         };
         let Some(number) = number else {
             self.send_reply(responder, reply).await;
