--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! state, so the same events always yield the same effects.
 
 pub mod agent;
+pub mod batch;
 pub mod controller;
 pub mod crash_suspects;
 pub mod entry;
@@ -14,6 +15,7 @@
 pub mod notice;
 pub mod retry_budget;
 pub mod router;
+pub mod speed_judge;
 
 pub use crash_suspects::CrashSuspects;
 pub use follower::Follower;
--- a/components/control/src/router/load.rs
+++ b/components/control/src/router/load.rs
@@ -1,9 +1,15 @@
 //! The estimated load of one target, from this process's requests and from the target's reports.
+//!
+//! Targets of one service differ in speed, and engines become several times slower for a few hundred
+//! milliseconds, several of them at any time. That is shorter than a measured average can follow, so
+//! the slowness that targets report counts as long as it is fresh and agrees with the measurements.
 
 use std::time::Duration;
 
 use protocol::Backlog;
 
+use crate::speed_judge::SpeedJudge;
+
 /// How long a load report counts in full; after that its weight is inverse to its age.
 const REPORT_FULL_WEIGHT_TIME: Duration = Duration::from_millis(1500);
 
@@ -11,11 +17,9 @@
 /// zero. An engine prefills a few thousand tokens in this time.
 const BACKLOG_TOKENS_TTL: Duration = Duration::from_millis(300);
 
-/// Weight of the newest first event in the moving average of the slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.15;
-
-/// Bounds of a single measured slowdown, since unrelated causes may delay single answers.
-const SLOWDOWN_BOUNDS: (f64, f64) = (0.6, 4.0);
+/// How long a reported slowness counts; its weight falls linearly to zero. Engines change their speed
+/// about this often.
+const SLOWNESS_TTL: Duration = Duration::from_millis(600);
 
 /// A target's report of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,8 +45,19 @@
     /// Prompt tokens of other processes that are not prefilled, by the agent's last report.
     other_unprefilled_tokens: u64,
     backlog_reported_at: Option<Duration>,
-    /// The slowdown minus one, so that the default value zero means no slowdown.
-    excess_slowdown: f64,
+    /// The measured slowdown, by which the reports are judged.
+    speed: SpeedJudge,
+    reported_slowness: Option<ReportedSlowness>,
+    /// Whether its agent knows no slowness that agrees with the measurements of all processes.
+    is_slowness_disputed: bool,
+}
+
+/// What a target last reported of its speed.
+#[derive(Clone, Copy, Debug)]
+struct ReportedSlowness {
+    /// How many times as long as usual work takes.
+    factor: f64,
+    at: Duration,
 }
 
 impl TargetLoad {
@@ -70,8 +85,39 @@
 
     /// Applies a load report of the target.
     pub fn apply_report(&mut self, now: Duration, report: LoadReport) {
-        self.other_requests = (report.running + report.queued).saturating_sub(self.own_requests);
+        let requests = report.running.saturating_add(report.queued);
+        self.other_requests = requests.saturating_sub(self.own_requests);
         self.reported_at = Some(now);
+        if let Some(percent) = report.slowness_percent {
+            self.reported_slowness = Some(ReportedSlowness {
+                factor: f64::from(percent) / 100.0,
+                at: now,
+            });
+        }
+    }
+
+    /// Applies the slowness that the agent of the target reports, if the target itself has reported
+    /// one before. `None` if the agent knows none that agrees with its measurements; then the target's
+    /// own reports do not count either.
+    pub fn apply_agent_slowness(&mut self, now: Duration, percent: Option<u16>) {
+        self.is_slowness_disputed = percent.is_none();
+        if let (Some(reported), Some(percent)) = (&mut self.reported_slowness, percent) {
+            *reported = ReportedSlowness {
+                factor: f64::from(percent) / 100.0,
+                at: now,
+            };
+        }
+    }
+
+    /// Whether the target reports its slowness.
+    pub fn reports_slowness(&self) -> bool {
+        self.reported_slowness.is_some()
+    }
+
+    /// The reported slowness as a factor, unless it is too old.
+    pub fn reported_slowness(&self, now: Duration) -> Option<f64> {
+        let reported = self.reported_slowness?;
+        (slowness_weight(now, reported.at) > 0.0).then_some(reported.factor)
     }
 
     /// Applies an agent's report of the backlog ahead of a request of this process with
@@ -92,16 +138,28 @@
         (weight > 0.0).then_some(self.other_unprefilled_tokens as f64 * weight)
     }
 
-    /// Updates the slowdown with the expected and the actual time to a first event.
-    pub fn record_first_event(&mut self, expected: Duration, actual: Duration) {
-        let ratio = actual.as_secs_f64() / expected.as_secs_f64().max(0.001);
-        let (min, max) = SLOWDOWN_BOUNDS;
-        self.excess_slowdown += (ratio.clamp(min, max) - self.slowdown()) * SLOWDOWN_WEIGHT;
+    /// Updates the slowdown with the expected and the actual time to a first event. `reported` is the
+    /// slowness that was reported when the request was sent, if there was a fresh report.
+    pub fn record_first_event(
+        &mut self,
+        expected: Duration,
+        actual: Duration,
+        reported: Option<f64>,
+    ) {
+        self.speed.record(expected, actual, reported);
     }
 
-    /// Moving average of actual over expected times to the first event.
-    pub fn slowdown(&self) -> f64 {
-        1.0 + self.excess_slowdown
+    /// How many times as long as expected the target takes to the first event: by its last report,
+    /// as far as that is fresh and measurements do not contradict it, and as measured otherwise.
+    pub fn slowdown(&self, now: Duration) -> f64 {
+        let reported = self
+            .reported_slowness
+            .filter(|_| !self.is_slowness_disputed);
+        let Some(reported) = reported else {
+            return self.speed.measured_slowdown();
+        };
+        let weight = slowness_weight(now, reported.at);
+        self.speed.expected_slowdown(reported.factor, weight)
     }
 
     /// Requests of this process at the target.
@@ -124,3 +182,9 @@
         f64::from(self.own_requests) + self.other_requests(now)
     }
 }
+
+/// The weight of a slowness that was reported at `at`, from zero to one.
+fn slowness_weight(now: Duration, at: Duration) -> f64 {
+    let age = now.saturating_sub(at);
+    (1.0 - age.as_secs_f64() / SLOWNESS_TTL.as_secs_f64()).max(0.0)
+}
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -43,16 +43,20 @@
         mut responder: Responder,
     ) {
         let now = self.clock.now().elapsed;
-        let (number, backlog, limit) = {
+        let (number, backlog, limit, condition) = {
             let mut state = lock(&self.state);
             let (number, backlog) = state.reserve(now, prompt_tokens, terms);
-            (number, backlog, state.limit(now))
+            (number, backlog, state.limit(now), state.condition())
         };
         let reply = Reply::Reserved {
             number,
             backlog,
             limit: limit.filter(|_| terms.limit.is_some()),
-            condition: EngineCondition::default(),
+            condition: if terms.timing.is_some() {
+                condition
+            } else {
+                EngineCondition::default()
+            },
         };
         let Some(number) = number else {
             self.send_reply(responder, reply).await;
@@ -80,7 +84,8 @@
     }
 
     pub(super) async fn answer_prompt_prefilled(&self, number: u64, responder: Responder) {
-        lock(&self.state).record_prompt_prefilled(number);
+        let now = self.clock.now().elapsed;
+        lock(&self.state).record_prompt_prefilled(now, number);
         self.send_reply(responder, Reply::Acknowledged).await;
     }
 }
