--- a/components/control/src/router/config.rs
+++ b/components/control/src/router/config.rs
@@ -101,6 +101,31 @@
     pub cold_rate_per_second: f64,
     /// The profile of its model engines. `None` for a plain service, which has none.
     pub engine_profile: Option<EngineProfile>,
+    /// The network delays between the data centres of its targets and processes, as far as known.
+    pub delays: Delays,
+}
+
+/// One-way network delays between data centres.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delays {
+    by_data_centre: BTreeMap<Name, BTreeMap<Name, Duration>>,
+}
+
+impl Delays {
+    /// Adds the delay between two data centres, which holds both ways. If it was added already, the
+    /// longer one holds.
+    pub fn insert(&mut self, one: &Name, other: &Name, delay: Duration) {
+        for (from, to) in [(one, other), (other, one)] {
+            let delays = self.by_data_centre.entry(from.clone()).or_default();
+            let known = delays.entry(to.clone()).or_default();
+            *known = delay.max(*known);
+        }
+    }
+
+    /// The delays between a data centre and others, or `None` if none is known.
+    pub fn from(&self, data_centre: &str) -> Option<&BTreeMap<Name, Duration>> {
+        self.by_data_centre.get(data_centre)
+    }
 }
 
 /// The performance profile of a model engine, as measured by its operators.
--- a/components/control/tests/crash_reports.rs
+++ b/components/control/tests/crash_reports.rs
@@ -63,6 +63,7 @@
     let desk = Service {
         name: "desk".into(),
         cold_rate_per_second: 0.0,
+        delays: Default::default(),
         engine_profile: None,
     };
     let services = [engine_service(), desk];
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -647,6 +647,7 @@
     let service = Service {
         name: "engines".into(),
         cold_rate_per_second: 36.0,
+        delays: Default::default(),
         engine_profile: Some(engine_profile),
     };
     let route = Route {
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -49,6 +49,7 @@
     let service = Service {
         name: "desk".into(),
         cold_rate_per_second: 0.0,
+        delays: Default::default(),
         engine_profile: None,
     };
     Config {
--- a/components/control/tests/retry_shares.rs
+++ b/components/control/tests/retry_shares.rs
@@ -47,6 +47,7 @@
     let service = |name: &str| Service {
         name: name.into(),
         cold_rate_per_second: COLD_RATE,
+        delays: Default::default(),
         engine_profile: None,
     };
     Config {
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -78,6 +78,7 @@
         let service = Service {
             name: name.into(),
             cold_rate_per_second: 10.0,
+            delays: Default::default(),
             engine_profile,
         };
         (service.name.clone(), Arc::new(service))
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -110,6 +110,7 @@
     Service {
         name: "engines".into(),
         cold_rate_per_second: 0.0,
+        delays: Default::default(),
         engine_profile: Some(EngineProfile {
             model: "m".into(),
             slots: 4,
