Penalties of other data centres from delay and load

Cause: with constant penalties of 60 and 25 ms, requests leave a data centre when errors of the expected response times exceed the penalty. Change: `router::distance` (with Location, from selection.rs) computes the penalty: the delay of all crossings plus a price of 250 or 100 ms. From 0.65 of the own slots on, a growing share of requests, at most half, is exempt from the price towards data centres that are less full by 0.1 to 0.6. The own utilization is counted in the pass over the targets and smoothed by 200 ms; that of others comes from load reports and agents' replies. It acts only for services with delays and a speed report in the last 10 s.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -155,12 +155,14 @@
         let mut rng = Pcg64Mcg::seed_from_u64(self.rng.random());
         let pending = self.pending.get(&token)?;
         let requirements = self.requirements(now, pending);
+        let service = pending.service.name.clone();
         let choice = selection::choose(
             now,
             &self.targets,
             &self.options.location,
             &self.out_data_centres,
             &requirements,
+            self.spillovers.entry(service).or_default(),
             || rng.random(),
         );
         Some(choice)
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod crash_exchange;
 mod crashes;
 mod dispatch;
+pub mod distance;
 mod first_attempts;
 pub mod health;
 pub mod latency;
@@ -26,6 +27,7 @@
 pub mod table;
 pub mod targets;
 mod updates;
+mod utilization;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -4,16 +4,18 @@
 //! otherwise. Capacity counts both running and queued requests, so that requests are not sent to
 //! targets that would reject them.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use protocol::AcceptableBacklog;
 use utils::Name;
 
 use super::config::Service;
+use super::distance::{
+    Penalties,
+    SlotCount,
+    Spillover, //
+};
 use super::latency::{
     self,
     EngineLoad, //
@@ -27,6 +29,8 @@
     Targets, //
 };
 
+pub use super::distance::Location;
+
 /// Slots of a target if neither its entry nor its engine profile sets them.
 const DEFAULT_SLOTS: u32 = 4;
 
@@ -37,13 +41,6 @@
 /// Requests per slot of a plain target, where short requests queue only briefly.
 const PLAIN_REQUESTS_PER_SLOT: u32 = 2;
 
-/// Added to the score of a target in another region, since links between regions are expensive and
-/// narrow.
-const OTHER_REGION_PENALTY: Duration = Duration::from_millis(60);
-
-/// Added to the score of a target in another data centre of the same region.
-const OTHER_DATA_CENTRE_PENALTY: Duration = Duration::from_millis(25);
-
 /// Added to the score of a target that fails every request; scaled by the failure rate.
 const FAILURE_PENALTY: Duration = Duration::from_millis(400);
 
@@ -73,49 +70,6 @@
 /// within the rate; if more are known, they divide it.
 const MAX_COLD_RATE_SHARE: f64 = 0.17;
 
-/// The location of this process, and the regions of all data centres.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Location {
-    /// Its data centre.
-    pub data_centre: Name,
-    /// The region of each data centre.
-    pub regions: BTreeMap<Name, Name>,
-}
-
-/// The distance of a data centre from this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Distance {
-    SameDataCentre,
-    SameRegion,
-    OtherRegion,
-}
-
-impl Location {
-    /// The region of a data centre.
-    pub fn region_of(&self, data_centre: &str) -> Option<&Name> {
-        self.regions.get(data_centre)
-    }
-
-    /// How far away a data centre is.
-    pub(super) fn distance(&self, data_centre: &str) -> Distance {
-        if *data_centre == *self.data_centre {
-            Distance::SameDataCentre
-        } else if self.region_of(data_centre) == self.region_of(&self.data_centre) {
-            Distance::SameRegion
-        } else {
-            Distance::OtherRegion
-        }
-    }
-
-    fn distance_penalty(&self, data_centre: &str) -> Duration {
-        match self.distance(data_centre) {
-            Distance::SameDataCentre => Duration::ZERO,
-            Distance::SameRegion => OTHER_DATA_CENTRE_PENALTY,
-            Distance::OtherRegion => OTHER_REGION_PENALTY,
-        }
-    }
-}
-
 /// The versions of the weights that may answer a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionConstraint {
@@ -174,15 +128,29 @@
     NoTarget,
 }
 
-/// Selects the target with the best score. `random` returns a number from zero to one.
+/// Selects the target with the best score, and records the utilization of the own data centre in
+/// `spillover`. `random` returns a number from zero to one.
 pub fn choose(
     now: Duration,
     targets: &Targets,
     location: &Location,
     out_data_centres: &BTreeSet<Name>,
     requirements: &Requirements<'_>,
+    spillover: &mut Spillover,
     mut random: impl FnMut() -> f64,
 ) -> Choice {
+    let service = requirements.service;
+    let is_reserved = requirements.uses_reservations && service.engine_profile.is_some();
+    let mut penalties = Penalties::new(
+        now,
+        location,
+        &service.delays,
+        spillover,
+        is_reserved,
+        &mut random,
+    );
+    let depends_on_load = penalties.depend_on_load();
+    let mut own_slots = SlotCount::default();
     let mut best: Option<((bool, Duration), &Target)> = None;
     let mut any_eligible = false;
     for target in targets.of_service(&requirements.service.name) {
@@ -196,11 +164,15 @@
             continue;
         }
         any_eligible = true;
+        if depends_on_load && target.entry.data_centre == location.data_centre {
+            let limit = concurrency_limit(now, target, service);
+            own_slots.add(target.load.total_requests(now), limit);
+        }
         let Some(estimate) = estimate(now, target, requirements) else {
             continue;
         };
         let score = estimate.response_time
-            + location.distance_penalty(&target.entry.data_centre)
+            + penalties.of(&target.entry.data_centre)
             + FAILURE_PENALTY.mul_f64(target.health.failure_rate())
             + MAX_JITTER.mul_f64(random());
         let score = (estimate.is_late, score);
@@ -208,6 +180,10 @@
             best = Some((score, target));
         }
     }
+    // A request that may not be served in the own region does not show how full it is.
+    if depends_on_load && is_region_allowed(&location.data_centre, location, requirements) {
+        spillover.record_own(now, own_slots.utilization());
+    }
     match best {
         Some((_, target)) => Choice::Target(target.entry.id.clone()),
         None if any_eligible => Choice::Full,
@@ -378,13 +354,22 @@
     if !requirements.versions.allows(entry.version) {
         return false;
     }
-    let region = location.region_of(&entry.data_centre);
-    let is_region_allowed =
+    is_region_allowed(&entry.data_centre, location, requirements)
+}
+
+/// Whether the request may be served in the region of a data centre.
+fn is_region_allowed(
+    data_centre: &str,
+    location: &Location,
+    requirements: &Requirements<'_>,
+) -> bool {
+    let region = location.region_of(data_centre);
+    let is_allowed =
         |allowed: &[Name]| allowed.is_empty() || region.is_some_and(|r| allowed.contains(r));
     requirements
         .allowed_regions
         .iter()
-        .all(|allowed| is_region_allowed(allowed))
+        .all(|allowed| is_allowed(allowed))
 }
 
 /// How many requests the target may have at once, running or queued.
@@ -404,7 +389,8 @@
     }
 }
 
-fn slots(target: &Target, service: &Service) -> u32 {
+/// Requests that the target runs at once.
+pub(super) fn slots(target: &Target, service: &Service) -> u32 {
     let profile_slots = service.engine_profile.as_ref().map(|engine| engine.slots);
     let slots = target.entry.slots.or(profile_slots);
     slots.unwrap_or(DEFAULT_SLOTS).max(1)
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -25,6 +25,10 @@
 
 use super::config::Config;
 use super::crashes::SilentExchanges;
+use super::distance::{
+    Location,
+    Spillover, //
+};
 use super::first_attempts::FirstAttempts;
 use super::lease::Lease;
 use super::pending::Pending;
@@ -34,7 +38,6 @@
     RetryLimit,
     RetryShare, //
 };
-use super::selection::Location;
 use super::table::RoutingTable;
 use super::targets::{
     Target,
@@ -90,6 +93,7 @@
     pub(super) required_versions: BTreeMap<Name, Vec<RequiredVersion>>,
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
+    pub(super) spillovers: BTreeMap<Name, Spillover>,
     pub(super) retry_shares: BTreeMap<Name, RetryShare>,
     pub(super) process_count: ProcessCount,
     pub(super) first_attempts: FirstAttempts,
@@ -156,6 +160,7 @@
             required_versions: BTreeMap::new(),
             targets: Targets::default(),
             queues: BTreeMap::new(),
+            spillovers: BTreeMap::new(),
             retry_shares: BTreeMap::new(),
             process_count: ProcessCount::default(),
             first_attempts: FirstAttempts::default(),
@@ -216,6 +221,9 @@
                 notice,
             } => {
                 self.handle_response_head(now, token, load, cold_remaining, version);
+                if let Some(load) = load {
+                    self.record_reported_utilization(now, token, load);
+                }
                 if let Some(notice) = notice {
                     self.handle_notice(now, token, notice, &mut effects);
                 }
@@ -227,6 +235,9 @@
                 longest_pause,
             } => self.handle_exchange_ended(now, token, outcome, longest_pause, &mut effects),
             Event::ReservationReply { token, reply } => {
+                if let Some(reply) = reply {
+                    self.record_backlog_utilization(now, token, reply);
+                }
                 self.handle_reservation_reply(now, token, reply, &mut effects)
             }
             Event::QueueTimeout(token) => self.handle_queue_timeout(now, token, &mut effects),
