--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -21,6 +21,7 @@
 use control::notice::Notice;
 use control::router::config::{
     Config,
+    Delays,
     EngineProfile,
     Repeatability,
     Route,
@@ -78,9 +79,52 @@
     pub limits: Vec<Limit>,
     /// The share of streams that break after their first event.
     pub broken_share: f64,
+    /// The data centres, if there is more than one.
+    pub data_centres: DataCentres,
     pub seed: u64,
 }
 
+/// Data centres, each in a region of its own. Engines and processes are assigned to them in turn.
+/// Without any, all are in one data centre.
+#[derive(Clone, Debug, Default)]
+pub struct DataCentres {
+    /// Requests per second of each data centre's callers. They replace the scenario's rate.
+    pub demand: Vec<f64>,
+    /// Factors on the demand of a data centre between two times.
+    pub demand_changes: Vec<(usize, Duration, Duration, f64)>,
+    /// Data centres that are out of service between two times.
+    pub out: Vec<(usize, Duration, Duration)>,
+    /// One-way delays between pairs of data centres.
+    pub delays: Vec<(usize, usize, Duration)>,
+    /// Whether the configuration has the delays.
+    pub are_delays_configured: bool,
+    /// Whether engines report their speed.
+    pub is_speed_reported: bool,
+}
+
+impl DataCentres {
+    /// The data centre of the engine or process with this index.
+    pub fn of(&self, index: usize) -> usize {
+        index % self.demand.len().max(1)
+    }
+
+    /// Requests per second of a data centre's callers at a time since the start.
+    fn demand_at(&self, data_centre: usize, at: Duration) -> f64 {
+        let changes = self.demand_changes.iter();
+        let factors =
+            changes.filter(|(dc, from, to, _)| *dc == data_centre && (*from..*to).contains(&at));
+        self.demand[data_centre] * factors.map(|(.., factor)| factor).product::<f64>()
+    }
+
+    fn delay(&self, one: usize, other: usize) -> Duration {
+        let is_pair = |(a, b, _): &&(usize, usize, Duration)| {
+            (*a, *b) == (one, other) || (*b, *a) == (one, other)
+        };
+        let pair = self.delays.iter().find(is_pair);
+        pair.map_or(Duration::ZERO, |(_, _, delay)| *delay)
+    }
+}
+
 /// Requests per second that an engine says it takes, in all its answers between two times.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -94,6 +138,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Send {
     pub engine: usize,
+    /// The process that sent it.
+    pub process: usize,
     /// Time since the start.
     pub at: Duration,
     /// How long the process that sent it had known of a limit of the engine.
@@ -113,6 +159,7 @@
             callers_return: false,
             limits: Vec::new(),
             broken_share: 0.0,
+            data_centres: DataCentres::default(),
             seed: 7,
         }
     }
@@ -129,11 +176,16 @@
     pub unserved: u32,
     pub longest_time_to_rejection: Duration,
     pub sends: Vec<Send>,
+    /// The data centre of each caller, and the time of its first attempt since the start.
+    pub arrivals: Vec<(usize, Duration)>,
+    /// Those whose first event was on time.
+    pub arrivals_on_time: Vec<(usize, Duration)>,
 }
 
 /// The caller of a request.
 #[derive(Clone, Copy, Debug)]
 struct Caller {
+    data_centre: usize,
     first_attempt_at: Duration,
     /// How long it waits, from its first attempt on.
     timeout: Duration,
@@ -169,6 +221,15 @@
     SetUnavailable(usize, bool),
     ReservationReply(u64),
     AgentReports,
+    SetOut(usize, bool),
+    /// A reservation request reaches the agent in another data centre.
+    ReservationRequested(u64),
+    /// A request reaches an engine in another data centre.
+    Delivered(u64, usize),
+    /// The first event of an engine in another data centre reaches the process.
+    Answered(u64, usize),
+    /// The end of an answer from another data centre reaches the process.
+    Ended(u64),
 }
 
 struct Simulation {
@@ -193,8 +254,17 @@
     started_at: Duration,
     /// When a process first got an answer of an engine with a limit, by process and engine.
     told_at: HashMap<(usize, usize), Duration>,
+    /// Reservation requests on their way to another data centre.
+    reservation_requests: HashMap<u64, ReservationRequest>,
+    /// The load reports of answers on their way from another data centre.
+    load_reports: HashMap<u64, LoadReport>,
+    confirmed_at: Option<Duration>,
 }
 
+/// The interval at which processes with callers in several data centres confirm the configuration
+/// and dispatch their queued requests.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The interval at which agents report their engines' state.
 const AGENT_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -208,6 +278,7 @@
             .map(|i| {
                 State::new(Options {
                     uses_reservations: scenario.has_agents,
+                    location: location(&scenario.data_centres, i),
                     ..options(i as u64)
                 })
             })
@@ -227,10 +298,18 @@
         scenario: scenario.clone(),
         started_at: Duration::from_secs(100),
         told_at: HashMap::new(),
+        reservation_requests: HashMap::new(),
+        load_reports: HashMap::new(),
+        confirmed_at: None,
     };
-    simulation.step_all(&Event::ConfigRead(Arc::new(config())));
+    let data_centres = &scenario.data_centres;
+    simulation.step_all(&Event::ConfigRead(Arc::new(config(data_centres))));
     for engine in 0..scenario.engines {
-        simulation.step_all(&Event::TargetListed(entry(engine)));
+        let data_centre = data_centre_name(data_centres.of(engine));
+        simulation.step_all(&Event::TargetListed(TargetEntry {
+            data_centre,
+            ..entry(engine)
+        }));
     }
     let start = simulation.started_at;
     if !scenario.limits.is_empty() {
@@ -243,16 +322,20 @@
         );
         simulation.schedule(start + *to, SimulationEvent::SetUnavailable(*engine, false));
     }
+    for (data_centre, from, to) in &data_centres.out {
+        simulation.schedule(start + *from, SimulationEvent::SetOut(*data_centre, true));
+        simulation.schedule(start + *to, SimulationEvent::SetOut(*data_centre, false));
+    }
     simulation.schedule(start, SimulationEvent::Arrival);
     while let Some(Reverse((at, _, event))) = simulation.event_queue.pop() {
         simulation.now = at;
-        simulation.step_all(&Event::ConfigConfirmed(at));
+        simulation.confirm_configuration();
         match event {
             SimulationEvent::Arrival => {
                 if at < start + scenario.duration {
                     simulation.arrive();
                     let gap = -simulation.rng.random::<f64>().max(1e-9).ln()
-                        / scenario.requests_per_second;
+                        / simulation.requests_per_second();
                     simulation
                         .schedule(at + Duration::from_secs_f64(gap), SimulationEvent::Arrival);
                 }
@@ -282,6 +365,26 @@
                 });
                 simulation.step(token, Event::ReservationReply { token, reply });
             }
+            SimulationEvent::SetOut(data_centre, is_out) => {
+                simulation.step_all(&Event::DataCentreState {
+                    name: data_centre_name(data_centre),
+                    is_out,
+                });
+            }
+            SimulationEvent::ReservationRequested(token) => {
+                if let Some(request) = simulation.reservation_requests.remove(&token) {
+                    simulation.reserve(token, &request);
+                }
+            }
+            SimulationEvent::Delivered(token, engine) => simulation.deliver(token, engine),
+            SimulationEvent::Answered(token, engine) => {
+                if let Some(load) = simulation.load_reports.remove(&token) {
+                    simulation.answer(token, engine, load);
+                }
+            }
+            SimulationEvent::Ended(token) => {
+                simulation.end_exchange(token, Outcome::Answered { is_error: false });
+            }
             SimulationEvent::AgentReports => {
                 simulation.report_engines();
                 if at < start + scenario.duration {
@@ -300,6 +403,32 @@
             .push(Reverse((at, self.last_sequence, event)));
     }
 
+    fn confirm_configuration(&mut self) {
+        let has_one_data_centre = self.scenario.data_centres.demand.is_empty();
+        let is_due = |at: Duration| self.now - at >= CONFIRMATION_INTERVAL;
+        if has_one_data_centre || self.confirmed_at.is_none_or(is_due) {
+            self.confirmed_at = Some(self.now);
+            self.step_all(&Event::ConfigConfirmed(self.now));
+        }
+    }
+
+    fn requests_per_second(&self) -> f64 {
+        let data_centres = &self.scenario.data_centres;
+        if data_centres.demand.is_empty() {
+            return self.scenario.requests_per_second;
+        }
+        let since_start = self.now - self.started_at;
+        let all = 0..data_centres.demand.len();
+        all.map(|dc| data_centres.demand_at(dc, since_start)).sum()
+    }
+
+    /// The one-way delay between the process of a request and an engine.
+    fn delay(&self, token: u64, engine: usize) -> Duration {
+        let data_centres = &self.scenario.data_centres;
+        let process = token as usize % self.states.len();
+        data_centres.delay(data_centres.of(process), data_centres.of(engine))
+    }
+
     fn step_all(&mut self, event: &Event) {
         for process in 0..self.states.len() {
             self.step(process as u64, event.clone());
@@ -315,7 +444,7 @@
         };
         for effect in self.states[process].step(now, event) {
             match effect {
-                Effect::Reserve(token, request) => self.reserve(token, &request),
+                Effect::Reserve(token, request) => self.request_reservation(token, request),
                 Effect::Forward(token, request) => self.send(token, &request.target),
                 Effect::ScheduleQueueTimeout(token, until) => {
                     self.release(token);
@@ -330,9 +459,22 @@
         }
     }
 
-    fn reserve(&mut self, token: u64, request: &ReservationRequest) {
+    fn request_reservation(&mut self, token: u64, request: ReservationRequest) {
         self.release(token);
-        let engine = usize::from(request.address.port() - FIRST_PORT);
+        let delay = self.delay(token, engine_of(&request));
+        if delay.is_zero() {
+            self.reserve(token, &request);
+        } else {
+            self.reservation_requests.insert(token, request);
+            self.schedule(
+                self.now + delay,
+                SimulationEvent::ReservationRequested(token),
+            );
+        }
+    }
+
+    fn reserve(&mut self, token: u64, request: &ReservationRequest) {
+        let engine = engine_of(request);
         let reservations = &mut self.reservations[engine];
         let number = reservations
             .is_allowed(self.now, &request.terms)
@@ -343,12 +485,13 @@
         };
         self.reserved.insert(token, (engine, number, backlog));
         self.schedule(
-            self.now + AGENT_RESPONSE_TIME,
+            self.now + AGENT_RESPONSE_TIME + self.delay(token, engine),
             SimulationEvent::ReservationReply(token),
         );
     }
 
     fn release(&mut self, token: u64) {
+        self.reservation_requests.remove(&token);
         if let Some((engine, Some(number), _)) = self.reserved.remove(&token) {
             self.reservations[engine].release(number);
         }
@@ -369,8 +512,11 @@
     }
 
     fn arrive(&mut self) {
-        let token = self.next_token();
+        let data_centre = self.random_data_centre();
+        let token = self.next_token(data_centre);
         self.results.requests += 1;
+        let since_start = self.now - self.started_at;
+        self.results.arrivals.push((data_centre, since_start));
         let random_factor = |rng: &mut Pcg64Mcg| 0.3 + 1.4 * rng.random::<f64>();
         let prompt = (979.0 * random_factor(&mut self.rng)) as u32;
         let answer = (92.0 * random_factor(&mut self.rng)) as u32;
@@ -380,6 +526,7 @@
             CALLER_TIMEOUT
         };
         let caller = Caller {
+            data_centre,
             first_attempt_at: self.now,
             timeout,
             prompt,
@@ -391,15 +538,40 @@
 
     /// The caller of a rejected request sends it to any process again.
     fn return_caller(&mut self, rejected: u64) {
-        let token = self.next_token();
+        let token = self.next_token(self.callers[&rejected].data_centre);
         self.callers.insert(token, self.callers[&rejected]);
         self.returned.insert(token);
         self.receive(token);
     }
 
-    /// The token of the next request, which goes to a random process.
-    fn next_token(&mut self) -> u64 {
+    /// The data centre of the next caller.
+    fn random_data_centre(&mut self) -> usize {
+        let count = self.scenario.data_centres.demand.len();
+        if count == 0 {
+            return 0;
+        }
+        let since_start = self.now - self.started_at;
+        let mut point = self.rng.random::<f64>() * self.requests_per_second();
+        for data_centre in 0..count - 1 {
+            let demand = self
+                .scenario
+                .data_centres
+                .demand_at(data_centre, since_start);
+            if point < demand {
+                return data_centre;
+            }
+            point -= demand;
+        }
+        count - 1
+    }
+
+    /// The token of the next request, which goes to a random process of a data centre.
+    fn next_token(&mut self, data_centre: usize) -> u64 {
         self.last_token += 1 + self.rng.random_range(0..self.states.len() as u64);
+        let process = |token: u64| token as usize % self.states.len();
+        while self.scenario.data_centres.of(process(self.last_token)) != data_centre {
+            self.last_token += 1;
+        }
         self.last_token
     }
 
@@ -485,9 +657,19 @@
         let told_at = self.told_at.get(&(process, engine));
         self.results.sends.push(Send {
             engine,
+            process,
             at: self.now - self.started_at,
             told_for: told_at.map(|at| self.now - *at),
         });
+        let delay = self.delay(token, engine);
+        if delay.is_zero() {
+            self.deliver(token, engine);
+        } else {
+            self.schedule(self.now + delay, SimulationEvent::Delivered(token, engine));
+        }
+    }
+
+    fn deliver(&mut self, token: u64, engine: usize) {
         let Caller { prompt, answer, .. } = self.callers[&token];
         self.engines[engine].waiting.push(EngineRequest {
             token,
@@ -565,18 +747,30 @@
         let load = LoadReport {
             running: u32::try_from(e.running.len()).unwrap(),
             queued: u32::try_from(e.waiting.len()).unwrap(),
-            slowness_percent: None,
+            slowness_percent: self.scenario.data_centres.is_speed_reported.then_some(100),
         };
         for token in started {
             if let Some((engine, Some(number), _)) = self.reserved.get(&token) {
                 self.reservations[*engine].record_prompt_prefilled(*number);
             }
-            if self.now - self.callers[&token].first_attempt_at <= LATENCY_OBJECTIVE {
+            let delay = self.delay(token, engine);
+            let caller = self.callers[&token];
+            if self.now + delay - caller.first_attempt_at <= LATENCY_OBJECTIVE {
                 self.results.on_time += 1;
+                let arrival = (
+                    caller.data_centre,
+                    caller.first_attempt_at - self.started_at,
+                );
+                self.results.arrivals_on_time.push(arrival);
             } else {
                 self.results.late += 1;
             }
-            self.answer(token, engine, load);
+            if delay.is_zero() {
+                self.answer(token, engine, load);
+            } else {
+                self.load_reports.insert(token, load);
+                self.schedule(self.now + delay, SimulationEvent::Answered(token, engine));
+            }
         }
         for token in broken {
             self.release(token);
@@ -587,7 +781,12 @@
         }
         for token in completed {
             self.release(token);
-            self.end_exchange(token, Outcome::Answered { is_error: false });
+            let delay = self.delay(token, engine);
+            if delay.is_zero() {
+                self.end_exchange(token, Outcome::Answered { is_error: false });
+            } else {
+                self.schedule(self.now + delay, SimulationEvent::Ended(token));
+            }
         }
         self.start_iteration(engine);
     }
@@ -600,6 +799,23 @@
     format!("e{engine}").into()
 }
 
+fn engine_of(request: &ReservationRequest) -> usize {
+    usize::from(request.address.port() - FIRST_PORT)
+}
+
+/// The name of a data centre, which is also the name of its region.
+fn data_centre_name(index: usize) -> utils::Name {
+    char::from(b'a' + index as u8).to_string().into()
+}
+
+fn location(data_centres: &DataCentres, process: usize) -> Location {
+    let names = (0..data_centres.demand.len().max(1)).map(data_centre_name);
+    Location {
+        data_centre: data_centre_name(data_centres.of(process)),
+        regions: names.map(|name| (name.clone(), name)).collect(),
+    }
+}
+
 fn entry(engine: usize) -> TargetEntry {
     TargetEntry {
         id: name(engine),
@@ -634,7 +850,13 @@
     }
 }
 
-fn config() -> Config {
+fn config(data_centres: &DataCentres) -> Config {
+    let mut delays = Delays::default();
+    for (one, other, delay) in &data_centres.delays {
+        if data_centres.are_delays_configured {
+            delays.insert(&data_centre_name(*one), &data_centre_name(*other), *delay);
+        }
+    }
     let engine_profile = EngineProfile {
         model: "m".into(),
         slots: 16,
@@ -647,7 +869,7 @@
     let service = Service {
         name: "engines".into(),
         cold_rate_per_second: 36.0,
-        delays: Default::default(),
+        delays,
         engine_profile: Some(engine_profile),
     };
     let route = Route {
