--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod crash_exchange;
 mod crashes;
 mod dispatch;
+pub mod distance;
 mod first_attempts;
 pub mod health;
 pub mod latency;
@@ -27,6 +28,7 @@
 pub mod targets;
 mod timing;
 mod updates;
+mod utilization;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
