--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -7,6 +7,7 @@
 mod download;
 mod reservations;
 mod schedule;
+mod waiting;
 
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
     AgedLimit,
     Backlog,
     Crash,
+    EngineCondition,
     EngineStatus,
     NamedVersion,
     ReservationTerms, //
@@ -34,7 +36,12 @@
     Download,
     PlanContext, //
 };
-pub use self::reservations::Reservations;
+pub use self::reservations::{
+    ReservationAnswer,
+    Reservations,
+    Reserved,
+    WaitResult, //
+};
 pub use self::schedule::UpdateLimits;
 
 /// The version that engines run before operators name one.
@@ -291,6 +298,48 @@
         (Some(number), backlog)
     }
 
+    /// Reserves capacity, lets the request wait for it, or refuses it.
+    pub fn request(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> ReservationAnswer {
+        if self.status().is_switching {
+            return ReservationAnswer::Refused;
+        }
+        self.reservations.request(now, prompt_tokens, terms)
+    }
+
+    /// Ends the wait of requests for which there is capacity now, and of all if the engine is about
+    /// to load.
+    pub fn end_waits(&mut self, now: Duration) -> Vec<WaitResult> {
+        if self.status().is_switching {
+            self.reservations.refuse_waiting()
+        } else {
+            self.reservations.grant_waiting(now)
+        }
+    }
+
+    /// Ends the wait of a request whose time is over or whose caller has left.
+    pub fn stop_waiting(&mut self, number: u64) {
+        self.reservations.stop_waiting(number);
+    }
+
+    /// The backlog of the engine.
+    pub fn backlog(&self) -> Backlog {
+        self.reservations.backlog()
+    }
+
+    /// What is known of the engine.
+    pub fn condition(&self) -> EngineCondition {
+        EngineCondition {
+            slowness_percent: None,
+            learned_limit: None,
+            waiting: self.reservations.waiting(),
+        }
+    }
+
     /// The latest limit that any process knows the engine to name, if it limits its requests or has
     /// done so.
     pub fn limit(&self, now: Duration) -> Option<AgedLimit> {
@@ -303,8 +352,8 @@
     }
 
     /// Releases a reservation.
-    pub fn release(&mut self, number: u64) {
-        self.reservations.release(number);
+    pub fn release(&mut self, now: Duration, number: u64) {
+        self.reservations.release(now, number);
     }
 
     /// The revision of the crashes that entries reported.
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use protocol::{
+    reserved_slots,
     AgedLimit,
     Backlog,
     ReservationTerms, //
@@ -18,6 +19,8 @@
 
 use crate::notice::TargetNotice;
 
+use super::waiting::WaitQueue;
+
 /// The window over which the rate of reservations is counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -28,6 +31,35 @@
 /// it from the engine.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(5);
 
+/// The answer to a reservation request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReservationAnswer {
+    /// Capacity is reserved.
+    Reserved(Reserved),
+    /// The request waits until there is capacity; this is its number among the waiting ones.
+    Waiting(u64),
+    /// There is no capacity.
+    Refused,
+}
+
+/// A reservation that was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reserved {
+    /// Its number.
+    pub number: u64,
+    /// The work ahead of it.
+    pub backlog: Backlog,
+}
+
+/// The end of the wait of a reservation request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitResult {
+    /// The number of the request among the waiting ones.
+    pub number: u64,
+    /// The reservation, or `None` if the request is refused.
+    pub reserved: Option<Reserved>,
+}
+
 /// The active reservations at an engine.
 #[derive(Clone, Debug, Default)]
 pub struct Reservations {
@@ -38,6 +70,7 @@
     recent: VecDeque<Duration>,
     /// The latest limit that any process knows the engine to name.
     notice: TargetNotice,
+    waiting: WaitQueue,
 }
 
 impl Reservations {
@@ -58,7 +91,94 @@
             (made_in_last_second as f64) < rate.ceil().max(1.0)
                 && self.made_within(now, LIMIT_WINDOW) < allowed
         });
-        is_below_cold_rate && is_below_limit && terms.acceptable.includes(self.backlog())
+        is_below_cold_rate && is_below_limit && self.is_acceptable(terms, Duration::ZERO)
+    }
+
+    /// Whether the request would be sent with the present backlog, after it has waited for `waited`.
+    fn is_acceptable(&self, terms: &ReservationTerms, waited: Duration) -> bool {
+        let mut acceptable = terms.acceptable;
+        if let Some(claim) = terms.claim.filter(|claim| !claim.is_below_minimum) {
+            let slots = acceptable.requests.saturating_add(1);
+            let reserved = reserved_slots(slots, claim.priority_level);
+            acceptable.requests = acceptable.requests.saturating_sub(reserved);
+        }
+        let prefill_rate = terms.timing.map_or(0, |t| t.prefill_tokens_per_second);
+        let tokens = (f64::from(prefill_rate) * waited.as_secs_f64()) as u32;
+        acceptable.unprefilled_tokens = acceptable.unprefilled_tokens.saturating_sub(tokens);
+        acceptable.includes(self.backlog())
+    }
+
+    /// Makes a reservation, lets the request wait for one, or refuses it.
+    pub fn request(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> ReservationAnswer {
+        if !self.waiting.has_earlier(now, terms.claim.as_ref()) && self.is_allowed(now, terms) {
+            let reserved = self.reserve_for(now, prompt_tokens, terms);
+            return ReservationAnswer::Reserved(reserved);
+        }
+        match terms.claim.filter(|claim| self.waiting.accepts(now, claim)) {
+            Some(claim) => {
+                let number = self.waiting.push(now, prompt_tokens, terms, claim);
+                ReservationAnswer::Waiting(number)
+            }
+            None => ReservationAnswer::Refused,
+        }
+    }
+
+    /// Makes reservations for waiting requests, in their order, as far as there is capacity.
+    pub fn grant_waiting(&mut self, now: Duration) -> Vec<WaitResult> {
+        let mut results = Vec::new();
+        while let Some(first) = self.waiting.first(now).copied() {
+            let waited = now.saturating_sub(first.since);
+            if !self.is_acceptable(&first.terms, waited) || !self.is_allowed(now, &first.terms) {
+                break;
+            }
+            self.waiting.remove(first.number);
+            let reserved = self.reserve_for(now, first.prompt_tokens, &first.terms);
+            results.push(WaitResult {
+                number: first.number,
+                reserved: Some(reserved),
+            });
+        }
+        results
+    }
+
+    /// Refuses all waiting requests.
+    pub fn refuse_waiting(&mut self) -> Vec<WaitResult> {
+        let numbers = self.waiting.clear().into_iter();
+        let refuse = |number| WaitResult {
+            number,
+            reserved: None,
+        };
+        numbers.map(refuse).collect()
+    }
+
+    /// Ends the wait of a request whose time is over or whose caller has left.
+    pub fn stop_waiting(&mut self, number: u64) {
+        self.waiting.remove(number);
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    fn reserve_for(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> Reserved {
+        if let Some(claim) = terms.claim {
+            let answer_tokens = terms.timing.map_or(0, |timing| timing.answer_tokens);
+            let tokens = prompt_tokens.saturating_add(answer_tokens);
+            self.waiting.record_work(now, claim.team, tokens);
+        }
+        let (number, backlog) = self.reserve(now, prompt_tokens);
+        Reserved { number, backlog }
     }
 
     /// The latest limit that any process knows the engine to name, if it limits its requests or has
@@ -100,8 +220,10 @@
     }
 
     /// Releases a reservation.
-    pub fn release(&mut self, number: u64) {
-        self.unprefilled_tokens.remove(&number);
+    pub fn release(&mut self, now: Duration, number: u64) {
+        if self.unprefilled_tokens.remove(&number).is_some() {
+            self.waiting.record_departure(now);
+        }
     }
 
     /// The reserved requests and the prompt tokens that the engine has not prefilled yet.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod controller;
 pub mod crash_suspects;
+mod decaying_count;
 pub mod entry;
 pub mod follower;
 pub mod instance_list;
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -42,6 +42,7 @@
             Ok(pending) => {
                 let service = pending.service.name.clone();
                 self.retry_share(now, &service).record_request();
+                self.record_demand(now, &pending);
                 self.pending.insert(token, pending);
                 self.dispatch_or_queue(now, token, effects);
             }
@@ -112,6 +113,10 @@
         let caller_timeout = request.timeout.unwrap_or(route.timeout);
         let timeout = caller_timeout.min(route.timeout);
         let answer_time = answer_time(service, request);
+        let team_priority = team.and_then(|team| team.priority);
+        let priority = team_priority.unwrap_or(route.priority);
+        let level = table.priority_level(&service.name, priority);
+        let priority_level = level.filter(|_| service.engine_profile.is_some());
         let team_name = team.map(|team| &team.name);
         let is_return = self
             .first_attempts
@@ -128,6 +133,7 @@
             route: route.clone(),
             service: service.clone(),
             team: team.cloned(),
+            priority_level,
             arrived: now,
             deadline: now + timeout,
             due,
@@ -135,6 +141,9 @@
             prompt_tokens: request
                 .prompt_and_max_answer_tokens
                 .map_or(0, |(prompt, _)| prompt),
+            max_answer_tokens: request
+                .prompt_and_max_answer_tokens
+                .map_or(0, |(_, answer)| answer),
             dispatch_by: now
                 + route
                     .latency_objective
@@ -150,6 +159,8 @@
             target_started_at_ms: 0,
             is_reserving: false,
             reservation_attempts: 0,
+            may_wait_at_agent: false,
+            full_targets: Vec::new(),
             acceptable_backlog: AcceptableBacklog::ANY,
             expected_response_time: Duration::ZERO,
             version: None,
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -54,9 +54,27 @@
             self.reject(now, token, RejectionReason::NoTarget, effects);
             return;
         }
+        if self.wait_at_agent(now, token, effects) {
+            return;
+        }
         self.enqueue(now, token, effects);
     }
 
+    /// Counts a new request if it competes with others.
+    pub(super) fn record_demand(&mut self, now: Duration, pending: &Pending) {
+        if pending.priority_level.is_some() {
+            let demand = self.demand.entry(pending.service.name.clone());
+            demand.or_default().record_received(now, pending.priority());
+        }
+    }
+
+    /// Whether the priority of a request is served less often than its minimum share.
+    fn is_below_minimum(&self, now: Duration, pending: &Pending) -> bool {
+        let demand = self.demand.get(&pending.service.name);
+        pending.priority_level.is_some()
+            && demand.is_some_and(|demand| demand.is_below_minimum(now, pending.priority()))
+    }
+
     /// Queues a request, or rejects it at once if it is expected to wait too long.
     pub(super) fn enqueue(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&token) else {
@@ -145,6 +163,8 @@
             } else {
                 pending.dispatch_by.saturating_sub(now)
             },
+            claim_level: pending.claim_level(),
+            is_below_minimum: self.is_below_minimum(now, pending),
             uses_reservations: self.options.uses_reservations,
             process_count: self.process_count.get(),
         }
@@ -281,6 +301,11 @@
             .notice
             .requests_per_second()
             .map(|rate| (rate, notice_age));
+        if let Some(demand) = self.demand.get_mut(&pending.service.name) {
+            if pending.tried_targets.is_empty() {
+                demand.record_served(now, pending.priority());
+            }
+        }
         pending.tried_targets.push(id.clone());
         pending.sent_parts = sent_parts;
         pending.answering_since = None;
--- a/components/control/src/router/load.rs
+++ b/components/control/src/router/load.rs
@@ -11,6 +11,9 @@
 /// zero. An engine prefills a few thousand tokens in this time.
 const BACKLOG_TOKENS_TTL: Duration = Duration::from_millis(300);
 
+/// How long the number of requests that wait at an agent counts; its weight falls linearly to zero.
+const WAITING_TTL: Duration = Duration::from_millis(500);
+
 /// Weight of the newest first event in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 
@@ -41,6 +44,9 @@
     /// Prompt tokens of other processes that are not prefilled, by the agent's last report.
     other_unprefilled_tokens: u64,
     backlog_reported_at: Option<Duration>,
+    /// Requests that wait at its agent, by the last report.
+    waiting_requests: u32,
+    waiting_reported_at: Option<Duration>,
     /// The slowdown minus one, so that the default value zero means no slowdown.
     excess_slowdown: f64,
 }
@@ -84,6 +90,21 @@
         self.backlog_reported_at = Some(now);
     }
 
+    /// Applies an agent's report of the requests that wait there.
+    pub fn apply_waiting(&mut self, now: Duration, waiting_requests: u32) {
+        self.waiting_requests = waiting_requests;
+        self.waiting_reported_at = Some(now);
+    }
+
+    /// Requests that wait at the agent, as far as known. Old reports count less.
+    pub fn waiting(&self, now: Duration) -> f64 {
+        let Some(reported_at) = self.waiting_reported_at else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(reported_at).as_secs_f64();
+        f64::from(self.waiting_requests) * (1.0 - age / WAITING_TTL.as_secs_f64()).max(0.0)
+    }
+
     /// Prompt tokens of other processes that the target has yet to prefill, or `None` if the last
     /// report is too old.
     pub fn other_unprefilled_tokens(&self, now: Duration) -> Option<f64> {
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -5,6 +5,7 @@
 
 use protocol::{
     AcceptableBacklog,
+    ClaimRank,
     Fingerprint,
     PromptPartId, //
 };
@@ -19,7 +20,6 @@
     SentPart,
     WRITING_PROOF_TIME, //
 };
-use super::queue::QueueRank;
 
 /// How long a stream may stay silent before another target resumes it. Engines pause for up to half
 /// a second while they prefill long prompts of other requests; callers give up after three seconds.
@@ -45,6 +45,9 @@
     pub route: Arc<Route>,
     pub service: Arc<Service>,
     pub team: Option<Arc<Team>>,
+    /// The number of more urgent priorities of its service, if it competes with requests of other
+    /// priorities for model engines.
+    pub priority_level: Option<u8>,
     pub arrived: Duration,
     /// When the caller's or the route's timeout ends.
     pub deadline: Duration,
@@ -55,6 +58,8 @@
     /// The latest time to dispatch it so that its answer is on time.
     pub dispatch_by: Duration,
     pub prompt_tokens: u32,
+    /// Maximum number of tokens of the answer, or zero if unknown.
+    pub max_answer_tokens: u32,
     pub fingerprint: Fingerprint,
     /// The parts of the prompt that other requests may share, in their order.
     pub shared_prompt_parts: Vec<PromptPartId>,
@@ -76,6 +81,10 @@
     pub acceptable_backlog: AcceptableBacklog,
     /// Number of reservations requested from agents.
     pub reservation_attempts: u32,
+    /// Whether the last requested reservation may wait at its agent.
+    pub may_wait_at_agent: bool,
+    /// Targets whose agents did not let it wait, or not long enough.
+    pub full_targets: Vec<Name>,
     /// The time to the answer, or to its first event, that was expected at the assigned target.
     pub expected_response_time: Duration,
     /// The version of the weights that began the answer.
@@ -102,13 +111,20 @@
     }
 
     /// Its place in the order in which queued requests are dispatched.
-    pub fn queue_rank(&self) -> QueueRank {
-        QueueRank {
-            is_overdue: self.is_overdue(),
+    pub fn queue_rank(&self) -> ClaimRank {
+        ClaimRank {
             priority: self.priority(),
+            is_overdue: self.is_overdue(),
         }
     }
 
+    /// How much less urgent it is than the most urgent requests that it competes with. One that
+    /// returns too late for an answer on time counts as the next priority.
+    pub fn claim_level(&self) -> Option<u8> {
+        let level = self.priority_level?;
+        Some(level.saturating_add(u8::from(self.is_overdue())))
+    }
+
     /// Whether the current target has been answering for so long that no part of the prompt crashes
     /// targets.
     pub fn has_proven_parts(&self, now: Duration) -> bool {
--- a/components/control/src/router/queue.rs
+++ b/components/control/src/router/queue.rs
@@ -3,13 +3,18 @@
 //! Under overload, a request waits only as long as its answer can still be on time. When the
 //! expected wait is longer than that, new requests are rejected at once instead of after a wait.
 //!
-//! Requests of callers that return too late for an answer on time are dispatched after all others.
-//! If they took turns, each of them would make another caller late: as many callers would be served,
-//! but fewer on time.
+//! Requests of callers that return too late for an answer on time are dispatched after all others of
+//! their priority. If they took turns, each of them would make another caller late: as many callers
+//! would be served, but fewer on time. Callers of less urgent priorities come after both: a caller
+//! that is rejected twice loses more than one of them that waits.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use protocol::ClaimRank;
+
+use crate::decaying_count::DecayingCount;
+
 /// Time constant of the exponential average of the departure rate.
 const DEPARTURE_RATE_TIME_CONSTANT: Duration = Duration::from_secs(2);
 
@@ -17,33 +22,31 @@
 /// unevenly, so a shorter queue does not indicate overload.
 const MIN_QUEUE_LENGTH_FOR_WAIT: usize = 3;
 
-/// The place of a request in the order in which queued requests are dispatched; lower ones first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct QueueRank {
-    /// Whether no answer can be on time any more.
-    pub is_overdue: bool,
-    /// Zero is the most urgent.
-    pub priority: u8,
-}
-
 /// A queued request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueuedRequest {
     /// The token of the request.
     pub token: u64,
-    /// Its place in the queue.
-    pub rank: QueueRank,
+    /// Its order in the queue.
+    pub rank: ClaimRank,
     /// When its queueing time is over.
     pub until: Duration,
 }
 
 /// The queue of one service, ordered by rank and then by arrival.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Queue {
     requests: VecDeque<QueuedRequest>,
-    /// Departures, decayed exponentially up to `updated_at`.
-    departures: f64,
-    updated_at: Duration,
+    departures: DecayingCount,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self {
+            requests: VecDeque::new(),
+            departures: DecayingCount::new(DEPARTURE_RATE_TIME_CONSTANT),
+        }
+    }
 }
 
 impl Queue {
@@ -82,22 +85,16 @@
 
     /// Records that a request of this process has left a target of the service.
     pub fn record_departure(&mut self, now: Duration) {
-        self.departures = self.decayed_departures(now) + 1.0;
-        self.updated_at = now;
+        self.departures.add(now, 1.0);
     }
 
     /// Departures per second.
     pub fn departure_rate(&self, now: Duration) -> f64 {
-        self.decayed_departures(now) / DEPARTURE_RATE_TIME_CONSTANT.as_secs_f64()
-    }
-
-    fn decayed_departures(&self, now: Duration) -> f64 {
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.departures * (-elapsed / DEPARTURE_RATE_TIME_CONSTANT.as_secs_f64()).exp()
+        self.departures.per_second(now)
     }
 
     /// How long a request of `rank` that arrives now would wait.
-    pub fn expected_wait(&self, now: Duration, rank: QueueRank) -> Duration {
+    pub fn expected_wait(&self, now: Duration, rank: ClaimRank) -> Duration {
         let ahead = self.requests.partition_point(|r| r.rank <= rank);
         if ahead < MIN_QUEUE_LENGTH_FOR_WAIT {
             return Duration::ZERO;
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -7,15 +7,31 @@
 
 use protocol::{
     Backlog,
+    Claim,
     EngineCondition,
-    ReservationTerms, //
+    ReservationTerms,
+    Timing, //
 };
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
 use record::Decision;
-use utils::Name;
+use utils::{
+    rank,
+    Name, //
+};
+
+use super::config::EngineProfile;
+use super::pending::Pending;
 
 use super::rejection::RejectionReason;
 use super::request_limit;
-use super::selection;
+use super::selection::{
+    self,
+    Requirements, //
+};
 use super::state::State;
 use super::{
     Effect,
@@ -30,6 +46,20 @@
 /// Reservation attempts of a request after which it is rejected.
 const MAX_ATTEMPTS: u32 = 12;
 
+/// Reservation attempts of a request that competes with others after which it waits at an agent.
+const ATTEMPTS_BEFORE_WAITING: u32 = 2;
+
+/// Number of agents that refuse to let a request wait after which it is rejected.
+const MAX_FULL_AGENTS: usize = 3;
+
+/// A shorter wait is not worth a call to an agent of another region.
+const MIN_WAIT: Duration = Duration::from_millis(10);
+
+/// The longest wait of a request whose answer is late anyway, and the part of its time left that it
+/// may wait, as a divisor.
+const MAX_OVERDUE_WAIT: Duration = Duration::from_secs(1);
+const OVERDUE_WAIT_DIVISOR: u32 = 4;
+
 /// How long no reservation is requested from an agent that did not answer.
 const AGENT_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -57,6 +87,62 @@
         token: u64,
         id: &Name,
         effects: &mut Vec<Effect>,
+    ) -> bool {
+        self.request_reservation(now, token, id, Duration::ZERO, effects)
+    }
+
+    /// Lets a request that competes with others wait for capacity at the agent of an engine. The
+    /// agent sees the requests of all processes, so it gives a slot that becomes free to the one that
+    /// needs it most. Rejects the request if no agent lets it wait. Returns whether one of these was
+    /// done.
+    pub(super) fn wait_at_agent(
+        &mut self,
+        now: Duration,
+        token: u64,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let is_competing = self
+            .pending
+            .get(&token)
+            .is_some_and(|pending| pending.priority_level.is_some() && !pending.response_started);
+        if !is_competing || !self.options.uses_reservations {
+            return false;
+        }
+        let mut rng = Pcg64Mcg::seed_from_u64(self.rng.random());
+        let Some(pending) = self.pending.get(&token) else {
+            return false;
+        };
+        let max_wait = max_wait(now, pending);
+        let reason = if max_wait < MIN_WAIT {
+            Some(RejectionReason::WaitedTooLong)
+        } else if pending.full_targets.len() >= MAX_FULL_AGENTS {
+            Some(RejectionReason::Overload)
+        } else {
+            self.reason_not_to_send(now, token)
+        };
+        if let Some(reason) = reason {
+            self.reject(now, token, reason, effects);
+            return true;
+        }
+        let id = selection::choose_to_wait(
+            now,
+            &self.targets,
+            &self.options.location,
+            &self.out_data_centres,
+            &self.requirements(now, pending),
+            &pending.full_targets,
+            || rng.random(),
+        );
+        id.is_some_and(|id| self.request_reservation(now, token, &id, max_wait, effects))
+    }
+
+    fn request_reservation(
+        &mut self,
+        now: Duration,
+        token: u64,
+        id: &Name,
+        max_wait: Duration,
+        effects: &mut Vec<Effect>,
     ) -> bool {
         let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
             return false;
@@ -70,6 +156,7 @@
             return false;
         }
         let requirements = self.requirements(now, pending);
+        let claim = claim(pending, &requirements, max_wait);
         let request = ReservationRequest {
             address: target.entry.address,
             prompt_tokens: pending.prompt_tokens,
@@ -77,14 +164,17 @@
                 cold_rate_per_second: selection::fleet_cold_rate(now, target, &pending.service),
                 limit: target.notice.limit_for_others(now),
                 acceptable: selection::acceptable_backlog(now, target, &requirements),
-                claim: None,
-                timing: None,
+                claim,
+                timing: claim
+                    .and(pending.service.engine_profile.as_ref())
+                    .map(|engine| timing(now, pending, engine)),
             },
         };
         if let Some(pending) = self.pending.get_mut(&token) {
             pending.is_reserving = true;
             pending.reservation_attempts += 1;
             pending.acceptable_backlog = request.terms.acceptable;
+            pending.may_wait_at_agent = !max_wait.is_zero();
         }
         self.assign(now, token, id);
         effects.push(Effect::Reserve(token, request));
@@ -117,7 +207,10 @@
         }
         if let Some(target) = self.targets.get_mut(&id) {
             match reply {
-                Some(reply) => target.load.apply_backlog(now, reply.backlog, prompt_tokens),
+                Some(reply) => {
+                    target.load.apply_backlog(now, reply.backlog, prompt_tokens);
+                    target.load.apply_waiting(now, reply.condition.waiting);
+                }
                 None => target.agent_backoff_until = now + AGENT_BACKOFF,
             }
             let limit = target.notice.requests_per_second();
@@ -142,13 +235,13 @@
         } else {
             effects.push(Effect::Record(Decision::NoPlace {
                 request,
-                target: id,
+                target: id.clone(),
                 open: accepts_requests,
                 requests: backlog.requests,
                 unread: backlog.unprefilled_tokens,
             }));
             self.unassign(token);
-            self.try_other_target(now, token, effects);
+            self.try_other_target(now, token, id, effects);
         }
     }
 
@@ -192,7 +285,23 @@
 
     /// Tries another target. After a few attempts the request is queued; after many it is rejected,
     /// since no engine can serve it in time.
-    fn try_other_target(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
+    fn try_other_target(
+        &mut self,
+        now: Duration,
+        token: u64,
+        refused_by: Name,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&token) else {
+            return;
+        };
+        if std::mem::take(&mut pending.may_wait_at_agent) {
+            pending.full_targets.push(refused_by);
+        }
+        let is_waiting_next = pending.reservation_attempts >= ATTEMPTS_BEFORE_WAITING;
+        if is_waiting_next && self.wait_at_agent(now, token, effects) {
+            return;
+        }
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
@@ -208,3 +317,38 @@
         }
     }
 }
+
+/// How long a request may wait at an agent.
+fn max_wait(now: Duration, pending: &Pending) -> Duration {
+    if pending.is_overdue() {
+        let time_left = pending.deadline.saturating_sub(now);
+        MAX_OVERDUE_WAIT.min(time_left / OVERDUE_WAIT_DIVISOR)
+    } else {
+        pending.dispatch_by.saturating_sub(now)
+    }
+}
+
+/// How a request competes with others, if it does.
+fn claim(pending: &Pending, requirements: &Requirements<'_>, max_wait: Duration) -> Option<Claim> {
+    let team = pending.team.as_ref();
+    Some(Claim {
+        rank: pending.queue_rank(),
+        priority_level: requirements.claim_level?,
+        is_below_minimum: requirements.is_below_minimum,
+        team: team.map(|team| rank::hash_key(team.name.as_bytes())),
+        max_wait_ms: u32::try_from(max_wait.as_millis()).unwrap_or(u32::MAX),
+    })
+}
+
+/// What the answer to a request takes at an engine of usual speed.
+fn timing(now: Duration, pending: &Pending, engine: &EngineProfile) -> Timing {
+    let micros = |time: Duration| u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
+    Timing {
+        time_left_us: micros(pending.due.saturating_sub(now)),
+        iteration_us: micros(engine.step_time * engine.steps_per_iteration.max(1)),
+        prefill_tokens_per_second: engine.prefill_tokens_per_second as u32,
+        chunk_tokens: engine.prefill_chunk_tokens.unwrap_or_default(),
+        answer_tokens: pending.max_answer_tokens,
+        max_pause_us: 0,
+    }
+}
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -10,7 +10,10 @@
 };
 use std::time::Duration;
 
-use protocol::AcceptableBacklog;
+use protocol::{
+    reserved_slots,
+    AcceptableBacklog, //
+};
 use utils::Name;
 
 use super::config::Service;
@@ -66,6 +69,13 @@
 /// The largest number of prompt tokens ahead of a request that is told apart.
 const MAX_ACCEPTABLE_TOKENS: u32 = 1 << 17;
 
+/// Random part of the load of a target at whose agent a request may wait.
+const WAIT_JITTER: f64 = 0.3;
+
+/// The extra distance that weighs as much as a full batch of requests, when a target to wait at is
+/// selected.
+const WAIT_SCORE_TIME: Duration = Duration::from_millis(600);
+
 /// Response time of a plain target with one request per slot.
 const PLAIN_RESPONSE_TIME: Duration = Duration::from_millis(20);
 
@@ -157,6 +167,11 @@
     pub is_overdue: bool,
     /// How long it may still be queued.
     pub may_wait: Duration,
+    /// How much less urgent it is than the most urgent requests that it competes with for model
+    /// engines, if it does.
+    pub claim_level: Option<u8>,
+    /// Whether its priority is served less often than its minimum share.
+    pub is_below_minimum: bool,
     /// Whether requests to model engines are reserved with their agents.
     pub uses_reservations: bool,
     /// Number of processes that may send to the targets, if known.
@@ -215,6 +230,44 @@
     }
 }
 
+/// Selects the target at whose agent a request waits for capacity, if there is one: that with the
+/// least work for its limit, near ones first, except for `excluded` ones. `random` returns a number
+/// from zero to one.
+pub fn choose_to_wait(
+    now: Duration,
+    targets: &Targets,
+    location: &Location,
+    out_data_centres: &BTreeSet<Name>,
+    requirements: &Requirements<'_>,
+    excluded: &[Name],
+    mut random: impl FnMut() -> f64,
+) -> Option<Name> {
+    let mut best: Option<(f64, &Target)> = None;
+    for target in targets.of_service(&requirements.service.name) {
+        let is_usable = is_eligible(target, location, out_data_centres, requirements)
+            && !target.health.is_ejected(now)
+            && !target.health.is_probing()
+            && !target.notice.is_paused(now)
+            && now >= target.agent_backoff_until
+            && has_cold_capacity(now, target, requirements)
+            && has_limit_capacity(now, target, requirements);
+        if !is_usable || excluded.contains(&target.entry.id) {
+            continue;
+        }
+        let limit = f64::from(concurrency_limit(now, target, requirements.service));
+        let requests = target.load.total_requests(now) + target.load.waiting(now);
+        // Entries that know the same loads must not all choose the same target.
+        let jitter = 1.0 + WAIT_JITTER * random();
+        let distance = location.distance_penalty(&target.entry.data_centre);
+        let score = (requests + 1.0) / limit * jitter
+            + distance.as_secs_f64() / WAIT_SCORE_TIME.as_secs_f64();
+        if best.is_none_or(|(best_score, _)| score < best_score) {
+            best = Some((score, target));
+        }
+    }
+    best.map(|(_, target)| target.entry.id.clone())
+}
+
 /// How long it takes until the first target that may serve the request wants requests again, if all
 /// of these want none now.
 pub fn shortest_pause(
@@ -252,7 +305,7 @@
 
 /// Estimates the target's response to the request, or `None` if it has no capacity for it.
 fn estimate(now: Duration, target: &Target, requirements: &Requirements<'_>) -> Option<Estimate> {
-    let limit = f64::from(concurrency_limit(now, target, requirements.service));
+    let limit = f64::from(request_limit_of(now, target, requirements));
     // The number of requests is rounded: it is a fraction, since old load reports count less.
     let is_full = target.load.total_requests(now) + 1.0 > limit + 0.5;
     if is_full
@@ -275,8 +328,24 @@
     response_time.mul_f64(RESPONSE_TIME_MARGIN) > requirements.time_left
 }
 
+/// How many requests the target may have with this one. Less urgent requests leave slots free for
+/// the more urgent ones that they compete with.
+fn request_limit_of(now: Duration, target: &Target, requirements: &Requirements<'_>) -> u32 {
+    let limit = concurrency_limit(now, target, requirements.service);
+    let level = requirements.claim_level.unwrap_or_default();
+    if requirements.is_below_minimum {
+        limit
+    } else {
+        limit.saturating_sub(reserved_slots(limit, level))
+    }
+}
+
 /// The number of requests at the target up to which it takes one whose answer will be late.
 fn max_requests_if_late(target: &Target, requirements: &Requirements<'_>) -> f64 {
+    // The agent orders requests that compete, so late ones take no slot of others that are on time.
+    if requirements.is_overdue && requirements.claim_level.is_some() {
+        return f64::from(slots(target, requirements.service));
+    }
     let max_utilization = if requirements.is_overdue {
         OVERDUE_REQUEST_MAX_UTILIZATION
     } else {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -25,6 +25,7 @@
 
 use super::config::Config;
 use super::crashes::SilentExchanges;
+use super::demand::Demand;
 use super::first_attempts::FirstAttempts;
 use super::lease::Lease;
 use super::pending::Pending;
@@ -90,6 +91,8 @@
     pub(super) required_versions: BTreeMap<Name, Vec<RequiredVersion>>,
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
+    /// The demand for the services whose requests compete.
+    pub(super) demand: BTreeMap<Name, Demand>,
     pub(super) retry_shares: BTreeMap<Name, RetryShare>,
     pub(super) process_count: ProcessCount,
     pub(super) first_attempts: FirstAttempts,
@@ -156,6 +159,7 @@
             required_versions: BTreeMap::new(),
             targets: Targets::default(),
             queues: BTreeMap::new(),
+            demand: BTreeMap::new(),
             retry_shares: BTreeMap::new(),
             process_count: ProcessCount::default(),
             first_attempts: FirstAttempts::default(),
--- a/components/control/src/router/table.rs
+++ b/components/control/src/router/table.rs
@@ -20,6 +20,8 @@
     config: Arc<Config>,
     routes_by_host: HashMap<Name, Vec<Arc<Route>>>,
     teams_by_key: HashMap<Name, Arc<Team>>,
+    /// The priorities of the routes of each service, the most urgent first.
+    priorities: HashMap<Name, Vec<u8>>,
 }
 
 impl RoutingTable {
@@ -35,6 +37,15 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let mut priorities: HashMap<Name, Vec<u8>> = HashMap::new();
+        for route in &config.routes {
+            for (service, _) in &route.services {
+                let known = priorities.entry(service.clone()).or_default();
+                if let Err(index) = known.binary_search(&route.priority) {
+                    known.insert(index, route.priority);
+                }
+            }
+        }
         let teams = config.teams.iter();
         let teams_by_key = teams
             .flat_map(|team| team.api_keys.iter().map(|key| (key.clone(), team.clone())))
@@ -43,6 +54,7 @@
             config,
             routes_by_host,
             teams_by_key,
+            priorities,
         }
     }
 
@@ -58,6 +70,14 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// The number of more urgent priorities among the routes of the service, or `None` if all its
+    /// routes have the same priority.
+    pub fn priority_level(&self, service: &str, priority: u8) -> Option<u8> {
+        let priorities = self.priorities.get(service).filter(|p| p.len() > 1)?;
+        let level = priorities.partition_point(|p| *p < priority);
+        Some(u8::try_from(level).unwrap_or(u8::MAX))
+    }
+
     /// The team that holds a key.
     pub fn team(&self, key: &str) -> Option<&Arc<Team>> {
         self.teams_by_key.get(key)
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -313,7 +313,7 @@
         let now = Duration::from_millis(millis);
         if let (Some(number), _) = controller.reserve(now, 100, &limits) {
             reserved_at.push(now);
-            controller.release(number);
+            controller.release(now, number);
         }
     }
     for (index, start) in reserved_at.iter().enumerate() {
@@ -396,7 +396,7 @@
             let (number, _) = controller.reserve(ms(1), 100, &limits(case.acceptable));
             assert_eq!(number.is_some(), case.is_granted, "{}", case.name);
             if let Some(number) = number {
-                controller.release(number);
+                controller.release(ms(1), number);
                 break;
             }
         }
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -350,7 +350,7 @@
 
     fn release(&mut self, token: u64) {
         if let Some((engine, Some(number), _)) = self.reserved.remove(&token) {
-            self.reservations[engine].release(number);
+            self.reservations[engine].release(self.now, number);
         }
     }
 
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -26,6 +26,7 @@
     Refusal, //
 };
 pub use reservation::{
+    reserved_slots,
     AcceptableBacklog,
     AgedLimit,
     Backlog,
--- a/components/protocol/src/reservation.rs
+++ b/components/protocol/src/reservation.rs
@@ -105,6 +105,16 @@
     pub max_wait_ms: u32,
 }
 
+/// Share of the slots, as its divisor, that is kept free for each more urgent priority. One slot of a
+/// common batch of twelve is enough: it becomes free again within a tenth of an answer's time.
+const RESERVED_SLOTS_DIVISOR: u32 = 12;
+
+/// Number of slots that a request of this priority level leaves free for more urgent ones, which would
+/// otherwise find none when they arrive just after it.
+pub fn reserved_slots(slots: u32, priority_level: u8) -> u32 {
+    slots.div_ceil(RESERVED_SLOTS_DIVISOR) * u32::from(priority_level)
+}
+
 /// What the answer to a request takes at an engine of usual speed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Timing {
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -22,7 +22,8 @@
 use control::controller::{
     Controller,
     Effect,
-    Event, //
+    Event,
+    Reserved, //
 };
 use protocol::{
     EngineStatus,
@@ -111,6 +112,8 @@
     downloads: Mutex<HashMap<(Digest, Piece), AbortHandle>>,
     /// The requests of other agents for pieces that wait for a decision of the reducer, by token.
     upload_requests: Mutex<HashMap<u64, oneshot::Sender<Result<(), Denial>>>>,
+    /// The reservation requests that wait, by their number.
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Option<Reserved>>>>,
     next_token: Mutex<u64>,
     engine_status: watch::Sender<EngineStatus>,
     /// The revision of the crashes that the reducer knows of.
@@ -160,6 +163,7 @@
             origin: Mutex::default(),
             downloads: Mutex::default(),
             upload_requests: Mutex::default(),
+            waiting: Mutex::default(),
             next_token: Mutex::default(),
             engine_status,
             crash_revision: watch::Sender::new(0),
@@ -228,11 +232,15 @@
     /// Passes an event to the reducer and executes the effects.
     fn handle_event(self: &Arc<Self>, event: Event) {
         let now = self.clock.now().elapsed;
-        let (effects, status, crash_revision) = {
+        let (effects, status, crash_revision, waiting) = {
             let mut state = lock(&self.state);
             let effects = state.step(now, event);
-            (effects, state.status(), state.crash_revision())
+            let waiting = state.condition().waiting;
+            (effects, state.status(), state.crash_revision(), waiting)
         };
+        if waiting > 0 {
+            self.end_waits();
+        }
         send_if_changed(&self.crash_revision, crash_revision);
         send_if_changed(&self.engine_status, status);
         for effect in effects {
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -13,7 +13,11 @@
     Reply,
     Request, //
 };
-use wire::CallReply;
+use tokio::time::timeout;
+use wire::{
+    CallReply,
+    WireError, //
+};
 
 use super::Router;
 
@@ -37,6 +41,26 @@
     _call: CallReply,
 }
 
+/// How long the request may wait at the agent.
+fn max_wait(request: &Request) -> Duration {
+    let Request::Reserve { terms, .. } = request else {
+        return Duration::ZERO;
+    };
+    let max_wait_ms = terms.claim.map_or(0, |claim| claim.max_wait_ms);
+    Duration::from_millis(max_wait_ms.into())
+}
+
+/// Returns the call with its final reply: if the request waits at the agent, that is the second one.
+async fn call_after_wait(mut call: CallReply, max_wait: Duration) -> Result<CallReply, WireError> {
+    if matches!(call.reply.body, Reply::Waiting { .. }) {
+        let reply = call.reader.receive_required();
+        call.reply = timeout(max_wait + RESERVATION_TIMEOUT, reply)
+            .await
+            .map_err(|_| WireError::Timeout)??;
+    }
+    Ok(call)
+}
+
 impl Router {
     /// Requests a reservation and reports the reply to the reducer.
     pub(super) async fn reserve(
@@ -65,7 +89,13 @@
         message: Envelope<Request>,
     ) -> Option<(Option<Reservation>, ReservationReply)> {
         let pool = &self.inner.agent_client.pool;
-        let call = match pool.call(agent, &message, RESERVATION_TIMEOUT).await {
+        let call = pool.call(agent, &message, RESERVATION_TIMEOUT).await;
+        let max_wait = max_wait(&message.body);
+        let call = match call {
+            Ok(call) => call_after_wait(call, max_wait).await,
+            Err(e) => Err(e),
+        };
+        let call = match call {
             Ok(call) => call,
             Err(e) => {
                 log::debug!(target: LOG_TARGET, "reservation request to agent {agent} failed: {e}");
