--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -99,7 +99,7 @@
         let mut acceptable = terms.acceptable;
         if let Some(claim) = terms.claim.filter(|claim| !claim.is_below_minimum) {
             let slots = acceptable.requests.saturating_add(1);
-            let reserved = reserved_slots(slots, claim.priority_level);
+            let reserved = reserved_slots(slots, claim.rank.priority_level);
             acceptable.requests = acceptable.requests.saturating_sub(reserved);
         }
         let prefill_rate = terms.timing.map_or(0, |t| t.prefill_tokens_per_second);
@@ -115,10 +115,16 @@
         prompt_tokens: u32,
         terms: &ReservationTerms,
     ) -> ReservationAnswer {
-        if !self.waiting.has_earlier(now, terms.claim.as_ref()) && self.is_allowed(now, terms) {
+        let claim = terms.claim.as_ref();
+        let goes_after_others = self.waiting.has_earlier(now, claim)
+            || claim.is_some_and(|claim| self.waiting.is_held_back(now, claim));
+        if !goes_after_others && self.is_allowed(now, terms) {
             let reserved = self.reserve_for(now, prompt_tokens, terms);
             return ReservationAnswer::Reserved(reserved);
         }
+        if let Some(claim) = claim {
+            self.waiting.record_shortage(now, claim);
+        }
         match terms.claim.filter(|claim| self.waiting.accepts(now, claim)) {
             Some(claim) => {
                 let number = self.waiting.push(now, prompt_tokens, terms, claim);
@@ -133,7 +139,10 @@
         let mut results = Vec::new();
         while let Some(first) = self.waiting.first(now).copied() {
             let waited = now.saturating_sub(first.since);
-            if !self.is_acceptable(&first.terms, waited) || !self.is_allowed(now, &first.terms) {
+            if self.waiting.is_held_back(now, &first.claim)
+                || !self.is_acceptable(&first.terms, waited)
+                || !self.is_allowed(now, &first.terms)
+            {
                 break;
             }
             self.waiting.remove(first.number);
--- a/components/control/src/controller/waiting.rs
+++ b/components/control/src/controller/waiting.rs
@@ -22,6 +22,10 @@
 /// Time constant of the recent work of a team.
 const TEAM_WORK_TIME_CONSTANT: Duration = Duration::from_secs(4);
 
+/// How long less urgent requests get no capacity after a more urgent one found none at once. It is
+/// about the time that such a request can wait.
+const SHORTAGE_TIME: Duration = Duration::from_millis(300);
+
 /// Number of requests ahead up to which a request may wait before the departure rate is known.
 const MAX_AHEAD_WITHOUT_RATE: usize = 1;
 
@@ -45,6 +49,8 @@
     requests: Vec<WaitingRequest>,
     last_number: u64,
     departures: DecayingCount,
+    /// When a request of a priority level last found no capacity at once.
+    shortages: BTreeMap<u8, Duration>,
     /// The recent work of each team, in tokens.
     team_work: BTreeMap<Option<u64>, DecayingCount>,
 }
@@ -55,6 +61,7 @@
             requests: Vec::new(),
             last_number: 0,
             departures: DecayingCount::new(DEPARTURE_RATE_TIME_CONSTANT),
+            shortages: BTreeMap::new(),
             team_work: BTreeMap::new(),
         }
     }
@@ -127,6 +134,19 @@
         ahead <= MAX_AHEAD_WITHOUT_RATE || (ahead + 1) as f64 <= rate * max_wait.as_secs_f64()
     }
 
+    /// Records that a request found no capacity at once.
+    pub fn record_shortage(&mut self, now: Duration, claim: &Claim) {
+        self.shortages.insert(claim.rank.priority_level, now);
+    }
+
+    /// Whether a more urgent request found no capacity just before. The free slots are then left to
+    /// such requests, of which the next may come to any other entry.
+    pub fn is_held_back(&self, now: Duration, claim: &Claim) -> bool {
+        let is_recent = |at: &Duration| now.saturating_sub(*at) < SHORTAGE_TIME;
+        let more_urgent = self.shortages.range(..claim.rank.priority_level);
+        !claim.is_below_minimum && more_urgent.map(|(_, at)| at).any(is_recent)
+    }
+
     /// Records that a request has left the engine.
     pub fn record_departure(&mut self, now: Duration) {
         self.departures.add(now, 1.0);
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -29,6 +29,11 @@
 /// Assumed time of a plain target to answer.
 const PLAIN_ANSWER_TIME: Duration = Duration::from_millis(25);
 
+/// The longest wait of a request that competes with others and whose answer is late anyway, and the
+/// part of its time left that it may wait, as a divisor.
+const MAX_OVERDUE_WAIT: Duration = Duration::from_secs(1);
+const OVERDUE_WAIT_DIVISOR: u32 = 4;
+
 impl State {
     /// Admits a new request and dispatches it, or rejects it.
     pub(super) fn handle_request(
@@ -128,6 +133,12 @@
         } else {
             now + route.latency_objective
         };
+        let max_wait = if has_returned && priority_level.is_some() {
+            MAX_OVERDUE_WAIT.min(timeout / OVERDUE_WAIT_DIVISOR)
+        } else {
+            let max_wait = route.latency_objective.saturating_sub(answer_time);
+            max_wait.min(timeout)
+        };
         Ok(Pending {
             id: request.request_id.clone(),
             route: route.clone(),
@@ -144,11 +155,7 @@
             max_answer_tokens: request
                 .prompt_and_max_answer_tokens
                 .map_or(0, |(_, answer)| answer),
-            dispatch_by: now
-                + route
-                    .latency_objective
-                    .saturating_sub(answer_time)
-                    .min(timeout),
+            dispatch_by: now + max_wait,
             fingerprint: request.fingerprint,
             shared_prompt_parts: parts.clone(),
             sent_parts: Vec::new(),
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -12,6 +12,7 @@
 
 use crate::millis::millis;
 
+use super::demand::UrgentRequest;
 use super::pending::Pending;
 use super::queue::QueuedRequest;
 use super::rejection::RejectionReason;
@@ -62,17 +63,35 @@
 
     /// Counts a new request if it competes with others.
     pub(super) fn record_demand(&mut self, now: Duration, pending: &Pending) {
-        if pending.priority_level.is_some() {
-            let demand = self.demand.entry(pending.service.name.clone());
-            demand.or_default().record_received(now, pending.priority());
+        let Some(level) = pending.priority_level else {
+            return;
+        };
+        let demand = self.demand.entry(pending.service.name.clone());
+        demand.or_default().record_received(
+            now,
+            level,
+            pending.route.latency_objective,
+            pending.prompt_tokens,
+        );
+    }
+
+    /// A typical request of those for which this one leaves room. One that is too late for an answer
+    /// on time leaves room for the next less urgent priority as well.
+    fn urgent_request(&self, now: Duration, pending: &Pending) -> Option<UrgentRequest> {
+        let demand = self.demand.get(&pending.service.name)?;
+        let level = pending.claim_level()?;
+        if pending.is_overdue() {
+            demand.typical_request(now, ..=level)
+        } else {
+            demand.typical_request(now, ..level)
         }
     }
 
     /// Whether the priority of a request is served less often than its minimum share.
     fn is_below_minimum(&self, now: Duration, pending: &Pending) -> bool {
         let demand = self.demand.get(&pending.service.name);
-        pending.priority_level.is_some()
-            && demand.is_some_and(|demand| demand.is_below_minimum(now, pending.priority()))
+        let level = pending.priority_level;
+        level.is_some_and(|level| demand.is_some_and(|d| d.is_below_minimum(now, level)))
     }
 
     /// Queues a request, or rejects it at once if it is expected to wait too long.
@@ -165,6 +184,7 @@
             },
             claim_level: pending.claim_level(),
             is_below_minimum: self.is_below_minimum(now, pending),
+            urgent_request: self.urgent_request(now, pending),
             uses_reservations: self.options.uses_reservations,
             process_count: self.process_count.get(),
         }
@@ -301,10 +321,13 @@
             .notice
             .requests_per_second()
             .map(|rate| (rate, notice_age));
-        if let Some(demand) = self.demand.get_mut(&pending.service.name) {
-            if pending.tried_targets.is_empty() {
-                demand.record_served(now, pending.priority());
-            }
+        let demand = self.demand.get_mut(&pending.service.name);
+        if let (Some(level), Some(demand), true) = (
+            pending.priority_level,
+            demand,
+            pending.tried_targets.is_empty(),
+        ) {
+            demand.record_served(now, level);
         }
         pending.tried_targets.push(id.clone());
         pending.sent_parts = sent_parts;
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -8,7 +8,7 @@
 pub mod config;
 mod crash_exchange;
 mod crashes;
-mod demand;
+pub mod demand;
 mod dispatch;
 mod first_attempts;
 pub mod health;
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -5,7 +5,6 @@
 
 use protocol::{
     AcceptableBacklog,
-    ClaimRank,
     Fingerprint,
     PromptPartId, //
 };
@@ -20,6 +19,7 @@
     SentPart,
     WRITING_PROOF_TIME, //
 };
+use super::queue::QueueRank;
 
 /// How long a stream may stay silent before another target resumes it. Engines pause for up to half
 /// a second while they prefill long prompts of other requests; callers give up after three seconds.
@@ -111,15 +111,17 @@
     }
 
     /// Its place in the order in which queued requests are dispatched.
-    pub fn queue_rank(&self) -> ClaimRank {
-        ClaimRank {
-            priority: self.priority(),
+    pub fn queue_rank(&self) -> QueueRank {
+        QueueRank {
             is_overdue: self.is_overdue(),
+            priority: self.priority(),
         }
     }
 
     /// How much less urgent it is than the most urgent requests that it competes with. One that
-    /// returns too late for an answer on time counts as the next priority.
+    /// returns too late for an answer on time counts as the next priority: with its own, each caller
+    /// that returns would make another one late, and behind all others, requests of little value
+    /// would go before one that is rejected for the second time.
     pub fn claim_level(&self) -> Option<u8> {
         let level = self.priority_level?;
         Some(level.saturating_add(u8::from(self.is_overdue())))
--- a/components/control/src/router/queue.rs
+++ b/components/control/src/router/queue.rs
@@ -3,16 +3,13 @@
 //! Under overload, a request waits only as long as its answer can still be on time. When the
 //! expected wait is longer than that, new requests are rejected at once instead of after a wait.
 //!
-//! Requests of callers that return too late for an answer on time are dispatched after all others of
-//! their priority. If they took turns, each of them would make another caller late: as many callers
-//! would be served, but fewer on time. Callers of less urgent priorities come after both: a caller
-//! that is rejected twice loses more than one of them that waits.
+//! Requests of callers that return too late for an answer on time are dispatched after all others.
+//! If they took turns, each of them would make another caller late: as many callers would be served,
+//! but fewer on time.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use protocol::ClaimRank;
-
 use crate::decaying_count::DecayingCount;
 
 /// Time constant of the exponential average of the departure rate.
@@ -22,13 +19,22 @@
 /// unevenly, so a shorter queue does not indicate overload.
 const MIN_QUEUE_LENGTH_FOR_WAIT: usize = 3;
 
+/// The place of a request in the order in which queued requests are dispatched; lower ones first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueRank {
+    /// Whether no answer can be on time any more.
+    pub is_overdue: bool,
+    /// Zero is the most urgent.
+    pub priority: u8,
+}
+
 /// A queued request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueuedRequest {
     /// The token of the request.
     pub token: u64,
-    /// Its order in the queue.
-    pub rank: ClaimRank,
+    /// Its place in the queue.
+    pub rank: QueueRank,
     /// When its queueing time is over.
     pub until: Duration,
 }
@@ -94,7 +100,7 @@
     }
 
     /// How long a request of `rank` that arrives now would wait.
-    pub fn expected_wait(&self, now: Duration, rank: ClaimRank) -> Duration {
+    pub fn expected_wait(&self, now: Duration, rank: QueueRank) -> Duration {
         let ahead = self.requests.partition_point(|r| r.rank <= rank);
         if ahead < MIN_QUEUE_LENGTH_FOR_WAIT {
             return Duration::ZERO;
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -8,6 +8,7 @@
 use protocol::{
     Backlog,
     Claim,
+    ClaimRank,
     EngineCondition,
     ReservationTerms,
     Timing, //
@@ -49,17 +50,17 @@
 /// Reservation attempts of a request that competes with others after which it waits at an agent.
 const ATTEMPTS_BEFORE_WAITING: u32 = 2;
 
-/// Number of agents that refuse to let a request wait after which it is rejected.
-const MAX_FULL_AGENTS: usize = 3;
+/// How long a request waits at one agent before it tries another one. While it waits, it misses the
+/// slots that become free at other engines.
+const MAX_AGENT_WAIT: Duration = Duration::from_millis(30);
+
+/// Number of agents that did not let a request wait long enough after which it is rejected. A request
+/// that waits for half a second tries so many.
+const MAX_FULL_AGENTS: usize = 16;
 
 /// A shorter wait is not worth a call to an agent of another region.
 const MIN_WAIT: Duration = Duration::from_millis(10);
 
-/// The longest wait of a request whose answer is late anyway, and the part of its time left that it
-/// may wait, as a divisor.
-const MAX_OVERDUE_WAIT: Duration = Duration::from_secs(1);
-const OVERDUE_WAIT_DIVISOR: u32 = 4;
-
 /// How long no reservation is requested from an agent that did not answer.
 const AGENT_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -112,7 +113,8 @@
         let Some(pending) = self.pending.get(&token) else {
             return false;
         };
-        let max_wait = max_wait(now, pending);
+        let time_left = pending.dispatch_by.saturating_sub(now);
+        let max_wait = time_left.min(MAX_AGENT_WAIT);
         let reason = if max_wait < MIN_WAIT {
             Some(RejectionReason::WaitedTooLong)
         } else if pending.full_targets.len() >= MAX_FULL_AGENTS {
@@ -318,22 +320,14 @@
     }
 }
 
-/// How long a request may wait at an agent.
-fn max_wait(now: Duration, pending: &Pending) -> Duration {
-    if pending.is_overdue() {
-        let time_left = pending.deadline.saturating_sub(now);
-        MAX_OVERDUE_WAIT.min(time_left / OVERDUE_WAIT_DIVISOR)
-    } else {
-        pending.dispatch_by.saturating_sub(now)
-    }
-}
-
 /// How a request competes with others, if it does.
 fn claim(pending: &Pending, requirements: &Requirements<'_>, max_wait: Duration) -> Option<Claim> {
     let team = pending.team.as_ref();
     Some(Claim {
-        rank: pending.queue_rank(),
-        priority_level: requirements.claim_level?,
+        rank: ClaimRank {
+            priority_level: requirements.claim_level?,
+            is_overdue: pending.is_overdue(),
+        },
         is_below_minimum: requirements.is_below_minimum,
         team: team.map(|team| rank::hash_key(team.name.as_bytes())),
         max_wait_ms: u32::try_from(max_wait.as_millis()).unwrap_or(u32::MAX),
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -17,6 +17,7 @@
 use utils::Name;
 
 use super::config::Service;
+use super::demand::UrgentRequest;
 use super::latency::{
     self,
     EngineLoad, //
@@ -172,6 +173,8 @@
     pub claim_level: Option<u8>,
     /// Whether its priority is served less often than its minimum share.
     pub is_below_minimum: bool,
+    /// A typical request of the more urgent priorities, for which it leaves room.
+    pub urgent_request: Option<UrgentRequest>,
     /// Whether requests to model engines are reserved with their agents.
     pub uses_reservations: bool,
     /// Number of processes that may send to the targets, if known.
@@ -316,7 +319,7 @@
     }
     let expected = expected_response_time(now, target, requirements);
     let response_time = expected.mul_f64(target.load.slowdown());
-    let is_late = is_late(response_time, requirements);
+    let is_late = is_late(response_time, requirements.time_left);
     let is_busy = target.load.total_requests(now) > max_requests_if_late(target, requirements);
     (!is_late || !is_busy).then_some(Estimate {
         response_time,
@@ -324,8 +327,8 @@
     })
 }
 
-fn is_late(response_time: Duration, requirements: &Requirements<'_>) -> bool {
-    response_time.mul_f64(RESPONSE_TIME_MARGIN) > requirements.time_left
+fn is_late(response_time: Duration, time_left: Duration) -> bool {
+    response_time.mul_f64(RESPONSE_TIME_MARGIN) > time_left
 }
 
 /// How many requests the target may have with this one. Less urgent requests leave slots free for
@@ -365,20 +368,40 @@
         return AcceptableBacklog::ANY;
     };
     let limit = concurrency_limit(now, target, requirements.service);
-    let is_on_time = |unprefilled_tokens: u32| {
-        let load = EngineLoad {
-            requests: f64::from(limit.saturating_sub(1)),
-            unprefilled_tokens: f64::from(unprefilled_tokens),
-            slots: slots(target, requirements.service),
+    let largest_backlog = |prompt_tokens: u32, time_left: Duration| {
+        let is_on_time = |unprefilled_tokens: u32| {
+            let load = EngineLoad {
+                requests: f64::from(limit.saturating_sub(1)),
+                unprefilled_tokens: f64::from(unprefilled_tokens),
+                slots: slots(target, requirements.service),
+            };
+            let expected = latency::time_to_first_event(engine, &load, prompt_tokens);
+            !is_late(expected.mul_f64(target.load.slowdown()), time_left)
         };
-        let expected = latency::time_to_first_event(engine, &load, requirements.prompt_tokens);
-        !is_late(expected.mul_f64(target.load.slowdown()), requirements)
+        largest(MAX_ACCEPTABLE_TOKENS, is_on_time).unwrap_or(0)
     };
-    let tokens = largest(MAX_ACCEPTABLE_TOKENS, is_on_time);
+    let is_late_anyway = requirements.is_overdue && requirements.claim_level.is_some();
+    let own = if is_late_anyway {
+        MAX_ACCEPTABLE_TOKENS
+    } else {
+        largest_backlog(requirements.prompt_tokens, requirements.time_left)
+    };
+    // The prompt must not make a more urgent request late that arrives just after it.
+    let urgent = requirements
+        .urgent_request
+        .filter(|_| !requirements.is_below_minimum);
+    let for_urgent = urgent.map(|urgent| {
+        largest_backlog(urgent.prompt_tokens, urgent.latency_objective)
+            .saturating_sub(requirements.prompt_tokens)
+    });
     AcceptableBacklog {
         requests: limit.saturating_sub(1),
-        unprefilled_tokens: tokens.unwrap_or(0),
-        requests_if_late: max_requests_if_late(target, requirements) as u32,
+        unprefilled_tokens: for_urgent.map_or(own, |tokens| own.min(tokens)),
+        requests_if_late: if is_late_anyway {
+            0
+        } else {
+            max_requests_if_late(target, requirements) as u32
+        },
     }
 }
 
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -17,14 +17,19 @@
     SystemTime, //
 };
 
-use control::controller::Reservations;
+use control::controller::{
+    ReservationAnswer,
+    Reservations,
+    Reserved, //
+};
 use control::notice::Notice;
 use control::router::config::{
     Config,
     EngineProfile,
     Repeatability,
     Route,
-    Service, //
+    Service,
+    Team, //
 };
 use control::router::load::LoadReport;
 use control::router::selection::Location;
@@ -78,9 +83,38 @@
     pub limits: Vec<Limit>,
     /// The share of streams that break after their first event.
     pub broken_share: f64,
+    /// The kinds of requests.
+    pub kinds: Vec<Kind>,
+    /// The share of each team in the requests; empty if callers have no keys.
+    pub team_shares: Vec<f64>,
     pub seed: u64,
 }
 
+/// A kind of request, which has a route of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// Its share in the requests.
+    pub share: f64,
+    pub priority: u8,
+    pub latency_objective: Duration,
+    /// Mean tokens of a prompt.
+    pub prompt: f64,
+    /// Mean tokens of an answer.
+    pub answer: f64,
+}
+
+impl Default for Kind {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            priority: 1,
+            latency_objective: LATENCY_OBJECTIVE,
+            prompt: 979.0,
+            answer: 92.0,
+        }
+    }
+}
+
 /// Requests per second that an engine says it takes, in all its answers between two times.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -113,6 +147,8 @@
             callers_return: false,
             limits: Vec::new(),
             broken_share: 0.0,
+            kinds: vec![Kind::default()],
+            team_shares: Vec::new(),
             seed: 7,
         }
     }
@@ -129,6 +165,27 @@
     pub unserved: u32,
     pub longest_time_to_rejection: Duration,
     pub sends: Vec<Send>,
+    /// Requests that waited at an agent.
+    pub waits: u32,
+    /// The results by kind.
+    pub by_kind: Vec<Served>,
+    /// The results by team.
+    pub by_team: Vec<Served>,
+}
+
+/// How many requests were served.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Served {
+    pub requests: u32,
+    pub on_time: u32,
+    pub late: u32,
+}
+
+impl Served {
+    /// The share of requests with an answer.
+    pub fn share(&self) -> f64 {
+        f64::from(self.on_time + self.late) / f64::from(self.requests.max(1))
+    }
 }
 
 /// The caller of a request.
@@ -139,6 +196,8 @@
     timeout: Duration,
     prompt: u32,
     answer: u32,
+    kind: usize,
+    team: Option<usize>,
 }
 
 #[derive(Clone, Debug)]
@@ -168,6 +227,8 @@
     QueueTimeout(u64),
     SetUnavailable(usize, bool),
     ReservationReply(u64),
+    /// The wait of a request at an agent is over.
+    WaitTimeout(u64),
     AgentReports,
 }
 
@@ -188,6 +249,8 @@
     /// The reservation of each request: its engine, its number if it was granted, and the backlog
     /// ahead of it.
     reserved: HashMap<u64, (usize, Option<u64>, Backlog)>,
+    /// The engine at whose agent a request waits, and its number there.
+    waiting: HashMap<u64, (usize, u64)>,
     unavailable: Vec<bool>,
     scenario: Scenario,
     started_at: Duration,
@@ -223,12 +286,15 @@
         last_token: 0,
         reservations: vec![Reservations::default(); scenario.engines],
         reserved: HashMap::new(),
+        waiting: HashMap::new(),
         unavailable: vec![false; scenario.engines],
         scenario: scenario.clone(),
         started_at: Duration::from_secs(100),
         told_at: HashMap::new(),
     };
-    simulation.step_all(&Event::ConfigRead(Arc::new(config())));
+    simulation.results.by_kind = vec![Served::default(); scenario.kinds.len()];
+    simulation.results.by_team = vec![Served::default(); scenario.team_shares.len()];
+    simulation.step_all(&Event::ConfigRead(Arc::new(config(scenario))));
     for engine in 0..scenario.engines {
         simulation.step_all(&Event::TargetListed(entry(engine)));
     }
@@ -271,6 +337,7 @@
                     process_count: u32::try_from(scenario.processes).unwrap(),
                 });
             }
+            SimulationEvent::WaitTimeout(token) => simulation.end_wait(token),
             SimulationEvent::ReservationReply(token) => {
                 let reservations = &simulation.reserved;
                 let reservation = reservations.get(&token).filter(|_| scenario.agents_answer);
@@ -278,7 +345,10 @@
                     backlog: *backlog,
                     accepts_requests: number.is_some() && !simulation.unavailable[*engine],
                     limit: simulation.reservations[*engine].limit(simulation.now),
-                    condition: EngineCondition::default(),
+                    condition: EngineCondition {
+                        waiting: simulation.reservations[*engine].waiting(),
+                        ..EngineCondition::default()
+                    },
                 });
                 simulation.step(token, Event::ReservationReply { token, reply });
             }
@@ -334,13 +404,26 @@
         self.release(token);
         let engine = usize::from(request.address.port() - FIRST_PORT);
         let reservations = &mut self.reservations[engine];
-        let number = reservations
-            .is_allowed(self.now, &request.terms)
-            .then(|| reservations.reserve(self.now, request.prompt_tokens));
-        let (number, backlog) = match number {
-            Some((number, backlog)) => (Some(number), backlog),
-            None => (None, reservations.backlog()),
-        };
+        match reservations.request(self.now, request.prompt_tokens, &request.terms) {
+            ReservationAnswer::Reserved(reserved) => self.reply(token, engine, Some(reserved)),
+            ReservationAnswer::Refused => self.reply(token, engine, None),
+            ReservationAnswer::Waiting(number) => {
+                self.results.waits += 1;
+                self.waiting.insert(token, (engine, number));
+                let max_wait_ms = request.terms.claim.map_or(0, |claim| claim.max_wait_ms);
+                let until = self.now + Duration::from_millis(max_wait_ms.into());
+                self.schedule(until, SimulationEvent::WaitTimeout(token));
+            }
+        }
+    }
+
+    /// The reply of an agent to a reservation request.
+    fn reply(&mut self, token: u64, engine: usize, reserved: Option<Reserved>) {
+        let number = reserved.map(|reserved| reserved.number);
+        let backlog = reserved.map_or_else(
+            || self.reservations[engine].backlog(),
+            |reserved| reserved.backlog,
+        );
         self.reserved.insert(token, (engine, number, backlog));
         self.schedule(
             self.now + AGENT_RESPONSE_TIME,
@@ -348,9 +431,31 @@
         );
     }
 
+    fn end_wait(&mut self, token: u64) {
+        if let Some((engine, number)) = self.waiting.remove(&token) {
+            self.reservations[engine].stop_waiting(number);
+            self.reply(token, engine, None);
+        }
+    }
+
+    /// Passes free capacity of an engine on to requests that wait at its agent.
+    fn grant_waiting(&mut self, engine: usize) {
+        if self.unavailable[engine] {
+            return;
+        }
+        for result in self.reservations[engine].grant_waiting(self.now) {
+            let is_granted = |place: &(usize, u64)| *place == (engine, result.number);
+            let token = self.waiting.iter().find(|(_, place)| is_granted(place));
+            let token = *token.expect("a request waits").0;
+            self.waiting.remove(&token);
+            self.reply(token, engine, result.reserved);
+        }
+    }
+
     fn release(&mut self, token: u64) {
         if let Some((engine, Some(number), _)) = self.reserved.remove(&token) {
             self.reservations[engine].release(self.now, number);
+            self.grant_waiting(engine);
         }
     }
 
@@ -372,8 +477,11 @@
         let token = self.next_token();
         self.results.requests += 1;
         let random_factor = |rng: &mut Pcg64Mcg| 0.3 + 1.4 * rng.random::<f64>();
-        let prompt = (979.0 * random_factor(&mut self.rng)) as u32;
-        let answer = (92.0 * random_factor(&mut self.rng)) as u32;
+        let kind = self.draw_kind();
+        let team = self.draw_team();
+        let Kind { prompt, answer, .. } = self.scenario.kinds[kind];
+        let prompt = (prompt * random_factor(&mut self.rng)) as u32;
+        let answer = (answer * random_factor(&mut self.rng)) as u32;
         let timeout = if self.scenario.callers_return {
             CALLER_TIMEOUT.mul_f64(self.rng.random_range(0.85..1.0))
         } else {
@@ -384,11 +492,46 @@
             timeout,
             prompt,
             answer,
+            kind,
+            team,
         };
         self.callers.insert(token, caller);
+        for served in self.served_of(&caller) {
+            served.requests += 1;
+        }
         self.receive(token);
     }
 
+    /// The kind of the next request. A single kind draws no random number.
+    fn draw_kind(&mut self) -> usize {
+        let shares: Vec<f64> = self.scenario.kinds.iter().map(|kind| kind.share).collect();
+        self.draw(&shares).unwrap_or(0)
+    }
+
+    fn draw_team(&mut self) -> Option<usize> {
+        let shares = self.scenario.team_shares.clone();
+        self.draw(&shares)
+    }
+
+    fn draw(&mut self, shares: &[f64]) -> Option<usize> {
+        if shares.len() < 2 {
+            return (!shares.is_empty()).then_some(0);
+        }
+        let mut point = self.rng.random::<f64>() * shares.iter().sum::<f64>();
+        let index = shares.iter().position(|share| {
+            point -= share;
+            point < 0.0
+        });
+        Some(index.unwrap_or(shares.len() - 1))
+    }
+
+    /// The results of the kind and of the team of a caller.
+    fn served_of(&mut self, caller: &Caller) -> impl Iterator<Item = &mut Served> {
+        let team = caller.team;
+        let team = team.map(|team| &mut self.results.by_team[team]);
+        std::iter::once(&mut self.results.by_kind[caller.kind]).chain(team)
+    }
+
     /// The caller of a rejected request sends it to any process again.
     fn return_caller(&mut self, rejected: u64) {
         let token = self.next_token();
@@ -412,8 +555,8 @@
                 token,
                 request_id: token.to_string().into(),
                 host: "host".into(),
-                path: "/chat/x".into(),
-                api_key: None,
+                path: format!("/chat{}/x", caller.kind).into(),
+                api_key: caller.team.map(team_name),
                 timeout: Some(caller.timeout - waited),
                 prompt_and_max_answer_tokens: Some((caller.prompt, caller.answer)),
                 last_event_id: None,
@@ -569,13 +712,19 @@
         };
         for token in started {
             if let Some((engine, Some(number), _)) = self.reserved.get(&token) {
-                self.reservations[*engine].record_prompt_prefilled(*number);
+                let engine = *engine;
+                self.reservations[engine].record_prompt_prefilled(*number);
+                self.grant_waiting(engine);
             }
-            if self.now - self.callers[&token].first_attempt_at <= LATENCY_OBJECTIVE {
-                self.results.on_time += 1;
-            } else {
-                self.results.late += 1;
+            let caller = self.callers[&token];
+            let objective = self.scenario.kinds[caller.kind].latency_objective;
+            let is_on_time = self.now - caller.first_attempt_at <= objective;
+            for served in self.served_of(&caller) {
+                served.on_time += u32::from(is_on_time);
+                served.late += u32::from(!is_on_time);
             }
+            self.results.on_time += u32::from(is_on_time);
+            self.results.late += u32::from(!is_on_time);
             self.answer(token, engine, load);
         }
         for token in broken {
@@ -634,7 +783,11 @@
     }
 }
 
-fn config() -> Config {
+fn team_name(team: usize) -> utils::Name {
+    format!("team{team}").into()
+}
+
+fn config(scenario: &Scenario) -> Config {
     let engine_profile = EngineProfile {
         model: "m".into(),
         slots: 16,
@@ -649,22 +802,32 @@
         cold_rate_per_second: 36.0,
         engine_profile: Some(engine_profile),
     };
-    let route = Route {
-        name: "chat".into(),
-        host: "host".into(),
-        prefix: "/chat/".into(),
-        repeatability: Repeatability::ResumableStream,
-        timeout: CALLER_TIMEOUT,
-        latency_objective: LATENCY_OBJECTIVE,
-        priority: 1,
-        services: vec![("engines".into(), 1)],
-        attempt_limit: 2,
-        allows_anonymous: true,
-        allowed_regions: Vec::new(),
+    let route = |(index, kind): (usize, &Kind)| {
+        Arc::new(Route {
+            name: format!("chat{index}").into(),
+            host: "host".into(),
+            prefix: format!("/chat{index}/").into(),
+            repeatability: Repeatability::ResumableStream,
+            timeout: CALLER_TIMEOUT,
+            latency_objective: kind.latency_objective,
+            priority: kind.priority,
+            services: vec![("engines".into(), 1)],
+            attempt_limit: 2,
+            allows_anonymous: true,
+            allowed_regions: Vec::new(),
+        })
+    };
+    let team = |team: usize| {
+        Arc::new(Team {
+            name: team_name(team),
+            api_keys: vec![team_name(team)],
+            ..Team::default()
+        })
     };
     Config {
         version: 1,
-        routes: vec![Arc::new(route)],
+        routes: scenario.kinds.iter().enumerate().map(route).collect(),
+        teams: (0..scenario.team_shares.len()).map(team).collect(),
         services: BTreeMap::from([("engines".into(), Arc::new(service))]),
         ..Config::default()
     }
--- a/components/protocol/src/reservation.rs
+++ b/components/protocol/src/reservation.rs
@@ -84,8 +84,9 @@
 /// The order in which waiting requests get capacity; lower ones first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClaimRank {
-    /// Zero is the most urgent.
-    pub priority: u8,
+    /// Number of more urgent priorities among the routes of the service. A request that is too late
+    /// for an answer on time counts as the next less urgent priority.
+    pub priority_level: u8,
     /// Whether no answer can be on time any more.
     pub is_overdue: bool,
 }
@@ -95,8 +96,6 @@
 pub struct Claim {
     /// Its order among waiting requests.
     pub rank: ClaimRank,
-    /// Number of more urgent priorities among the routes of the service.
-    pub priority_level: u8,
     /// Whether its priority is served less often than the minimum share at the requester.
     pub is_below_minimum: bool,
     /// Hash of the caller's team, if there is one.
