Waiting at agents: slots go to more urgent requests and to teams that got less

Change: where the routes of an engine service have more than one priority, reservation requests carry a claim. Entries count the demand by priority and mark what is below its minimum share.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -8,6 +8,7 @@
 mod reservations;
 mod schedule;
 pub mod timing;
+mod waiting;
 
 use std::time::Duration;
 
@@ -36,7 +37,12 @@
     Download,
     PlanContext, //
 };
-pub use self::reservations::Reservations;
+pub use self::reservations::{
+    ReservationAnswer,
+    Reservations,
+    Reserved,
+    WaitResult, //
+};
 pub use self::schedule::UpdateLimits;
 use self::timing::EngineSpeed;
 
@@ -317,6 +323,39 @@
         (Some(number), backlog)
     }
 
+    /// Reserves capacity, lets the request wait for it, or refuses it.
+    pub fn request(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> ReservationAnswer {
+        if self.status().is_switching {
+            return ReservationAnswer::Refused;
+        }
+        self.reservations.request(now, prompt_tokens, terms)
+    }
+
+    /// Ends the wait of requests for which there is capacity now, and of all if the engine is about
+    /// to load.
+    pub fn end_waits(&mut self, now: Duration) -> Vec<WaitResult> {
+        if self.status().is_switching {
+            self.reservations.refuse_waiting()
+        } else {
+            self.reservations.grant_waiting(now)
+        }
+    }
+
+    /// Ends the wait of a request whose time is over or whose caller has left.
+    pub fn stop_waiting(&mut self, number: u64) {
+        self.reservations.stop_waiting(number);
+    }
+
+    /// The backlog of the engine.
+    pub fn backlog(&self) -> Backlog {
+        self.reservations.backlog()
+    }
+
     /// What the engine said of its speed and memory, unless that is too old.
     fn engine_speed(&self, now: Duration) -> EngineSpeed {
         let is_recent = now.saturating_sub(self.engine_reported_at) < MAX_SPEED_AGE;
@@ -327,11 +366,12 @@
         }
     }
 
-    /// What the agent knows of the engine, for an entry that asks for a prediction.
+    /// What the agent knows of the engine.
     pub fn condition(&self) -> EngineCondition {
         EngineCondition {
             slowness_percent: self.reservations.slowness_percent(),
-            ..EngineCondition::default()
+            learned_limit: None,
+            waiting: self.reservations.waiting(),
         }
     }
 
@@ -353,8 +393,8 @@
     }
 
     /// Releases a reservation.
-    pub fn release(&mut self, number: u64) {
-        self.reservations.release(number);
+    pub fn release(&mut self, now: Duration, number: u64) {
+        self.reservations.release(now, number);
     }
 
     /// The revision of the crashes that entries reported.
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use protocol::{
+    reserved_slots,
     AgedLimit,
     Backlog,
     ReservationTerms, //
@@ -25,6 +26,8 @@
     ReservedWork, //
 };
 
+use super::waiting::WaitQueue;
+
 /// The window over which the rate of reservations is counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -47,6 +50,35 @@
     slowness: Option<f64>,
 }
 
+/// The answer to a reservation request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReservationAnswer {
+    /// Capacity is reserved.
+    Reserved(Reserved),
+    /// The request waits until there is capacity; this is its number among the waiting ones.
+    Waiting(u64),
+    /// There is no capacity.
+    Refused,
+}
+
+/// A reservation that was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reserved {
+    /// Its number.
+    pub number: u64,
+    /// The work ahead of it.
+    pub backlog: Backlog,
+}
+
+/// The end of the wait of a reservation request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitResult {
+    /// The number of the request among the waiting ones.
+    pub number: u64,
+    /// The reservation, or `None` if the request is refused.
+    pub reserved: Option<Reserved>,
+}
+
 /// The active reservations at an engine.
 #[derive(Clone, Debug, Default)]
 pub struct Reservations {
@@ -63,6 +95,7 @@
     recent: VecDeque<Duration>,
     /// The latest limit that any process knows the engine to name.
     notice: TargetNotice,
+    waiting: WaitQueue,
 }
 
 impl Reservations {
@@ -111,7 +144,7 @@
         });
         is_below_cold_rate
             && is_below_limit
-            && terms.acceptable.includes(self.backlog())
+            && self.is_acceptable(now, terms)
             && self.is_on_time(prompt_tokens, terms)
     }
 
@@ -133,6 +166,95 @@
         timing::should_accept(timing, &speed, &work, prompt_tokens)
     }
 
+    /// Whether the request would be sent with the present backlog.
+    fn is_acceptable(&self, now: Duration, terms: &ReservationTerms) -> bool {
+        let mut acceptable = terms.acceptable;
+        if let Some(claim) = terms.claim.filter(|claim| !claim.is_below_minimum) {
+            let slots = acceptable.requests.saturating_add(1);
+            let extra = u8::from(self.waiting.yields_to_others(now, &claim));
+            let level = claim.rank.priority_level.saturating_add(extra);
+            let reserved = reserved_slots(slots, level);
+            acceptable.requests = acceptable.requests.saturating_sub(reserved);
+        }
+        acceptable.includes(self.backlog())
+    }
+
+    /// Makes a reservation, lets the request wait for one, or refuses it.
+    pub fn request(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> ReservationAnswer {
+        let claim = terms.claim.as_ref();
+        if !self.waiting.has_earlier(now, claim) && self.is_allowed(now, prompt_tokens, terms) {
+            let reserved = self.reserve_for(now, prompt_tokens, terms);
+            return ReservationAnswer::Reserved(reserved);
+        }
+        if let Some(claim) = claim {
+            self.waiting.record_shortage(now, claim);
+        }
+        match terms.claim.filter(|claim| self.waiting.accepts(now, claim)) {
+            Some(claim) => {
+                let number = self.waiting.push(prompt_tokens, terms, claim);
+                ReservationAnswer::Waiting(number)
+            }
+            None => ReservationAnswer::Refused,
+        }
+    }
+
+    /// Makes reservations for waiting requests, in their order, as far as there is capacity.
+    pub fn grant_waiting(&mut self, now: Duration) -> Vec<WaitResult> {
+        let mut results = Vec::new();
+        while let Some(first) = self.waiting.first(now).copied() {
+            if !self.is_allowed(now, first.prompt_tokens, &first.terms) {
+                break;
+            }
+            self.waiting.remove(first.number);
+            let reserved = self.reserve_for(now, first.prompt_tokens, &first.terms);
+            results.push(WaitResult {
+                number: first.number,
+                reserved: Some(reserved),
+            });
+        }
+        results
+    }
+
+    /// Refuses all waiting requests.
+    pub fn refuse_waiting(&mut self) -> Vec<WaitResult> {
+        let numbers = self.waiting.clear().into_iter();
+        let refuse = |number| WaitResult {
+            number,
+            reserved: None,
+        };
+        numbers.map(refuse).collect()
+    }
+
+    /// Ends the wait of a request whose time is over or whose caller has left.
+    pub fn stop_waiting(&mut self, number: u64) {
+        self.waiting.remove(number);
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    fn reserve_for(
+        &mut self,
+        now: Duration,
+        prompt_tokens: u32,
+        terms: &ReservationTerms,
+    ) -> Reserved {
+        if let Some(claim) = terms.claim {
+            let answer_tokens = terms.timing.map_or(0, |timing| timing.answer_tokens);
+            let tokens = prompt_tokens.saturating_add(answer_tokens);
+            self.waiting.record_work(now, claim.team, tokens);
+        }
+        let (number, backlog) = self.reserve(now, prompt_tokens, terms);
+        Reserved { number, backlog }
+    }
+
     /// The latest limit that any process knows the engine to name, if it limits its requests or has
     /// done so.
     pub fn limit(&self, now: Duration) -> Option<AgedLimit> {
@@ -192,9 +314,11 @@
     }
 
     /// Releases a reservation.
-    pub fn release(&mut self, number: u64) {
-        self.unprefilled_tokens.remove(&number);
+    pub fn release(&mut self, now: Duration, number: u64) {
         self.expected.remove(&number);
+        if self.unprefilled_tokens.remove(&number).is_some() {
+            self.waiting.record_departure(now);
+        }
     }
 
     /// The reserved requests and the prompt tokens that the engine has not prefilled yet.
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -29,6 +29,11 @@
 /// Assumed time of a plain target to answer.
 const PLAIN_ANSWER_TIME: Duration = Duration::from_millis(25);
 
+/// The longest wait of a request that competes with others and whose answer is late anyway, and the
+/// part of its time left that it may wait, as a divisor.
+const MAX_OVERDUE_WAIT: Duration = Duration::from_secs(1);
+const OVERDUE_WAIT_DIVISOR: u32 = 4;
+
 impl State {
     /// Admits a new request and dispatches it, or rejects it.
     pub(super) fn handle_request(
@@ -42,6 +47,7 @@
             Ok(pending) => {
                 let service = pending.service.name.clone();
                 self.retry_share(now, &service).record_request();
+                self.record_demand(now, &pending);
                 self.pending.insert(token, pending);
                 self.dispatch_or_queue(now, token, effects);
             }
@@ -112,6 +118,10 @@
         let caller_timeout = request.timeout.unwrap_or(route.timeout);
         let timeout = caller_timeout.min(route.timeout);
         let answer_time = answer_time(service, request);
+        let team_priority = team.and_then(|team| team.priority);
+        let priority = team_priority.unwrap_or(route.priority);
+        let level = table.priority_level(&service.name, priority);
+        let priority_level = level.filter(|_| service.engine_profile.is_some());
         let team_name = team.map(|team| &team.name);
         let is_return = self
             .first_attempts
@@ -123,11 +133,18 @@
         } else {
             now + route.latency_objective
         };
+        let max_wait = if has_returned && priority_level.is_some() {
+            MAX_OVERDUE_WAIT.min(timeout / OVERDUE_WAIT_DIVISOR)
+        } else {
+            let max_wait = route.latency_objective.saturating_sub(answer_time);
+            max_wait.min(timeout)
+        };
         Ok(Pending {
             id: request.request_id.clone(),
             route: route.clone(),
             service: service.clone(),
             team: team.cloned(),
+            priority_level,
             arrived: now,
             deadline: now + timeout,
             due,
@@ -136,11 +153,7 @@
                 .prompt_and_max_answer_tokens
                 .map_or(0, |(prompt, _)| prompt),
             answer_tokens: answer_tokens(service, request),
-            dispatch_by: now
-                + route
-                    .latency_objective
-                    .saturating_sub(answer_time)
-                    .min(timeout),
+            dispatch_by: now + max_wait,
             fingerprint: request.fingerprint,
             shared_prompt_parts: parts.clone(),
             sent_parts: Vec::new(),
@@ -151,6 +164,8 @@
             target_started_at_ms: 0,
             is_reserving: false,
             reservation_attempts: 0,
+            may_wait_at_agent: false,
+            full_targets: Vec::new(),
             acceptable_backlog: AcceptableBacklog::ANY,
             expected_response_time: Duration::ZERO,
             reported_slowness: None,
--- a/components/control/src/router/distance.rs
+++ b/components/control/src/router/distance.rs
@@ -103,7 +103,7 @@
     }
 
     /// The penalty without regard to delays and load.
-    fn constant_penalty(&self, data_centre: &str) -> Duration {
+    pub(super) fn constant_penalty(&self, data_centre: &str) -> Duration {
         match self.distance(data_centre) {
             Distance::SameDataCentre => Duration::ZERO,
             Distance::SameRegion => OTHER_DATA_CENTRE_PENALTY,
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -8,6 +8,7 @@
 pub mod config;
 mod crash_exchange;
 mod crashes;
+pub mod demand;
 mod dispatch;
 pub mod distance;
 mod first_attempts;
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -45,6 +45,9 @@
     pub route: Arc<Route>,
     pub service: Arc<Service>,
     pub team: Option<Arc<Team>>,
+    /// The number of more urgent priorities of its service, if it competes with requests of other
+    /// priorities for model engines.
+    pub priority_level: Option<u8>,
     pub arrived: Duration,
     /// When the caller's or the route's timeout ends.
     pub deadline: Duration,
@@ -78,6 +81,10 @@
     pub acceptable_backlog: AcceptableBacklog,
     /// Number of reservations requested from agents.
     pub reservation_attempts: u32,
+    /// Whether the last requested reservation may wait at its agent.
+    pub may_wait_at_agent: bool,
+    /// Targets whose agents did not let it wait, or not long enough.
+    pub full_targets: Vec<Name>,
     /// The time to the answer, or to its first event, that was expected at the assigned target.
     pub expected_response_time: Duration,
     /// The slowness that the assigned target had reported when this was expected.
@@ -113,6 +120,15 @@
         }
     }
 
+    /// How much less urgent it is than the most urgent requests that it competes with. One that
+    /// returns too late for an answer on time counts as the next priority: with its own, each caller
+    /// that returns would make another one late, and behind all others, requests of little value
+    /// would go before one that is rejected for the second time.
+    pub fn claim_level(&self) -> Option<u8> {
+        let level = self.priority_level?;
+        Some(level.saturating_add(u8::from(self.is_overdue())))
+    }
+
     /// Whether the current target has been answering for so long that no part of the prompt crashes
     /// targets.
     pub fn has_proven_parts(&self, now: Duration) -> bool {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -25,6 +25,7 @@
 
 use super::config::Config;
 use super::crashes::SilentExchanges;
+use super::demand::Demand;
 use super::distance::{
     Location,
     Spillover, //
@@ -94,6 +95,8 @@
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) spillovers: BTreeMap<Name, Spillover>,
+    /// The demand for the services whose requests compete.
+    pub(super) demand: BTreeMap<Name, Demand>,
     pub(super) retry_shares: BTreeMap<Name, RetryShare>,
     pub(super) process_count: ProcessCount,
     pub(super) first_attempts: FirstAttempts,
@@ -162,6 +165,7 @@
             targets: Targets::default(),
             queues: BTreeMap::new(),
             spillovers: BTreeMap::new(),
+            demand: BTreeMap::new(),
             retry_shares: BTreeMap::new(),
             process_count: ProcessCount::default(),
             first_attempts: FirstAttempts::default(),
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -20,7 +20,9 @@
 use control::controller::timing::EngineSpeed;
 use control::controller::{
     EngineMemory,
-    Reservations, //
+    ReservationAnswer,
+    Reservations,
+    Reserved, //
 };
 use control::notice::Notice;
 use control::router::config::{
@@ -29,7 +31,8 @@
     EngineProfile,
     Repeatability,
     Route,
-    Service, //
+    Service,
+    Team, //
 };
 use control::router::load::LoadReport;
 use control::router::selection::Location;
@@ -97,6 +100,10 @@
     pub memory_tokens: Option<u64>,
     /// The data centres, if there is more than one.
     pub data_centres: DataCentres,
+    /// The kinds of requests.
+    pub kinds: Vec<Kind>,
+    /// The share of each team in the requests; empty if callers have no keys.
+    pub team_shares: Vec<f64>,
     pub seed: u64,
 }
 
@@ -169,6 +176,31 @@
     }
 }
 
+/// A kind of request, which has a route of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// Its share in the requests.
+    pub share: f64,
+    pub priority: u8,
+    pub latency_objective: Duration,
+    /// Mean tokens of a prompt.
+    pub prompt: f64,
+    /// Mean tokens of an answer.
+    pub answer: f64,
+}
+
+impl Default for Kind {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            priority: 1,
+            latency_objective: LATENCY_OBJECTIVE,
+            prompt: 979.0,
+            answer: 92.0,
+        }
+    }
+}
+
 /// Requests per second that an engine says it takes, in all its answers between two times.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -209,6 +241,8 @@
             has_long_answers: false,
             memory_tokens: None,
             data_centres: DataCentres::default(),
+            kinds: vec![Kind::default()],
+            team_shares: Vec::new(),
             seed: 7,
         }
     }
@@ -236,6 +270,27 @@
     pub arrivals: Vec<(usize, Duration)>,
     /// Those whose first event was on time.
     pub arrivals_on_time: Vec<(usize, Duration)>,
+    /// Requests that waited at an agent.
+    pub waits: u32,
+    /// The results by kind.
+    pub by_kind: Vec<Served>,
+    /// The results by team.
+    pub by_team: Vec<Served>,
+}
+
+/// How many requests were served.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Served {
+    pub requests: u32,
+    pub on_time: u32,
+    pub late: u32,
+}
+
+impl Served {
+    /// The share of requests with an answer.
+    pub fn share(&self) -> f64 {
+        f64::from(self.on_time + self.late) / f64::from(self.requests.max(1))
+    }
 }
 
 /// The caller of a request.
@@ -248,6 +303,8 @@
     prompt: u32,
     answer: u32,
     is_long: bool,
+    kind: usize,
+    team: Option<usize>,
 }
 
 #[derive(Clone, Debug)]
@@ -280,6 +337,8 @@
     QueueTimeout(u64),
     SetUnavailable(usize, bool),
     ReservationReply(u64),
+    /// The wait of a request at an agent is over.
+    WaitTimeout(u64),
     AgentReports,
     /// The agents read the reports of their engines.
     EngineReports,
@@ -315,6 +374,8 @@
     /// The reservation of each request: its engine, its number if it was granted, and the backlog
     /// ahead of it.
     reserved: HashMap<u64, (usize, Option<u64>, Backlog)>,
+    /// The engine at whose agent a request waits, and its number there.
+    waiting: HashMap<u64, (usize, u64)>,
     unavailable: Vec<bool>,
     scenario: Scenario,
     started_at: Duration,
@@ -365,6 +426,7 @@
         last_token: 0,
         reservations: vec![Reservations::default(); scenario.engines],
         reserved: HashMap::new(),
+        waiting: HashMap::new(),
         unavailable: vec![false; scenario.engines],
         scenario: scenario.clone(),
         started_at: Duration::from_secs(100),
@@ -373,6 +435,8 @@
         load_reports: HashMap::new(),
         confirmed_at: None,
     };
+    simulation.results.by_kind = vec![Served::default(); scenario.kinds.len()];
+    simulation.results.by_team = vec![Served::default(); scenario.team_shares.len()];
     simulation.step_all(&Event::ConfigRead(Arc::new(config(scenario))));
     let data_centres = &scenario.data_centres;
     for engine in 0..scenario.engines {
@@ -428,6 +492,7 @@
                     process_count: u32::try_from(scenario.processes).unwrap(),
                 });
             }
+            SimulationEvent::WaitTimeout(token) => simulation.end_wait(token),
             SimulationEvent::ReservationReply(token) => {
                 let reservations = &simulation.reserved;
                 let reservation = reservations.get(&token).filter(|_| scenario.agents_answer);
@@ -437,6 +502,7 @@
                     limit: simulation.reservations[*engine].limit(simulation.now),
                     condition: EngineCondition {
                         slowness_percent: simulation.reservations[*engine].slowness_percent(),
+                        waiting: simulation.reservations[*engine].waiting(),
                         ..EngineCondition::default()
                     },
                 });
@@ -568,13 +634,26 @@
             self.read_engine(engine);
         }
         let reservations = &mut self.reservations[engine];
-        let number = reservations
-            .is_allowed(self.now, request.prompt_tokens, &request.terms)
-            .then(|| reservations.reserve(self.now, request.prompt_tokens, &request.terms));
-        let (number, backlog) = match number {
-            Some((number, backlog)) => (Some(number), backlog),
-            None => (None, reservations.backlog()),
-        };
+        match reservations.request(self.now, request.prompt_tokens, &request.terms) {
+            ReservationAnswer::Reserved(reserved) => self.reply(token, engine, Some(reserved)),
+            ReservationAnswer::Refused => self.reply(token, engine, None),
+            ReservationAnswer::Waiting(number) => {
+                self.results.waits += 1;
+                self.waiting.insert(token, (engine, number));
+                let max_wait_ms = request.terms.claim.map_or(0, |claim| claim.max_wait_ms);
+                let until = self.now + Duration::from_millis(max_wait_ms.into());
+                self.schedule(until, SimulationEvent::WaitTimeout(token));
+            }
+        }
+    }
+
+    /// The reply of an agent to a reservation request.
+    fn reply(&mut self, token: u64, engine: usize, reserved: Option<Reserved>) {
+        let number = reserved.map(|reserved| reserved.number);
+        let backlog = reserved.map_or_else(
+            || self.reservations[engine].backlog(),
+            |reserved| reserved.backlog,
+        );
         self.reserved.insert(token, (engine, number, backlog));
         self.schedule(
             self.now + AGENT_RESPONSE_TIME + self.delay(token, engine),
@@ -582,10 +661,32 @@
         );
     }
 
+    fn end_wait(&mut self, token: u64) {
+        if let Some((engine, number)) = self.waiting.remove(&token) {
+            self.reservations[engine].stop_waiting(number);
+            self.reply(token, engine, None);
+        }
+    }
+
+    /// Passes free capacity of an engine on to requests that wait at its agent.
+    fn grant_waiting(&mut self, engine: usize) {
+        if self.unavailable[engine] {
+            return;
+        }
+        for result in self.reservations[engine].grant_waiting(self.now) {
+            let is_granted = |place: &(usize, u64)| *place == (engine, result.number);
+            let token = self.waiting.iter().find(|(_, place)| is_granted(place));
+            let token = *token.expect("a request waits").0;
+            self.waiting.remove(&token);
+            self.reply(token, engine, result.reserved);
+        }
+    }
+
     fn release(&mut self, token: u64) {
         self.reservation_requests.remove(&token);
         if let Some((engine, Some(number), _)) = self.reserved.remove(&token) {
-            self.reservations[engine].release(number);
+            self.reservations[engine].release(self.now, number);
+            self.grant_waiting(engine);
         }
     }
 
@@ -610,8 +711,11 @@
         let since_start = self.now - self.started_at;
         self.results.arrivals.push((data_centre, since_start));
         let random_factor = |rng: &mut Pcg64Mcg| 0.3 + 1.4 * rng.random::<f64>();
-        let prompt = (979.0 * random_factor(&mut self.rng)) as u32;
-        let mut answer = (92.0 * random_factor(&mut self.rng)) as u32;
+        let kind = self.draw_kind();
+        let team = self.draw_team();
+        let Kind { prompt, answer, .. } = self.scenario.kinds[kind];
+        let prompt = (prompt * random_factor(&mut self.rng)) as u32;
+        let mut answer = (answer * random_factor(&mut self.rng)) as u32;
         let is_long = self.scenario.has_long_answers && self.rng.random_bool(0.1);
         if is_long {
             answer *= LONG_ANSWER_FACTOR;
@@ -629,11 +733,46 @@
             prompt,
             answer,
             is_long,
+            kind,
+            team,
         };
         self.callers.insert(token, caller);
+        for served in self.served_of(&caller) {
+            served.requests += 1;
+        }
         self.receive(token);
     }
 
+    /// The kind of the next request. A single kind draws no random number.
+    fn draw_kind(&mut self) -> usize {
+        let shares: Vec<f64> = self.scenario.kinds.iter().map(|kind| kind.share).collect();
+        self.draw(&shares).unwrap_or(0)
+    }
+
+    fn draw_team(&mut self) -> Option<usize> {
+        let shares = self.scenario.team_shares.clone();
+        self.draw(&shares)
+    }
+
+    fn draw(&mut self, shares: &[f64]) -> Option<usize> {
+        if shares.len() < 2 {
+            return (!shares.is_empty()).then_some(0);
+        }
+        let mut point = self.rng.random::<f64>() * shares.iter().sum::<f64>();
+        let index = shares.iter().position(|share| {
+            point -= share;
+            point < 0.0
+        });
+        Some(index.unwrap_or(shares.len() - 1))
+    }
+
+    /// The results of the kind and of the team of a caller.
+    fn served_of(&mut self, caller: &Caller) -> impl Iterator<Item = &mut Served> {
+        let team = caller.team;
+        let team = team.map(|team| &mut self.results.by_team[team]);
+        std::iter::once(&mut self.results.by_kind[caller.kind]).chain(team)
+    }
+
     /// The caller of a rejected request sends it to any process again.
     fn return_caller(&mut self, rejected: u64) {
         let token = self.next_token(self.callers[&rejected].data_centre);
@@ -682,8 +821,8 @@
                 token,
                 request_id: token.to_string().into(),
                 host: "host".into(),
-                path: "/chat/x".into(),
-                api_key: None,
+                path: format!("/chat{}/x", caller.kind).into(),
+                api_key: caller.team.map(team_name),
                 timeout: Some(caller.timeout - waited),
                 prompt_and_max_answer_tokens: Some((caller.prompt, caller.answer)),
                 answer_tokens_hint: self.scenario.has_long_answers.then_some(caller.answer),
@@ -947,17 +1086,25 @@
             slowness_percent: self.scenario.data_centres.is_speed_reported.then_some(100),
         };
         let load = LoadReport {
-            slowness_percent: self.slowness_figure(engine),
+            slowness_percent: self.slowness_figure(engine).or(load.slowness_percent),
             ..load
         };
         for token in started {
             if let Some((engine, Some(number), _)) = self.reserved.get(&token) {
-                self.reservations[*engine].record_prompt_prefilled(self.now, *number);
+                let engine = *engine;
+                self.reservations[engine].record_prompt_prefilled(self.now, *number);
+                self.grant_waiting(engine);
             }
             let delay = self.delay(token, engine);
             let caller = self.callers[&token];
             self.results.long_answered += u32::from(caller.is_long);
-            if self.now + delay - caller.first_attempt_at <= LATENCY_OBJECTIVE {
+            let objective = self.scenario.kinds[caller.kind].latency_objective;
+            let is_on_time = self.now + delay - caller.first_attempt_at <= objective;
+            for served in self.served_of(&caller) {
+                served.on_time += u32::from(is_on_time);
+                served.late += u32::from(!is_on_time);
+            }
+            if is_on_time {
                 self.on_time.insert(token);
                 self.results.on_time += 1;
                 let arrival = (
@@ -1059,6 +1206,10 @@
     }
 }
 
+fn team_name(team: usize) -> utils::Name {
+    format!("team{team}").into()
+}
+
 fn config(scenario: &Scenario) -> Config {
     let data_centres = &scenario.data_centres;
     let mut delays = Delays::default();
@@ -1085,23 +1236,33 @@
         delays,
         engine_profile: Some(engine_profile),
     };
-    let route = Route {
-        name: "chat".into(),
-        host: "host".into(),
-        prefix: "/chat/".into(),
-        repeatability: Repeatability::ResumableStream,
-        timeout: CALLER_TIMEOUT,
-        latency_objective: LATENCY_OBJECTIVE,
-        pause_objective: scenario.pause_objective,
-        priority: 1,
-        services: vec![("engines".into(), 1)],
-        attempt_limit: 2,
-        allows_anonymous: true,
-        allowed_regions: Vec::new(),
+    let route = |(index, kind): (usize, &Kind)| {
+        Arc::new(Route {
+            name: format!("chat{index}").into(),
+            host: "host".into(),
+            prefix: format!("/chat{index}/").into(),
+            repeatability: Repeatability::ResumableStream,
+            timeout: CALLER_TIMEOUT,
+            latency_objective: kind.latency_objective,
+            pause_objective: scenario.pause_objective,
+            priority: kind.priority,
+            services: vec![("engines".into(), 1)],
+            attempt_limit: 2,
+            allows_anonymous: true,
+            allowed_regions: Vec::new(),
+        })
+    };
+    let team = |team: usize| {
+        Arc::new(Team {
+            name: team_name(team),
+            api_keys: vec![team_name(team)],
+            ..Team::default()
+        })
     };
     Config {
         version: 1,
-        routes: vec![Arc::new(route)],
+        routes: scenario.kinds.iter().enumerate().map(route).collect(),
+        teams: (0..scenario.team_shares.len()).map(team).collect(),
         services: BTreeMap::from([("engines".into(), Arc::new(service))]),
         ..Config::default()
     }
--- a/components/protocol/src/reservation.rs
+++ b/components/protocol/src/reservation.rs
@@ -84,8 +84,9 @@
 /// The order in which waiting requests get capacity; lower ones first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClaimRank {
-    /// Zero is the most urgent.
-    pub priority: u8,
+    /// Number of more urgent priorities among the routes of the service. A request that is too late
+    /// for an answer on time counts as the next less urgent priority.
+    pub priority_level: u8,
     /// Whether no answer can be on time any more.
     pub is_overdue: bool,
 }
@@ -95,8 +96,6 @@
 pub struct Claim {
     /// Its order among waiting requests.
     pub rank: ClaimRank,
-    /// Number of more urgent priorities among the routes of the service.
-    pub priority_level: u8,
     /// Whether its priority is served less often than the minimum share at the requester.
     pub is_below_minimum: bool,
     /// Hash of the caller's team, if there is one.
@@ -105,6 +104,16 @@
     pub max_wait_ms: u32,
 }
 
+/// Share of the slots, as its divisor, that is kept free for each more urgent priority. One slot of a
+/// common batch of twelve is enough: it becomes free again within a tenth of an answer's time.
+const RESERVED_SLOTS_DIVISOR: u32 = 12;
+
+/// Number of slots that a request of this priority level leaves free for more urgent ones, which would
+/// otherwise find none when they arrive just after it.
+pub fn reserved_slots(slots: u32, priority_level: u8) -> u32 {
+    slots.div_ceil(RESERVED_SLOTS_DIVISOR) * u32::from(priority_level)
+}
+
 /// What the answer to a request takes at an engine of usual speed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Timing {
