Review of the waiting queue: speed at the agent, lost waits, small limits

Change: one request path sets the speed; limit_for_level is at least one and used by both sides; a lost wait counts as a refusal; ends of waits are followed by another pass; a granted reservation is checked only for what the agent cannot know. After four agents a request waits in its entry's queue. The departure rate of the queue is removed, as waits are too short for it.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -302,34 +302,17 @@
         )
     }
 
-    /// Reserves capacity at the engine for a prompt of `prompt_tokens`. Returns the number of the
-    /// reservation and the backlog ahead of it. There is no number if the engine accepts no request
-    /// now: it is about to load, or the limits are reached.
-    pub fn reserve(
+    /// Reserves capacity, lets the request wait for it, or refuses it.
+    pub fn request(
         &mut self,
         now: Duration,
         prompt_tokens: u32,
         terms: &ReservationTerms,
-    ) -> (Option<u64>, Backlog) {
+    ) -> ReservationAnswer {
         if terms.timing.is_some() {
             self.timing_requested_at = Some(now);
             self.reservations.set_speed(self.engine_speed(now));
         }
-        let is_allowed = self.reservations.is_allowed(now, prompt_tokens, terms);
-        if !is_allowed || self.status().is_switching {
-            return (None, self.reservations.backlog());
-        }
-        let (number, backlog) = self.reservations.reserve(now, prompt_tokens, terms);
-        (Some(number), backlog)
-    }
-
-    /// Reserves capacity, lets the request wait for it, or refuses it.
-    pub fn request(
-        &mut self,
-        now: Duration,
-        prompt_tokens: u32,
-        terms: &ReservationTerms,
-    ) -> ReservationAnswer {
         if self.status().is_switching {
             return ReservationAnswer::Refused;
         }
@@ -342,6 +325,7 @@
         if self.status().is_switching {
             self.reservations.refuse_waiting()
         } else {
+            self.reservations.set_speed(self.engine_speed(now));
             self.reservations.grant_waiting(now)
         }
     }
@@ -393,8 +377,8 @@
     }
 
     /// Releases a reservation.
-    pub fn release(&mut self, now: Duration, number: u64) {
-        self.reservations.release(now, number);
+    pub fn release(&mut self, number: u64) {
+        self.reservations.release(number);
     }
 
     /// The revision of the crashes that entries reported.
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use protocol::{
-    reserved_slots,
+    limit_for_level,
     AgedLimit,
     Backlog,
     ReservationTerms, //
@@ -131,6 +131,10 @@
         if let Some(limit) = terms.limit {
             self.notice.merge(now, limit);
         }
+        self.has_capacity(now, prompt_tokens, terms)
+    }
+
+    fn has_capacity(&self, now: Duration, prompt_tokens: u32, terms: &ReservationTerms) -> bool {
         let made_in_last_second = self.made_within(now, RATE_WINDOW);
         let is_below_cold_rate = terms
             .cold_rate_per_second
@@ -170,11 +174,10 @@
     fn is_acceptable(&self, now: Duration, terms: &ReservationTerms) -> bool {
         let mut acceptable = terms.acceptable;
         if let Some(claim) = terms.claim.filter(|claim| !claim.is_below_minimum) {
-            let slots = acceptable.requests.saturating_add(1);
             let extra = u8::from(self.waiting.yields_to_others(now, &claim));
-            let level = claim.rank.priority_level.saturating_add(extra);
-            let reserved = reserved_slots(slots, level);
-            acceptable.requests = acceptable.requests.saturating_sub(reserved);
+            let level = claim.rank.level.saturating_add(extra);
+            let limit = acceptable.requests.saturating_add(1);
+            acceptable.requests = limit_for_level(limit, level) - 1;
         }
         acceptable.includes(self.backlog())
     }
@@ -191,7 +194,7 @@
             let reserved = self.reserve_for(now, prompt_tokens, terms);
             return ReservationAnswer::Reserved(reserved);
         }
-        if let Some(claim) = claim {
+        if let Some(claim) = claim.filter(|_| !self.is_acceptable(now, terms)) {
             self.waiting.record_shortage(now, claim);
         }
         match terms.claim.filter(|claim| self.waiting.accepts(now, claim)) {
@@ -207,7 +210,7 @@
     pub fn grant_waiting(&mut self, now: Duration) -> Vec<WaitResult> {
         let mut results = Vec::new();
         while let Some(first) = self.waiting.first(now).copied() {
-            if !self.is_allowed(now, first.prompt_tokens, &first.terms) {
+            if !self.has_capacity(now, first.prompt_tokens, &first.terms) {
                 break;
             }
             self.waiting.remove(first.number);
@@ -314,11 +317,9 @@
     }
 
     /// Releases a reservation.
-    pub fn release(&mut self, now: Duration, number: u64) {
+    pub fn release(&mut self, number: u64) {
         self.expected.remove(&number);
-        if self.unprefilled_tokens.remove(&number).is_some() {
-            self.waiting.record_departure(now);
-        }
+        self.unprefilled_tokens.remove(&number);
     }
 
     /// The reserved requests and the prompt tokens that the engine has not prefilled yet.
--- a/components/control/src/controller/waiting.rs
+++ b/components/control/src/controller/waiting.rs
@@ -1,6 +1,6 @@
 //! The reservation requests that wait at an agent until its engine has capacity.
 //!
-//! Answers an overload in which requests of different priorities and teams come to many entries. Each
+//! Addresses an overload in which requests of different priorities and teams come to many entries. Each
 //! entry sees only its own requests, so a slot would go to whichever entry asks first. The agent sees
 //! the requests of all entries for its engine and grants a free slot to the one that comes first by
 //! priority and team.
@@ -16,9 +16,6 @@
 
 use crate::decaying_count::DecayingCount;
 
-/// Time constant of the departure rate.
-const DEPARTURE_RATE_TIME_CONSTANT: Duration = Duration::from_secs(2);
-
 /// Time constant of the recent work of a team.
 const TEAM_WORK_TIME_CONSTANT: Duration = Duration::from_secs(4);
 
@@ -30,8 +27,9 @@
 /// no capacity.
 const MAX_WORK_RATIO: f64 = 2.0;
 
-/// Number of requests ahead up to which a request may wait before the departure rate is known.
-const MAX_AHEAD_WITHOUT_RATE: usize = 1;
+/// Number of requests ahead up to which another one may wait. Requests wait for a few tens of
+/// milliseconds, in which an engine rarely ends more than two.
+const MAX_AHEAD: usize = 1;
 
 /// Recent work of a team, in tokens, below which the team is forgotten.
 const MIN_TEAM_WORK: f64 = 1.0;
@@ -51,29 +49,16 @@
 }
 
 /// The requests that wait at an agent.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct WaitQueue {
     requests: Vec<WaitingRequest>,
     last_number: u64,
-    departures: DecayingCount,
     /// When a request of a priority level and a team last found no capacity at once.
     shortages: BTreeMap<(u8, Option<u64>), Duration>,
     /// The recent work of each team, in tokens.
     team_work: BTreeMap<Option<u64>, DecayingCount>,
 }
 
-impl Default for WaitQueue {
-    fn default() -> Self {
-        Self {
-            requests: Vec::new(),
-            last_number: 0,
-            departures: DecayingCount::new(DEPARTURE_RATE_TIME_CONSTANT),
-            shortages: BTreeMap::new(),
-            team_work: BTreeMap::new(),
-        }
-    }
-}
-
 impl WaitQueue {
     /// Adds a request and returns its number.
     pub fn push(&mut self, prompt_tokens: u32, terms: &ReservationTerms, claim: Claim) -> u64 {
@@ -87,11 +72,9 @@
         self.last_number
     }
 
-    /// Removes a request. Returns whether it was waiting.
-    pub fn remove(&mut self, number: u64) -> bool {
-        let old_length = self.requests.len();
+    /// Removes a request.
+    pub fn remove(&mut self, number: u64) {
         self.requests.retain(|request| request.number != number);
-        self.requests.len() != old_length
     }
 
     /// Removes all requests and returns their numbers.
@@ -125,19 +108,13 @@
 
     /// Whether a new request may wait: it is expected to get capacity in time.
     pub fn accepts(&self, now: Duration, claim: &Claim) -> bool {
-        if claim.max_wait_ms == 0 {
-            return false;
-        }
-        let ahead = self.ahead_of(now, claim);
-        let rate = self.departures.per_second(now);
-        let max_wait = Duration::from_millis(claim.max_wait_ms.into());
-        ahead <= MAX_AHEAD_WITHOUT_RATE || (ahead + 1) as f64 <= rate * max_wait.as_secs_f64()
+        claim.max_wait_ms > 0 && self.ahead_of(now, claim) <= MAX_AHEAD
     }
 
     /// Records that a request found no capacity at once.
     pub fn record_shortage(&mut self, now: Duration, claim: &Claim) {
         self.shortages.retain(|_, at| is_shortage_recent(now, *at));
-        let requester = (claim.rank.priority_level, claim.team);
+        let requester = (claim.rank.level, claim.team);
         self.shortages.insert(requester, now);
     }
 
@@ -145,7 +122,7 @@
     /// found no capacity just before. One more slot is then left free for such requests, of which the
     /// next may come to any other entry.
     pub fn yields_to_others(&self, now: Duration, claim: &Claim) -> bool {
-        let own_level = claim.rank.priority_level;
+        let own_level = claim.rank.level;
         let own_work = self.work_of(now, claim.team);
         let goes_first = |level: u8, team: Option<u64>| {
             level < own_level
@@ -164,11 +141,6 @@
         work.map_or(0.0, |work| work.get(now))
     }
 
-    /// Records that a request has left the engine.
-    pub fn record_departure(&mut self, now: Duration) {
-        self.departures.add(now, 1.0);
-    }
-
     /// Records work that the engine was given for a team.
     pub fn record_work(&mut self, now: Duration, team: Option<u64>, tokens: u32) {
         let work = self.team_work.entry(team);
--- a/components/control/src/router/demand.rs
+++ b/components/control/src/router/demand.rs
@@ -1,6 +1,6 @@
 //! The demand for a service by priority, and how much of it is served.
 //!
-//! Answers the load in which requests of several priorities compete for the engines of a service for
+//! Addresses the load in which requests of several priorities compete for the engines of a service for
 //! longer than a moment. Less urgent requests then get what the urgent ones leave, which may be
 //! nothing. A priority that falls below its minimum share is therefore treated like the most urgent
 //! one until it is served often enough again.
@@ -32,9 +32,9 @@
     latency_objective: Duration,
 }
 
-/// A typical request of more urgent priorities.
+/// A typical request of some priorities.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct UrgentRequest {
+pub struct TypicalRequest {
     /// Its latency objective.
     pub latency_objective: Duration,
     /// Tokens of its prompt.
@@ -80,19 +80,19 @@
         &self,
         now: Duration,
         levels: impl RangeBounds<u8>,
-    ) -> Option<UrgentRequest> {
-        let mut typical: Option<UrgentRequest> = None;
+    ) -> Option<TypicalRequest> {
+        let mut typical: Option<TypicalRequest> = None;
         for requests in self.by_level.range(levels).map(|(_, r)| r) {
             let received = requests.received.get(now);
             if received < MIN_REQUESTS {
                 continue;
             }
             let mean = (requests.prompt_tokens.get(now) / received) as u32;
-            let others = typical.unwrap_or(UrgentRequest {
+            let others = typical.unwrap_or(TypicalRequest {
                 latency_objective: Duration::MAX,
                 prompt_tokens: 0,
             });
-            typical = Some(UrgentRequest {
+            typical = Some(TypicalRequest {
                 latency_objective: requests.latency_objective.min(others.latency_objective),
                 prompt_tokens: mean.max(others.prompt_tokens),
             });
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -12,7 +12,7 @@
 
 use crate::millis::millis;
 
-use super::demand::UrgentRequest;
+use super::demand::TypicalRequest;
 use super::pending::Pending;
 use super::queue::QueuedRequest;
 use super::rejection::RejectionReason;
@@ -77,7 +77,7 @@
 
     /// A typical request of those for which this one leaves room. One that is too late for an answer
     /// on time leaves room for the next less urgent priority as well.
-    fn urgent_request(&self, now: Duration, pending: &Pending) -> Option<UrgentRequest> {
+    fn urgent_request(&self, now: Duration, pending: &Pending) -> Option<TypicalRequest> {
         let demand = self.demand.get(&pending.service.name)?;
         let level = pending.claim_level()?;
         if pending.is_overdue() {
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -53,9 +53,9 @@
 /// slots that become free at other engines.
 const MAX_AGENT_WAIT: Duration = Duration::from_millis(30);
 
-/// Number of agents that did not let a request wait long enough after which it is rejected. A request
-/// that waits for half a second tries so many.
-const MAX_FULL_AGENTS: usize = 16;
+/// Number of agents that did not let a request wait long enough after which it waits in the queue of
+/// this process.
+const MAX_FULL_AGENTS: usize = 4;
 
 /// A shorter wait is not worth a call to an agent of another region.
 const MIN_WAIT: Duration = Duration::from_millis(10);
@@ -92,9 +92,9 @@
     }
 
     /// Lets a request that competes with others wait for capacity at the agent of an engine. The
-    /// agent sees the requests of all processes, so it gives a slot that becomes free to the one that
-    /// needs it most. Rejects the request if no agent lets it wait. Returns whether one of these was
-    /// done.
+    /// agent sees the requests of all processes and gives a slot that becomes free to the first of
+    /// them by minimum share, priority, team and arrival. Returns whether the request waits or was
+    /// rejected, so that it need not be queued.
     pub(super) fn wait_at_agent(
         &mut self,
         now: Duration,
@@ -114,14 +114,10 @@
         };
         let time_left = pending.dispatch_by.saturating_sub(now);
         let max_wait = time_left.min(MAX_AGENT_WAIT);
-        let reason = if max_wait < MIN_WAIT {
-            Some(RejectionReason::WaitedTooLong)
-        } else if pending.full_targets.len() >= MAX_FULL_AGENTS {
-            Some(RejectionReason::Overload)
-        } else {
-            self.reason_not_to_send(now, token)
-        };
-        if let Some(reason) = reason {
+        if max_wait < MIN_WAIT || pending.full_targets.len() >= MAX_FULL_AGENTS {
+            return false;
+        }
+        if let Some(reason) = self.reason_not_to_send(now, token) {
             self.reject(now, token, reason, effects);
             return true;
         }
@@ -268,7 +264,9 @@
         self.unassign(token);
         let can_accept = match (self.pending.get(&token), self.targets.get(id)) {
             (Some(pending), Some(target)) => {
-                let requirements = self.requirements(now, pending);
+                let mut requirements = self.requirements(now, pending);
+                // The agent has applied the order among requests that compete.
+                requirements.is_below_minimum = true;
                 selection::can_accept(
                     now,
                     target,
@@ -324,7 +322,7 @@
     let team = pending.team.as_ref();
     Some(Claim {
         rank: ClaimRank {
-            priority_level: requirements.claim_level?,
+            level: requirements.claim_level?,
             is_overdue: pending.is_overdue(),
         },
         is_below_minimum: requirements.is_below_minimum,
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use protocol::{
-    reserved_slots,
+    limit_for_level,
     AcceptableBacklog, //
 };
 use utils::Name;
 
 use super::config::Service;
-use super::demand::UrgentRequest;
+use super::demand::TypicalRequest;
 use super::distance::{
     Penalties,
     SlotCount,
@@ -128,7 +128,7 @@
     /// Whether its priority is served less often than its minimum share.
     pub is_below_minimum: bool,
     /// A typical request of the more urgent priorities, for which it leaves room.
-    pub urgent_request: Option<UrgentRequest>,
+    pub urgent_request: Option<TypicalRequest>,
     /// Whether requests to model engines are reserved with their agents.
     pub uses_reservations: bool,
     /// Number of processes that may send to the targets, if known.
@@ -312,10 +312,10 @@
 fn request_limit_of(now: Duration, target: &Target, requirements: &Requirements<'_>) -> u32 {
     let limit = concurrency_limit(now, target, requirements.service);
     let level = requirements.claim_level.unwrap_or_default();
-    if requirements.is_below_minimum {
+    if requirements.is_below_minimum || level == 0 {
         limit
     } else {
-        limit.saturating_sub(reserved_slots(limit, level))
+        limit_for_level(limit, level)
     }
 }
 
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -61,6 +61,8 @@
             teams: config.teams.len(),
         }));
         self.table = Some(RoutingTable::new(config));
+        // Priorities and objectives may differ now.
+        self.demand.clear();
     }
 
     /// Adds or updates a target from its entry in the list.
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -8,6 +8,7 @@
     EngineReport,
     Event,
     ModelVersion,
+    ReservationAnswer,
     UpdateLimits, //
 };
 use proptest::prelude::*;
@@ -298,6 +299,14 @@
     assert_eq!(agent.ordered_versions(), [2, 2]);
 }
 
+/// Requests a reservation for a prompt of 100 tokens. Returns its number if it was made.
+fn reserve(controller: &mut Controller, now: Duration, terms: &ReservationTerms) -> Option<u64> {
+    match controller.request(now, 100, terms) {
+        ReservationAnswer::Reserved(reserved) => Some(reserved.number),
+        ReservationAnswer::Waiting(_) | ReservationAnswer::Refused => None,
+    }
+}
+
 /// Guards against overload of a cold engine by many processes that each send few requests. The
 /// agent therefore counts the reservations of all processes.
 #[test]
@@ -311,9 +320,9 @@
     let mut reserved_at: Vec<Duration> = Vec::new();
     for millis in 0..3000 {
         let now = Duration::from_millis(millis);
-        if let (Some(number), _) = controller.reserve(now, 100, &limits) {
+        if let Some(number) = reserve(&mut controller, now, &limits) {
             reserved_at.push(now);
-            controller.release(now, number);
+            controller.release(number);
         }
     }
     for (index, start) in reserved_at.iter().enumerate() {
@@ -326,7 +335,11 @@
         "{}",
         reserved_at.len()
     );
-    let (number, _) = controller.reserve(Duration::from_secs(3), 100, &ReservationTerms::default());
+    let number = reserve(
+        &mut controller,
+        Duration::from_secs(3),
+        &ReservationTerms::default(),
+    );
     assert!(
         number.is_some(),
         "an engine that is not cold has no rate limit"
@@ -389,19 +402,19 @@
             ..ReservationTerms::default()
         };
         for _ in 0..2 {
-            let (number, _) = controller.reserve(ms(0), 100, &limits(AcceptableBacklog::ANY));
+            let number = reserve(&mut controller, ms(0), &limits(AcceptableBacklog::ANY));
             assert!(number.is_some(), "{}", case.name);
         }
         for _ in 0..RATE {
-            let (number, _) = controller.reserve(ms(1), 100, &limits(case.acceptable));
+            let number = reserve(&mut controller, ms(1), &limits(case.acceptable));
             assert_eq!(number.is_some(), case.is_granted, "{}", case.name);
             if let Some(number) = number {
-                controller.release(ms(1), number);
+                controller.release(number);
                 break;
             }
         }
         if !case.is_granted {
-            let (number, _) = controller.reserve(ms(2), 100, &limits(AcceptableBacklog::ANY));
+            let number = reserve(&mut controller, ms(2), &limits(AcceptableBacklog::ANY));
             assert!(number.is_some(), "{}: the rate is not used up", case.name);
         }
     }
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -640,8 +640,7 @@
             ReservationAnswer::Waiting(number) => {
                 self.results.waits += 1;
                 self.waiting.insert(token, (engine, number));
-                let max_wait_ms = request.terms.claim.map_or(0, |claim| claim.max_wait_ms);
-                let until = self.now + Duration::from_millis(max_wait_ms.into());
+                let until = self.now + request.terms.max_wait();
                 self.schedule(until, SimulationEvent::WaitTimeout(token));
             }
         }
@@ -685,7 +684,7 @@
     fn release(&mut self, token: u64) {
         self.reservation_requests.remove(&token);
         if let Some((engine, Some(number), _)) = self.reserved.remove(&token) {
-            self.reservations[engine].release(self.now, number);
+            self.reservations[engine].release(number);
             self.grant_waiting(engine);
         }
     }
--- a/components/control/tests/reported_speed.rs
+++ b/components/control/tests/reported_speed.rs
@@ -184,7 +184,7 @@
     let mut reads_in = |from: u64, to: u64, terms: Option<ReservationTerms>| {
         let mut reads = 0;
         if let Some(terms) = terms {
-            agent.reserve(ms(from), 100, &terms);
+            agent.request(ms(from), 100, &terms);
         }
         for now in (from..to).step_by(50) {
             let effects = agent.step(ms(now), Event::Tick);
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -26,7 +26,7 @@
     Refusal, //
 };
 pub use reservation::{
-    reserved_slots,
+    limit_for_level,
     AcceptableBacklog,
     AgedLimit,
     Backlog,
--- a/components/protocol/src/reservation.rs
+++ b/components/protocol/src/reservation.rs
@@ -1,5 +1,7 @@
 //! Reservations of capacity at model engines, which entries request from agents.
 
+use std::time::Duration;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -23,6 +25,14 @@
     pub timing: Option<Timing>,
 }
 
+impl ReservationTerms {
+    /// How long the request may wait at the agent.
+    pub fn max_wait(&self) -> Duration {
+        let max_wait_ms = self.claim.map_or(0, |claim| claim.max_wait_ms);
+        Duration::from_millis(max_wait_ms.into())
+    }
+}
+
 impl Default for ReservationTerms {
     fn default() -> Self {
         Self {
@@ -86,7 +96,7 @@
 pub struct ClaimRank {
     /// Number of more urgent priorities among the routes of the service. A request that is too late
     /// for an answer on time counts as the next less urgent priority.
-    pub priority_level: u8,
+    pub level: u8,
     /// Whether no answer can be on time any more.
     pub is_overdue: bool,
 }
@@ -108,10 +118,12 @@
 /// common batch of twelve is enough: it becomes free again within a tenth of an answer's time.
 const RESERVED_SLOTS_DIVISOR: u32 = 12;
 
-/// Number of slots that a request of this priority level leaves free for more urgent ones, which would
-/// otherwise find none when they arrive just after it.
-pub fn reserved_slots(slots: u32, priority_level: u8) -> u32 {
-    slots.div_ceil(RESERVED_SLOTS_DIVISOR) * u32::from(priority_level)
+/// How many requests an engine with this concurrency limit may have with a request of `level`. It
+/// leaves slots free for more urgent requests, which would otherwise find none when they arrive just
+/// after it. An idle engine takes any request.
+pub fn limit_for_level(concurrency_limit: u32, level: u8) -> u32 {
+    let reserved = concurrency_limit.div_ceil(RESERVED_SLOTS_DIVISOR) * u32::from(level);
+    concurrency_limit.saturating_sub(reserved).max(1)
 }
 
 /// What the answer to a request takes at an engine of usual speed.
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -34,8 +34,7 @@
 
 impl Drop for Reservation<'_> {
     fn drop(&mut self) {
-        let now = self.agent.clock.now().elapsed;
-        lock(&self.agent.state).release(now, self.number);
+        lock(&self.agent.state).release(self.number);
         self.agent.end_waits();
     }
 }
@@ -61,11 +60,10 @@
         // A reservation that was made while the wait ended is not used.
         self.rx.close();
         if let Ok(Some(reserved)) = self.rx.try_recv() {
-            drop(Reservation {
-                agent: self.agent,
-                number: reserved.number,
-            });
+            lock(&self.agent.state).release(reserved.number);
         }
+        // Requests behind this one may fit where it did not.
+        self.agent.end_waits();
     }
 }
 
@@ -142,13 +140,11 @@
             log::debug!(target: LOG_TARGET, "cannot tell a requester that it waits: {e}");
             return Err(());
         }
-        let max_wait_ms = terms.claim.map_or(0, |claim| claim.max_wait_ms);
-        let max_wait = Duration::from_millis(max_wait_ms.into());
         tokio::select! {
             biased;
             reserved = wait.reserved() => Ok(reserved),
             () = responder.wait_closed() => Err(()),
-            () = tokio::time::sleep(max_wait) => Ok(None),
+            () = tokio::time::sleep(terms.max_wait()) => Ok(None),
         }
     }
 
@@ -164,19 +160,27 @@
 
     /// Passes capacity that became available on to waiting requests.
     pub(super) fn end_waits(&self) {
+        while self.end_some_waits() {}
+    }
+
+    /// Returns whether capacity was given to a requester that has just left, so that others may have
+    /// it.
+    fn end_some_waits(&self) -> bool {
         let now = self.clock.now().elapsed;
         let results = lock(&self.state).end_waits(now);
+        let mut is_any_unsent = false;
         for result in results {
             let waiting = lock(&self.waiting).remove(&result.number);
             let unsent = match waiting {
                 Some(tx) => tx.send(result.reserved).err().flatten(),
                 None => result.reserved,
             };
-            // The requester has just left.
             if let Some(reserved) = unsent {
-                lock(&self.state).release(now, reserved.number);
+                lock(&self.state).release(reserved.number);
+                is_any_unsent = true;
             }
         }
+        is_any_unsent
     }
 
     fn reserved_reply(&self, reserved: Option<Reserved>, terms: &ReservationTerms) -> Reply {
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -14,10 +14,7 @@
     Request, //
 };
 use tokio::time::timeout;
-use wire::{
-    CallReply,
-    WireError, //
-};
+use wire::CallReply;
 
 use super::Router;
 
@@ -41,24 +38,27 @@
     _call: CallReply,
 }
 
-/// How long the request may wait at the agent.
-fn max_wait(request: &Request) -> Duration {
-    let Request::Reserve { terms, .. } = request else {
-        return Duration::ZERO;
-    };
-    let max_wait_ms = terms.claim.map_or(0, |claim| claim.max_wait_ms);
-    Duration::from_millis(max_wait_ms.into())
-}
-
 /// Returns the call with its final reply: if the request waits at the agent, that is the second one.
-async fn call_after_wait(mut call: CallReply, max_wait: Duration) -> Result<CallReply, WireError> {
-    if matches!(call.reply.body, Reply::Waiting { .. }) {
-        let reply = call.reader.receive_required();
-        call.reply = timeout(max_wait + RESERVATION_TIMEOUT, reply)
-            .await
-            .map_err(|_| WireError::Timeout)??;
+/// If the agent stops answering in between, that counts as a refusal, since other engines may have
+/// capacity.
+async fn call_after_wait(mut call: CallReply, max_wait: Duration) -> CallReply {
+    let Reply::Waiting { backlog, condition } = call.reply.body else {
+        return call;
+    };
+    let reply = call.reader.receive_required();
+    match timeout(max_wait + RESERVATION_TIMEOUT, reply).await {
+        Ok(Ok(reply)) => call.reply = reply,
+        failed => {
+            log::debug!(target: LOG_TARGET, "an agent let a request wait and did not reply: {failed:?}");
+            call.reply.body = Reply::Reserved {
+                number: None,
+                backlog,
+                limit: None,
+                condition,
+            };
+        }
     }
-    Ok(call)
+    call
 }
 
 impl Router {
@@ -73,7 +73,10 @@
             prompt_tokens: request.prompt_tokens,
             terms: request.terms,
         });
-        let (reservation, reply) = match self.request_reservation(agent, message).await {
+        let (reservation, reply) = match self
+            .request_reservation(agent, message, request.terms.max_wait())
+            .await
+        {
             Some((reservation, reply)) => (reservation, Some(reply)),
             None => (None, None),
         };
@@ -87,16 +90,12 @@
         &self,
         agent: SocketAddr,
         message: Envelope<Request>,
+        max_wait: Duration,
     ) -> Option<(Option<Reservation>, ReservationReply)> {
         let pool = &self.inner.agent_client.pool;
         let call = pool.call(agent, &message, RESERVATION_TIMEOUT).await;
-        let max_wait = max_wait(&message.body);
         let call = match call {
             Ok(call) => call_after_wait(call, max_wait).await,
-            Err(e) => Err(e),
-        };
-        let call = match call {
-            Ok(call) => call,
             Err(e) => {
                 log::debug!(target: LOG_TARGET, "reservation request to agent {agent} failed: {e}");
                 return None;
