Order among priorities only under overload

Change: entries make claims only while over a tenth of the requests of a service are rejected, until that is under 3 in 100. Then two slots of twelve are kept free for each more urgent priority. The extra slot after a shortage and its state are removed.

--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -148,7 +148,7 @@
         });
         is_below_cold_rate
             && is_below_limit
-            && self.is_acceptable(now, terms)
+            && self.is_acceptable(terms)
             && self.is_on_time(prompt_tokens, terms)
     }
 
@@ -171,13 +171,11 @@
     }
 
     /// Whether the request would be sent with the present backlog.
-    fn is_acceptable(&self, now: Duration, terms: &ReservationTerms) -> bool {
+    fn is_acceptable(&self, terms: &ReservationTerms) -> bool {
         let mut acceptable = terms.acceptable;
         if let Some(claim) = terms.claim.filter(|claim| !claim.is_below_minimum) {
-            let extra = u8::from(self.waiting.yields_to_others(now, &claim));
-            let level = claim.rank.level.saturating_add(extra);
             let limit = acceptable.requests.saturating_add(1);
-            acceptable.requests = limit_for_level(limit, level) - 1;
+            acceptable.requests = limit_for_level(limit, claim.rank.level) - 1;
         }
         acceptable.includes(self.backlog())
     }
@@ -194,9 +192,6 @@
             let reserved = self.reserve_for(now, prompt_tokens, terms);
             return ReservationAnswer::Reserved(reserved);
         }
-        if let Some(claim) = claim.filter(|_| !self.is_acceptable(now, terms)) {
-            self.waiting.record_shortage(now, claim);
-        }
         match terms.claim.filter(|claim| self.waiting.accepts(now, claim)) {
             Some(claim) => {
                 let number = self.waiting.push(prompt_tokens, terms, claim);
--- a/components/control/src/controller/waiting.rs
+++ b/components/control/src/controller/waiting.rs
@@ -19,14 +19,6 @@
 /// Time constant of the recent work of a team.
 const TEAM_WORK_TIME_CONSTANT: Duration = Duration::from_secs(4);
 
-/// How long less urgent requests leave more slots free after a more urgent one found no capacity. It is
-/// about the time that such a request can wait.
-const SHORTAGE_TIME: Duration = Duration::from_millis(300);
-
-/// How many times as much of the recent work as another team a team may get while the other one finds
-/// no capacity.
-const MAX_WORK_RATIO: f64 = 2.0;
-
 /// Number of requests ahead up to which another one may wait. Requests wait for a few tens of
 /// milliseconds, in which an engine rarely ends more than two.
 const MAX_AHEAD: usize = 1;
@@ -34,10 +26,6 @@
 /// Recent work of a team, in tokens, below which the team is forgotten.
 const MIN_TEAM_WORK: f64 = 1.0;
 
-fn is_shortage_recent(now: Duration, at: Duration) -> bool {
-    now.saturating_sub(at) < SHORTAGE_TIME
-}
-
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WaitingRequest {
@@ -53,8 +41,6 @@
 pub(super) struct WaitQueue {
     requests: Vec<WaitingRequest>,
     last_number: u64,
-    /// When a request of a priority level and a team last found no capacity at once.
-    shortages: BTreeMap<(u8, Option<u64>), Duration>,
     /// The recent work of each team, in tokens.
     team_work: BTreeMap<Option<u64>, DecayingCount>,
 }
@@ -111,30 +97,6 @@
         claim.max_wait_ms > 0 && self.ahead_of(now, claim) <= MAX_AHEAD
     }
 
-    /// Records that a request found no capacity at once.
-    pub fn record_shortage(&mut self, now: Duration, claim: &Claim) {
-        self.shortages.retain(|_, at| is_shortage_recent(now, *at));
-        let requester = (claim.rank.level, claim.team);
-        self.shortages.insert(requester, now);
-    }
-
-    /// Whether a more urgent request, or one of a team that got much less of the engine's recent work,
-    /// found no capacity just before. One more slot is then left free for such requests, of which the
-    /// next may come to any other entry.
-    pub fn yields_to_others(&self, now: Duration, claim: &Claim) -> bool {
-        let own_level = claim.rank.level;
-        let own_work = self.work_of(now, claim.team);
-        let goes_first = |level: u8, team: Option<u64>| {
-            level < own_level
-                || (level == own_level && self.work_of(now, team) * MAX_WORK_RATIO < own_work)
-        };
-        let mut recent = self
-            .shortages
-            .iter()
-            .filter(|(_, at)| is_shortage_recent(now, **at));
-        !claim.is_below_minimum && recent.any(|((level, team), _)| goes_first(*level, *team))
-    }
-
     /// The recent work of a team, in tokens.
     fn work_of(&self, now: Duration, team: Option<u64>) -> f64 {
         let work = self.team_work.get(&team);
--- a/components/control/src/router/demand.rs
+++ b/components/control/src/router/demand.rs
@@ -19,6 +19,13 @@
 /// with a delay.
 const MIN_RELATIVE_SHARE: f64 = 0.375;
 
+/// Time constant of the counts that tell whether there is overload.
+const OVERLOAD_TIME_CONSTANT: Duration = Duration::from_secs(2);
+
+/// The share of rejected requests from which there is overload, and below which it has ended. With
+/// fewer rejections, slots that are left free for urgent requests cost more callers than they help.
+const OVERLOAD_SHARES: (f64, f64) = (0.1, 0.03);
+
 /// Number of recent requests of a priority below which its share says nothing.
 const MIN_REQUESTS: f64 = 4.0;
 
@@ -54,9 +61,23 @@
 
 /// The recent requests for one service that this process received, by the number of more urgent
 /// priorities.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Demand {
     by_level: BTreeMap<u8, Requests>,
+    received: DecayingCount,
+    rejected: DecayingCount,
+    is_overloaded: bool,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self {
+            by_level: BTreeMap::new(),
+            received: DecayingCount::new(OVERLOAD_TIME_CONSTANT),
+            rejected: DecayingCount::new(OVERLOAD_TIME_CONSTANT),
+            is_overloaded: false,
+        }
+    }
 }
 
 impl Demand {
@@ -68,6 +89,8 @@
         latency_objective: Duration,
         prompt_tokens: u32,
     ) {
+        self.received.add(now, 1.0);
+        self.update_overload(now);
         let requests = self.by_level.entry(level).or_default();
         requests.received.add(now, 1.0);
         requests.prompt_tokens.add(now, f64::from(prompt_tokens));
@@ -100,6 +123,28 @@
         typical
     }
 
+    /// Records that a request was rejected since no target had capacity in time.
+    pub fn record_rejected(&mut self, now: Duration) {
+        self.rejected.add(now, 1.0);
+        self.update_overload(now);
+    }
+
+    fn update_overload(&mut self, now: Duration) {
+        let received = self.received.get(now);
+        if received < MIN_REQUESTS {
+            return;
+        }
+        let share = self.rejected.get(now) / received;
+        let (start, end) = OVERLOAD_SHARES;
+        let threshold = if self.is_overloaded { end } else { start };
+        self.is_overloaded = share >= threshold;
+    }
+
+    /// Whether so many requests are rejected that the more urgent ones go first.
+    pub fn is_overloaded(&self) -> bool {
+        self.is_overloaded
+    }
+
     /// Records that a request was sent to a target for the first time.
     pub fn record_served(&mut self, now: Duration, level: u8) {
         let requests = self.by_level.entry(level).or_default();
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -75,11 +75,18 @@
         );
     }
 
+    /// How much less urgent a request is than the most urgent ones that it competes with now, if there
+    /// is overload.
+    pub(super) fn claim_level(&self, pending: &Pending) -> Option<u8> {
+        let demand = self.demand.get(&pending.service.name)?;
+        pending.claim_level().filter(|_| demand.is_overloaded())
+    }
+
     /// A typical request of those for which this one leaves room. One that is too late for an answer
     /// on time leaves room for the next less urgent priority as well.
     fn urgent_request(&self, now: Duration, pending: &Pending) -> Option<TypicalRequest> {
         let demand = self.demand.get(&pending.service.name)?;
-        let level = pending.claim_level()?;
+        let level = self.claim_level(pending)?;
         if pending.is_overdue() {
             demand.typical_request(now, ..=level)
         } else {
@@ -182,7 +189,7 @@
             } else {
                 pending.dispatch_by.saturating_sub(now)
             },
-            claim_level: pending.claim_level(),
+            claim_level: self.claim_level(pending),
             is_below_minimum: self.is_below_minimum(now, pending),
             urgent_request: self.urgent_request(now, pending),
             uses_reservations: self.options.uses_reservations,
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -367,6 +367,15 @@
         if let Some(queue) = self.queues.get_mut(&pending.service.name) {
             queue.remove(token);
         }
+        let is_overload = matches!(
+            reason,
+            RejectionReason::Overload | RejectionReason::WaitedTooLong
+        );
+        if let Some(demand) = self.demand.get_mut(&pending.service.name) {
+            if is_overload && !pending.has_returned {
+                demand.record_rejected(now);
+            }
+        }
         let not_run = !pending.may_have_run;
         let retry_after = self.retry_after(reason).filter(|_| not_run);
         let retry_after = retry_after.map(|after| after.max(pause));
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -101,10 +101,9 @@
         token: u64,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        let is_competing = self
-            .pending
-            .get(&token)
-            .is_some_and(|pending| pending.priority_level.is_some() && !pending.response_started);
+        let is_competing = self.pending.get(&token).is_some_and(|pending| {
+            self.claim_level(pending).is_some() && !pending.response_started
+        });
         if !is_competing || !self.options.uses_reservations {
             return false;
         }
--- a/components/protocol/src/reservation.rs
+++ b/components/protocol/src/reservation.rs
@@ -114,9 +114,9 @@
     pub max_wait_ms: u32,
 }
 
-/// Share of the slots, as its divisor, that is kept free for each more urgent priority. One slot of a
-/// common batch of twelve is enough: it becomes free again within a tenth of an answer's time.
-const RESERVED_SLOTS_DIVISOR: u32 = 12;
+/// Share of the slots, as its divisor, that is kept free for each more urgent priority under overload.
+/// Two slots of a common batch of twelve become free again within a sixth of an answer's time.
+const RESERVED_SLOTS_DIVISOR: u32 = 6;
 
 /// How many requests an engine with this concurrency limit may have with a request of `level`. It
 /// leaves slots free for more urgent requests, which would otherwise find none when they arrive just
