Requests compete by the priorities of routes, within those of teams

Cause: every team names a priority, 0 or 1, which overrides that of the route. Change: the level of a claim is that of the route; requests of teams that are more urgent than the least urgent ones count as most urgent. Queues of entries order by the priority of the route among equal priorities of teams. Overload ends below 5 rejections in 100.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -119,8 +119,7 @@
         let timeout = caller_timeout.min(route.timeout);
         let answer_time = answer_time(service, request);
         let team_priority = team.and_then(|team| team.priority);
-        let priority = team_priority.unwrap_or(route.priority);
-        let level = table.priority_level(&service.name, priority);
+        let level = table.priority_level(&service.name, route.priority, team_priority);
         let priority_level = level.filter(|_| service.engine_profile.is_some());
         let team_name = team.map(|team| &team.name);
         let is_return = self
--- a/components/control/src/router/demand.rs
+++ b/components/control/src/router/demand.rs
@@ -24,7 +24,7 @@
 
 /// The share of rejected requests from which there is overload, and below which it has ended. With
 /// fewer rejections, slots that are left free for urgent requests cost more callers than they help.
-const OVERLOAD_SHARES: (f64, f64) = (0.1, 0.03);
+const OVERLOAD_SHARES: (f64, f64) = (0.1, 0.05);
 
 /// Number of recent requests of a priority below which its share says nothing.
 const MIN_REQUESTS: f64 = 4.0;
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -117,6 +117,7 @@
         QueueRank {
             is_overdue: self.is_overdue(),
             priority: self.priority(),
+            route_priority: self.route.priority,
         }
     }
 
@@ -160,7 +161,7 @@
             RESUMED_PRIORITY
         } else {
             PRIORITY_OFFSET
-                .saturating_add(self.priority())
+                .saturating_add(self.priority_level.unwrap_or(self.priority()))
                 .min(LOWEST_PRIORITY)
         }
     }
--- a/components/control/src/router/queue.rs
+++ b/components/control/src/router/queue.rs
@@ -24,8 +24,10 @@
 pub struct QueueRank {
     /// Whether no answer can be on time any more.
     pub is_overdue: bool,
-    /// Zero is the most urgent.
+    /// The priority of the team, or else of the route; zero is the most urgent.
     pub priority: u8,
+    /// The priority of the route, which orders the requests of teams with the same priority.
+    pub route_priority: u8,
 }
 
 /// A queued request.
--- a/components/control/src/router/table.rs
+++ b/components/control/src/router/table.rs
@@ -22,6 +22,8 @@
     teams_by_key: HashMap<Name, Arc<Team>>,
     /// The priorities of the routes of each service, the most urgent first.
     priorities: HashMap<Name, Vec<u8>>,
+    /// The least urgent priority of a team.
+    last_team_priority: u8,
 }
 
 impl RoutingTable {
@@ -46,6 +48,8 @@
                 }
             }
         }
+        let team_priorities = config.teams.iter().filter_map(|team| team.priority);
+        let last_team_priority = team_priorities.max().unwrap_or_default();
         let teams = config.teams.iter();
         let teams_by_key = teams
             .flat_map(|team| team.api_keys.iter().map(|key| (key.clone(), team.clone())))
@@ -55,6 +59,7 @@
             routes_by_host,
             teams_by_key,
             priorities,
+            last_team_priority,
         }
     }
 
@@ -71,9 +76,18 @@
     }
 
     /// The number of more urgent priorities among the routes of the service, or `None` if all its
-    /// routes have the same priority.
-    pub fn priority_level(&self, service: &str, priority: u8) -> Option<u8> {
+    /// routes have the same priority. The priority of a team takes precedence: the requests of all but
+    /// the least urgent teams count as most urgent.
+    pub fn priority_level(
+        &self,
+        service: &str,
+        priority: u8,
+        team_priority: Option<u8>,
+    ) -> Option<u8> {
         let priorities = self.priorities.get(service).filter(|p| p.len() > 1)?;
+        if team_priority.is_some_and(|priority| priority < self.last_team_priority) {
+            return Some(0);
+        }
         let level = priorities.partition_point(|p| *p < priority);
         Some(u8::try_from(level).unwrap_or(u8::MAX))
     }
