Learn how many concurrent requests a target handles well

Cause: targets of one service differ in speed, and some slow down long before their slots are full. Fixed weights and limits do not fit. Change: control::capacity, pure. Answer times are averaged by the number of concurrent requests; the limit moves to the best throughput, tries more when the load reaches it, and falls at once on a sudden change. Of the answer times and those divided by the reported slowness, the ones that scatter less are used. Where no agent counts, each process keeps to its share, on average over time. Nothing uses it yet.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! state, so the same events always yield the same effects.
 
 pub mod agent;
+pub mod capacity;
 pub mod controller;
 pub mod crash_suspects;
 pub mod entry;
