Use learned limits in entries and agents, with flags to bound and switch them off

Change: entries learn for plain targets from answers and refusals, and keep to their share by the reported number of processes. Agents learn for their engine from reservations and prefilled prompts, refuse reservations beyond the limit, and report it in EngineCondition.learned_limit, which entries use for 1.5 s. A limit is forgotten with the start, version or service of the target; failures do not lower it. Line learned_limit in the record. Only targets that report their slowness are affected.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -5,6 +5,7 @@
 //! do not pass through the agent; entries ask it for the state of the engine.
 
 mod download;
+mod learned;
 mod reservations;
 mod schedule;
 
@@ -27,13 +28,19 @@
     Piece, //
 };
 
+use crate::capacity::{
+    self,
+    LimitStatus, //
+};
 use crate::millis::millis;
+use crate::router::learned::learned_limit;
 use crate::CrashSuspects;
 
 use self::download::{
     Download,
     PlanContext, //
 };
+use self::learned::EngineCapacity;
 pub use self::reservations::Reservations;
 pub use self::schedule::UpdateLimits;
 
@@ -195,6 +202,7 @@
     update: Option<ModelVersion>,
     phase: UpdatePhase,
     reservations: Reservations,
+    capacity: EngineCapacity,
     /// Crashes of any targets that entries reported, which are passed on to all entries.
     suspects: CrashSuspects,
     engine: Option<EngineReport>,
@@ -250,6 +258,7 @@
             update: None,
             phase: UpdatePhase::Idle,
             reservations: Reservations::default(),
+            capacity: EngineCapacity::default(),
             suspects: CrashSuspects::default(),
             engine: None,
             retry_at: Duration::ZERO,
@@ -258,6 +267,14 @@
         }
     }
 
+    /// Sets how the number of requests that the engine handles well is learned. Without this call it
+    /// is not.
+    #[must_use]
+    pub fn with_learned_capacity(mut self, settings: capacity::Settings) -> Self {
+        self.capacity = EngineCapacity::new(settings);
+        self
+    }
+
     /// The state of the engine for entries.
     pub fn status(&self) -> EngineStatus {
         let engine = self.engine.unwrap_or_default();
@@ -284,10 +301,15 @@
         prompt_tokens: u32,
         terms: &ReservationTerms,
     ) -> (Option<u64>, Backlog) {
-        if !self.reservations.is_allowed(now, terms) || self.status().is_switching {
+        self.capacity.observe_terms(terms);
+        let requests = self.reservations.backlog().requests;
+        let is_allowed =
+            self.reservations.is_allowed(now, terms) && self.capacity.allows(requests, terms);
+        if !is_allowed || self.status().is_switching {
             return (None, self.reservations.backlog());
         }
         let (number, backlog) = self.reservations.reserve(now, prompt_tokens);
+        self.capacity.record_grant(now, number, requests + 1, terms);
         (Some(number), backlog)
     }
 
@@ -297,14 +319,32 @@
         self.reservations.limit(now)
     }
 
-    /// Records that the engine has prefilled the prompt of a reservation.
-    pub fn record_prompt_prefilled(&mut self, number: u64) {
+    /// Records that the engine has prefilled the prompt of a reservation. Returns the line for the
+    /// record if the learned limit changed much.
+    pub fn record_prompt_prefilled(&mut self, now: Duration, number: u64) -> Option<Decision> {
         self.reservations.record_prompt_prefilled(number);
+        let requests = self.reservations.backlog().requests;
+        let slowness = self.engine.and_then(|engine| engine.slowness_percent);
+        let change = self
+            .capacity
+            .record_prefilled(now, number, requests, slowness)?;
+        Some(learned_limit(&self.name, change))
+    }
+
+    /// Number of concurrent requests that the engine handles well, if it is learned.
+    pub fn learned_limit(&self) -> Option<u32> {
+        self.capacity.limit()
+    }
+
+    /// The learned limit for reports, if there is one.
+    pub fn learned_limit_status(&self, now: Duration) -> Option<LimitStatus> {
+        self.capacity.status(now)
     }
 
     /// Releases a reservation.
     pub fn release(&mut self, number: u64) {
         self.reservations.release(number);
+        self.capacity.release(number);
     }
 
     /// The revision of the crashes that entries reported.
@@ -558,6 +598,7 @@
             }));
         }
         let previous = std::mem::replace(&mut self.engine, report);
+        self.capacity.observe_engine(previous, report);
         let Some(report) = report else {
             // An engine that restarts has lost its order.
             if matches!(self.phase, UpdatePhase::Loading(_)) {
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -155,6 +155,9 @@
             version: None,
             is_prefill_pending: false,
             time_to_first_event: None,
+            requests_at_start: 0,
+            requests_at_answer: None,
+            slowness_percent: None,
             response_started: false,
         })
     }
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -147,6 +147,7 @@
             },
             uses_reservations: self.options.uses_reservations,
             process_count: self.process_count.get(),
+            learned_capacity: self.capacity_terms(),
         }
     }
 
@@ -212,6 +213,10 @@
 
     /// Assigns a request to a target and counts it in the target's load.
     pub(super) fn assign(&mut self, now: Duration, token: u64, id: &Name) {
+        let service = self.pending.get(&token).map(|p| p.service.clone());
+        if let Some(service) = service {
+            self.account_share(now, id, &service);
+        }
         let (Some(pending), Some(target)) =
             (self.pending.get_mut(&token), self.targets.get_mut(id))
         else {
@@ -284,6 +289,9 @@
         pending.tried_targets.push(id.clone());
         pending.sent_parts = sent_parts;
         pending.answering_since = None;
+        pending.requests_at_start = load.round() as u32;
+        pending.requests_at_answer = None;
+        pending.slowness_percent = None;
         pending.assignment = Some((id.clone(), now));
         let request = ForwardRequest {
             target: id.clone(),
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod first_attempts;
 pub mod health;
 pub mod latency;
+pub mod learned;
 pub mod lease;
 pub mod load;
 mod outcomes;
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -12,6 +12,7 @@
 };
 
 use super::crashes::TargetRun;
+use super::learned::AnsweredRequest;
 use super::load::LoadReport;
 use super::rejection::RejectionReason;
 use super::retry_share::RetryShare;
@@ -45,20 +46,26 @@
             pending.version = version;
         }
         pending.answering_since = Some(now);
-        let Some((id, _)) = &pending.assignment else {
+        let Some((id, since)) = pending.assignment.clone() else {
             return;
         };
-        let Some(target) = self.targets.get_mut(id) else {
+        let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
         if let Some(load) = load {
             target.load.apply_report(now, load);
         }
+        pending.requests_at_answer = Some(target.load.total_requests(now).round() as u32);
+        pending.slowness_percent = load.and_then(|load| load.slowness_percent);
         if let Some(cold_remaining) = cold_remaining {
             target.cold_until = target.cold_until.max(now + cold_remaining);
         }
         if version.is_some() && target.entry.version < version {
             target.entry.version = version;
+            target.capacity.forget();
+        }
+        if load.is_some_and(|load| load.slowness_percent.is_some()) {
+            self.activate_learning(now, &id, now.saturating_sub(since));
         }
     }
 
@@ -162,6 +169,7 @@
         let Some(pending) = self.pending.get_mut(&token) else {
             return;
         };
+        let answered = AnsweredRequest::new(now, pending, longest_pause);
         let Some((id, since)) = pending.assignment.take() else {
             return;
         };
@@ -181,15 +189,24 @@
             target: id.clone(),
             started_at_ms: pending.target_started_at_ms,
         };
-        let service = pending.service.name.clone();
+        let service = pending.service.clone();
         let timed_out = Outcome::IdleTimeout == outcome || Outcome::DeadlineExceeded == outcome;
         if timed_out || matches!(outcome, Outcome::Broken { .. }) {
             pending.may_have_run = true;
         }
         self.queues
-            .entry(service)
+            .entry(service.name.clone())
             .or_default()
             .record_departure(now);
+        self.account_share(now, &run.target, &service);
+        match (outcome, &answered) {
+            (Outcome::Answered { is_error: false }, Some(answered)) => {
+                self.learn_from_answer(now, answered, effects)
+            }
+            (Outcome::Busy, Some(refused)) => self.learn_from_refusal(now, refused, effects),
+            // Failures count for the health of the target alone.
+            _ => {}
+        }
         self.update_target_after_exchange(now, &run, outcome, effects);
         match outcome {
             Outcome::Answered { is_error } => {
@@ -344,6 +361,7 @@
             running: pending.assignment.is_some(),
         }));
         if let Some((id, _)) = pending.assignment {
+            self.account_share(now, &id, &pending.service);
             if let Some(target) = self.targets.get_mut(&id) {
                 target.load.remove_request();
             }
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -84,6 +84,12 @@
     pub is_prefill_pending: bool,
     /// Time from sending the request to the first part of the answer.
     pub time_to_first_event: Option<Duration>,
+    /// Requests at the target when it was sent, as far as known, including itself.
+    pub requests_at_start: u32,
+    /// The same when the head of the answer arrived.
+    pub requests_at_answer: Option<u32>,
+    /// The slowness that the head of the answer reports, in percent.
+    pub slowness_percent: Option<u16>,
     /// Whether the caller has received a part of the answer.
     pub response_started: bool,
 }
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -117,7 +117,11 @@
         }
         if let Some(target) = self.targets.get_mut(&id) {
             match reply {
-                Some(reply) => target.load.apply_backlog(now, reply.backlog, prompt_tokens),
+                Some(reply) => {
+                    target.load.apply_backlog(now, reply.backlog, prompt_tokens);
+                    let learned_limit = reply.condition.learned_limit;
+                    target.capacity.set_agent_limit(now, learned_limit);
+                }
                 None => target.agent_backoff_until = now + AGENT_BACKOFF,
             }
             let limit = target.notice.requests_per_second();
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -18,6 +18,7 @@
     self,
     EngineLoad, //
 };
+use super::learned;
 use super::request_limit::{
     self,
     Counting, //
@@ -161,6 +162,8 @@
     pub uses_reservations: bool,
     /// Number of processes that may send to the targets, if known.
     pub process_count: Option<u32>,
+    /// How learned limits are used.
+    pub learned_capacity: learned::Terms,
 }
 
 /// The result of selecting a target.
@@ -252,12 +255,15 @@
 
 /// Estimates the target's response to the request, or `None` if it has no capacity for it.
 fn estimate(now: Duration, target: &Target, requirements: &Requirements<'_>) -> Option<Estimate> {
-    let limit = f64::from(concurrency_limit(now, target, requirements.service));
+    let limit = f64::from(concurrency_limit(now, target, requirements));
     // The number of requests is rounded: it is a fraction, since old load reports count less.
     let is_full = target.load.total_requests(now) + 1.0 > limit + 0.5;
     if is_full
         || !has_cold_capacity(now, target, requirements)
         || !has_limit_capacity(now, target, requirements)
+        || !requirements
+            .learned_capacity
+            .allows(now, target, requirements.service)
     {
         return None;
     }
@@ -295,7 +301,7 @@
     let Some(engine) = &requirements.service.engine_profile else {
         return AcceptableBacklog::ANY;
     };
-    let limit = concurrency_limit(now, target, requirements.service);
+    let limit = concurrency_limit(now, target, requirements);
     let is_on_time = |unprefilled_tokens: u32| {
         let load = EngineLoad {
             requests: f64::from(limit.saturating_sub(1)),
@@ -388,7 +394,8 @@
 }
 
 /// How many requests the target may have at once, running or queued.
-pub fn concurrency_limit(now: Duration, target: &Target, service: &Service) -> u32 {
+pub fn concurrency_limit(now: Duration, target: &Target, requirements: &Requirements<'_>) -> u32 {
+    let service = requirements.service;
     if target.health.is_probing() {
         return 1;
     }
@@ -397,6 +404,14 @@
         // Cold engines are slow; half a batch keeps their answers on time.
         return slots.div_ceil(2);
     }
+    let max = max_requests(slots, service);
+    let terms = &requirements.learned_capacity;
+    let learned = terms.total_limit(now, target, service);
+    learned.map_or(max, |learned| learned.min(max))
+}
+
+/// How many requests a warm target with `slots` may have at once, unless a lower limit was learned.
+pub(super) fn max_requests(slots: u32, service: &Service) -> u32 {
     if service.engine_profile.is_some() {
         slots + ENGINE_QUEUED_REQUESTS
     } else {
@@ -404,7 +419,7 @@
     }
 }
 
-fn slots(target: &Target, service: &Service) -> u32 {
+pub(super) fn slots(target: &Target, service: &Service) -> u32 {
     let profile_slots = service.engine_profile.as_ref().map(|engine| engine.slots);
     let slots = target.entry.slots.or(profile_slots);
     slots.unwrap_or(DEFAULT_SLOTS).max(1)
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -64,6 +64,8 @@
     pub retry_limit: RetryLimit,
     /// Whether requests to model engines are reserved with their agents before they are sent.
     pub uses_reservations: bool,
+    /// How the numbers of requests that targets handle well are learned.
+    pub learned_capacity: crate::capacity::Settings,
     /// Seed of the random number generator.
     pub seed: u64,
 }
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -9,6 +9,7 @@
 use crate::notice::TargetNotice;
 
 use super::health::Health;
+use super::learned::TargetCapacity;
 use super::load::TargetLoad;
 
 /// A target's entry in the platform's list.
@@ -76,6 +77,8 @@
     pub notice: TargetNotice,
     /// Its health, by the outcomes of requests.
     pub health: Health,
+    /// How many requests it handles well.
+    pub capacity: TargetCapacity,
     /// Whether it accepts no new requests until it has switched its weights.
     pub is_switching: bool,
     /// Number of processes that may send to it, as reported by its agent.
@@ -107,6 +110,7 @@
             load: TargetLoad::default(),
             notice: TargetNotice::default(),
             health: Health::default(),
+            capacity: TargetCapacity::default(),
             is_switching: false,
             process_count: 1,
             available_since: now,
@@ -237,6 +241,11 @@
             entry.has_no_weights = target.entry.has_no_weights;
         }
         let old = std::mem::replace(&mut target.entry, entry);
+        if old.service != target.entry.service {
+            target.capacity = TargetCapacity::default();
+        } else if old.version != target.entry.version {
+            target.capacity.forget();
+        }
         // A later end means a new cold start. An entry that names no remaining cold start does not
         // end the current one early.
         let cold_until = now + target.entry.cold_remaining;
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -225,6 +225,9 @@
         if target.is_switching || target.entry.has_no_weights {
             target.available_since = now;
         }
+        if target.entry.version != version {
+            target.capacity.forget();
+        }
         target.entry.version = version;
         target.entry.has_no_weights = version.is_none();
         target.is_switching = is_switching;
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -630,6 +630,7 @@
         },
         first_event_grace: Duration::from_millis(700),
         uses_reservations: false,
+        learned_capacity: control::capacity::Settings::OFF,
         seed,
     }
 }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -175,6 +175,7 @@
                 retry_limit: retry_limit(1.0),
                 first_event_grace: Duration::from_millis(700),
                 uses_reservations: false,
+                learned_capacity: control::capacity::Settings::OFF,
                 seed: 1,
             }),
             now,
@@ -370,6 +371,7 @@
         retry_limit: retry_limit(1.0),
         first_event_grace: Duration::from_millis(700),
         uses_reservations: false,
+        learned_capacity: control::capacity::Settings::OFF,
         seed: 1,
     }
 }
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -52,6 +52,7 @@
         first_event_grace: Duration::from_millis(700),
         retry_limit,
         uses_reservations: true,
+        learned_capacity: control::capacity::Settings::OFF,
         seed,
     }
 }
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -43,16 +43,19 @@
         mut responder: Responder,
     ) {
         let now = self.clock.now().elapsed;
-        let (number, backlog, limit) = {
+        let (number, backlog, limit, learned_limit) = {
             let mut state = lock(&self.state);
             let (number, backlog) = state.reserve(now, prompt_tokens, terms);
-            (number, backlog, state.limit(now))
+            (number, backlog, state.limit(now), state.learned_limit())
         };
         let reply = Reply::Reserved {
             number,
             backlog,
             limit: limit.filter(|_| terms.limit.is_some()),
-            condition: EngineCondition::default(),
+            condition: EngineCondition {
+                learned_limit,
+                ..EngineCondition::default()
+            },
         };
         let Some(number) = number else {
             self.send_reply(responder, reply).await;
@@ -80,7 +83,11 @@
     }
 
     pub(super) async fn answer_prompt_prefilled(&self, number: u64, responder: Responder) {
-        lock(&self.state).record_prompt_prefilled(number);
+        let now = self.clock.now().elapsed;
+        let decision = lock(&self.state).record_prompt_prefilled(now, number);
+        if let Some(decision) = decision {
+            self.record(decision);
+        }
         self.send_reply(responder, Reply::Acknowledged).await;
     }
 }
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -260,6 +260,17 @@
         /// How much longer it wants no requests from this process, in milliseconds.
         pause_ms: u64,
     },
+    /// The learned number of concurrent requests that a target handles well changed by a quarter or more.
+    LearnedLimit {
+        /// The target.
+        target: Name,
+        /// The limit in the line before.
+        before: f64,
+        /// The limit now.
+        limit: f64,
+        /// Why it changed last.
+        cause: Name,
+    },
     /// A data centre was taken out of service or back in.
     DataCentre {
         /// The data centre.
@@ -462,6 +473,7 @@
             Self::Engine { .. } => "engine",
             Self::Rest { .. } => "rest",
             Self::TargetNotice { .. } => "target_notice",
+            Self::LearnedLimit { .. } => "learned_limit",
             Self::DataCentre { .. } => "data_centre",
             Self::VersionNamed { .. } => "version_named",
             Self::Lease { .. } => "lease",
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use argh::FromArgs;
 
@@ -211,9 +212,55 @@
 /// Run an entry, which forwards the requests of callers to targets.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "entry")]
-pub(crate) struct PlatformEntry {}
+pub(crate) struct PlatformEntry {
+    /// whether to learn how many requests each target handles well: on or off
+    #[argh(option, default = "LearnCapacity(true)")]
+    pub learn_capacity: LearnCapacity,
+    /// the share of a target's slots below which a learned limit does not fall, from 0.0 to 1.0
+    #[argh(option, default = "MinLearnedShare(0.25)")]
+    pub min_learned_share: MinLearnedShare,
+}
 
 /// Run an agent, which loads the named model version into the engine on the same instance.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "agent")]
-pub(crate) struct PlatformAgent {}
+pub(crate) struct PlatformAgent {
+    /// whether to learn how many requests the engine handles well: on or off
+    #[argh(option, default = "LearnCapacity(true)")]
+    pub learn_capacity: LearnCapacity,
+    /// the share of the engine's slots below which a learned limit does not fall, from 0.0 to 1.0
+    #[argh(option, default = "MinLearnedShare(0.25)")]
+    pub min_learned_share: MinLearnedShare,
+}
+
+/// The value of `--learn-capacity`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LearnCapacity(pub bool);
+
+impl FromStr for LearnCapacity {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "on" => Ok(Self(true)),
+            "off" => Ok(Self(false)),
+            _ => Err(format!("{text:?} is not allowed, expected on or off")),
+        }
+    }
+}
+
+/// The value of `--min-learned-share`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct MinLearnedShare(pub f64);
+
+impl FromStr for MinLearnedShare {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let share: Option<f64> = text.parse().ok();
+        let share = share.filter(|share| (0.0..=1.0).contains(share));
+        share
+            .map(Self)
+            .ok_or_else(|| format!("{text:?} is not allowed, expected a number from 0.0 to 1.0"))
+    }
+}
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use control::capacity;
 use control::controller::{
     Controller,
     UpdateLimits, //
@@ -97,7 +98,7 @@
 /// How long an agent leaves a piece to other agents after downloads from the origin failed.
 const GIVE_UP_DURATION: Duration = Duration::from_millis(800);
 
-pub(super) async fn run(process: &Process) -> CommandResult {
+pub(super) async fn run(process: &Process, capacity: capacity::Settings) -> CommandResult {
     let settings = &process.settings;
     let engine = settings
         .engine_address
@@ -125,7 +126,8 @@
         limits(),
         update_limits,
         settings.is_first_start,
-    );
+    )
+    .with_learned_capacity(capacity);
     let http = proxy::http_client();
     let backends = platform::engine_backends(http.clone(), engine, settings.store_address);
     let agent = Agent::new(
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use control::capacity;
 use control::router::selection::Location;
 use control::router::{
     Options,
@@ -54,7 +55,7 @@
 /// A stopping process exits by itself this long before the platform would kill it.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
-pub(super) async fn run(process: &Process) -> CommandResult {
+pub(super) async fn run(process: &Process, capacity: capacity::Settings) -> CommandResult {
     let settings = &process.settings;
     let missing = |address| ProxyError::NoAddress(address);
     let caller_address = settings.caller_address.ok_or_else(|| missing("callers"))?;
@@ -64,7 +65,7 @@
     let caller_listener = listen(caller_address)?;
     let readiness_listener = listen(readiness_address)?;
     let router = Router::new(
-        State::new(options(settings, process.clock.now().unix_ms())),
+        State::new(options(settings, capacity, process.clock.now().unix_ms())),
         process.clock.clone(),
         process.record_writer.clone(),
         platform::header_codec(),
@@ -111,7 +112,7 @@
     Ok(())
 }
 
-fn options(settings: &NodeSettings, now_ms: u64) -> Options {
+fn options(settings: &NodeSettings, capacity: capacity::Settings, now_ms: u64) -> Options {
     let location = Location {
         data_centre: settings.data_centre.clone(),
         regions: settings.regions.clone(),
@@ -126,6 +127,7 @@
         retry_limit: retry_limit(&settings.operator_limits),
         first_event_grace: VERSION_SEND_MARGIN - VERSION_START_MARGIN,
         uses_reservations: true,
+        learned_capacity: capacity,
         seed: rank::weight(now_ms, &settings.instance),
     }
 }
--- a/src/cmd/platform/mod.rs
+++ b/src/cmd/platform/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::capacity;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use platform::{
     NodeSettings,
@@ -34,6 +35,8 @@
 
 use super::CommandResult;
 use crate::cli::{
+    LearnCapacity,
+    MinLearnedShare,
     PlatformArguments,
     PlatformRole, //
 };
@@ -77,9 +80,15 @@
     let local = LocalSet::new();
     let result = local.block_on(&runtime, async {
         process.record_start();
-        match arguments.role {
-            PlatformRole::Agent(_) => agent::run(&process).await,
-            PlatformRole::Entry(_) => entry::run(&process).await,
+        match &arguments.role {
+            PlatformRole::Agent(agent) => {
+                let capacity = capacity_settings(agent.learn_capacity, agent.min_learned_share);
+                agent::run(&process, capacity).await
+            }
+            PlatformRole::Entry(entry) => {
+                let capacity = capacity_settings(entry.learn_capacity, entry.min_learned_share);
+                entry::run(&process, capacity).await
+            }
         }
     });
     let detail = match &result {
@@ -91,6 +100,13 @@
     result
 }
 
+fn capacity_settings(learn: LearnCapacity, min_share: MinLearnedShare) -> capacity::Settings {
+    capacity::Settings {
+        is_enabled: learn.0,
+        min_share: min_share.0,
+    }
+}
+
 fn settings_path(arguments: &PlatformArguments) -> Result<PathBuf, ProxyError> {
     let from_platform = || std::env::var_os(platform::SETTINGS_VARIABLE).map(PathBuf::from);
     let settings_file = arguments.settings.clone().or_else(from_platform);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -75,6 +75,24 @@
             succeeds: false,
             expected_text: "no section for this role",
         },
+        Case {
+            name: "an unknown value of a switch",
+            arguments: &["platform", "entry", "--learn-capacity", "maybe"],
+            succeeds: false,
+            expected_text: "'--learn-capacity' with value 'maybe': \"maybe\" is not allowed, expected on or off",
+        },
+        Case {
+            name: "a share that is no number",
+            arguments: &["platform", "agent", "--min-learned-share", "nan"],
+            succeeds: false,
+            expected_text: "expected a number from 0.0 to 1.0",
+        },
+        Case {
+            name: "a share above one",
+            arguments: &["platform", "entry", "--min-learned-share", "1.5"],
+            succeeds: false,
+            expected_text: "'--min-learned-share' with value '1.5': \"1.5\" is not allowed",
+        },
         Case {
             name: "a folder without sheets",
             arguments: &["audit", "--sheets", "src"],
