--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -43,6 +43,7 @@
 };
 use wire::Pool;
 
+use crate::capacity_metrics;
 use crate::feed::{
     FeedEvent,
     PublishedValue, //
@@ -173,6 +174,7 @@
     pub async fn run_timer(self: Arc<Self>) {
         loop {
             self.handle_event(Event::Tick);
+            self.update_limit_gauges();
             let interval = if lock(&self.state).is_updating() {
                 BUSY_TICK_INTERVAL
             } else {
@@ -182,6 +184,15 @@
         }
     }
 
+    fn update_limit_gauges(&self) {
+        let now = self.clock.now().elapsed;
+        let status = lock(&self.state).learned_limit_status(now);
+        if let Some(status) = status {
+            let name = self.options.address.to_string().into();
+            capacity_metrics::update_gauges(&name, &status);
+        }
+    }
+
     /// Handles an event of the feed.
     pub fn handle_feed_event(self: &Arc<Self>, event: FeedEvent) {
         match event {
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -19,7 +19,10 @@
     Cell,
     RefCell, //
 };
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,7 +42,9 @@
     watch, //
 };
 use utils::clock::Clock;
+use utils::Name;
 
+use crate::capacity_metrics;
 use crate::feed::{
     FeedEvent,
     PublishedValue, //
@@ -109,6 +114,8 @@
     agent_client: AgentClient,
     /// The revision of the crashes that the reducer knows of.
     crash_revision: watch::Sender<u64>,
+    /// The targets whose learned limits the gauges show.
+    reported_limits: RefCell<HashSet<Name>>,
 }
 
 impl std::fmt::Debug for Router {
@@ -137,6 +144,7 @@
             header_codec,
             agent_client,
             crash_revision: watch::Sender::new(0),
+            reported_limits: RefCell::default(),
         };
         Self {
             inner: Rc::new(inner),
@@ -218,6 +226,22 @@
         metrics::gauge!("medlarproxy_configuration_version").set(version as f64);
         let age = summary.lease_age.unwrap_or(Duration::MAX);
         metrics::gauge!("medlarproxy_configuration_age_seconds").set(age.as_secs_f64());
+        self.update_limit_gauges();
+    }
+
+    fn update_limit_gauges(&self) {
+        let now = self.inner.clock.now().elapsed;
+        let limits = self.inner.state.borrow().learned_limits(now);
+        let mut reported = self.inner.reported_limits.borrow_mut();
+        let mut old = std::mem::take(&mut *reported);
+        for (target, status) in limits {
+            capacity_metrics::update_gauges(&target, &status);
+            old.remove(&target);
+            reported.insert(target);
+        }
+        for target in old {
+            capacity_metrics::clear_gauges(&target);
+        }
     }
 
     fn execute(&self, config_version: u64, effect: Effect) {
