Learned limits of engines with prompts of different sizes do not drift down

Cause: a batch engine of normal speed whose prompts differ by six times was held at 3.43 of its twelve slots (mean): averages that differ by chance looked like overload, and each decrease held the limit for 2.3 s. Change: where answers scatter, slopes are not used and other levels must be better by more than chance.

--- a/components/control/src/capacity/curve.rs
+++ b/components/control/src/capacity/curve.rs
@@ -15,6 +15,9 @@
 /// twenty deviates twice as much as the average.
 const UTILITY_ERROR: f64 = 0.7;
 
+/// A sudden change must exceed this multiple of the average deviation of single answers.
+const SUDDEN_ERROR: f64 = 1.5;
+
 /// Answers after which the average of a level is used.
 const MIN_SAMPLES: f64 = 3.0;
 
@@ -33,6 +36,9 @@
 /// Weight of the newest answer in the error of both averages.
 const ERROR_WEIGHT: f64 = 0.05;
 
+/// A single answer counts as at most this error: a sudden change is not scatter.
+const MAX_ERROR: f64 = 1.5;
+
 /// The reported slowness is used unless the errors with it are larger by this factor.
 const ERROR_TOLERANCE: f64 = 1.1;
 
@@ -153,7 +159,8 @@
         if is_known {
             for (i, value) in values.into_iter().enumerate() {
                 deviation[i] = (value / level.seconds[i]).ln();
-                self.errors[i] += (deviation[i].abs() - self.errors[i]) * ERROR_WEIGHT;
+                let error = deviation[i].abs().min(MAX_ERROR);
+                self.errors[i] += (error - self.errors[i]) * ERROR_WEIGHT;
             }
         }
         if is_known && used == 1 && sample.started_at < self.slowness_changed_at {
@@ -202,6 +209,11 @@
         (self.errors[self.used_average()] * UTILITY_ERROR).max(min)
     }
 
+    /// The deviation of the latest answers that is no chance, and at least `min`.
+    pub fn sudden_change(&self, min: f64) -> f64 {
+        (self.errors[self.used_average()] * SUDDEN_ERROR).max(min)
+    }
+
     /// Whether answers with more requests have not taken much longer than those with the fewest.
     pub fn is_flat(&self) -> bool {
         let used = self.used_average();
--- a/components/control/src/capacity/mod.rs
+++ b/components/control/src/capacity/mod.rs
@@ -23,6 +23,10 @@
 /// move there: a tenth, more than the averages of answers of equal size differ by chance.
 const MIN_GAIN: f64 = 0.1;
 
+/// From this difference by chance on, answers are too different in size for slopes: the limit of a batch
+/// engine with prompts that differ by six times drifted down to a quarter of its slots.
+const MAX_ALIKE_NOISE: f64 = 0.2;
+
 /// The limit falls at most to this share of itself in one step.
 const MAX_DECREASE: f64 = 0.6;
 
@@ -348,7 +352,10 @@
         }
         self.usual_requests += (f64::from(requests) - self.usual_requests) * REQUESTS_WEIGHT;
         let deviation = deviation.unwrap_or(0.0);
-        if is_after_decrease && is_loaded && self.deviation > SUDDEN_CHANGE.ln() && deviation > 0.0
+        if is_after_decrease
+            && is_loaded
+            && self.deviation > self.curve.sudden_change(SUDDEN_CHANGE.ln())
+            && deviation > 0.0
         {
             // Answer times grow with the square of the requests where capacity is exceeded.
             let factor = (-deviation / 2.0).exp().max(MAX_SUDDEN_DECREASE);
@@ -398,7 +405,10 @@
             return None;
         }
         let (best, best_utility) = self.curve.best()?;
-        if best_utility - utility >= self.curve.noise(MIN_GAIN) {
+        let noise = self.curve.noise(MIN_GAIN);
+        let is_scattered = noise >= MAX_ALIKE_NOISE;
+        let chance = if is_scattered { noise - MIN_GAIN } else { 0.0 };
+        if best_utility - utility >= noise {
             if best < current && f64::from(best) < at.limit {
                 let to = f64::from(best).max(at.limit * MAX_DECREASE);
                 return Some((to, Cause::Overload));
@@ -407,12 +417,14 @@
                 return Some((f64::from(best), Cause::Recovery));
             }
         }
-        let slope = self.curve.slope(at.now, current);
         let (min_slope, max_slope) = if at.bounds.is_shared {
             SHARED_SLOPES
         } else {
             EXACT_SLOPES
         };
+        let uses_slope = at.bounds.is_shared || !is_scattered;
+        let slope = uses_slope.then(|| self.curve.slope(at.now, current));
+        let slope = slope.flatten();
         if slope.is_some_and(|slope| slope < min_slope)
             && f64::from(current) < at.limit * MAX_EXCESS
         {
@@ -429,7 +441,8 @@
         }
         // A slope that rises outweighs the single levels.
         let is_worse = slope.is_none()
-            && (best < current && best_utility > utility || self.is_next_worse(at, utility));
+            && (best < current && best_utility - utility > chance
+                || self.is_next_worse(at, utility - chance));
         let is_held =
             at.now.saturating_sub(self.lowered_at) < HOLD_TIME && self.cause.is_overload();
         (!is_worse && !is_held).then(|| self.increase(at))?
