Agents predict answers with the present speed of the engine also for requests that may wait

Cause: Controller::request, which agents call, did not set the speed that the engine reported; only reserve did, which tests call. So agents refused nothing by prediction and did not read the speed often. Change: both take the terms into account in the same way.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -326,10 +326,7 @@
         prompt_tokens: u32,
         terms: &ReservationTerms,
     ) -> (Option<u64>, Backlog) {
-        if terms.timing.is_some() {
-            self.timing_requested_at = Some(now);
-            self.reservations.set_speed(self.engine_speed(now));
-        }
+        self.observe_terms(now, terms);
         let is_allowed = self.reservations.is_allowed(now, prompt_tokens, terms);
         if !is_allowed || self.status().is_switching {
             return (None, self.reservations.backlog());
@@ -345,12 +342,21 @@
         prompt_tokens: u32,
         terms: &ReservationTerms,
     ) -> ReservationAnswer {
+        self.observe_terms(now, terms);
         if self.status().is_switching {
             return ReservationAnswer::Refused;
         }
         self.reservations.request(now, prompt_tokens, terms)
     }
 
+    /// Prepares the prediction of an answer, if the requester asks for one.
+    fn observe_terms(&mut self, now: Duration, terms: &ReservationTerms) {
+        if terms.timing.is_some() {
+            self.timing_requested_at = Some(now);
+            self.reservations.set_speed(self.engine_speed(now));
+        }
+    }
+
     /// Ends the wait of requests for which there is capacity now, and of all if the engine is about
     /// to load.
     pub fn end_waits(&mut self, now: Duration) -> Vec<WaitResult> {
