Learned limits of engines with prompts of different sizes, less urgent requests and waiting requests

After an overload, requests that leave slots free of the limit never reached it, so it stayed at 4 of 12. Change: agents compare answers by their ratio to the usual time, if entries name the timing; a lower limit is explored further only if it is better by more than chance; the load counts as at the limit if it is all a priority may use. Tests for these cases and for granted waits.

--- a/components/control/src/capacity/curve.rs
+++ b/components/control/src/capacity/curve.rs
@@ -77,6 +77,8 @@
     max_requests: u32,
     /// Average deviation of answers from both averages of their levels, as logarithms.
     errors: [f64; 2],
+    /// Answers that the average deviation is made of.
+    error_samples: f64,
     /// The slowness that the target last reported, as a factor.
     slowness: f64,
     slowness_changed_at: Duration,
@@ -88,6 +90,7 @@
             levels: Vec::new(),
             max_requests: 0,
             errors: [0.0; 2],
+            error_samples: 0.0,
             slowness: 1.0,
             slowness_changed_at: Duration::ZERO,
         }
@@ -139,7 +142,14 @@
 
     /// Adds an answer. Returns the logarithm of its ratio to the average before, or to that of the nearest
     /// level, if there is one and the slowness did not change while the answer was made.
-    pub fn add(&mut self, now: Duration, requests: u32, sample: &Sample) -> Option<f64> {
+    /// With `uses_first_errors` the average deviation starts from the first answers instead of zero.
+    pub fn add(
+        &mut self,
+        now: Duration,
+        requests: u32,
+        sample: &Sample,
+        uses_first_errors: bool,
+    ) -> Option<f64> {
         let factor = slowness_factor(sample.slowness_percent);
         let change = (factor / self.slowness).ln().abs();
         if change > SLOWNESS_CHANGE.ln() {
@@ -157,10 +167,16 @@
         let is_known = level.samples > 0.0;
         let mut deviation = [0.0; 2];
         if is_known {
+            self.error_samples += 1.0;
+            let error_weight = if uses_first_errors {
+                ERROR_WEIGHT.max(1.0 / self.error_samples)
+            } else {
+                ERROR_WEIGHT
+            };
             for (i, value) in values.into_iter().enumerate() {
                 deviation[i] = (value / level.seconds[i]).ln();
                 let error = deviation[i].abs().min(MAX_ERROR);
-                self.errors[i] += (error - self.errors[i]) * ERROR_WEIGHT;
+                self.errors[i] += (error - self.errors[i]) * error_weight;
             }
         }
         if is_known && used == 1 && sample.started_at < self.slowness_changed_at {
@@ -269,6 +285,13 @@
         })
     }
 
+    /// The utility of the best known level with more requests.
+    pub fn best_above(&self, requests: u32) -> Option<f64> {
+        let above = self.index(requests) + 1..self.levels.len();
+        let known = above.filter_map(|index| self.utility(self.requests_of(index)));
+        known.max_by(f64::total_cmp)
+    }
+
     /// The number of requests of the best known level, and its utility.
     pub fn best(&self) -> Option<(u32, f64)> {
         let known = (0..self.levels.len()).filter_map(|index| {
--- a/components/control/src/capacity/mod.rs
+++ b/components/control/src/capacity/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use curve::Curve;
+use protocol::reserved_slots;
 
 pub use share::{
     process_share,
@@ -138,6 +139,9 @@
     pub initial: u32,
     /// Whether other processes send to the target without being counted here.
     pub is_shared: bool,
+    /// Whether the requests of all processes are counted here, as by the agent of an engine, whose
+    /// prompts differ in size. The scatter of answers then counts from the first ones on.
+    pub is_counted: bool,
 }
 
 impl Bounds {
@@ -150,6 +154,7 @@
             max,
             initial: max,
             is_shared: false,
+            is_counted: true,
         }
     }
 
@@ -165,6 +170,7 @@
         Self {
             initial,
             is_shared: process_count > 1,
+            is_counted: false,
             ..self
         }
     }
@@ -239,6 +245,8 @@
     pub duration: Duration,
     /// How long work took, in percent of the usual time, if the target said so.
     pub slowness_percent: Option<u16>,
+    /// Number of more urgent priorities, for which requests of this one leave slots of the limit free.
+    pub priority_level: u8,
 }
 
 /// A change of a limit by a quarter or more since the last one.
@@ -259,6 +267,8 @@
     limit: f64,
     /// Whether its request was sent after the last change of the limit.
     is_current: bool,
+    /// The requests with which the load of this priority reaches the limit.
+    usable: f64,
     /// Whether the load reached the limit.
     is_at_limit: bool,
 }
@@ -339,10 +349,12 @@
         let limit = self.limit(bounds)?;
         self.curve.resize(bounds.max);
         let requests = sample.requests.clamp(1, bounds.max);
-        let deviation = self.curve.add(now, requests, sample);
+        let deviation = self.curve.add(now, requests, sample, bounds.is_counted);
         // Answers to requests that were sent before the last change show the load before it.
         let is_current = sample.started_at >= self.changed_at;
-        let is_at_limit = f64::from(requests) >= limit.floor() * AT_LIMIT;
+        let reserved = reserved_slots(limit as u32, sample.priority_level);
+        let usable = (limit.floor() - f64::from(reserved)).max(1.0);
+        let is_at_limit = f64::from(requests) >= usable * AT_LIMIT;
         // An increase is too small to explain a sudden change.
         let is_after_decrease = sample.started_at >= self.lowered_at;
         let is_loaded = f64::from(requests) >= limit.floor() * LOADED;
@@ -372,6 +384,7 @@
             bounds,
             limit,
             is_current,
+            usable,
             is_at_limit,
         };
         let (to, cause) = self.next_limit(&at)?;
@@ -434,7 +447,10 @@
         if !at.is_at_limit || slope.is_some_and(|slope| slope < max_slope) {
             return None;
         }
-        if utility >= best_utility {
+        // Where answers scatter, a level that is better by chance is no reason to go down further.
+        let best_above = self.curve.best_above(current);
+        let is_above_worse = best_above.is_none_or(|above| utility - above >= chance);
+        if utility >= best_utility && is_above_worse {
             if let Some(lower) = self.unknown_lower(at, current) {
                 return Some((lower, Cause::Exploration));
             }
@@ -474,8 +490,7 @@
 
     fn increase(&self, at: &Answer) -> Option<(f64, Cause)> {
         // Where the number of requests is known exactly, a step waits for the measurement of the last.
-        let is_measured =
-            at.bounds.is_shared || self.curve.is_fresh(at.now, at.limit.floor() as u32);
+        let is_measured = at.bounds.is_shared || self.curve.is_fresh(at.now, at.usable as u32);
         let is_due = at.now.saturating_sub(self.changed_at) >= INCREASE_INTERVAL;
         let increase = if self.lowered_at.is_zero() {
             FIRST_INCREASE
--- a/components/control/src/controller/learned.rs
+++ b/components/control/src/controller/learned.rs
@@ -6,7 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use protocol::ReservationTerms;
+use protocol::{
+    Backlog,
+    ReservationTerms, //
+};
 
 use crate::capacity::{
     Bounds,
@@ -17,14 +20,26 @@
     Settings, //
 };
 
+use super::timing;
 use super::EngineReport;
 
+/// The time that stands for an answer in its usual time. Any would do, since times are compared.
+const REFERENCE_TIME: Duration = Duration::from_millis(100);
+
+/// The largest ratio of an answer time to the usual one that is told apart from larger ones.
+const MAX_RATIO: f64 = 1e4;
+
 /// A reservation whose prompt is not prefilled.
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     granted_at: Duration,
     /// Requests at the engine, including this one.
     requests: u32,
+    /// Time to its first event at an idle engine of usual speed, if the requester told what that
+    /// depends on.
+    usual: Option<Duration>,
+    /// Number of more urgent priorities for which it leaves slots free.
+    priority_level: u8,
 }
 
 /// The learned capacity of the agent's engine.
@@ -54,6 +69,11 @@
     terms.cold_rate_per_second.is_some_and(|rate| rate < slots)
 }
 
+fn priority_level(terms: &ReservationTerms) -> u8 {
+    let claim = terms.claim.filter(|claim| !claim.is_below_minimum);
+    claim.map_or(0, |claim| claim.rank.priority_level)
+}
+
 impl EngineCapacity {
     pub fn new(settings: Settings) -> Self {
         Self {
@@ -106,14 +126,20 @@
         &mut self,
         now: Duration,
         number: u64,
+        prompt_tokens: u32,
         requests: u32,
         terms: &ReservationTerms,
     ) {
         let is_cold = self.slots.is_some_and(|slots| is_cold(terms, slots));
         if self.is_active && !is_cold {
+            let usual = |timing| {
+                timing::predict(timing, 1.0, Backlog::default(), prompt_tokens).first_event
+            };
             let grant = Grant {
                 granted_at: now,
                 requests,
+                usual: terms.timing.as_ref().map(usual),
+                priority_level: priority_level(terms),
             };
             self.grants.insert(number, grant);
         }
@@ -127,12 +153,19 @@
         requests: u32,
     ) -> Option<Change> {
         let grant = self.grants.remove(&number)?;
+        let duration = now.saturating_sub(grant.granted_at);
+        // Prompts differ in size: answers are compared by their ratio to the usual time.
+        let ratio = |usual: Duration| duration.as_secs_f64() / usual.as_secs_f64().max(0.001);
+        let relative = grant
+            .usual
+            .map(|usual| REFERENCE_TIME.mul_f64(ratio(usual).min(MAX_RATIO)));
         let sample = Sample {
             started_at: grant.granted_at,
             // The larger: after a burst the engine is as full for the first request as for the last.
             requests: grant.requests.max(requests),
-            duration: now.saturating_sub(grant.granted_at),
+            duration: relative.unwrap_or(duration),
             slowness_percent: self.slowness_percent,
+            priority_level: grant.priority_level,
         };
         self.learned.record_answer(now, self.bounds()?, &sample)
     }
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -316,7 +316,7 @@
         };
         self.expected.insert(number, expectation);
         self.capacity
-            .record_grant(now, number, backlog.requests + 1, terms);
+            .record_grant(now, number, prompt_tokens, backlog.requests + 1, terms);
         (number, backlog)
     }
 
--- a/components/control/src/router/learned.rs
+++ b/components/control/src/router/learned.rs
@@ -272,6 +272,7 @@
                 requests: (pending.requests_at_start + at_answer).div_ceil(2),
                 duration: duration + longest_pause,
                 slowness_percent: pending.slowness_percent,
+                priority_level: pending.claim_level().unwrap_or(0),
             },
         })
     }
--- a/components/control/tests/capacity_model/mod.rs
+++ b/components/control/tests/capacity_model/mod.rs
@@ -267,6 +267,7 @@
                     requests: (request.requests + at_end).div_ceil(2),
                     duration: now - request.started_at,
                     slowness_percent: figure,
+                    priority_level: 0,
                 };
                 let bounds = bounds(&target.model, entry_count);
                 let entry = &mut entries[request.entry].targets[t];
--- a/components/control/tests/learned_capacity.rs
+++ b/components/control/tests/learned_capacity.rs
@@ -27,6 +27,7 @@
     Controller,
     EngineReport,
     Event as AgentEvent,
+    ReservationAnswer,
     UpdateLimits, //
 };
 use control::router::config::{
@@ -48,8 +49,11 @@
 use protocol::{
     AcceptableBacklog,
     Backlog,
+    Claim,
+    ClaimRank,
     EngineCondition,
-    ReservationTerms, //
+    ReservationTerms,
+    Timing, //
 };
 use rand::{
     Rng,
@@ -350,6 +354,7 @@
             requests: 2,
             duration: ms(15),
             slowness_percent: Some(100),
+            priority_level: 0,
         };
         learned.record_answer(now, bounds, &sample);
     }
@@ -408,6 +413,7 @@
                 requests,
                 duration: ms(duration_ms),
                 slowness_percent,
+                priority_level: 0,
             };
             match kind {
                 0 => drop(learned.record_refusal(now, bounds, requests)),
@@ -670,71 +676,126 @@
     assert_eq!(reserve(ms(1700), 3), Some(3), "an old limit");
 }
 
-/// Fills an engine of twelve slots for ten seconds, by the reservations that its agent grants. Work
-/// takes `factor` times as long with a number of requests, and prompts differ by up to `spread` times.
-/// Returns the numbers of requests in the last five seconds, one for each millisecond.
-fn granted(
+/// A load that fills an engine of twelve slots by the reservations that its agent grants.
+struct EngineCase {
     settings: Settings,
     slowness_percent: Option<u16>,
-    factor: impl Fn(f64) -> f64,
+    /// How many times as long work takes, by time in milliseconds and number of requests.
+    factor: fn(u64, f64) -> f64,
+    /// The ratio of the longest prompt to the shortest.
     spread: f64,
-) -> Vec<f64> {
-    let mut rng = Pcg64Mcg::seed_from_u64(1);
-    let update_limits = UpdateLimits {
-        old_version_time: Duration::from_secs(7),
-        download_bytes_per_second: 1e6,
-    };
-    let controller = Controller::new(
-        "a1".into(),
-        weights::Limits::default(),
-        update_limits,
-        false,
-    );
-    let mut controller = controller.with_learned_capacity(settings);
-    let report = EngineReport {
-        version: Some(1),
-        slowness_percent,
-        ..EngineReport::default()
-    };
-    controller.step(ms(0), AgentEvent::Engine(Some(report)));
-    let terms = ReservationTerms {
-        acceptable: AcceptableBacklog {
-            requests: 11,
-            unprefilled_tokens: u32::MAX,
-            requests_if_late: u32::MAX,
-        },
-        ..ReservationTerms::default()
-    };
+    claim: Option<Claim>,
+    timing: Option<Timing>,
+    seed: u64,
+}
+
+impl EngineCase {
+    fn new(factor: fn(u64, f64) -> f64) -> Self {
+        Self {
+            settings: Settings::default(),
+            slowness_percent: Some(100),
+            factor,
+            spread: 1.0,
+            claim: None,
+            timing: None,
+            seed: 1,
+        }
+    }
+
+    fn terms(&self) -> ReservationTerms {
+        ReservationTerms {
+            acceptable: AcceptableBacklog {
+                requests: 11,
+                unprefilled_tokens: u32::MAX,
+                requests_if_late: u32::MAX,
+            },
+            claim: self.claim,
+            timing: self.timing,
+            ..ReservationTerms::default()
+        }
+    }
+
+    fn report(&self) -> AgentEvent {
+        AgentEvent::Engine(Some(EngineReport {
+            version: Some(1),
+            slowness_percent: self.slowness_percent,
+            ..EngineReport::default()
+        }))
+    }
+
+    fn agent(&self) -> Controller {
+        let update_limits = UpdateLimits {
+            old_version_time: Duration::from_secs(7),
+            download_bytes_per_second: 1e6,
+        };
+        let limits = weights::Limits::default();
+        let agent = Controller::new("a1".into(), limits, update_limits, false);
+        let mut agent = agent.with_learned_capacity(self.settings);
+        agent.step(ms(0), self.report());
+        agent
+    }
+}
+
+/// Runs the load for ten seconds. Returns the numbers of requests in the last five seconds, one for
+/// each millisecond.
+fn granted(case: &EngineCase) -> Vec<f64> {
+    let mut rng = Pcg64Mcg::seed_from_u64(case.seed);
+    let mut agent = case.agent();
+    let terms = case.terms();
     // The number of each reservation, and the work that is left of its prefill and its answer.
     let mut running: Vec<(u64, f64, f64)> = Vec::new();
     let mut counts = Vec::new();
+    // The size of the next prompt, which does not change when it is refused.
+    let mut next_size = None;
     for now_ms in 0..10_000 {
-        while let (Some(number), _) = controller.reserve(ms(now_ms), 100, &terms) {
-            let size = spread.powf(rng.random_range(-0.5..=0.5));
-            running.push((number, size, size + 2.0));
+        if now_ms % 200 == 0 {
+            agent.step(ms(now_ms), case.report());
+        }
+        loop {
+            let size =
+                *next_size.get_or_insert_with(|| case.spread.powf(rng.random_range(-0.5..=0.5)));
+            let tokens = (1000.0 * size) as u32;
+            let answer = agent.request(ms(now_ms), tokens, &terms);
+            let ReservationAnswer::Reserved(reserved) = answer else {
+                break;
+            };
+            next_size = None;
+            running.push((reserved.number, size, size + 2.0));
         }
         if now_ms > 5000 {
             counts.push(running.len() as f64);
         }
-        let progress = 1.0 / (100.0 * factor(running.len() as f64));
+        let progress = 1.0 / (100.0 * (case.factor)(now_ms, running.len() as f64));
         for (number, prefill, answer) in &mut running {
             if *prefill > 0.0 {
                 *prefill -= progress;
                 if *prefill <= 0.0 {
-                    controller.record_prompt_prefilled(ms(now_ms), *number);
+                    agent.record_prompt_prefilled(ms(now_ms), *number);
                 }
             }
             *answer -= progress;
         }
         let is_ended = |(_, _, answer): &(u64, f64, f64)| *answer <= 0.0;
         for (number, ..) in running.iter().filter(|r| is_ended(r)) {
-            controller.release(ms(now_ms), *number);
+            agent.release(ms(now_ms), *number);
         }
         running.retain(|r| !is_ended(r));
     }
     counts
 }
 
+fn claim(priority_level: u8, max_wait_ms: u32) -> Claim {
+    Claim {
+        rank: ClaimRank {
+            priority_level,
+            is_overdue: false,
+        },
+        is_below_minimum: false,
+        team: None,
+        max_wait_ms,
+    }
+}
+
 fn most(counts: &[f64]) -> f64 {
     counts.iter().copied().fold(0.0, f64::max)
 }
@@ -743,27 +804,190 @@
 // limits for engines that do not.
 #[test]
 fn an_agent_refuses_reservations_beyond_the_learned_limit() {
-    let on = Settings::default();
-    let early = |n: f64| (n / 6.0).max(1.0).powi(2);
+    let early = |_, n: f64| (n / 6.0).max(1.0).powi(2);
     // One request more is tried from time to time.
-    let limited = most(&granted(on, Some(100), early, 1.0));
+    let limited = most(&granted(&EngineCase::new(early)));
     println!("agent: at most {limited} of twelve slots, six are best");
     assert!(limited <= 7.0, "{limited}");
-    let even = most(&granted(on, Some(100), |_| 1.0, 1.0));
+    let even = most(&granted(&EngineCase::new(|_, _| 1.0)));
     assert_eq!(even, 12.0, "an engine that does not slow down");
-    let unknown = most(&granted(on, None, early, 1.0));
+    let unknown = most(&granted(&EngineCase {
+        slowness_percent: None,
+        ..EngineCase::new(early)
+    }));
     assert_eq!(unknown, 12.0, "an engine without the figure");
-    let off = most(&granted(Settings::OFF, Some(100), early, 1.0));
+    let off = most(&granted(&EngineCase {
+        settings: Settings::OFF,
+        ..EngineCase::new(early)
+    }));
     assert_eq!(off, 12.0, "switched off");
 }
 
+const BATCH: fn(u64, f64) -> f64 = |_, n| 1.0 + 0.1 * n;
+
 // Guards against a limit that wastes slots of a batch engine, whose work takes longer with each
 // request, but which answers most with all slots in use; prompts are of very different sizes.
 #[test]
 fn a_batch_engine_of_normal_speed_keeps_its_slots() {
-    let batch = |n: f64| 1.0 + 0.1 * n;
-    let counts = granted(Settings::default(), Some(100), batch, 6.0);
-    let requests = mean(&counts);
-    println!("agent: {requests:.2} of twelve slots in use, twelve are best");
-    assert!(requests >= 12.0 * 0.95, "{requests}");
+    check_batch_engine(&[1], None);
+}
+
+// The same with other sizes of prompts.
+#[test]
+fn a_batch_engine_of_normal_speed_keeps_its_slots_with_each_seed() {
+    check_batch_engine(&[1, 2, 3, 4, 5], None);
+}
+
+// The same where entries tell what the time of an answer depends on, with a prefill speed that is that
+// of this engine, and without refusals.
+#[test]
+fn a_batch_engine_of_known_timing_keeps_its_slots_with_each_seed() {
+    let timing = Timing {
+        time_left_us: 10_000_000,
+        iteration_us: 1000,
+        prefill_tokens_per_second: 10_000,
+        chunk_tokens: 2048,
+        answer_tokens: 100,
+        max_pause_us: 0,
+    };
+    check_batch_engine(&[1, 2, 3, 4, 5], Some(timing));
+}
+
+fn check_batch_engine(seeds: &[u64], timing: Option<Timing>) {
+    let requests: Vec<f64> = seeds
+        .iter()
+        .map(|seed| {
+            mean(&granted(&EngineCase {
+                spread: 6.0,
+                seed: *seed,
+                timing,
+                ..EngineCase::new(BATCH)
+            }))
+        })
+        .collect();
+    println!("agent: {requests:.2?} of twelve slots in use, twelve are best");
+    let least = requests.iter().copied().fold(f64::INFINITY, f64::min);
+    assert!(least >= 12.0 * 0.95, "{requests:?}");
+}
+
+// Guards against a limit that falls since refusals by the prediction keep the load of a batch engine
+// below it.
+#[test]
+fn a_batch_engine_keeps_its_slots_while_late_answers_are_refused() {
+    for seed in [1, 2, 3, 4, 5] {
+        let case = |settings| EngineCase {
+            settings,
+            spread: 6.0,
+            seed,
+            timing: Some(Timing {
+                time_left_us: 220_000,
+                iteration_us: 25_000,
+                prefill_tokens_per_second: 40_000,
+                chunk_tokens: 2048,
+                answer_tokens: 100,
+                max_pause_us: 0,
+            }),
+            ..EngineCase::new(BATCH)
+        };
+        let without = mean(&granted(&case(Settings::OFF)));
+        let with = mean(&granted(&case(Settings::default())));
+        println!("agent with predictions: {with:.2} slots in use, {without:.2} without a limit");
+        assert!(without < 12.0 * 0.95, "the prediction refused nothing");
+        assert!(with >= without * 0.95, "seed {seed}: {with} of {without}");
+    }
+}
+
+// Guards against a limit that ignores an overload because prompts differ in size. Ten of twelve slots
+// halve the answers of this engine.
+#[test]
+fn an_engine_that_slows_down_early_is_limited_with_different_prompts() {
+    for seed in [1, 2, 3, 4, 5] {
+        let requests = mean(&granted(&EngineCase {
+            spread: 6.0,
+            seed,
+            ..EngineCase::new(|_, n| (n / 6.0).max(1.0).powi(2))
+        }));
+        println!("agent, early and different: {requests:.2} of twelve slots, six are best");
+        assert!(requests <= 7.0, "seed {seed}: {requests}");
+    }
+}
+
+// Guards against a limit that never rises again, since less urgent requests alone leave free a slot of
+// those that the engine handles well.
+#[test]
+fn less_urgent_requests_raise_the_limit_after_an_overload() {
+    let dropping: fn(u64, f64) -> f64 = |ms, n| {
+        let best: f64 = if ms < 3000 { 4.0 } else { 12.0 };
+        (n / best).max(1.0).powi(2)
+    };
+    for level in [0, 1, 2] {
+        let case = EngineCase {
+            claim: Some(claim(level, 0)),
+            ..EngineCase::new(dropping)
+        };
+        let requests = mean(&granted(&case)[3000..]);
+        println!("agent, level {level}: {requests:.2} requests after the overload");
+        let usable = 12.0 - f64::from(level);
+        assert!(requests >= usable * 0.9, "level {level}: {requests}");
+    }
+}
+
+// Guards against waiting requests that pass the learned limit, or from which nothing is learned.
+#[test]
+fn waiting_requests_are_granted_within_the_learned_limit_and_learned_from() {
+    let early = |_, n: f64| (n / 6.0).max(1.0).powi(2);
+    let case = EngineCase {
+        claim: Some(claim(0, 30)),
+        ..EngineCase::new(early)
+    };
+    let mut agent = case.agent();
+    let terms = case.terms();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut running: Vec<(u64, f64)> = Vec::new();
+    let mut waiting: Option<(u64, u64)> = None;
+    let (mut at_once, mut after_wait, mut most) = (0, 0, 0);
+    for now_ms in 0..10_000 {
+        if let Some((number, _)) = waiting.filter(|(_, since)| now_ms - since >= 30) {
+            agent.stop_waiting(number);
+            waiting = None;
+        }
+        for result in agent.end_waits(ms(now_ms)) {
+            let reserved = result
+                .reserved
+                .expect("an engine that is not about to load");
+            running.push((reserved.number, rng.random_range(0.7..1.3)));
+            waiting = None;
+            after_wait += 1;
+        }
+        while waiting.is_none() {
+            match agent.request(ms(now_ms), 100, &terms) {
+                ReservationAnswer::Reserved(reserved) => {
+                    running.push((reserved.number, rng.random_range(0.7..1.3)));
+                    at_once += 1;
+                }
+                ReservationAnswer::Waiting(number) => waiting = Some((number, now_ms)),
+                ReservationAnswer::Refused => break,
+            }
+        }
+        if now_ms > 5000 {
+            most = most.max(running.len());
+        }
+        let progress = 1.0 / (100.0 * (case.factor)(now_ms, running.len() as f64));
+        for (number, work) in &mut running {
+            *work -= progress;
+            if *work <= 0.0 {
+                agent.record_prompt_prefilled(ms(now_ms), *number);
+                agent.release(ms(now_ms), *number);
+            }
+        }
+        running.retain(|(_, work)| *work > 0.0);
+    }
+    println!(
+        "waiting: at most {most} requests, {at_once} granted at once, {after_wait} after a wait"
+    );
+    assert!(
+        after_wait > at_once,
+        "{after_wait} waited, {at_once} did not"
+    );
+    assert!(most <= 7, "{most}");
 }
