--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -5,6 +5,7 @@
 //! do not pass through the agent; entries ask it for the state of the engine.
 
 mod download;
+mod learned;
 mod reservations;
 mod schedule;
 pub mod timing;
@@ -30,13 +31,19 @@
     Piece, //
 };
 
+use crate::capacity::{
+    self,
+    LimitStatus, //
+};
 use crate::millis::millis;
+use crate::router::learned::learned_limit;
 use crate::CrashSuspects;
 
 use self::download::{
     Download,
     PlanContext, //
 };
+use self::learned::EngineCapacity;
 pub use self::reservations::{
     ReservationAnswer,
     Reservations,
@@ -285,6 +292,14 @@
         }
     }
 
+    /// Sets how the number of requests that the engine handles well is learned. Without this call it
+    /// is not.
+    #[must_use]
+    pub fn with_learned_capacity(mut self, settings: capacity::Settings) -> Self {
+        *self.reservations.capacity_mut() = EngineCapacity::new(settings);
+        self
+    }
+
     /// The state of the engine for entries.
     pub fn status(&self) -> EngineStatus {
         let engine = self.engine.unwrap_or_default();
@@ -309,16 +324,21 @@
         prompt_tokens: u32,
         terms: &ReservationTerms,
     ) -> ReservationAnswer {
-        if terms.timing.is_some() {
-            self.timing_requested_at = Some(now);
-            self.reservations.set_speed(self.engine_speed(now));
-        }
+        self.observe_terms(now, terms);
         if self.status().is_switching {
             return ReservationAnswer::Refused;
         }
         self.reservations.request(now, prompt_tokens, terms)
     }
 
+    /// Prepares the prediction of an answer, if the requester asks for one.
+    fn observe_terms(&mut self, now: Duration, terms: &ReservationTerms) {
+        if terms.timing.is_some() {
+            self.timing_requested_at = Some(now);
+            self.reservations.set_speed(self.engine_speed(now));
+        }
+    }
+
     /// Ends the wait of requests for which there is capacity now, and of all if the engine is about
     /// to load.
     pub fn end_waits(&mut self, now: Duration) -> Vec<WaitResult> {
@@ -354,7 +374,7 @@
     pub fn condition(&self) -> EngineCondition {
         EngineCondition {
             slowness_percent: self.reservations.slowness_percent(),
-            learned_limit: None,
+            learned_limit: self.reservations.capacity().limit(),
             waiting: self.reservations.waiting(),
         }
     }
@@ -371,9 +391,16 @@
         self.reservations.limit(now)
     }
 
-    /// Records that the engine has prefilled the prompt of a reservation.
-    pub fn record_prompt_prefilled(&mut self, now: Duration, number: u64) {
-        self.reservations.record_prompt_prefilled(now, number);
+    /// Records that the engine has prefilled the prompt of a reservation. Returns the line for the
+    /// record if the learned limit changed much.
+    pub fn record_prompt_prefilled(&mut self, now: Duration, number: u64) -> Option<Decision> {
+        let change = self.reservations.record_prompt_prefilled(now, number)?;
+        Some(learned_limit(&self.name, change))
+    }
+
+    /// The learned limit for reports, if there is one.
+    pub fn learned_limit_status(&self, now: Duration) -> Option<LimitStatus> {
+        self.reservations.capacity().status(now)
     }
 
     /// Releases a reservation.
@@ -636,6 +663,9 @@
         }
         let previous = std::mem::replace(&mut self.engine, report);
         self.engine_reported_at = now;
+        self.reservations
+            .capacity_mut()
+            .observe_engine(previous, report);
         let Some(report) = report else {
             // An engine that restarts has lost its order.
             if matches!(self.phase, UpdatePhase::Loading(_)) {
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -17,9 +17,11 @@
     ReservationTerms, //
 };
 
+use crate::capacity::Change;
 use crate::notice::TargetNotice;
 use crate::speed_judge::SpeedJudge;
 
+use super::learned::EngineCapacity;
 use super::timing::{
     self,
     EngineSpeed,
@@ -96,9 +98,21 @@
     /// The latest limit that any process knows the engine to name.
     notice: TargetNotice,
     waiting: WaitQueue,
+    /// How many requests at once the engine handles well.
+    capacity: EngineCapacity,
 }
 
 impl Reservations {
+    /// How many requests at once the engine handles well.
+    pub(super) fn capacity(&self) -> &EngineCapacity {
+        &self.capacity
+    }
+
+    /// The same, to set it up and to tell it of the engine's reports.
+    pub(super) fn capacity_mut(&mut self) -> &mut EngineCapacity {
+        &mut self.capacity
+    }
+
     /// Sets what the engine said of itself recently.
     pub fn set_speed(&mut self, speed: EngineSpeed) {
         self.speed = speed;
@@ -128,6 +142,7 @@
         prompt_tokens: u32,
         terms: &ReservationTerms,
     ) -> bool {
+        self.capacity.observe_terms(terms);
         if let Some(limit) = terms.limit {
             self.notice.merge(now, limit);
         }
@@ -173,6 +188,10 @@
     /// Whether the request would be sent with the present backlog.
     fn is_acceptable(&self, terms: &ReservationTerms) -> bool {
         let mut acceptable = terms.acceptable;
+        // Less urgent requests leave slots free of those that the engine handles well.
+        if let Some(limit) = self.capacity.limit_for(terms) {
+            acceptable.requests = acceptable.requests.min(limit.saturating_sub(1));
+        }
         if let Some(claim) = terms.claim.filter(|claim| !claim.is_below_minimum) {
             let limit = acceptable.requests.saturating_add(1);
             acceptable.requests = limit_for_level(limit, claim.rank.level) - 1;
@@ -294,12 +313,14 @@
             slowness: self.speed.slowness_percent.map(|p| f64::from(p) / 100.0),
         };
         self.expected.insert(number, expectation);
+        self.capacity
+            .record_grant(now, number, prompt_tokens, backlog.requests + 1, terms);
         (number, backlog)
     }
 
     /// Records that the engine has prefilled the prompt. Does nothing if the reservation was
-    /// released.
-    pub fn record_prompt_prefilled(&mut self, now: Duration, number: u64) {
+    /// released. Returns the change of the learned limit if it is to be recorded.
+    pub fn record_prompt_prefilled(&mut self, now: Duration, number: u64) -> Option<Change> {
         if let Some(expectation) = self.expected.get_mut(&number) {
             let actual = now.saturating_sub(expectation.reserved_at);
             if let Some(expected) = expectation.first_event.take() {
@@ -309,11 +330,14 @@
         if let Some(tokens) = self.unprefilled_tokens.get_mut(&number) {
             *tokens = 0;
         }
+        let requests = self.backlog().requests;
+        self.capacity.record_prefilled(now, number, requests)
     }
 
     /// Releases a reservation.
     pub fn release(&mut self, number: u64) {
         self.expected.remove(&number);
+        self.capacity.release(number);
         self.unprefilled_tokens.remove(&number);
     }
 
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agent;
 pub mod batch;
+pub mod capacity;
 pub mod controller;
 pub mod crash_suspects;
 mod decaying_count;
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod first_attempts;
 pub mod health;
 pub mod latency;
+pub mod learned;
 pub mod lease;
 pub mod load;
 mod outcomes;
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -206,6 +206,8 @@
                     let slowness = reply.condition.slowness_percent;
                     target.load.apply_agent_slowness(now, slowness);
                     target.load.apply_waiting(now, reply.condition.waiting);
+                    let learned_limit = reply.condition.learned_limit;
+                    target.capacity.set_agent_limit(now, learned_limit);
                 }
                 None => target.agent_backoff_until = now + AGENT_BACKOFF,
             }
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -24,6 +24,7 @@
     self,
     EngineLoad, //
 };
+use super::learned;
 use super::request_limit::{
     self,
     Counting, //
@@ -133,6 +134,8 @@
     pub uses_reservations: bool,
     /// Number of processes that may send to the targets, if known.
     pub process_count: Option<u32>,
+    /// How learned limits are used.
+    pub learned_capacity: learned::Terms,
 }
 
 /// The result of selecting a target.
@@ -183,7 +186,7 @@
         }
         any_eligible = true;
         if depends_on_load && target.entry.data_centre == location.data_centre {
-            let limit = concurrency_limit(now, target, service);
+            let limit = concurrency_limit(now, target, requirements);
             own_slots.add(target.load.total_requests(now), limit);
         }
         let Some(estimate) = estimate(now, target, requirements) else {
@@ -233,7 +236,7 @@
         if !is_usable || excluded.contains(&target.entry.id) {
             continue;
         }
-        let limit = f64::from(concurrency_limit(now, target, requirements.service));
+        let limit = f64::from(concurrency_limit(now, target, requirements));
         let requests = target.load.total_requests(now) + target.load.waiting(now);
         // Entries that know the same loads must not all choose the same target.
         let jitter = 1.0 + WAIT_JITTER * random();
@@ -290,6 +293,9 @@
     if is_full
         || !has_cold_capacity(now, target, requirements)
         || !has_limit_capacity(now, target, requirements)
+        || !requirements
+            .learned_capacity
+            .allows(now, target, requirements.service)
     {
         return None;
     }
@@ -310,7 +316,7 @@
 /// How many requests the target may have with this one. Less urgent requests leave slots free for
 /// the more urgent ones that they compete with.
 fn request_limit_of(now: Duration, target: &Target, requirements: &Requirements<'_>) -> u32 {
-    let limit = concurrency_limit(now, target, requirements.service);
+    let limit = concurrency_limit(now, target, requirements);
     let level = requirements.claim_level.unwrap_or_default();
     if requirements.is_below_minimum || level == 0 {
         limit
@@ -343,7 +349,7 @@
     let Some(engine) = &requirements.service.engine_profile else {
         return AcceptableBacklog::ANY;
     };
-    let limit = concurrency_limit(now, target, requirements.service);
+    let limit = concurrency_limit(now, target, requirements);
     let largest_backlog = |prompt_tokens: u32, time_left: Duration| {
         let is_on_time = |unprefilled_tokens: u32| {
             let load = EngineLoad {
@@ -465,7 +471,8 @@
 }
 
 /// How many requests the target may have at once, running or queued.
-pub fn concurrency_limit(now: Duration, target: &Target, service: &Service) -> u32 {
+pub fn concurrency_limit(now: Duration, target: &Target, requirements: &Requirements<'_>) -> u32 {
+    let service = requirements.service;
     if target.health.is_probing() {
         return 1;
     }
@@ -474,6 +481,14 @@
         // Cold engines are slow; half a batch keeps their answers on time.
         return slots.div_ceil(2);
     }
+    let max = max_requests(slots, service);
+    let terms = &requirements.learned_capacity;
+    let learned = terms.total_limit(now, target, service);
+    learned.map_or(max, |learned| learned.min(max))
+}
+
+/// How many requests a warm target with `slots` may have at once, unless a lower limit was learned.
+pub(super) fn max_requests(slots: u32, service: &Service) -> u32 {
     if service.engine_profile.is_some() {
         slots + ENGINE_QUEUED_REQUESTS
     } else {
--- a/components/control/tests/distance.rs
+++ b/components/control/tests/distance.rs
@@ -20,6 +20,7 @@
     Location,
     Spillover, //
 };
+use control::router::learned::Terms;
 use control::router::load::LoadReport;
 use control::router::selection::{
     self,
@@ -121,6 +122,10 @@
         may_wait: ms(200),
         uses_reservations: true,
         process_count: Some(15),
+        learned_capacity: Terms {
+            settings: control::capacity::Settings::OFF,
+            process_count: Some(15),
+        },
     }
 }
 
@@ -135,7 +140,7 @@
     let mut best: Option<((bool, Duration), &Target)> = None;
     for target in targets.of_service("engines") {
         let requests = target.load.total_requests(now);
-        let limit = selection::concurrency_limit(now, target, requirements.service);
+        let limit = selection::concurrency_limit(now, target, requirements);
         if requests + 1.0 > f64::from(limit) + 0.5 {
             continue;
         }
--- a/components/proxy/src/controller/reservations.rs
+++ b/components/proxy/src/controller/reservations.rs
@@ -196,7 +196,10 @@
 
     pub(super) async fn answer_prompt_prefilled(&self, number: u64, responder: Responder) {
         let now = self.clock.now().elapsed;
-        lock(&self.state).record_prompt_prefilled(now, number);
+        let decision = lock(&self.state).record_prompt_prefilled(now, number);
+        if let Some(decision) = decision {
+            self.record(decision);
+        }
         self.end_waits();
         self.send_reply(responder, Reply::Acknowledged).await;
     }
