Learned limits off by default; downloads from the origin retry as before

With the origin unreachable from 20.5 s and three tenths of the agents cut off, the longer delays after failed downloads kept the first engine from version 2 until 27.9 s (23.3 s before). Learned limits rejected requests that the slots could have served.

--- a/components/weights/src/transfer/mod.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -531,8 +531,7 @@
     }
 
     fn handle_origin_failure(&mut self, now: Duration, piece: Piece, cause: FailureCause) {
-        // When the origin is available again, not all instances must fetch from it at once.
-        self.origin_backoff_until = now + ORIGIN_BACKOFF + self.origin_delay();
+        self.origin_backoff_until = now + ORIGIN_BACKOFF;
         if cause == FailureCause::Denied(Denial::Busy) {
             return;
         }
@@ -540,13 +539,8 @@
         *failures += 1;
         if *failures >= self.limits.origin_attempts {
             self.origin_failures.remove(&piece);
-            // If all candidates gave up, the first one tries again well before the others, so that
-            // the piece is not sent several times.
-            let role = self.roles.get(piece as usize);
-            let earlier = role.and_then(|role| role.earlier_origin_candidates.as_ref());
-            let rank = earlier.map_or(0, |earlier| u32::try_from(earlier.len()).unwrap_or(0));
             self.given_up
-                .insert(piece, now + self.limits.give_up_duration * (1 + rank));
+                .insert(piece, now + self.limits.give_up_duration);
         }
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -214,7 +214,7 @@
 #[argh(subcommand, name = "entry")]
 pub(crate) struct PlatformEntry {
     /// whether to learn how many requests each target handles well: on or off
-    #[argh(option, default = "LearnCapacity(true)")]
+    #[argh(option, default = "LearnCapacity(false)")]
     pub learn_capacity: LearnCapacity,
     /// the share of a target's slots below which a learned limit does not fall, from 0.0 to 1.0
     #[argh(option, default = "MinLearnedShare(0.25)")]
@@ -226,7 +226,7 @@
 #[argh(subcommand, name = "agent")]
 pub(crate) struct PlatformAgent {
     /// whether to learn how many requests the engine handles well: on or off
-    #[argh(option, default = "LearnCapacity(true)")]
+    #[argh(option, default = "LearnCapacity(false)")]
     pub learn_capacity: LearnCapacity,
     /// the share of the engine's slots below which a learned limit does not fall, from 0.0 to 1.0
     #[argh(option, default = "MinLearnedShare(0.25)")]
