One check of usable targets, and no speed set at agents that nobody asks for it

Cause: choose_to_wait wrote the checks of can_accept again; an agent computed its engine's speed at each release of a reservation, also where no entry asks for predictions. Change: is_usable serves both; the speed is set only while entries asked for it in the last 5 s. The speed is read only with such terms, so no decision differs.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -345,7 +345,9 @@
         if self.status().is_switching {
             self.reservations.refuse_waiting()
         } else {
-            self.reservations.set_speed(self.engine_speed(now));
+            if self.is_following_speed(now) {
+                self.reservations.set_speed(self.engine_speed(now));
+            }
             self.reservations.grant_waiting(now)
         }
     }
--- a/components/control/src/controller/reservations.rs
+++ b/components/control/src/controller/reservations.rs
@@ -27,7 +27,6 @@
     EngineSpeed,
     ReservedWork, //
 };
-
 use super::waiting::WaitQueue;
 
 /// The window over which the rate of reservations is counted.
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -226,10 +226,8 @@
 ) -> Option<Name> {
     let mut best: Option<(f64, &Target)> = None;
     for target in targets.of_service(&requirements.service.name) {
-        let is_usable = is_eligible(target, location, out_data_centres, requirements)
-            && !target.health.is_ejected(now)
+        let is_usable = is_usable(now, target, location, out_data_centres, requirements)
             && !target.health.is_probing()
-            && !target.notice.is_paused(now)
             && now >= target.agent_backoff_until
             && has_cold_capacity(now, target, requirements)
             && has_limit_capacity(now, target, requirements);
@@ -273,10 +271,21 @@
     out_data_centres: &BTreeSet<Name>,
     requirements: &Requirements<'_>,
 ) -> bool {
-    let is_usable = is_eligible(target, location, out_data_centres, requirements)
+    is_usable(now, target, location, out_data_centres, requirements)
+        && estimate(now, target, requirements).is_some()
+}
+
+/// Whether the target may serve the request and is neither ejected nor paused, regardless of its load.
+fn is_usable(
+    now: Duration,
+    target: &Target,
+    location: &Location,
+    out_data_centres: &BTreeSet<Name>,
+    requirements: &Requirements<'_>,
+) -> bool {
+    is_eligible(target, location, out_data_centres, requirements)
         && !target.health.is_ejected(now)
-        && !target.notice.is_paused(now);
-    is_usable && estimate(now, target, requirements).is_some()
+        && !target.notice.is_paused(now)
 }
 
 /// The estimated response of a target to one more request.
