Record and metrics of the store's answers

Cause: the record of the incident shows which configuration each entry has at its end, but not when a configuration came into force, how old it was then, and how large and late the answers were that brought it. Change: `configure` lines have the upper bound of the configuration's age; answers that take 500 ms or have 128 KB are recorded as `store_answer`; a histogram of the time and a counter of the bytes of all answers.

--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -187,7 +187,7 @@
         let mut effects = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut effects),
-            Event::ConfigRead(config) => self.update_config(config, &mut effects),
+            Event::ConfigRead(config) => self.update_config(now, config, &mut effects),
             Event::TargetListed(entry) => self.update_target_entry(now, entry, &mut effects),
             Event::TargetUnlisted { id, grace } => {
                 self.remove_target_entry(now, &id, grace, &mut effects)
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -48,7 +48,12 @@
     }
 
     /// Replaces the configuration if the new one has a higher version.
-    pub(super) fn update_config(&mut self, config: Arc<Config>, effects: &mut Vec<Effect>) {
+    pub(super) fn update_config(
+        &mut self,
+        now: Duration,
+        config: Arc<Config>,
+        effects: &mut Vec<Effect>,
+    ) {
         let version = config.version;
         let current = self.table.as_ref().map(|table| table.config().version);
         if current.is_some_and(|current| current >= version) {
@@ -59,6 +64,8 @@
             before: current,
             routes: config.routes.len(),
             teams: config.teams.len(),
+            // It was published after the last confirmed call was sent.
+            age_ms: current.and_then(|_| self.lease.age(now)).map(millis),
         }));
         self.table = Some(RoutingTable::new(config));
         // Priorities and objectives may differ now.
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -217,6 +217,11 @@
                     detail,
                 });
             }
+            FeedEvent::Answered(answer) => {
+                if let Some(decision) = answer.to_decision() {
+                    self.record(decision);
+                }
+            }
             FeedEvent::FullTargetList { .. } | FeedEvent::Confirmed(_) => {}
         }
     }
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -16,6 +16,12 @@
 use utils::clock::Clock;
 use utils::Name;
 
+/// The time from which an answer of the source is recorded as slow.
+const SLOW_ANSWER_TIME: Duration = Duration::from_millis(500);
+
+/// The size from which an answer of the source is recorded as large.
+const LARGE_ANSWER_BYTES: usize = 128 << 10;
+
 /// One published value.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PublishedValue {
@@ -40,6 +46,8 @@
     pub values: Vec<PublishedValue>,
     /// The revision of the source.
     pub revision: u64,
+    /// Bytes of the responses that held the values.
+    pub bytes: usize,
     /// Rises each time the source was restored from a copy. Revisions of two eras cannot be
     /// compared.
     pub era: u64,
@@ -133,6 +141,8 @@
     },
     /// All values published before this time were reported.
     Confirmed(Duration),
+    /// The source answered, and the values of the answer were reported.
+    Answered(Answer),
     /// The source became unavailable or available.
     SourceState {
         /// Whether it responds.
@@ -142,6 +152,32 @@
     },
 }
 
+/// Measurements of an answer of the source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The time from sending the call until the answer was complete.
+    pub took: Duration,
+    /// Its bytes.
+    pub bytes: usize,
+    /// Number of its values.
+    pub values: usize,
+    /// Whether all values were read, instead of the changes since the last answer.
+    pub is_full_read: bool,
+}
+
+impl Answer {
+    /// The line for the record if the answer is large or slow.
+    pub(crate) fn to_decision(self) -> Option<record::Decision> {
+        let is_notable = self.took >= SLOW_ANSWER_TIME || self.bytes >= LARGE_ANSWER_BYTES;
+        is_notable.then(|| record::Decision::StoreAnswer {
+            took_ms: u64::try_from(self.took.as_millis()).unwrap_or(u64::MAX),
+            bytes: self.bytes,
+            values: self.values,
+            full: self.is_full_read,
+        })
+    }
+}
+
 /// The state of following a source.
 struct Feed<F> {
     clock: Arc<dyn Clock>,
@@ -224,7 +260,18 @@
                     self.revision = None;
                     return Duration::ZERO;
                 }
+                let answer = Answer {
+                    took: self.elapsed().saturating_sub(sent_at),
+                    bytes: changes.bytes,
+                    values: changes.values.len(),
+                    is_full_read,
+                };
+                metrics::histogram!("medlarproxy_platform_answer_seconds")
+                    .record(answer.took.as_secs_f64());
+                metrics::counter!("medlarproxy_platform_bytes_total")
+                    .increment(answer.bytes as u64);
                 self.report_changes(changes, is_full_read);
+                (self.on_event)(FeedEvent::Answered(answer));
                 self.has_failed = false;
                 if self.settles_at.is_none() {
                     (self.on_event)(FeedEvent::Confirmed(sent_at));
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -198,6 +198,12 @@
             } => to_event(value, grace, is_initial),
             FeedEvent::FullTargetList { names, grace } => Event::FullTargetList { names, grace },
             FeedEvent::Confirmed(sent_at) => Event::ConfigConfirmed(sent_at),
+            FeedEvent::Answered(answer) => {
+                if let Some(decision) = answer.to_decision() {
+                    self.record(decision);
+                }
+                return;
+            }
             FeedEvent::SourceState { is_up, detail } => {
                 let name = "platform".into();
                 self.record(record::Decision::Dependency {
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -202,6 +202,21 @@
         routes: usize,
         /// Number of its teams.
         teams: usize,
+        /// Upper bound of the time since it was published, in milliseconds. `None` if the process
+        /// already found it at its start.
+        #[serde(default)]
+        age_ms: Option<u64>,
+    },
+    /// The platform's store gave a large or slow answer.
+    StoreAnswer {
+        /// Milliseconds from sending the call until the answer was complete.
+        took_ms: u64,
+        /// Bytes of the answer.
+        bytes: usize,
+        /// Number of values that were used.
+        values: usize,
+        /// Whether all values were read, instead of the changes since the last answer.
+        full: bool,
     },
     /// A target was added to the list, or its entry changed.
     Target {
@@ -468,6 +483,7 @@
             Self::SuspectCleared { .. } => "suspect_cleared",
             Self::PromptPart { .. } => "prompt_part",
             Self::Configure { .. } => "configure",
+            Self::StoreAnswer { .. } => "store_answer",
             Self::Target { .. } => "target",
             Self::TargetGone { .. } => "target_gone",
             Self::Engine { .. } => "engine",
--- a/components/record/src/trace.rs
+++ b/components/record/src/trace.rs
@@ -125,7 +125,7 @@
 
 fn may_lead_to_rejection(prior: &Decision, reason: &str) -> bool {
     match prior {
-        Decision::Lease { .. } | Decision::Dependency { .. } => {
+        Decision::Lease { .. } | Decision::Dependency { .. } | Decision::StoreAnswer { .. } => {
             matches!(reason, "stale_configuration" | "no_configuration")
         }
         Decision::Configure { .. } => matches!(reason, "no_route" | "unknown_key"),
