An answer that may leave out later changes does not renew the lease

What callers saw: a route that had been added was answered with 404 4.8 s after the change, under a valid lease. Cause: the store limits an answer to a watch to about 1 MB and does not say that it left out the rest. After an outage in which 26 versions of the configuration were published, an entry got a few of them with each answer, and each answer confirmed that its configuration was current. Measured: answer_that_leaves_out_later_versions_confirms_nothing failed before (confirmed at version 10 of 40) and passes; the other tests of the store pass.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -48,6 +48,9 @@
     pub revision: u64,
     /// Bytes of the responses that held the values.
     pub bytes: usize,
+    /// Whether later changes may be missing, since the source limits its responses without saying
+    /// what it left out.
+    pub may_be_incomplete: bool,
     /// Rises each time the source was restored from a copy. Revisions of two eras cannot be
     /// compared.
     pub era: u64,
@@ -270,9 +273,14 @@
                     .record(answer.took.as_secs_f64());
                 metrics::counter!("medlarproxy_platform_bytes_total")
                     .increment(answer.bytes as u64);
+                let may_be_incomplete = changes.may_be_incomplete;
                 self.report_changes(changes, is_full_read);
                 (self.on_event)(FeedEvent::Answered(answer));
                 self.has_failed = false;
+                if may_be_incomplete {
+                    self.report_up();
+                    return Duration::ZERO;
+                }
                 if self.settles_at.is_none() {
                     (self.on_event)(FeedEvent::Confirmed(sent_at));
                 }
