Entries that are behind read the current configuration instead of its history

What callers saw: from 6 to 32 s a fifth of the entries were not ready, all in other regions than the store's; those that still got requests answered them by configurations that were 8 to 26 s old. Cause: a watch returns each version as it was written, so an entry that missed 26 versions of some 150 KB downloaded all of them, beside ten others on the same link between two regions (26 Mbit/s). It fell behind further with each version that was published meanwhile. An answer above 4 MiB was requested again without end. Change: after more than 2 s without an answer, after an answer with replaced versions, and after one that is too long, all current values are read, which is one copy; as long as these reads bring new versions, the next one does so too.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -19,6 +19,10 @@
 /// The time from which an answer of the source is recorded as slow.
 const SLOW_ANSWER_TIME: Duration = Duration::from_millis(500);
 
+/// Bytes of replaced values in an answer from which the current values are read next. Versions of the
+/// configuration then follow each other so quickly that reading them all would take longer.
+const MAX_SUPERSEDED_BYTES: usize = 16 << 10;
+
 /// The size from which an answer of the source is recorded as large.
 const LARGE_ANSWER_BYTES: usize = 128 << 10;
 
@@ -51,6 +55,8 @@
     /// Whether later changes may be missing, since the source limits its responses without saying
     /// what it left out.
     pub may_be_incomplete: bool,
+    /// Bytes of large values in the responses that later ones of the same key replace.
+    pub superseded_bytes: usize,
     /// Rises each time the source was restored from a copy. Revisions of two eras cannot be
     /// compared.
     pub era: u64,
@@ -67,6 +73,8 @@
     Unreachable(String),
     /// cannot be read: {0}
     Unreadable(String),
+    /// the answer is too long
+    TooLong,
 }
 
 type SourceFuture = LocalBoxFuture<'static, Result<PublishedChanges, SourceError>>;
@@ -107,6 +115,9 @@
     /// How long a source that was restored from a copy may lack what was published before. Until
     /// then, what it lacks counts as lost, and nothing is confirmed as current.
     pub settle_time: Duration,
+    /// The time since the last response after which all current values are read instead of the
+    /// changes since then, which may hold many versions of a large configuration.
+    pub max_history_age: Duration,
 }
 
 impl Default for FeedOptions {
@@ -119,6 +130,7 @@
             recovery_grace: Duration::from_millis(800),
             recovery_time: Duration::from_millis(1500),
             settle_time: Duration::from_millis(2500),
+            max_history_age: Duration::from_millis(2000),
         }
     }
 }
@@ -203,6 +215,12 @@
     recovered_at: Option<Duration>,
     /// Whether the source was last reported as available.
     is_up: bool,
+    /// When the last response was complete.
+    answered_at: Option<Duration>,
+    /// The version of the last configuration.
+    config_version: Option<u64>,
+    /// Whether the next call reads all values, since changes would hold too much that was replaced.
+    must_read_all: bool,
 }
 
 /// Follows the source while the future is polled, and calls `on_event` for each event.
@@ -225,6 +243,9 @@
         has_failed: false,
         recovered_at: None,
         is_up: true,
+        answered_at: None,
+        config_version: None,
+        must_read_all: false,
     };
     loop {
         let delay = feed.poll().await;
@@ -244,6 +265,10 @@
             self.settles_at = None;
             self.revision = None;
         }
+        let is_old = |at: Duration| sent_at.saturating_sub(at) > self.options.max_history_age;
+        if self.must_read_all || self.answered_at.is_some_and(is_old) {
+            self.revision = None;
+        }
         let result = match self.revision {
             None => (self.source.read_all)().await,
             Some(revision) => (self.source.watch)(revision, self.options.max_wait).await,
@@ -274,6 +299,8 @@
                 metrics::counter!("medlarproxy_platform_bytes_total")
                     .increment(answer.bytes as u64);
                 let may_be_incomplete = changes.may_be_incomplete;
+                self.must_read_all = self.is_series_of_versions(&changes, is_full_read);
+                self.answered_at = Some(self.elapsed());
                 self.report_changes(changes, is_full_read);
                 (self.on_event)(FeedEvent::Answered(answer));
                 self.has_failed = false;
@@ -294,6 +321,11 @@
                 self.revision = None;
                 Duration::ZERO
             }
+            // All current values take less than their history.
+            Err(SourceError::TooLong) if self.revision.is_some() => {
+                self.revision = None;
+                Duration::ZERO
+            }
             Err(e) => {
                 self.has_failed = true;
                 self.report_down(&e);
@@ -304,6 +336,24 @@
         }
     }
 
+    /// Whether more versions of the configuration are likely to follow soon, so that changes would
+    /// hold several. A full read shows it by another version than before.
+    fn is_series_of_versions(&mut self, changes: &PublishedChanges, is_full_read: bool) -> bool {
+        let versions = changes.values.iter().filter_map(|value| match value {
+            PublishedValue::Config(config) => Some(config.version),
+            _ => None,
+        });
+        let newest = versions.max();
+        let is_first = self.config_version.is_none();
+        let has_changed = newest > self.config_version;
+        self.config_version = self.config_version.max(newest);
+        if is_full_read {
+            has_changed && !is_first
+        } else {
+            changes.superseded_bytes > MAX_SUPERSEDED_BYTES
+        }
+    }
+
     /// Handles that the source was restored from a copy, which lacks the latest values until they
     /// are published again.
     fn handle_restore(&mut self, era: u64) {
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -35,6 +35,9 @@
 /// The delay after a response, so that several changes in short succession are read together.
 const FEED_DELAY_AFTER_RESPONSE: Duration = Duration::from_millis(200);
 
+/// Agents watch versions of weights alone, of which changes hold few bytes however old they are.
+const FEED_MAX_HISTORY_AGE: Duration = Duration::MAX;
+
 /// The shortest delay after a failed request; a random delay of up to the same length is added.
 /// Refused requests are billed too. Entries retry four times a second and tell agents of new
 /// versions, so agents can wait longer.
@@ -141,6 +144,7 @@
         max_wait: FEED_MAX_WAIT,
         delay_after_response: FEED_DELAY_AFTER_RESPONSE,
         retry_delay: FEED_RETRY_DELAY,
+        max_history_age: FEED_MAX_HISTORY_AGE,
         ..FeedOptions::default()
     };
     let source =
