A document of the operators that cannot be read does not renew the lease

A configuration or a named version that cannot be decoded was skipped with a log line, and the answer confirmed that the one before was current. A key that it took away would have worked until the next version. Change: the feed keeps which documents are unreadable and confirms nothing until they can be read; targets and data centres are reported as before. Requests without a key are still served by the last readable configuration.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -41,6 +41,28 @@
     DataCentreEnabled(Name),
     /// Operators named the version of a model's weights that engines must serve.
     ModelVersion(Name, u64),
+    /// A document of the operators cannot be read, so what it changes is not known.
+    Unreadable(OperatorDocument),
+}
+
+/// Identifies a document of the operators.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OperatorDocument {
+    /// The configuration.
+    Config,
+    /// The version of a model's weights.
+    ModelVersion(Name),
+}
+
+impl OperatorDocument {
+    /// The document that holds a value, if operators publish it in one that can be unreadable.
+    fn of(value: &PublishedValue) -> Option<Self> {
+        match value {
+            PublishedValue::Config(_) => Some(Self::Config),
+            PublishedValue::ModelVersion(model, _) => Some(Self::ModelVersion(model.clone())),
+            _ => None,
+        }
+    }
 }
 
 /// Published values, complete up to a revision of the source.
@@ -219,6 +241,8 @@
     answered_at: Option<Duration>,
     /// The version of the last configuration.
     config_version: Option<u64>,
+    /// Documents whose latest version cannot be read. Nothing is confirmed until it can.
+    unreadable: BTreeSet<OperatorDocument>,
     /// Whether the next call reads all values, since changes would hold too much that was replaced.
     must_read_all: bool,
 }
@@ -245,6 +269,7 @@
         is_up: true,
         answered_at: None,
         config_version: None,
+        unreadable: BTreeSet::new(),
         must_read_all: false,
     };
     loop {
@@ -308,7 +333,7 @@
                     self.report_up();
                     return Duration::ZERO;
                 }
-                if self.settles_at.is_none() {
+                if self.settles_at.is_none() && self.unreadable.is_empty() {
                     (self.on_event)(FeedEvent::Confirmed(sent_at));
                 }
                 self.report_up();
@@ -426,7 +451,15 @@
     }
 
     fn report_value(&mut self, value: PublishedValue, grace: Duration) {
+        if let Some(document) = OperatorDocument::of(&value) {
+            self.unreadable.remove(&document);
+        }
         match &value {
+            PublishedValue::Unreadable(document) => {
+                metrics::counter!("medlarproxy_platform_unreadable_total").increment(1);
+                self.unreadable.insert(document.clone());
+                return;
+            }
             PublishedValue::DataCentreDisabled(name) => {
                 self.disabled_data_centres.insert(name.clone());
             }
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -195,7 +195,10 @@
                 value,
                 grace,
                 is_initial,
-            } => to_event(value, grace, is_initial),
+            } => match to_event(value, grace, is_initial) {
+                Some(event) => event,
+                None => return,
+            },
             FeedEvent::FullTargetList { names, grace } => Event::FullTargetList { names, grace },
             FeedEvent::Confirmed(sent_at) => Event::ConfigConfirmed(sent_at),
             FeedEvent::Answered(answer) => {
@@ -272,8 +275,8 @@
     }
 }
 
-fn to_event(value: PublishedValue, grace: Duration, is_initial: bool) -> Event {
-    match value {
+fn to_event(value: PublishedValue, grace: Duration, is_initial: bool) -> Option<Event> {
+    let event = match value {
         PublishedValue::Config(config) => Event::ConfigRead(config),
         PublishedValue::Target(entry) => Event::TargetListed(entry),
         PublishedValue::TargetRemoved(id) => Event::TargetUnlisted { id, grace },
@@ -288,5 +291,7 @@
             // A version found at the start may have been named at any earlier time.
             age: (!is_initial).then_some(Duration::ZERO),
         },
-    }
+        PublishedValue::Unreadable(_) => return None,
+    };
+    Some(event)
 }
