Requests without a key are not served by an old configuration while the store answers late

What callers saw: a request without a key ran by the routes of version 99, 4.4 s after version 110 was acknowledged, at an entry whose configuration was 8 s old. Cause: only the lease bounds the age of the configuration, it is asked only for requests with a key, and it lasts four fifths of the time in which a key must stop working. Nothing held the operators' time for changes of the configuration. Change: the operators' time is read from the settings; while the store answers, no request is served by a configuration of that age. If the store refuses the process, or is silent for twice that time, requests without a key are served as before. A route or key is denied for good only by a configuration below that age. Why it works: a change that the process does not know was published after the last confirmed call was sent, so a request that arrives within the operators' time after that call was sent within that time after the change. Measured: requests_are_not_served_by_a_configuration_that_may_have_changed_too_long_ago fails without the check (late answers were served). The case of an open route in router.rs now says that the store fails; the same case while the store answers is new.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -85,10 +85,10 @@
         let Some(table) = &self.table else {
             return Err((RejectionReason::NoConfiguration, None));
         };
-        let is_lease_valid = self.lease.is_valid(now);
-        // A configuration that is too old may lack the route.
+        // A configuration that is too old may lack the route or the key.
+        let is_current = self.lease.is_current(now);
         let unless_stale = |reason| {
-            if is_lease_valid {
+            if is_current {
                 reason
             } else {
                 RejectionReason::StaleConfiguration
@@ -100,11 +100,11 @@
         let route_name = Some(route.name.clone());
         let needs_key = table.has_teams() && !route.allows_anonymous;
         let team = request.api_key.as_deref().and_then(|key| table.team(key));
-        if needs_key && !is_lease_valid {
+        if !self.lease.allows(now, needs_key) {
             return Err((RejectionReason::StaleConfiguration, route_name));
         }
         if needs_key && team.is_none() {
-            return Err((RejectionReason::UnknownKey, route_name));
+            return Err((unless_stale(RejectionReason::UnknownKey), route_name));
         }
         let service = choose_service(route, &request.request_id)
             .and_then(|service| table.config().services.get(service));
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -236,13 +236,13 @@
         true
     }
 
-    /// Why a request must not be sent to any target, if so: the lease on the configuration has
-    /// expired, or the request was quarantined while it waited. Requests without a key and streams
-    /// that are resumed need no valid lease.
+    /// Why a request must not be sent to any target, if so: the configuration is too old, or the
+    /// request was quarantined while it waited. Streams that are resumed began under a configuration
+    /// that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
-        let needs_lease = pending.team.is_some() && !pending.response_started;
-        if needs_lease && !self.lease.is_valid(now) {
+        let has_key = pending.team.is_some();
+        if !pending.response_started && !self.lease.allows(now, has_key) {
             return Some(RejectionReason::StaleConfiguration);
         }
         self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
--- a/components/control/src/router/lease.rs
+++ b/components/control/src/router/lease.rs
@@ -1,25 +1,55 @@
 //! The lease on the configuration: how long it may be used after it was last confirmed as current.
 //!
-//! A revoked key must stop working everywhere within a bounded time, also at a process that the
-//! platform cannot reach. So a process serves requests with a key only while it knows an upper
-//! bound of its configuration's age. Ages are measured on a clock that counts suspended time.
+//! Operators may publish a change right after a call to the platform's store was sent, and the process
+//! sees it only with the answer of a later call. So the age of its configuration is the time since the
+//! last confirmed call was sent, and each bound on a change is checked against this age. Ages are
+//! measured on a clock that counts suspended time.
 
 use std::time::Duration;
 
+/// How many times the bound on changes the store must have been silent until this counts as an outage.
+/// Until then, its answer may only be late.
+const OUTAGE_FACTOR: u32 = 2;
+
+/// Whether the platform's store answers this process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SourceStatus {
+    /// It answered the last call. The answer of the present one may be late.
+    #[default]
+    Answering,
+    /// It refused the last call, or gave an answer that cannot be used.
+    Failing,
+    /// It did not answer the last call in time.
+    Silent,
+}
+
+/// Bounds on the age of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgeLimits {
+    /// Below this age, requests with a key may be served: a revoked key must stop working everywhere,
+    /// also at a process that the store does not answer.
+    pub with_key: Duration,
+    /// Below this age, all requests may be served while the store answers: a change of routes must be
+    /// in force within this time.
+    pub while_answered: Duration,
+}
+
 /// The lease on the configuration.
 #[derive(Clone, Debug)]
 pub struct Lease {
-    duration: Duration,
+    limits: AgeLimits,
     confirmed_at: Option<Duration>,
+    source_status: SourceStatus,
     was_valid: bool,
 }
 
 impl Lease {
-    /// Creates an expired lease. `duration` is how long a renewal lasts.
-    pub fn new(duration: Duration) -> Self {
+    /// Creates an expired lease.
+    pub fn new(limits: AgeLimits) -> Self {
         Self {
-            duration,
+            limits,
             confirmed_at: None,
+            source_status: SourceStatus::default(),
             was_valid: false,
         }
     }
@@ -30,19 +60,42 @@
         self.confirmed_at = Some(self.confirmed_at.map_or(sent, |at| at.max(sent)));
     }
 
+    /// Sets whether the store answers.
+    pub fn set_source_status(&mut self, status: SourceStatus) {
+        self.source_status = status;
+    }
+
     /// Upper bound of the configuration's age, or `None` before the first renewal.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Whether the configuration may be used.
-    pub fn is_valid(&self, now: Duration) -> bool {
-        self.age(now).is_some_and(|age| age < self.duration)
+    /// Whether every change is in force that must be. Only then may a request be told that its route
+    /// or key does not exist.
+    pub fn is_current(&self, now: Duration) -> bool {
+        self.age(now)
+            .is_some_and(|age| age < self.limits.while_answered)
+    }
+
+    /// Whether a request may be served by the configuration. While the store is unavailable, requests
+    /// without a key are served by the last one, however old it is; a late answer is no outage.
+    pub fn allows(&self, now: Duration, has_key: bool) -> bool {
+        let age = self.age(now).unwrap_or(Duration::MAX);
+        if has_key && age >= self.limits.with_key {
+            return false;
+        }
+        let limit = self.limits.while_answered;
+        age < limit
+            || match self.source_status {
+                SourceStatus::Answering => false,
+                SourceStatus::Failing => true,
+                SourceStatus::Silent => has_key || age > limit * OUTAGE_FACTOR,
+            }
     }
 
-    /// The new validity, if it has changed since the last call.
+    /// Whether requests with a key may be served, if that has changed since the last call.
     pub fn take_validity_change(&mut self, now: Duration) -> Option<bool> {
-        let valid = self.is_valid(now);
+        let valid = self.allows(now, true);
         let changed = valid != self.was_valid;
         self.was_valid = valid;
         changed.then_some(valid)
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -50,6 +50,7 @@
 
 use crate::notice::Notice;
 use config::Config;
+use lease::SourceStatus;
 use load::LoadReport;
 use targets::TargetEntry;
 
@@ -163,6 +164,8 @@
     /// The configuration was current at this time: a call to the platform was sent then, and its
     /// answer was applied.
     ConfigConfirmed(Duration),
+    /// The platform's store began or stopped to answer this process.
+    SourceStatus(SourceStatus),
     /// The agent of a target reported the target's state.
     EngineReported {
         /// The target.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -31,7 +31,10 @@
     Spillover, //
 };
 use super::first_attempts::FirstAttempts;
-use super::lease::Lease;
+use super::lease::{
+    AgeLimits,
+    Lease, //
+};
 use super::pending::Pending;
 use super::queue::Queue;
 use super::retry_share::{
@@ -57,8 +60,8 @@
 pub struct Options {
     /// The location of the process.
     pub location: Location,
-    /// How long the configuration may be used after it was last confirmed as current.
-    pub lease_duration: Duration,
+    /// Bounds on the age of the configuration.
+    pub config_age_limits: AgeLimits,
     /// How long requests may still be sent to an older version after a newer one was named.
     pub version_grace: Duration,
     /// How long after the end of `version_grace` the answer to a request that was sent to an older
@@ -161,7 +164,7 @@
     pub fn new(options: Options) -> Self {
         Self {
             table: None,
-            lease: Lease::new(options.lease_duration),
+            lease: Lease::new(options.config_age_limits),
             out_data_centres: BTreeSet::new(),
             required_versions: BTreeMap::new(),
             targets: Targets::default(),
@@ -204,6 +207,7 @@
                 age,
             } => self.update_required_version(now, model, version, age, &mut effects),
             Event::ConfigConfirmed(sent) => self.lease.renew(sent),
+            Event::SourceStatus(status) => self.lease.set_source_status(status),
             Event::EngineReported {
                 id,
                 version,
@@ -266,7 +270,7 @@
         Summary {
             config_version: self.table.as_ref().map(|table| table.config().version),
             lease_age: self.lease.age(now),
-            is_lease_valid: self.lease.is_valid(now),
+            is_lease_valid: self.lease.allows(now, true),
             known_targets: self.targets.iter().count(),
             pending_requests: self.pending.len(),
             queued_requests: self.queues.values().map(Queue::len).sum(),
--- /dev/null
+++ b/components/control/tests/config_age.rs
@@ -0,0 +1,218 @@
+//! Requests that are served or rejected by a configuration of some age.
+
+mod routers;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use control::router::config::{
+    Config,
+    Repeatability,
+    Route,
+    Service,
+    Team, //
+};
+use control::router::lease::{
+    AgeLimits,
+    SourceStatus, //
+};
+use control::router::{
+    Effect,
+    Event,
+    IncomingRequest,
+    Options,
+    RejectionReason,
+    RetryLimit,
+    State, //
+};
+use routers::{
+    clock,
+    options,
+    request,
+    route,
+    target, //
+};
+
+/// Changes must be in force within this time.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+const LIMITS: AgeLimits = AgeLimits {
+    with_key: Duration::from_secs(4),
+    while_answered: APPLY_TIME,
+};
+
+const START: Duration = Duration::from_secs(100);
+
+/// Creates a process whose configuration was confirmed at the start, with one target for a route that
+/// needs a key and one that needs none.
+fn router(status: SourceStatus) -> State {
+    let retry_limit = RetryLimit {
+        retries_per_request: 0.2,
+        extra_retries: 20.0,
+        window: Duration::from_secs(10),
+    };
+    let mut state = State::new(Options {
+        config_age_limits: LIMITS,
+        ..options(retry_limit, 1)
+    });
+    let desk = Service {
+        name: "desk".into(),
+        cold_rate_per_second: 0.0,
+        delays: Default::default(),
+        engine_profile: None,
+    };
+    let open = route("open", "desk", Repeatability::Idempotent);
+    let closed = Route {
+        allows_anonymous: false,
+        ..route("closed", "desk", Repeatability::Idempotent)
+    };
+    let config = Config {
+        version: 1,
+        routes: vec![Arc::new(open), Arc::new(closed)],
+        services: BTreeMap::from([("desk".into(), Arc::new(desk))]),
+        teams: vec![Arc::new(Team {
+            name: "studio".into(),
+            api_keys: vec!["key".into()],
+            ..Team::default()
+        })],
+        ..Config::default()
+    };
+    for event in [
+        Event::ConfigRead(Arc::new(config)),
+        Event::TargetListed(target("d1", "desk", "a")),
+        Event::ConfigConfirmed(START),
+        Event::SourceStatus(status),
+    ] {
+        state.step(clock(START), event);
+    }
+    state
+}
+
+/// The reason for which the request is rejected, or `None` if it is sent.
+fn rejection(
+    state: &mut State,
+    now: Duration,
+    request: IncomingRequest,
+) -> Option<RejectionReason> {
+    let effects = state.step(clock(now), Event::RequestReceived(request));
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Reject(_, rejection) => Some(rejection.reason),
+        _ => None,
+    })
+}
+
+#[test]
+fn requests_are_not_served_by_a_configuration_that_may_have_changed_too_long_ago() {
+    use RejectionReason::StaleConfiguration;
+    use SourceStatus::{
+        Answering,
+        Failing,
+        Silent, //
+    };
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        status: SourceStatus,
+        age_ms: u64,
+        expected: Option<RejectionReason>,
+    }
+    let case = |name, path, status, age_ms, expected| Case {
+        name,
+        path,
+        status,
+        age_ms,
+        expected,
+    };
+    let stale = Some(StaleConfiguration);
+    let cases = [
+        case("no key, in time", "/open/", Answering, 1999, None),
+        case("no key, late answer", "/open/", Answering, 2000, stale),
+        case(
+            "no key, very late answer",
+            "/open/",
+            Answering,
+            60_000,
+            stale,
+        ),
+        case(
+            "no key, refused by the store",
+            "/open/",
+            Failing,
+            60_000,
+            None,
+        ),
+        case("no key, short silence", "/open/", Silent, 3900, stale),
+        case("no key, outage", "/open/", Silent, 4001, None),
+        case("key, in time", "/closed/", Answering, 1999, None),
+        case("key, late answer", "/closed/", Answering, 2000, stale),
+        case("key, refused by the store", "/closed/", Failing, 3999, None),
+        case("key, silence", "/closed/", Silent, 3999, None),
+        case("key, lease expired", "/closed/", Failing, 4000, stale),
+        case(
+            "key, lease expired in an outage",
+            "/closed/",
+            Silent,
+            9000,
+            stale,
+        ),
+    ];
+    for case in cases {
+        let mut state = router(case.status);
+        let now = START + Duration::from_millis(case.age_ms);
+        let request = IncomingRequest {
+            api_key: (case.path == "/closed/").then(|| "key".into()),
+            ..request(1, case.path)
+        };
+        let actual = rejection(&mut state, now, request);
+        assert_eq!(actual, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_route_or_key_is_not_denied_for_good_by_a_configuration_that_may_lack_it() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        age_ms: u64,
+        expected: RejectionReason,
+    }
+    let cases = [
+        Case {
+            name: "route, in time",
+            path: "/none/",
+            age_ms: 1999,
+            expected: RejectionReason::NoRoute,
+        },
+        Case {
+            name: "route, too old",
+            path: "/none/",
+            age_ms: 2000,
+            expected: RejectionReason::StaleConfiguration,
+        },
+        Case {
+            name: "key, in time",
+            path: "/closed/",
+            age_ms: 1999,
+            expected: RejectionReason::UnknownKey,
+        },
+        Case {
+            name: "key, too old",
+            path: "/closed/",
+            age_ms: 2000,
+            expected: RejectionReason::StaleConfiguration,
+        },
+    ];
+    for case in cases {
+        for status in [SourceStatus::Failing, SourceStatus::Silent] {
+            let mut state = router(status);
+            let now = START + Duration::from_millis(case.age_ms);
+            let request = IncomingRequest {
+                api_key: Some("other".into()),
+                ..request(1, case.path)
+            };
+            let actual = rejection(&mut state, now, request);
+            assert_eq!(actual, Some(case.expected), "{} {status:?}", case.name);
+        }
+    }
+}
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -34,6 +34,7 @@
     Service,
     Team, //
 };
+use control::router::lease::AgeLimits;
 use control::router::load::LoadReport;
 use control::router::selection::Location;
 use control::router::targets::TargetEntry;
@@ -1192,7 +1193,10 @@
             data_centre: "a".into(),
             regions: BTreeMap::from([("a".into(), "north".into())]),
         },
-        lease_duration: Duration::from_secs(4),
+        config_age_limits: AgeLimits {
+            with_key: Duration::from_secs(4),
+            while_answered: Duration::from_secs(4),
+        },
         version_grace: Duration::from_millis(6500),
         retry_limit: RetryLimit {
             retries_per_request: 0.3,
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -15,6 +15,10 @@
     Service,
     Team, //
 };
+use control::router::lease::{
+    AgeLimits,
+    SourceStatus, //
+};
 use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
@@ -174,7 +178,10 @@
                     data_centre: "a".into(),
                     regions: BTreeMap::from(regions),
                 },
-                lease_duration: LEASE,
+                config_age_limits: AgeLimits {
+                    with_key: LEASE,
+                    while_answered: LEASE,
+                },
                 version_grace: ms(6500),
                 retry_limit: retry_limit(1.0),
                 first_event_grace: Duration::from_millis(700),
@@ -338,11 +345,21 @@
         ),
         case(
             "stale, open route, no target",
-            stale,
+            |r| {
+                r.now += LEASE;
+                r.step(Event::SourceStatus(SourceStatus::Failing));
+            },
             "open",
             None,
             RejectionReason::NoTarget,
         ),
+        case(
+            "stale while the store answers, open route",
+            stale,
+            "open",
+            None,
+            RejectionReason::StaleConfiguration,
+        ),
         case(
             "about to stop",
             |r| drop(r.step(Event::StopAccepting)),
@@ -371,7 +388,10 @@
 fn options() -> Options {
     Options {
         location: Location::default(),
-        lease_duration: LEASE,
+        config_age_limits: AgeLimits {
+            with_key: LEASE,
+            while_answered: LEASE,
+        },
         version_grace: ms(6500),
         retry_limit: retry_limit(1.0),
         first_event_grace: Duration::from_millis(700),
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -18,6 +18,7 @@
     Route,
     Service, //
 };
+use control::router::lease::AgeLimits;
 use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
@@ -47,7 +48,10 @@
             data_centre: "a".into(),
             ..Location::default()
         },
-        lease_duration: Duration::from_secs(4),
+        config_age_limits: AgeLimits {
+            with_key: Duration::from_secs(4),
+            while_answered: Duration::from_secs(4),
+        },
         version_grace: Duration::from_secs(6),
         first_event_grace: Duration::from_millis(700),
         retry_limit,
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -209,7 +209,7 @@
             FeedEvent::Published {
                 value, is_initial, ..
             } => self.handle_value(value, is_initial),
-            FeedEvent::SourceState { is_up, detail } => {
+            FeedEvent::SourceState { is_up, detail, .. } => {
                 let name = "platform".into();
                 self.record(record::Decision::Dependency {
                     name,
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use control::router::config::Config;
+use control::router::lease::SourceStatus;
 use control::router::targets::TargetEntry;
 use displaydoc::Display;
 use futures_util::future::LocalBoxFuture;
@@ -91,6 +92,8 @@
     HistoryDropped,
     /// refused with status {0}
     Refused(u16),
+    /// no answer in time
+    Timeout,
     /// unreachable: {0}
     Unreachable(String),
     /// cannot be read: {0}
@@ -99,6 +102,16 @@
     TooLong,
 }
 
+impl SourceError {
+    /// Whether the source does not answer, or answers that it cannot serve this process.
+    fn status(&self) -> SourceStatus {
+        match self {
+            Self::Timeout => SourceStatus::Silent,
+            _ => SourceStatus::Failing,
+        }
+    }
+}
+
 type SourceFuture = LocalBoxFuture<'static, Result<PublishedChanges, SourceError>>;
 
 /// The calls to the platform's store of published values.
@@ -184,6 +197,8 @@
     SourceState {
         /// Whether it responds.
         is_up: bool,
+        /// How it fails, if it does.
+        status: SourceStatus,
         /// The error, or a text that says that the source responds again.
         detail: Name,
     },
@@ -235,8 +250,8 @@
     has_failed: bool,
     /// When the source first responded after a failure, or dropped its history.
     recovered_at: Option<Duration>,
-    /// Whether the source was last reported as available.
-    is_up: bool,
+    /// How the source was last reported to respond.
+    status: SourceStatus,
     /// When the last response was complete.
     answered_at: Option<Duration>,
     /// The version of the last configuration.
@@ -266,7 +281,7 @@
         is_started: false,
         has_failed: false,
         recovered_at: None,
-        is_up: true,
+        status: SourceStatus::Answering,
         answered_at: None,
         config_version: None,
         unreadable: BTreeSet::new(),
@@ -385,11 +400,12 @@
         self.settles_at = Some(self.elapsed() + self.options.settle_time);
         // Targets that the copy lacks are kept as after an outage.
         self.has_failed = true;
-        self.is_up = true;
+        self.status = SourceStatus::Failing;
         metrics::counter!("medlarproxy_platform_restores_total").increment(1);
         let detail = format!("restored from a copy, era {era}");
         (self.on_event)(FeedEvent::SourceState {
             is_up: true,
+            status: self.status,
             detail: detail.into(),
         });
     }
@@ -476,23 +492,28 @@
     }
 
     fn report_up(&mut self) {
-        if !self.is_up {
-            self.is_up = true;
-            let detail = "answers again".into();
-            (self.on_event)(FeedEvent::SourceState {
-                is_up: true,
-                detail,
-            });
-        }
+        let (status, detail) = if !self.unreadable.is_empty() {
+            let detail = "published a document that cannot be read";
+            (SourceStatus::Failing, detail)
+        } else if self.settles_at.is_some() {
+            (SourceStatus::Failing, "settles after it was restored")
+        } else {
+            (SourceStatus::Answering, "answers again")
+        };
+        self.report_status(status, detail.into());
     }
 
     fn report_down(&mut self, e: &SourceError) {
         metrics::counter!("medlarproxy_platform_failures_total").increment(1);
-        if self.is_up {
-            self.is_up = false;
-            let detail = e.to_string().into();
+        self.report_status(e.status(), e.to_string().into());
+    }
+
+    fn report_status(&mut self, status: SourceStatus, detail: Name) {
+        if self.status != status {
+            self.status = status;
             (self.on_event)(FeedEvent::SourceState {
-                is_up: false,
+                is_up: status == SourceStatus::Answering,
+                status,
                 detail,
             });
         }
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -207,14 +207,18 @@
                 }
                 return;
             }
-            FeedEvent::SourceState { is_up, detail } => {
+            FeedEvent::SourceState {
+                is_up,
+                status,
+                detail,
+            } => {
                 let name = "platform".into();
                 self.record(record::Decision::Dependency {
                     name,
                     up: is_up,
                     detail,
                 });
-                return;
+                Event::SourceStatus(status)
             }
         };
         self.handle_event(event);
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use control::capacity;
+use control::router::lease::AgeLimits;
 use control::router::selection::Location;
 use control::router::{
     Options,
@@ -119,10 +120,13 @@
     };
     Options {
         location,
-        lease_duration: settings
-            .operator_limits
-            .key_revocation_time
-            .mul_f64(LEASE_FRACTION),
+        config_age_limits: AgeLimits {
+            with_key: settings
+                .operator_limits
+                .key_revocation_time
+                .mul_f64(LEASE_FRACTION),
+            while_answered: settings.operator_limits.config_apply_time,
+        },
         version_grace: old_version_time(&settings.operator_limits),
         retry_limit: retry_limit(&settings.operator_limits),
         first_event_grace: VERSION_SEND_MARGIN - VERSION_START_MARGIN,
