A version counts from the earliest time at which it can have been published

Cause: a version that a watch shows got the age zero, though it may be as old as the time since the last complete answer was asked for; ages that processes pass on were lower bounds, and the smallest deadline of them counted. So every entry was late by its own pause and its own answer, and a request that began 350 ms before the late bound was too late by the rest. The class: a bound that counts from a moment that the process does not see, taken at the wrong end. Change: the feed reports when the last confirmed call was sent that did not have the value; versions count from there. Entries and agents pass on the upper bound of a version's age beside the time since they learned of it. A reply counts from the sending of its call, plus the time for which the agent held it; a request counts only within a data centre, where messages take milliseconds. Both are lower bounds of the publication, so the later one counts. The schedule of rolling updates still starts from when a version became known. The test of ages that others report is replaced: before, the smallest deadline of lower bounds of the age counted, which was late by each message's way; now the closest lower bound of the publication does, at the exact millisecond.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -35,7 +35,10 @@
     self,
     LimitStatus, //
 };
-use crate::millis::millis;
+use crate::millis::{
+    millis,
+    millis_rounded_up, //
+};
 use crate::router::learned::learned_limit;
 use crate::CrashSuspects;
 
@@ -124,8 +127,10 @@
         model: Name,
         /// The version.
         version: u64,
-        /// How long ago it was named, if that is known.
+        /// How long ago a process learned of it. `None` if that process found it at its start.
         age: Option<Duration>,
+        /// It was published after this time, if that is known.
+        published_after: Option<Duration>,
     },
     /// The list of the agents of the model's engines was read.
     Members {
@@ -190,8 +195,11 @@
 #[derive(Clone, Copy, Debug)]
 struct KnownVersion {
     version: u64,
-    /// When it was named, if that is known.
+    /// When a process learned of it, which the schedule of the update starts from.
     named_at: Option<Duration>,
+    /// It was published after this time, if that is known. Entries stop sending requests to older
+    /// versions by this bound.
+    published_after: Option<Duration>,
 }
 
 /// The state of an agent.
@@ -441,6 +449,9 @@
             model: self.model.clone()?,
             version: newest.version,
             age_ms: age.map(millis),
+            max_age_ms: newest
+                .published_after
+                .map(|at| millis_rounded_up(now.saturating_sub(at))),
         })
     }
 
@@ -476,7 +487,15 @@
                 model,
                 version,
                 age,
-            } => self.add_version(now, &model, version, age, &mut effects),
+                published_after,
+            } => {
+                let known = KnownVersion {
+                    version,
+                    named_at: age.map(|age| now.saturating_sub(age)),
+                    published_after,
+                };
+                self.add_version(now, &model, known, &mut effects);
+            }
             Event::Members {
                 members,
                 origin_region,
@@ -553,29 +572,31 @@
         &mut self,
         now: Duration,
         model: &Name,
-        version: u64,
-        age: Option<Duration>,
+        named: KnownVersion,
         effects: &mut Vec<Effect>,
     ) {
-        let named_at = age.map(|age| now.saturating_sub(age));
         let existing = self
             .versions
             .iter_mut()
-            .find(|known| known.version == version);
+            .find(|known| known.version == named.version);
         if let Some(existing) = existing {
-            existing.named_at = existing.named_at.or(named_at);
+            existing.named_at = existing.named_at.or(named.named_at);
+            // Both are lower bounds, so the later one is closer.
+            existing.published_after = existing.published_after.max(named.published_after);
             return;
         }
         let is_own_model = self.model.as_ref() == Some(model);
         let newest = self.versions.last().map_or(0, |known| known.version);
-        if !is_own_model || version <= newest {
+        if !is_own_model || named.version <= newest {
             return;
         }
-        self.versions.push(KnownVersion { version, named_at });
+        self.versions.push(named);
         effects.push(Effect::Record(Decision::VersionNamed {
             model: model.clone(),
-            version,
-            age_ms: age.map(millis),
+            version: named.version,
+            age_ms: named
+                .published_after
+                .map(|at| millis(now.saturating_sub(at))),
         }));
         // Read the list of engines again, as pieces are exchanged only among its members.
         self.members_read_at = None;
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -158,8 +158,10 @@
         model: Name,
         /// The version.
         version: u64,
-        /// How long ago it was named, if known.
+        /// How long ago a process learned of it. `None` if that process found it at its start.
         age: Option<Duration>,
+        /// It was published after this time, if that is known.
+        published_after: Option<Duration>,
     },
     /// The configuration was current at this time: a call to the platform was sent then, and its
     /// answer was applied.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -52,7 +52,10 @@
     Effect,
     Event, //
 };
-use crate::millis::millis;
+use crate::millis::{
+    millis,
+    millis_rounded_up, //
+};
 use crate::CrashSuspects;
 
 /// Options of the reducer.
@@ -81,12 +84,20 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RequiredVersion {
     pub version: u64,
-    /// Whether it is known when the version was named.
-    pub is_age_known: bool,
-    /// From this time on, the process must not send requests to older versions. It is the time at
-    /// which the version was named, plus `version_grace`. The sum is stored because the version may
-    /// have been named before the clock started.
-    pub required_from: Duration,
+    /// When a process learned of it. `None` if that process found it at its start.
+    pub learned_at: Option<Duration>,
+    /// It was published after this time, if that is known. Operators count from the publication, so
+    /// this end of the time in which it can have happened is the one to count from.
+    pub published_after: Option<Duration>,
+}
+
+impl RequiredVersion {
+    /// From when on no request may be sent to an older version. Without a bound on its publication,
+    /// that is at once.
+    pub fn required_from(&self, version_grace: Duration) -> Duration {
+        self.published_after
+            .map_or(Duration::ZERO, |at| at + version_grace)
+    }
 }
 
 /// The state of the reducer: what it knows, and the requests in progress.
@@ -205,7 +216,15 @@
                 model,
                 version,
                 age,
-            } => self.update_required_version(now, model, version, age, &mut effects),
+                published_after,
+            } => {
+                let named = RequiredVersion {
+                    version,
+                    learned_at: age.map(|age| now.saturating_sub(age)),
+                    published_after,
+                };
+                self.update_required_version(now, model, named, &mut effects);
+            }
             Event::ConfigConfirmed(sent) => self.lease.renew(sent),
             Event::SourceStatus(status) => self.lease.set_source_status(status),
             Event::EngineReported {
@@ -289,16 +308,16 @@
         self.table.as_ref().map_or(0, |t| t.config().version)
     }
 
-    /// The newest named version of each model, and how long ago it was named.
+    /// The newest named version of each model, and how long ago it was named and learned of.
     pub fn named_versions(&self, now: Duration) -> Vec<NamedVersion> {
         let newest = self.required_versions.iter().filter_map(|(model, named)| {
             let newest = named.last()?;
-            let age = (now + self.options.version_grace).saturating_sub(newest.required_from);
-            let age = newest.is_age_known.then_some(age);
+            let age = |at: Duration| now.saturating_sub(at);
             Some(NamedVersion {
                 model: model.clone(),
                 version: newest.version,
-                age_ms: age.map(millis),
+                age_ms: newest.learned_at.map(age).map(millis),
+                max_age_ms: newest.published_after.map(age).map(millis_rounded_up),
             })
         });
         newest.collect()
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -173,40 +173,36 @@
     }
 
     /// Adds a version that was named as the one to serve. A process that finds the version at its
-    /// start does not know when it was named until another process reports its age.
+    /// start does not know when it was published until another process reports it.
     pub(super) fn update_required_version(
         &mut self,
         now: Duration,
         model: Name,
-        version: u64,
-        age: Option<Duration>,
+        named: RequiredVersion,
         effects: &mut Vec<Effect>,
     ) {
-        let required_from = age.map_or(now, |age| {
-            (now + self.options.version_grace).saturating_sub(age)
-        });
-        let is_age_known = age.is_some();
         let versions = self.required_versions.entry(model.clone()).or_default();
-        if let Some(existing) = versions.iter_mut().find(|named| named.version == version) {
-            if is_age_known && (!existing.is_age_known || required_from < existing.required_from) {
-                existing.is_age_known = true;
-                existing.required_from = required_from;
-            }
+        let existing = versions.iter_mut().find(|v| v.version == named.version);
+        if let Some(existing) = existing {
+            // Both are lower bounds, so the later one is closer.
+            existing.published_after = existing.published_after.max(named.published_after);
+            existing.learned_at = match (existing.learned_at, named.learned_at) {
+                (Some(one), Some(other)) => Some(one.min(other)),
+                (one, other) => one.or(other),
+            };
             return;
         }
-        if versions.last().is_some_and(|last| last.version > version) {
+        let newest = versions.last().map(|last| last.version);
+        if newest.is_some_and(|newest| newest > named.version) {
             return;
         }
-        versions.push(RequiredVersion {
-            version,
-            is_age_known,
-            required_from,
-        });
+        let age = named.published_after.map(|at| now.saturating_sub(at));
         effects.push(Effect::Record(Decision::VersionNamed {
             model,
-            version,
+            version: named.version,
             age_ms: age.map(millis),
         }));
+        versions.push(named);
     }
 
     /// Updates a target with the report of its agent.
@@ -255,14 +251,16 @@
     ) -> Option<Duration> {
         let versions = self.required_versions.get(model)?.iter();
         let newer = versions.filter(|named| version.is_some_and(|v| v < named.version));
-        let required_from = newer.map(|named| named.required_from).min()?;
+        let grace = self.options.version_grace;
+        let required_from = newer.map(|named| named.required_from(grace)).min()?;
         Some(required_from + self.options.first_event_grace)
     }
 
     /// The oldest version that requests for a model may run on now.
     pub(super) fn oldest_version(&self, now: Duration, model: &str) -> Option<u64> {
         let versions = self.required_versions.get(model)?.iter();
-        let required = versions.filter(|named| now >= named.required_from);
+        let grace = self.options.version_grace;
+        let required = versions.filter(|named| now >= named.required_from(grace));
         required.map(|named| named.version).max()
     }
 }
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -144,6 +144,7 @@
             model,
             version,
             age,
+            published_after: Some(self.now),
         });
     }
 
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -45,6 +45,8 @@
 
 const LEASE: Duration = Duration::from_secs(4);
 
+const VERSION_GRACE: Duration = Duration::from_millis(6500);
+
 fn retry_limit(retries_per_request: f64) -> RetryLimit {
     RetryLimit {
         retries_per_request,
@@ -182,7 +184,7 @@
                     with_key: LEASE,
                     while_answered: LEASE,
                 },
-                version_grace: ms(6500),
+                version_grace: VERSION_GRACE,
                 retry_limit: retry_limit(1.0),
                 first_event_grace: Duration::from_millis(700),
                 uses_reservations: false,
@@ -209,6 +211,15 @@
         self.step(Event::ConfigConfirmed(self.now));
     }
 
+    fn name_version(&mut self, version: u64, published_after: Option<Duration>) {
+        self.step(Event::VersionNamed {
+            model: "m".into(),
+            version,
+            age: published_after.map(|_| Duration::ZERO),
+            published_after,
+        });
+    }
+
     fn step(&mut self, event: Event) -> Vec<Effect> {
         self.state.step(clock(self.now), event)
     }
@@ -392,7 +403,7 @@
             with_key: LEASE,
             while_answered: LEASE,
         },
-        version_grace: ms(6500),
+        version_grace: VERSION_GRACE,
         retry_limit: retry_limit(1.0),
         first_event_grace: Duration::from_millis(700),
         uses_reservations: false,
@@ -591,11 +602,7 @@
         Case {
             name: "its version is no longer allowed",
             change: |r| {
-                r.step(Event::VersionNamed {
-                    model: "m".into(),
-                    version: 2,
-                    age: Some(Duration::ZERO),
-                });
+                r.name_version(2, Some(r.now));
                 r.now += ms(6500);
                 r.renew();
             },
@@ -622,13 +629,6 @@
 #[test]
 fn each_named_version_has_its_own_grace_period() {
     let mut router = TestRouter::with_targets(&[("e1", "engines", "a"), ("e2", "engines", "c")]);
-    let name_version = |r: &mut TestRouter, version| {
-        r.step(Event::VersionNamed {
-            model: "m".into(),
-            version,
-            age: Some(Duration::ZERO),
-        });
-    };
     let report_version = |r: &mut TestRouter, id: &str, version| {
         r.step(Event::EngineReported {
             id: id.into(),
@@ -637,9 +637,9 @@
             process_count: 1,
         });
     };
-    name_version(&mut router, 2);
+    router.name_version(2, Some(router.now));
     router.now += ms(3000);
-    name_version(&mut router, 3);
+    router.name_version(3, Some(router.now));
     report_version(&mut router, "e2", 2);
     router.now += ms(3500);
     router.renew();
@@ -760,11 +760,7 @@
     for case in cases {
         let mut router = TestRouter::with_targets(&[("e1", "engines", "a")]);
         let named_at = router.now;
-        router.step(Event::VersionNamed {
-            model: "m".into(),
-            version: 2,
-            age: Some(Duration::ZERO),
-        });
+        router.name_version(2, Some(named_at));
         router.step(Event::EngineReported {
             id: "e1".into(),
             version: Some(case.running_version),
@@ -782,30 +778,23 @@
 
 #[test]
 fn a_process_learns_the_age_of_a_version_found_at_its_start_from_others() {
-    // The version was named before the process started.
-    let mut router = TestRouter::new_at(ms(100));
+    // The version was published before the process started.
+    let mut router = TestRouter::new_at(ms(100_000));
     router.step(Event::TargetListed(entry("e1", "engines", "a")));
-    let name_version = |r: &mut TestRouter, age| {
-        r.step(Event::VersionNamed {
-            model: "m".into(),
-            version: 2,
-            age,
-        });
-    };
-    name_version(&mut router, None);
+    let published_at = router.now - ms(2000);
+    router.name_version(2, None);
     assert_eq!(
         router.receive("chat").1.reason().0,
         RejectionReason::NoTarget
     );
-    name_version(&mut router, Some(ms(2000)));
-    assert_eq!(router.receive("chat").1.target(), "e1");
-    // The earliest reported naming counts.
-    name_version(&mut router, Some(ms(4000)));
-    name_version(&mut router, Some(ms(1000)));
-    router.now += ms(2400);
+    // All reports are lower bounds, so the latest one counts, in any order.
+    for earlier_ms in [3000, 0, 5000] {
+        router.name_version(2, Some(published_at - ms(earlier_ms)));
+    }
+    router.now = published_at + VERSION_GRACE - ms(1);
     router.renew();
     assert_eq!(router.receive("chat").1.target(), "e1");
-    router.now += ms(100);
+    router.now += ms(1);
     assert_eq!(
         router.receive("chat").1.reason().0,
         RejectionReason::NoTarget
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -77,6 +77,8 @@
     /// Requests the status of an agent's engine. The reply waits until the status differs from
     /// `known`.
     Engine {
+        /// The data centre of the requester.
+        data_centre: Name,
         /// The status that the requester knows.
         known: Option<EngineStatus>,
         /// The versions that operators have selected, as far as the requester knows.
@@ -135,6 +137,8 @@
         watchers: u32,
         /// The versions that operators have selected, as far as the agent knows.
         named: Vec<NamedVersion>,
+        /// Milliseconds for which the agent held the request.
+        held_ms: u64,
     },
     /// Capacity is reserved or refused.
     Reserved {
@@ -191,8 +195,11 @@
     pub model: Name,
     /// The version.
     pub version: u64,
-    /// Milliseconds since it was selected. `None` if the process already found it at its start.
+    /// Milliseconds since the sender learned of it. `None` if it already found it at its start.
     pub age_ms: Option<u64>,
+    /// Upper bound of the milliseconds since it was published, without the time that the message
+    /// takes. `None` if the sender knows none.
+    pub max_age_ms: Option<u64>,
 }
 
 /// The status of an engine, as reported by its agent.
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -207,8 +207,10 @@
     pub fn handle_feed_event(self: &Arc<Self>, event: FeedEvent) {
         match event {
             FeedEvent::Published {
-                value, is_initial, ..
-            } => self.handle_value(value, is_initial),
+                value,
+                published_after,
+                ..
+            } => self.handle_value(value, published_after),
             FeedEvent::SourceState { is_up, detail, .. } => {
                 let name = "platform".into();
                 self.record(record::Decision::Dependency {
@@ -226,13 +228,14 @@
         }
     }
 
-    fn handle_value(self: &Arc<Self>, value: PublishedValue, is_initial: bool) {
+    fn handle_value(self: &Arc<Self>, value: PublishedValue, published_after: Option<Duration>) {
         if let PublishedValue::ModelVersion(model, version) = value {
             self.handle_event(Event::VersionNamed {
                 model,
                 version,
                 // A version found at the start may have been named at any earlier time.
-                age: (!is_initial).then_some(Duration::ZERO),
+                age: published_after.map(|_| Duration::ZERO),
+                published_after,
             });
         }
     }
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -16,6 +16,7 @@
     EngineStatus,
     Envelope,
     Heartbeat,
+    NamedVersion,
     Reply,
     Request, //
 };
@@ -363,6 +364,7 @@
                     .await;
             }
             Request::Engine {
+                data_centre,
                 known,
                 named,
                 weight_source,
@@ -370,13 +372,7 @@
                 if let Some(weight_source) = weight_source {
                     self.handle_weight_source(request.sheet_version, weight_source);
                 }
-                for named in named {
-                    self.handle_event(Event::VersionNamed {
-                        model: named.model,
-                        version: named.version,
-                        age: named.age_ms.map(Duration::from_millis),
-                    });
-                }
+                self.handle_named_versions(&data_centre, named);
                 self.record_watcher(request.sender);
                 self.answer_status(known, responder).await;
             }
@@ -404,6 +400,23 @@
         }
     }
 
+    /// Applies what an entry reports about versions. The bound on the publication counts only from
+    /// entries of the own data centre: from others, the message may have taken any time.
+    fn handle_named_versions(self: &Arc<Self>, data_centre: &str, named: Vec<NamedVersion>) {
+        let now = self.clock.now().elapsed;
+        let is_near = data_centre == &*self.options.data_centre;
+        for named in named {
+            let max_age = named.max_age_ms.map(Duration::from_millis);
+            let published_after = max_age.map(|max_age| now.saturating_sub(max_age));
+            self.handle_event(Event::VersionNamed {
+                model: named.model,
+                version: named.version,
+                age: named.age_ms.map(Duration::from_millis),
+                published_after: published_after.filter(|_| is_near),
+            });
+        }
+    }
+
     fn record_watcher(&self, name: Name) {
         let now = self.clock.now().elapsed;
         lock(&self.watchers).insert(name, now);
@@ -420,6 +433,7 @@
     /// Replies with the state of the engine as soon as it differs from `known`, or after
     /// `MAX_STATUS_WAIT`.
     async fn answer_status(&self, known: Option<EngineStatus>, mut responder: Responder) {
+        let received_at = self.clock.now().elapsed;
         let mut status = self.engine_status.subscribe();
         let changed = status.wait_for(|status| Some(*status) != known);
         let waited = tokio::select! {
@@ -431,6 +445,7 @@
         let current = *self.engine_status.borrow();
         let watchers = self.watcher_count();
         let elapsed = self.clock.now().elapsed;
+        let held = elapsed.saturating_sub(received_at);
         let named = lock(&self.state)
             .newest_version(elapsed)
             .into_iter()
@@ -439,6 +454,7 @@
             status: current,
             watchers,
             named,
+            held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
         };
         self.send_reply(responder, reply).await;
     }
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -179,8 +179,9 @@
         value: PublishedValue,
         /// How long to wait for an unlisted target to be listed again.
         grace: Duration,
-        /// Whether the value was already published when the process started.
-        is_initial: bool,
+        /// The value was published after this time: the last confirmed call was sent then, and its
+        /// answer did not have the value. `None` if there was no such call.
+        published_after: Option<Duration>,
     },
     /// All values were read. Targets that are not in `names` are no longer listed.
     FullTargetList {
@@ -244,8 +245,8 @@
     /// are read again.
     settles_at: Option<Duration>,
     disabled_data_centres: BTreeSet<Name>,
-    /// Whether the values at the start of the process were reported.
-    is_started: bool,
+    /// When the last call was sent whose answer was complete.
+    complete_since: Option<Duration>,
     /// Whether a call failed since the last response.
     has_failed: bool,
     /// When the source first responded after a failure, or dropped its history.
@@ -278,7 +279,7 @@
         era: None,
         settles_at: None,
         disabled_data_centres: BTreeSet::new(),
-        is_started: false,
+        complete_since: None,
         has_failed: false,
         recovered_at: None,
         status: SourceStatus::Answering,
@@ -348,6 +349,7 @@
                     self.report_up();
                     return Duration::ZERO;
                 }
+                self.complete_since = Some(sent_at);
                 if self.settles_at.is_none() && self.unreadable.is_empty() {
                     (self.on_event)(FeedEvent::Confirmed(sent_at));
                 }
@@ -447,7 +449,6 @@
                 }
             }
         }
-        self.is_started = true;
         self.revision = Some(changes.revision.max(self.revision.unwrap_or_default()));
     }
 
@@ -487,7 +488,7 @@
         (self.on_event)(FeedEvent::Published {
             value,
             grace,
-            is_initial: !self.is_started,
+            published_after: self.complete_since,
         });
     }
 
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -50,6 +50,8 @@
 pub struct AgentClient {
     /// The name of this process's instance.
     pub instance: Name,
+    /// The data centre of this process.
+    pub data_centre: Name,
     /// The port on which agents listen.
     pub port: u16,
     /// The connections to agents.
@@ -58,10 +60,11 @@
 
 impl AgentClient {
     /// Creates a client without any connections.
-    pub fn new(instance: Name, port: u16) -> Self {
+    pub fn new(instance: Name, data_centre: Name, port: u16) -> Self {
         let pool = Pool::new(PoolOptions::default());
         Self {
             instance,
+            data_centre,
             port,
             pool,
         }
@@ -152,10 +155,12 @@
 ) {
     let mut known: Option<EngineStatus> = None;
     loop {
+        let sent_at = router.elapsed();
         let message = {
-            let now = router.elapsed();
+            let now = sent_at;
             let named = router.inner.state.borrow().named_versions(now);
             router.envelope(Request::Engine {
+                data_centre: agent_client.data_centre.clone(),
                 known,
                 named,
                 weight_source: engine.weight_source.clone(),
@@ -167,9 +172,12 @@
                     status,
                     watchers,
                     named,
+                    held_ms,
                 } => {
                     known = Some(status);
-                    handle_versions(&router, named);
+                    // The agent has written the reply later than this.
+                    let written_after = sent_at + Duration::from_millis(held_ms);
+                    handle_versions(&router, written_after, named);
                     router.handle_event(Event::EngineReported {
                         id: engine.target.clone(),
                         version: status.version,
@@ -198,17 +206,20 @@
     versions.collect()
 }
 
-fn handle_versions(router: &Router, named: Vec<NamedVersion>) {
+fn handle_versions(router: &Router, written_after: Duration, named: Vec<NamedVersion>) {
     for NamedVersion {
         model,
         version,
         age_ms,
+        max_age_ms,
     } in named
     {
+        let max_age = max_age_ms.map(Duration::from_millis);
         router.handle_event(Event::VersionNamed {
             model,
             version,
             age: age_ms.map(Duration::from_millis),
+            published_after: max_age.map(|max_age| written_after.saturating_sub(max_age)),
         });
     }
 }
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -194,8 +194,8 @@
             FeedEvent::Published {
                 value,
                 grace,
-                is_initial,
-            } => match to_event(value, grace, is_initial) {
+                published_after,
+            } => match to_event(value, grace, published_after) {
                 Some(event) => event,
                 None => return,
             },
@@ -279,7 +279,11 @@
     }
 }
 
-fn to_event(value: PublishedValue, grace: Duration, is_initial: bool) -> Option<Event> {
+fn to_event(
+    value: PublishedValue,
+    grace: Duration,
+    published_after: Option<Duration>,
+) -> Option<Event> {
     let event = match value {
         PublishedValue::Config(config) => Event::ConfigRead(config),
         PublishedValue::Target(entry) => Event::TargetListed(entry),
@@ -293,7 +297,8 @@
             model,
             version,
             // A version found at the start may have been named at any earlier time.
-            age: (!is_initial).then_some(Duration::ZERO),
+            age: published_after.map(|_| Duration::ZERO),
+            published_after,
         },
         PublishedValue::Unreadable(_) => return None,
     };
