A large answer is verified by the store's revision

Change: where the last answer was large, the store's revision is read beside the next watch, with a call that returns few values. An answer that reaches this revision is complete; one that does not is followed by a read of the current values. An idle watch returns after 0.4 s instead of 1 s, since each pause adds to the age of the configuration. Measured: large_versions_that_follow_each_other_are_confirmed failed before (from version 4 on) and passes.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -76,7 +76,7 @@
     /// Bytes of the responses that held the values.
     pub bytes: usize,
     /// Whether later changes may be missing, since the source limits its responses without saying
-    /// what it left out.
+    /// what it left out. The values are complete if the source's revision was no higher meanwhile.
     pub may_be_incomplete: bool,
     /// Bytes of large values in the responses that later ones of the same key replace.
     pub superseded_bytes: usize,
@@ -112,14 +112,16 @@
     }
 }
 
-type SourceFuture = LocalBoxFuture<'static, Result<PublishedChanges, SourceError>>;
+type SourceFuture<T> = LocalBoxFuture<'static, Result<T, SourceError>>;
 
 /// The calls to the platform's store of published values.
 pub struct Source {
     /// Reads all values.
-    pub read_all: Box<dyn Fn() -> SourceFuture>,
+    pub read_all: Box<dyn Fn() -> SourceFuture<PublishedChanges>>,
     /// Waits for changes after a revision, at most for the given time.
-    pub watch: Box<dyn Fn(u64, Duration) -> SourceFuture>,
+    pub watch: Box<dyn Fn(u64, Duration) -> SourceFuture<PublishedChanges>>,
+    /// Reads the present revision, without values.
+    pub read_revision: Box<dyn Fn() -> SourceFuture<u64>>,
 }
 
 impl std::fmt::Debug for Source {
@@ -158,7 +160,7 @@
 impl Default for FeedOptions {
     fn default() -> Self {
         Self {
-            max_wait: Duration::from_millis(1000),
+            max_wait: Duration::from_millis(400),
             delay_after_response: Duration::from_millis(600),
             retry_delay: Duration::from_millis(250),
             outage_grace: Duration::from_millis(2500),
@@ -221,7 +223,8 @@
 impl Answer {
     /// The line for the record if the answer is large or slow.
     pub(crate) fn to_decision(self) -> Option<record::Decision> {
-        let is_notable = self.took >= SLOW_ANSWER_TIME || self.bytes >= LARGE_ANSWER_BYTES;
+        let is_late = self.took >= SLOW_ANSWER_TIME && self.values > 0;
+        let is_notable = is_late || self.bytes >= LARGE_ANSWER_BYTES;
         is_notable.then(|| record::Decision::StoreAnswer {
             took_ms: u64::try_from(self.took.as_millis()).unwrap_or(u64::MAX),
             bytes: self.bytes,
@@ -259,6 +262,8 @@
     config_version: Option<u64>,
     /// Documents whose latest version cannot be read. Nothing is confirmed until it can.
     unreadable: BTreeSet<OperatorDocument>,
+    /// Whether the next answer may be incomplete, so that the revision is read beside it.
+    must_verify: bool,
     /// Whether the next call reads all values, since changes would hold too much that was replaced.
     must_read_all: bool,
 }
@@ -286,6 +291,7 @@
         answered_at: None,
         config_version: None,
         unreadable: BTreeSet::new(),
+        must_verify: false,
         must_read_all: false,
     };
     loop {
@@ -310,10 +316,7 @@
         if self.must_read_all || self.answered_at.is_some_and(is_old) {
             self.revision = None;
         }
-        let result = match self.revision {
-            None => (self.source.read_all)().await,
-            Some(revision) => (self.source.watch)(revision, self.options.max_wait).await,
-        };
+        let (result, verified_revision) = self.call().await;
         match result {
             Ok(changes) => {
                 let is_full_read = self.revision.is_none();
@@ -339,13 +342,18 @@
                     .record(answer.took.as_secs_f64());
                 metrics::counter!("medlarproxy_platform_bytes_total")
                     .increment(answer.bytes as u64);
-                let may_be_incomplete = changes.may_be_incomplete;
-                self.must_read_all = self.is_series_of_versions(&changes, is_full_read);
+                let revision = changes.revision;
+                let is_missing_changes = verified_revision.is_some_and(|known| known > revision);
+                let is_complete = !changes.may_be_incomplete
+                    || verified_revision.is_some_and(|known| known <= revision);
+                self.must_verify = changes.may_be_incomplete;
+                self.must_read_all =
+                    is_missing_changes || self.is_series_of_versions(&changes, is_full_read);
                 self.answered_at = Some(self.elapsed());
                 self.report_changes(changes, is_full_read);
                 (self.on_event)(FeedEvent::Answered(answer));
                 self.has_failed = false;
-                if may_be_incomplete {
+                if !is_complete {
                     self.report_up();
                     return Duration::ZERO;
                 }
@@ -378,6 +386,20 @@
         }
     }
 
+    /// Reads all values or waits for changes. Where the answer may be incomplete, also returns a
+    /// revision of the source that is not older than the call.
+    async fn call(&self) -> (Result<PublishedChanges, SourceError>, Option<u64>) {
+        let Some(revision) = self.revision else {
+            return ((self.source.read_all)().await, None);
+        };
+        let watch = (self.source.watch)(revision, self.options.max_wait);
+        if !self.must_verify {
+            return (watch.await, None);
+        }
+        let (changes, present) = futures_util::join!(watch, (self.source.read_revision)());
+        (changes, present.ok())
+    }
+
     /// Whether more versions of the configuration are likely to follow soon, so that changes would
     /// hold several. A full read shows it by another version than before.
     fn is_series_of_versions(&mut self, changes: &PublishedChanges, is_full_read: bool) -> bool {
