Send to another region only what can arrive there in time

Cause: links between regions fill for seconds while weights or configurations are distributed, and a request then takes 1.5 to 3 s. An entry that got no reply from an agent in another region within 120 ms assumed one and sent the request all the same; resumed streams, plain requests and second attempts ignored the path altogether. Seen: an answer that began on an old version 8.47 s after the new one was published (VERSION), and requests that reached engines after their callers had left (GONE). Change: router::region_path keeps the last round trip of a reservation to each other region and which agents were silent since the last reply. A reservation there that gets no reply counts as a refusal, and the target gets no request that needs its agent for the second in which the agent is not asked. After two silent agents nothing is sent to the region for 1 s after the last silence; a reply ends this at once. A request is sent to another region only if it arrives, by the last known round trip, before its caller leaves (for streams without an event 2 s, four times the latency objective or eight times the pause objective) and before its target's version is no longer allowed. If only such targets are left, it ends with timed_out, or with no_target, or waits if the time is short. In the own region nothing changes. Record: way_ms in forward, dependency lines "way to REGION". The field `remote` of Requirements is new, so tests/distance.rs sets its default.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -164,6 +164,7 @@
             is_reserving: false,
             reservation_attempts: 0,
             may_wait_at_agent: false,
+            reservation_round_trip: None,
             full_targets: Vec::new(),
             acceptable_backlog: AcceptableBacklog::ANY,
             expected_response_time: Duration::ZERO,
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -15,6 +15,7 @@
 use super::demand::TypicalRequest;
 use super::pending::Pending;
 use super::queue::QueuedRequest;
+use super::region_path::RemoteTerms;
 use super::rejection::RejectionReason;
 use super::selection::{
     self,
@@ -52,7 +53,12 @@
             return;
         }
         if self.choose(now, token) == Some(Choice::NoTarget) {
-            self.reject(now, token, RejectionReason::NoTarget, effects);
+            let reason = if self.arrives_after_caller_left(now, token) {
+                RejectionReason::TimedOut
+            } else {
+                RejectionReason::NoTarget
+            };
+            self.reject(now, token, reason, effects);
             return;
         }
         if self.wait_at_agent(now, token, effects) {
@@ -157,7 +163,11 @@
     }
 
     /// What a request requires of its target now.
-    pub(super) fn requirements<'a>(&self, now: Duration, pending: &'a Pending) -> Requirements<'a> {
+    pub(super) fn requirements<'a>(
+        &'a self,
+        now: Duration,
+        pending: &'a Pending,
+    ) -> Requirements<'a> {
         let team_regions = pending
             .team
             .as_ref()
@@ -169,6 +179,7 @@
             (None, Some(oldest)) => VersionConstraint::AtLeast(oldest),
             (None, None) => VersionConstraint::Any,
         };
+        let named_versions = model.and_then(|model| self.required_versions.get(model));
         Requirements {
             service: &pending.service,
             allowed_regions: [
@@ -195,24 +206,32 @@
             uses_reservations: self.options.uses_reservations,
             process_count: self.process_count.get(),
             learned_capacity: self.capacity_terms(),
+            remote: RemoteTerms {
+                paths: &self.paths,
+                required_versions: named_versions.map_or(&[], Vec::as_slice),
+                caller_leaves_at: pending.caller_leaves_at(),
+                is_resumed: pending.response_started,
+            },
         }
     }
 
     /// Selects a target for a request, without sending it.
     fn choose(&mut self, now: Duration, token: u64) -> Option<Choice> {
         let mut rng = Pcg64Mcg::seed_from_u64(self.rng.random());
+        let service = self.pending.get(&token)?.service.name.clone();
+        let mut spillover = self.spillovers.remove(&service).unwrap_or_default();
         let pending = self.pending.get(&token)?;
         let requirements = self.requirements(now, pending);
-        let service = pending.service.name.clone();
         let choice = selection::choose(
             now,
             &self.targets,
             &self.options.location,
             &self.out_data_centres,
             &requirements,
-            self.spillovers.entry(service).or_default(),
+            &mut spillover,
             || rng.random(),
         );
+        self.spillovers.insert(service, spillover);
         Some(choice)
     }
 
@@ -375,6 +394,7 @@
             lease_ms,
             load: load.round() as u32,
             asked: pending.reservation_attempts,
+            way_ms: pending.reservation_round_trip.take().map(millis),
             limit,
             version: request.version,
         }));
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -20,6 +20,7 @@
 mod outcomes;
 mod pending;
 pub mod queue;
+pub mod region_path;
 mod rejection;
 pub mod request_limit;
 mod reservation;
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -311,7 +311,7 @@
             self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
         {
             Some(reason)
-        } else if now >= pending.deadline {
+        } else if now >= pending.deadline || self.arrives_after_caller_left(now, token) {
             Some(RejectionReason::TimedOut)
         } else if !self.try_take_retry(now, &service) {
             Some(RejectionReason::OutOfRetries)
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -29,6 +29,12 @@
 /// latency objective.
 const PLAIN_IDLE_TIMEOUT_FACTOR: u32 = 2;
 
+/// Callers leave a stream that has no event for this time, or for these multiples of its objectives if
+/// one is longer.
+const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+const CALLER_PATIENCE_PER_LATENCY_OBJECTIVE: u32 = 4;
+const CALLER_PATIENCE_PER_PAUSE_OBJECTIVE: u32 = 8;
+
 /// Priority at the target of a stream that is resumed; zero is the most urgent.
 const RESUMED_PRIORITY: u8 = 0;
 
@@ -83,6 +89,8 @@
     pub reservation_attempts: u32,
     /// Whether the last requested reservation may wait at its agent.
     pub may_wait_at_agent: bool,
+    /// Time from requesting the reservation with which it is sent until the agent's reply.
+    pub reservation_round_trip: Option<Duration>,
     /// Targets whose agents did not let it wait, or not long enough.
     pub full_targets: Vec<Name>,
     /// The time to the answer, or to its first event, that was expected at the assigned target.
@@ -143,6 +151,18 @@
         self.answering_since.is_some_and(is_long)
     }
 
+    /// When the caller is expected to leave.
+    pub fn caller_leaves_at(&self) -> Duration {
+        if !self.route.repeatability.is_stream() || self.response_started {
+            return self.deadline;
+        }
+        let for_latency = self.route.latency_objective * CALLER_PATIENCE_PER_LATENCY_OBJECTIVE;
+        let pause_objective = self.route.pause_objective.unwrap_or_default();
+        let for_pause = pause_objective * CALLER_PATIENCE_PER_PAUSE_OBJECTIVE;
+        let patience = MIN_CALLER_PATIENCE.max(for_latency).max(for_pause);
+        self.deadline.min(self.arrived + patience)
+    }
+
     /// How many targets it was sent to.
     pub fn attempts(&self) -> u32 {
         u32::try_from(self.tried_targets.len()).unwrap_or(u32::MAX)
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -63,7 +63,7 @@
 /// How long no reservation is requested from an agent that did not answer.
 const AGENT_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Assumed reply of an agent that does not answer.
+/// Assumed reply of an agent of the own region that does not answer.
 const ASSUMED_REPLY: ReservationReply = ReservationReply {
     backlog: Backlog {
         requests: 0,
@@ -143,15 +143,10 @@
         let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
             return false;
         };
-        let needs_reservation =
-            self.options.uses_reservations && pending.service.engine_profile.is_some();
-        // The caller of a stream that is resumed already sees a pause.
-        let is_limited = target.notice.requests_per_second().is_some();
-        let is_urgent = pending.response_started && !is_limited;
-        if !needs_reservation || is_urgent || now < target.agent_backoff_until {
+        let requirements = self.requirements(now, pending);
+        if !requirements.needs_agent(target) || now < target.agent_backoff_until {
             return false;
         }
-        let requirements = self.requirements(now, pending);
         let claim = claim(pending, &requirements, max_wait);
         let request = ReservationRequest {
             address: target.entry.address,
@@ -175,8 +170,9 @@
         true
     }
 
-    /// Handles the reply of an agent, or its absence. Without a reply the request is sent if what
-    /// this process knows of the target allows it.
+    /// Handles the reply of an agent, or its absence. Without a reply the request is sent in the own
+    /// region if what this process knows of the target allows it. The agent of another region may be
+    /// behind a full link, so this counts as a refusal.
     pub(super) fn handle_reservation_reply(
         &mut self,
         now: Duration,
@@ -190,12 +186,14 @@
         if !std::mem::take(&mut pending.is_reserving) {
             return;
         }
-        let Some((id, _)) = pending.assignment.clone() else {
+        let Some((id, requested_at)) = pending.assignment.clone() else {
             return;
         };
         let prompt_tokens = pending.prompt_tokens;
         let acceptable = pending.acceptable_backlog;
         let request = pending.id.clone();
+        let has_waited = pending.may_wait_at_agent;
+        self.update_path(now, &id, requested_at, reply.is_some(), has_waited);
         if let Some(limit) = reply.and_then(|reply| reply.limit) {
             self.handle_limit(now, token, limit, effects);
         }
@@ -224,11 +222,18 @@
             backlog,
             accepts_requests,
             ..
-        } = reply.unwrap_or(ASSUMED_REPLY);
+        } = reply.unwrap_or(ReservationReply {
+            accepts_requests: !self.is_remote(&id),
+            ..ASSUMED_REPLY
+        });
         if let Some(reason) = self.reason_not_to_send(now, token) {
             self.unassign(token);
             self.reject(now, token, reason, effects);
         } else if accepts_requests && self.can_accept_reserved(now, token, &id) {
+            if let Some(pending) = self.pending.get_mut(&token) {
+                let round_trip = now.saturating_sub(requested_at);
+                pending.reservation_round_trip = reply.map(|_| round_trip);
+            }
             self.forward(now, token, &id, effects);
         } else {
             effects.push(Effect::Record(Decision::NoPlace {
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -25,6 +25,10 @@
     EngineLoad, //
 };
 use super::learned;
+use super::region_path::{
+    Access,
+    RemoteTerms, //
+};
 use super::request_limit::{
     self,
     Counting, //
@@ -136,6 +140,8 @@
     pub process_count: Option<u32>,
     /// How learned limits are used.
     pub learned_capacity: learned::Terms,
+    /// What decides whether it may be sent to another region.
+    pub remote: RemoteTerms<'a>,
 }
 
 /// The result of selecting a target.
@@ -184,7 +190,14 @@
             any_eligible |= target.notice.pause(now) <= requirements.may_wait;
             continue;
         }
-        any_eligible = true;
+        match requirements.access(now, target, location) {
+            Access::Now => any_eligible = true,
+            Access::After(pause) => {
+                any_eligible |= requirements.remote.is_resumed || pause <= requirements.may_wait;
+                continue;
+            }
+            Access::TooLate => continue,
+        }
         if depends_on_load && target.entry.data_centre == location.data_centre {
             let limit = concurrency_limit(now, target, requirements);
             own_slots.add(target.load.total_requests(now), limit);
@@ -229,6 +242,7 @@
         let is_usable = is_usable(now, target, location, out_data_centres, requirements)
             && !target.health.is_probing()
             && now >= target.agent_backoff_until
+            && requirements.access(now, target, location) == Access::Now
             && has_cold_capacity(now, target, requirements)
             && has_limit_capacity(now, target, requirements);
         if !is_usable || excluded.contains(&target.entry.id) {
@@ -286,6 +300,7 @@
     is_eligible(target, location, out_data_centres, requirements)
         && !target.health.is_ejected(now)
         && !target.notice.is_paused(now)
+        && requirements.access(now, target, location) != Access::TooLate
 }
 
 /// The estimated response of a target to one more request.
@@ -442,7 +457,7 @@
 }
 
 /// Whether the target may serve the request, regardless of its load and health.
-fn is_eligible(
+pub(super) fn is_eligible(
     target: &Target,
     location: &Location,
     out_data_centres: &BTreeSet<Name>,
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -34,6 +34,7 @@
 use super::lease::Lease;
 use super::pending::Pending;
 use super::queue::Queue;
+use super::region_path::RegionPath;
 use super::retry_share::{
     ProcessCount,
     RetryLimit,
@@ -97,6 +98,8 @@
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) spillovers: BTreeMap<Name, Spillover>,
+    /// The paths to other regions.
+    pub(super) paths: Vec<RegionPath>,
     /// The demand for the services whose requests compete.
     pub(super) demand: BTreeMap<Name, Demand>,
     pub(super) retry_shares: BTreeMap<Name, RetryShare>,
@@ -167,6 +170,7 @@
             targets: Targets::default(),
             queues: BTreeMap::new(),
             spillovers: BTreeMap::new(),
+            paths: Vec::new(),
             demand: BTreeMap::new(),
             retry_shares: BTreeMap::new(),
             process_count: ProcessCount::default(),
@@ -257,6 +261,7 @@
                 effects.push(Effect::Record(record::Decision::Drain));
             }
         }
+        self.record_path_changes(now, &mut effects);
         self.dispatch_queued(now, &mut effects);
         effects
     }
--- a/components/control/tests/distance.rs
+++ b/components/control/tests/distance.rs
@@ -126,6 +126,7 @@
             settings: control::capacity::Settings::OFF,
             process_count: Some(15),
         },
+        remote: Default::default(),
     }
 }
 
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -332,6 +332,9 @@
         /// Number of agents that were asked for a reservation.
         #[serde(default)]
         asked: u32,
+        /// Round trip of the reservation with the target's agent, in milliseconds, if it replied.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        way_ms: Option<u64>,
         /// Requests per second that the target takes from all processes together, if it limits
         /// them, and the age of that notice in milliseconds.
         #[serde(default, skip_serializing_if = "Option::is_none")]
