--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -20,6 +20,7 @@
 mod outcomes;
 mod pending;
 pub mod queue;
+pub mod region_path;
 mod rejection;
 pub mod request_limit;
 mod reservation;
@@ -216,6 +217,9 @@
         /// The reply, if there is one.
         reply: Option<ReservationReply>,
     },
+    /// The instance of an agent refused the connection for a reservation request, as it does while the
+    /// agent restarts.
+    AgentRefused(u64),
     /// The queueing time set by [`Effect::ScheduleQueueTimeout`] is over.
     QueueTimeout(u64),
     /// The caller disconnected.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -37,6 +37,8 @@
 };
 use super::pending::Pending;
 use super::queue::Queue;
+use super::region_path::RegionPath;
+use super::reservation::AgentAnswer;
 use super::retry_share::{
     ProcessCount,
     RetryLimit,
@@ -111,6 +113,8 @@
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) spillovers: BTreeMap<Name, Spillover>,
+    /// The paths to other regions.
+    pub(super) paths: Vec<RegionPath>,
     /// The demand for the services whose requests compete.
     pub(super) demand: BTreeMap<Name, Demand>,
     pub(super) retry_shares: BTreeMap<Name, RetryShare>,
@@ -181,6 +185,7 @@
             targets: Targets::default(),
             queues: BTreeMap::new(),
             spillovers: BTreeMap::new(),
+            paths: Vec::new(),
             demand: BTreeMap::new(),
             retry_shares: BTreeMap::new(),
             process_count: ProcessCount::default(),
@@ -268,7 +273,11 @@
                 if let Some(reply) = reply {
                     self.record_backlog_utilization(now, token, reply);
                 }
-                self.handle_reservation_reply(now, token, reply, &mut effects)
+                let answer = reply.map_or(AgentAnswer::Silent, AgentAnswer::Reply);
+                self.handle_reservation_reply(now, token, answer, &mut effects)
+            }
+            Event::AgentRefused(token) => {
+                self.handle_reservation_reply(now, token, AgentAnswer::Refused, &mut effects)
             }
             Event::QueueTimeout(token) => self.handle_queue_timeout(now, token, &mut effects),
             Event::CallerDisconnected(token) => {
@@ -280,6 +289,7 @@
                 effects.push(Effect::Record(record::Decision::Drain));
             }
         }
+        self.record_path_changes(now, &mut effects);
         self.dispatch_queued(now, &mut effects);
         effects
     }
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -14,7 +14,10 @@
     Request, //
 };
 use tokio::time::timeout;
-use wire::CallReply;
+use wire::{
+    CallReply,
+    WireError, //
+};
 
 use super::Router;
 
@@ -73,32 +76,35 @@
             prompt_tokens: request.prompt_tokens,
             terms: request.terms,
         });
-        let (reservation, reply) = match self
+        let result = self
             .request_reservation(agent, message, request.terms.max_wait())
-            .await
-        {
-            Some((reservation, reply)) => (reservation, Some(reply)),
-            None => (None, None),
+            .await;
+        let (reservation, event) = match result {
+            Ok((reservation, reply)) => {
+                let reply = Some(reply);
+                (reservation, Event::ReservationReply { token, reply })
+            }
+            Err(e) if e.is_refused() => (None, Event::AgentRefused(token)),
+            Err(_) => (None, Event::ReservationReply { token, reply: None }),
         };
-        self.handle_event(Event::ReservationReply { token, reply });
+        self.handle_event(event);
         reservation
     }
 
-    /// Returns the reservation, if the agent granted one, and its reply. Returns `None` if the agent
-    /// did not reply.
+    /// Returns the reservation, if the agent granted one, and its reply.
     async fn request_reservation(
         &self,
         agent: SocketAddr,
         message: Envelope<Request>,
         max_wait: Duration,
-    ) -> Option<(Option<Reservation>, ReservationReply)> {
+    ) -> Result<(Option<Reservation>, ReservationReply), WireError> {
         let pool = &self.inner.agent_client.pool;
         let call = pool.call(agent, &message, RESERVATION_TIMEOUT).await;
         let call = match call {
             Ok(call) => call_after_wait(call, max_wait).await,
             Err(e) => {
                 log::debug!(target: LOG_TARGET, "reservation request to agent {agent} failed: {e}");
-                return None;
+                return Err(e);
             }
         };
         let Reply::Reserved {
@@ -113,7 +119,9 @@
                 "unexpected reply of agent {agent}: {:?}",
                 call.reply.body
             );
-            return None;
+            return Err(WireError::Decode(
+                "not a reply to a reservation request".into(),
+            ));
         };
         let reply = ReservationReply {
             backlog,
@@ -126,7 +134,7 @@
             number,
             _call: call,
         });
-        Some((reservation, reply))
+        Ok((reservation, reply))
     }
 
     /// Tells the agent in a separate task that the engine has prefilled the prompt.
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{
     Arc,
@@ -167,9 +168,13 @@
 
 async fn connect(address: SocketAddr, window_bytes: u32) -> Result<SendRequest<Bytes>, WireError> {
     let not_sent = |e: &dyn fmt::Display| WireError::NotSent(e.to_string());
-    let tcp = TcpStream::connect(address)
-        .await
-        .map_err(|e| not_sent(&e))?;
+    let tcp = TcpStream::connect(address).await.map_err(|e| {
+        if e.kind() == io::ErrorKind::ConnectionRefused {
+            WireError::Refused(e.to_string())
+        } else {
+            not_sent(&e)
+        }
+    })?;
     tcp.set_nodelay(true).map_err(|e| not_sent(&e))?;
     let (sender, connection) = h2::client::Builder::new()
         .initial_window_size(window_bytes)
--- a/components/wire/src/error.rs
+++ b/components/wire/src/error.rs
@@ -8,6 +8,8 @@
 pub enum WireError {
     /// the message was not sent: {0}
     NotSent(String),
+    /// the connection was refused: {0}
+    Refused(String),
     /// the connection was lost after the message may have been sent: {0}
     ConnectionLost(String),
     /// no answer in time
@@ -23,7 +25,12 @@
 impl WireError {
     /// Returns whether the other process certainly did not receive the message.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotSent(_))
+        matches!(self, Self::NotSent(_) | Self::Refused(_))
+    }
+
+    /// Returns whether the other instance answered that no process listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused(_))
     }
 }
 
--- a/components/wire/tests/calls.rs
+++ b/components/wire/tests/calls.rs
@@ -103,7 +103,8 @@
     let result = pool
         .call(closed_address, &envelope(Request::Index), CALL_TIMEOUT)
         .await;
-    assert!(matches!(result, Err(WireError::NotSent(_))));
+    let e = result.unwrap_err();
+    assert!(e.is_not_sent() && e.is_refused());
 
     let address = start_server().await;
     let options = PoolOptions {
