A version that is read again does not count as published again

Cause: since versions count from the last call that did not have them, each read of all values moved the bound of a known version to the present. Change: the feed reports a version of weights once. Measured: version_that_is_read_again_does_not_count_as_published_again failed before and passes.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -4,7 +4,10 @@
 //! The source can be unreachable or slow, refuse this process, or drop its change history. Until it
 //! recovers, the values reported before stay in use; the lease in the reducer limits for how long.
 
-use std::collections::BTreeSet;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -260,6 +263,8 @@
     answered_at: Option<Duration>,
     /// The version of the last configuration.
     config_version: Option<u64>,
+    /// The newest reported version of each model's weights.
+    model_versions: BTreeMap<Name, u64>,
     /// Documents whose latest version cannot be read. Nothing is confirmed until it can.
     unreadable: BTreeSet<OperatorDocument>,
     /// Whether the next answer may be incomplete, so that the revision is read beside it.
@@ -290,6 +295,7 @@
         status: SourceStatus::Answering,
         answered_at: None,
         config_version: None,
+        model_versions: BTreeMap::new(),
         unreadable: BTreeSet::new(),
         must_verify: false,
         must_read_all: false,
@@ -494,6 +500,14 @@
             self.unreadable.remove(&document);
         }
         match &value {
+            // Reading it again does not show when it was published.
+            PublishedValue::ModelVersion(model, version) => {
+                let known = self.model_versions.entry(model.clone()).or_default();
+                if *known >= *version {
+                    return;
+                }
+                *known = *version;
+            }
             PublishedValue::Unreadable(document) => {
                 metrics::counter!("medlarproxy_platform_unreadable_total").increment(1);
                 self.unreadable.insert(document.clone());
