The store's revision is read before the answer that it verifies

Cause: the revision was read beside the watch, so it was nearly always higher than that of a complete answer, which was then followed by a read of all values. Change: the revision is read first, so that a complete answer reaches it. Measured: late_configuration.rs passes with configurations and limits of the real sizes.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -79,7 +79,7 @@
     /// Bytes of the responses that held the values.
     pub bytes: usize,
     /// Whether later changes may be missing, since the source limits its responses without saying
-    /// what it left out. The values are complete if the source's revision was no higher meanwhile.
+    /// what it left out. They are complete if they reach a revision that was read before.
     pub may_be_incomplete: bool,
     /// Bytes of large values in the responses that later ones of the same key replace.
     pub superseded_bytes: usize,
@@ -392,18 +392,19 @@
         }
     }
 
-    /// Reads all values or waits for changes. Where the answer may be incomplete, also returns a
-    /// revision of the source that is not older than the call.
+    /// Reads all values or waits for changes. Where the answer may be incomplete, also returns the
+    /// revision of the source just before, which a complete answer reaches.
     async fn call(&self) -> (Result<PublishedChanges, SourceError>, Option<u64>) {
         let Some(revision) = self.revision else {
             return ((self.source.read_all)().await, None);
         };
-        let watch = (self.source.watch)(revision, self.options.max_wait);
-        if !self.must_verify {
-            return (watch.await, None);
-        }
-        let (changes, present) = futures_util::join!(watch, (self.source.read_revision)());
-        (changes, present.ok())
+        let present = if self.must_verify {
+            (self.source.read_revision)().await.ok()
+        } else {
+            None
+        };
+        let changes = (self.source.watch)(revision, self.options.max_wait).await;
+        (changes, present)
     }
 
     /// Whether more versions of the configuration are likely to follow soon, so that changes would
