Margins and schedule of a version follow the bound from which it counts

Cause: the margins before the operators' time covered that entries learned of a version late, up to 700 ms. Change: requests are sent to the old version until 750 ms before the operators' time instead of a second, and must begin 150 ms before it instead of 350 ms, which covers the way of a cancellation. Agents schedule the update from the same bound, at most a second before they learned of the version.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -195,13 +195,25 @@
 #[derive(Clone, Copy, Debug)]
 struct KnownVersion {
     version: u64,
-    /// When a process learned of it, which the schedule of the update starts from.
+    /// When a process learned of it, if that is known.
     named_at: Option<Duration>,
     /// It was published after this time, if that is known. Entries stop sending requests to older
     /// versions by this bound.
     published_after: Option<Duration>,
 }
 
+/// How much earlier than a process learned of a version the schedule of its update may start. Bounds on
+/// the publication that are further away are not close.
+const MAX_SCHEDULE_ADVANCE: Duration = Duration::from_millis(1000);
+
+impl KnownVersion {
+    /// The time that the schedule of the update starts from, which entries count from as well.
+    fn schedule_start(&self) -> Option<Duration> {
+        let earliest = self.named_at?.saturating_sub(MAX_SCHEDULE_ADVANCE);
+        Some(self.published_after.map_or(earliest, |at| at.max(earliest)))
+    }
+}
+
 /// The state of an agent.
 #[derive(Debug)]
 pub struct Controller {
@@ -834,7 +846,7 @@
             return staged_at;
         };
         let mut newer = self.versions.iter().filter(|known| known.version > running);
-        let named_at = newer.next().and_then(|known| known.named_at);
+        let named_at = newer.next().and_then(KnownVersion::schedule_start);
         let mut downloads = self.downloads.iter();
         let staged = downloads.find(|d| self.update.as_ref() == Some(&d.model_version));
         let (Some(named_at), Some(download)) = (named_at, staged) else {
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -45,9 +45,8 @@
 const LEASE_FRACTION: f64 = 0.8;
 
 /// How long before the deadline for older versions a request must have started on such a target;
-/// otherwise it is sent to another one. Covers the delay until this process learns of a new
-/// version.
-const VERSION_START_MARGIN: Duration = Duration::from_millis(350);
+/// otherwise it is sent to another one. Covers the way of the cancellation to the target.
+const VERSION_START_MARGIN: Duration = Duration::from_millis(150);
 
 /// The share of the permitted retry ratio that is used. The rest covers retries that the platform
 /// counts in another window than their requests.
--- a/src/cmd/platform/mod.rs
+++ b/src/cmd/platform/mod.rs
@@ -54,7 +54,7 @@
 
 /// How long before the deadline for older versions no more requests are sent to targets that run
 /// them: a request that is sent must also start before the deadline.
-const VERSION_SEND_MARGIN: Duration = Duration::from_millis(1000);
+const VERSION_SEND_MARGIN: Duration = Duration::from_millis(750);
 
 /// Connections that may wait to be accepted. Callers reconnect at the same time after a fault.
 const LISTEN_BACKLOG: u32 = 1024;
