--- a/components/control/tests/way.rs
+++ b/components/control/tests/way.rs
@@ -361,6 +361,18 @@
             script: "chat wait=100 reply=1 answered=1 look wait=5950 fail=2",
             expected: "asks s1, sent to s1, sent to pn1, timed_out",
         },
+        Case {
+            name: "the process stood still while it waited for a reply",
+            targets: "s1",
+            script: "chat wait=3000 reply=1 wait=60000 chat",
+            expected: "asks s1, timed_out, asks s1",
+        },
+        Case {
+            name: "the process stood still while it waited for two agents",
+            targets: "s1 s2",
+            script: "chat chat wait=3000 silent=1 silent=2 wait=60000 chat",
+            expected: "asks s, asks s, no_target, no_target, asks s",
+        },
     ];
     for case in cases {
         let mut router = TestRouter::new(case.targets);
