--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -207,6 +207,15 @@
 const MAX_SCHEDULE_ADVANCE: Duration = Duration::from_millis(1000);
 
 impl KnownVersion {
+    /// Adds a bound on the publication. Bounds are lower ones, so the latest is the closest; but a
+    /// message that was delayed gives one that is too late, and none can be later than a process
+    /// learned of the version.
+    fn add_bound(&mut self, published_after: Option<Duration>) {
+        let latest = self.named_at.unwrap_or(Duration::MAX);
+        let bound = published_after.map(|at| at.min(latest));
+        self.published_after = self.published_after.max(bound);
+    }
+
     /// The time that the schedule of the update starts from, which entries count from as well.
     fn schedule_start(&self) -> Option<Duration> {
         let earliest = self.named_at?.saturating_sub(MAX_SCHEDULE_ADVANCE);
@@ -593,8 +602,7 @@
             .find(|known| known.version == named.version);
         if let Some(existing) = existing {
             existing.named_at = existing.named_at.or(named.named_at);
-            // Both are lower bounds, so the later one is closer.
-            existing.published_after = existing.published_after.max(named.published_after);
+            existing.add_bound(named.published_after);
             return;
         }
         let is_own_model = self.model.as_ref() == Some(model);
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -165,6 +165,7 @@
             reservation_attempts: 0,
             may_wait_at_agent: false,
             reservation_round_trip: None,
+            api_key: request.api_key.clone().filter(|_| needs_key),
             full_targets: Vec::new(),
             acceptable_backlog: AcceptableBacklog::ANY,
             expected_response_time: Duration::ZERO,
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -256,8 +256,8 @@
         true
     }
 
-    /// Why a request must not be sent to any target, if so: the configuration is too old, or the
-    /// request was quarantined while it waited. Streams that are resumed began under a configuration
+    /// Why a request must not be sent to any target, if so: the configuration is too old, its key was
+    /// revoked or the request was quarantined while it waited. Streams that are resumed began under a configuration
     /// that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
@@ -265,9 +265,20 @@
         if !pending.response_started && !self.lease.allows(now, has_key) {
             return Some(RejectionReason::StaleConfiguration);
         }
+        if !pending.response_started && self.is_key_revoked(pending) {
+            return Some(RejectionReason::UnknownKey);
+        }
         self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
     }
 
+    /// Whether the key of a request was revoked after the request was admitted.
+    fn is_key_revoked(&self, pending: &Pending) -> bool {
+        let (Some(key), Some(table)) = (&pending.api_key, &self.table) else {
+            return false;
+        };
+        table.has_teams() && table.team(key).is_none()
+    }
+
     /// Stores the expected response time of a request at the target that it will be sent to.
     pub(super) fn set_expected_response_time(&mut self, now: Duration, token: u64, id: &Name) {
         let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
--- a/components/control/src/router/lease.rs
+++ b/components/control/src/router/lease.rs
@@ -9,7 +9,11 @@
 
 /// How many times the bound on changes the store must have been silent until this counts as an outage.
 /// Until then, its answer may only be late.
-const OUTAGE_FACTOR: u32 = 2;
+const OUTAGE_FACTOR: u32 = 3;
+
+/// How long a refusal counts. A process that is refused asks again within half a second; if it is not
+/// refused at once then, an answer is on its way.
+const REFUSAL_TIME: Duration = Duration::from_millis(1200);
 
 /// Whether the platform's store answers this process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,6 +44,7 @@
     limits: AgeLimits,
     confirmed_at: Option<Duration>,
     source_status: SourceStatus,
+    source_status_at: Duration,
     was_valid: bool,
 }
 
@@ -50,6 +55,7 @@
             limits,
             confirmed_at: None,
             source_status: SourceStatus::default(),
+            source_status_at: Duration::ZERO,
             was_valid: false,
         }
     }
@@ -60,9 +66,15 @@
         self.confirmed_at = Some(self.confirmed_at.map_or(sent, |at| at.max(sent)));
     }
 
-    /// Sets whether the store answers.
-    pub fn set_source_status(&mut self, status: SourceStatus) {
+    /// Sets how the store responded to the last call.
+    pub fn set_source_status(&mut self, now: Duration, status: SourceStatus) {
         self.source_status = status;
+        self.source_status_at = now;
+    }
+
+    /// When the last confirmed call was sent.
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        self.confirmed_at
     }
 
     /// Upper bound of the configuration's age, or `None` before the first renewal.
@@ -80,7 +92,10 @@
     /// Whether a request may be served by the configuration. While the store is unavailable, requests
     /// without a key are served by the last one, however old it is; a late answer is no outage.
     pub fn allows(&self, now: Duration, has_key: bool) -> bool {
-        let age = self.age(now).unwrap_or(Duration::MAX);
+        // A process that has just read its first configuration confirms it next.
+        let Some(age) = self.age(now) else {
+            return !has_key;
+        };
         if has_key && age >= self.limits.with_key {
             return false;
         }
@@ -88,7 +103,7 @@
         age < limit
             || match self.source_status {
                 SourceStatus::Answering => false,
-                SourceStatus::Failing => true,
+                SourceStatus::Failing => now.saturating_sub(self.source_status_at) < REFUSAL_TIME,
                 SourceStatus::Silent => has_key || age > limit * OUTAGE_FACTOR,
             }
     }
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -87,6 +87,8 @@
     pub acceptable_backlog: AcceptableBacklog,
     /// Number of reservations requested from agents.
     pub reservation_attempts: u32,
+    /// The caller's key, if the request needs one.
+    pub api_key: Option<Name>,
     /// Whether the last requested reservation may wait at its agent.
     pub may_wait_at_agent: bool,
     /// Time from requesting the reservation with which it is sent until the agent's reply.
--- a/components/control/src/router/region_path.rs
+++ b/components/control/src/router/region_path.rs
@@ -28,6 +28,10 @@
 /// Number of agents of a region that must be silent for its path to be slow. One may be dead.
 const SILENT_AGENTS_IF_SLOW: usize = 2;
 
+/// The longest round trip that is assumed, about the time for which a reply is awaited. Without a limit,
+/// one that was measured while this process stood still would close the region for good.
+const MAX_ROUND_TRIP: Duration = Duration::from_millis(150);
+
 /// How long nothing is sent to a region after a reservation there showed that the path is slow.
 const SLOW_TIME: Duration = Duration::from_secs(1);
 
@@ -61,7 +65,7 @@
 
     /// Records a reply, and its round trip if it is known.
     fn record_reply(&mut self, now: Duration, round_trip: Option<Duration>) {
-        self.round_trip = round_trip.unwrap_or(self.round_trip);
+        self.round_trip = round_trip.unwrap_or(self.round_trip).min(MAX_ROUND_TRIP);
         self.replied_at = now;
         self.silent_agents.clear();
         self.slow_until = Duration::ZERO;
@@ -73,13 +77,17 @@
         if requested_at < self.replied_at {
             return;
         }
-        let is_slow = self.silent_agents.len() >= SILENT_AGENTS_IF_SLOW;
-        if !is_slow && !self.silent_agents.contains(agent) {
+        // After a pause, two more agents must be silent, since others may be alive.
+        if requested_at >= self.slow_until && self.slow_until > Duration::ZERO {
+            self.slow_until = Duration::ZERO;
+            self.silent_agents.clear();
+        }
+        if !self.silent_agents.contains(agent) {
             self.silent_agents.push(agent.clone());
         }
         if self.silent_agents.len() >= SILENT_AGENTS_IF_SLOW {
             self.slow_until = now + SLOW_TIME;
-            self.round_trip = self.round_trip.max(now.saturating_sub(requested_at));
+            self.round_trip = MAX_ROUND_TRIP;
         }
     }
 
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -94,6 +94,14 @@
 }
 
 impl RequiredVersion {
+    /// Adds a bound on the publication. Bounds are lower ones, so the latest is the closest; but none
+    /// can be later than a process learned of the version.
+    pub fn add_bound(&mut self, published_after: Option<Duration>) {
+        let latest = self.learned_at.unwrap_or(Duration::MAX);
+        let bound = published_after.map(|at| at.min(latest));
+        self.published_after = self.published_after.max(bound);
+    }
+
     /// From when on no request may be sent to an older version. Without a bound on its publication,
     /// that is at once.
     pub fn required_from(&self, version_grace: Duration) -> Duration {
@@ -231,7 +239,7 @@
                 self.update_required_version(now, model, named, &mut effects);
             }
             Event::ConfigConfirmed(sent) => self.lease.renew(sent),
-            Event::SourceStatus(status) => self.lease.set_source_status(status),
+            Event::SourceStatus(status) => self.lease.set_source_status(now, status),
             Event::EngineReported {
                 id,
                 version,
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -184,25 +184,29 @@
         let versions = self.required_versions.entry(model.clone()).or_default();
         let existing = versions.iter_mut().find(|v| v.version == named.version);
         if let Some(existing) = existing {
-            // Both are lower bounds, so the later one is closer.
-            existing.published_after = existing.published_after.max(named.published_after);
             existing.learned_at = match (existing.learned_at, named.learned_at) {
                 (Some(one), Some(other)) => Some(one.min(other)),
                 (one, other) => one.or(other),
             };
+            existing.add_bound(named.published_after);
             return;
         }
         let newest = versions.last().map(|last| last.version);
         if newest.is_some_and(|newest| newest > named.version) {
             return;
         }
-        let age = named.published_after.map(|at| now.saturating_sub(at));
+        // The last confirmed call of this process did not show it.
+        let published_after = named.published_after.max(self.lease.confirmed_at());
+        let age = published_after.map(|at| now.saturating_sub(at));
         effects.push(Effect::Record(Decision::VersionNamed {
             model,
             version: named.version,
             age_ms: age.map(millis),
         }));
-        versions.push(named);
+        versions.push(RequiredVersion {
+            published_after,
+            ..named
+        });
     }
 
     /// Updates a target with the report of its agent.
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -780,9 +780,12 @@
 fn a_process_learns_the_age_of_a_version_found_at_its_start_from_others() {
     // The version was published before the process started.
     let mut router = TestRouter::new_at(ms(100_000));
+    router.state = State::new(options());
+    router.step(Event::ConfigRead(Arc::new(config(1))));
+    router.name_version(2, None);
+    router.renew();
     router.step(Event::TargetListed(entry("e1", "engines", "a")));
     let published_at = router.now - ms(2000);
-    router.name_version(2, None);
     assert_eq!(
         router.receive("chat").1.reason().0,
         RejectionReason::NoTarget
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -75,6 +75,39 @@
 /// their windows together take 170 ms on an instance's link.
 const PIECE_WINDOW_BYTES: u32 = 8 << 10;
 
+/// The longest time between two ticks of a process that runs.
+const MAX_TICK_GAP: Duration = Duration::from_millis(1500);
+
+/// How long after a standstill messages are handled that arrived during it.
+const STANDSTILL_BACKLOG_TIME: Duration = Duration::from_millis(1000);
+
+/// Recognises that the process stood still, so that messages waited before they were handled.
+#[derive(Debug, Default)]
+struct Standstill {
+    ticked_at: Option<Duration>,
+    ended_at: Option<Duration>,
+}
+
+impl Standstill {
+    fn tick(&mut self, now: Duration) {
+        if self.has_gap(now) {
+            self.ended_at = Some(now);
+        }
+        self.ticked_at = Some(now);
+    }
+
+    fn has_gap(&self, now: Duration) -> bool {
+        let is_long = |at: Duration| now.saturating_sub(at) > MAX_TICK_GAP;
+        self.ticked_at.is_some_and(is_long)
+    }
+
+    /// Whether a message that is handled now may have waited for long.
+    fn may_have_delayed(&self, now: Duration) -> bool {
+        let is_recent = |at: Duration| now.saturating_sub(at) < STANDSTILL_BACKLOG_TIME;
+        self.has_gap(now) || self.ended_at.is_some_and(is_recent)
+    }
+}
+
 /// The options of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentOptions {
@@ -123,6 +156,8 @@
     /// Processes that asked for the state of the engine, and when they last asked.
     watchers: Mutex<HashMap<Name, Duration>>,
     config_version: Mutex<u64>,
+    /// Whether messages may have waited while this process stood still.
+    standstill: Mutex<Standstill>,
 }
 
 impl std::fmt::Debug for Agent {
@@ -171,6 +206,7 @@
             crash_revision: watch::Sender::new(0),
             watchers: Mutex::default(),
             config_version: Mutex::default(),
+            standstill: Mutex::default(),
             options,
         })
     }
@@ -178,6 +214,7 @@
     /// Sends ticks to the reducer while the future is polled.
     pub async fn run_timer(self: Arc<Self>) {
         loop {
+            lock(&self.standstill).tick(self.clock.now().elapsed);
             self.handle_event(Event::Tick);
             self.update_limit_gauges();
             let now = self.clock.now().elapsed;
@@ -211,7 +248,7 @@
                 published_after,
                 ..
             } => self.handle_value(value, published_after),
-            FeedEvent::SourceState { is_up, detail, .. } => {
+            FeedEvent::SourceState { is_up, detail } => {
                 let name = "platform".into();
                 self.record(record::Decision::Dependency {
                     name,
@@ -224,7 +261,7 @@
                     self.record(decision);
                 }
             }
-            FeedEvent::FullTargetList { .. } | FeedEvent::Confirmed(_) => {}
+            FeedEvent::FullTargetList { .. } | FeedEvent::Confirmed(_) | FeedEvent::Status(_) => {}
         }
     }
 
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -401,10 +401,12 @@
     }
 
     /// Applies what an entry reports about versions. The bound on the publication counts only from
-    /// entries of the own data centre: from others, the message may have taken any time.
+    /// entries of the own data centre, and not after a standstill: otherwise the message may have
+    /// taken any time.
     fn handle_named_versions(self: &Arc<Self>, data_centre: &str, named: Vec<NamedVersion>) {
         let now = self.clock.now().elapsed;
-        let is_near = data_centre == &*self.options.data_centre;
+        let is_prompt = data_centre == &*self.options.data_centre
+            && !lock(&self.standstill).may_have_delayed(now);
         for named in named {
             let max_age = named.max_age_ms.map(Duration::from_millis);
             let published_after = max_age.map(|max_age| now.saturating_sub(max_age));
@@ -412,7 +414,7 @@
                 model: named.model,
                 version: named.version,
                 age: named.age_ms.map(Duration::from_millis),
-                published_after: published_after.filter(|_| is_near),
+                published_after: published_after.filter(|_| is_prompt),
             });
         }
     }
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -47,6 +47,8 @@
     ModelVersion(Name, u64),
     /// A document of the operators cannot be read, so what it changes is not known.
     Unreadable(OperatorDocument),
+    /// A document of the operators was deleted. What it said still holds.
+    Withdrawn(OperatorDocument),
 }
 
 /// Identifies a document of the operators.
@@ -139,8 +141,9 @@
     /// How long a call waits for changes. Each response confirms that the configuration is
     /// current, so this must be well below the lease.
     pub max_wait: Duration,
-    /// The delay after a response. It batches changes into fewer calls, since each call has a cost.
-    pub delay_after_response: Duration,
+    /// The shortest time between the starts of two calls. It batches changes into fewer calls, since
+    /// each call has a cost.
+    pub call_interval: Duration,
     /// The shortest delay after a failure; a random part of up to the same length is added.
     pub retry_delay: Duration,
     /// How long a target that was unlisted while the source was unavailable may be missing before
@@ -164,7 +167,7 @@
     fn default() -> Self {
         Self {
             max_wait: Duration::from_millis(400),
-            delay_after_response: Duration::from_millis(600),
+            call_interval: Duration::from_millis(600),
             retry_delay: Duration::from_millis(250),
             outage_grace: Duration::from_millis(2500),
             recovery_grace: Duration::from_millis(800),
@@ -199,12 +202,12 @@
     Confirmed(Duration),
     /// The source answered, and the values of the answer were reported.
     Answered(Answer),
+    /// How the source responded to the last call.
+    Status(SourceStatus),
     /// The source became unavailable or available.
     SourceState {
         /// Whether it responds.
         is_up: bool,
-        /// How it fails, if it does.
-        status: SourceStatus,
         /// The error, or a text that says that the source responds again.
         detail: Name,
     },
@@ -267,6 +270,8 @@
     model_versions: BTreeMap<Name, u64>,
     /// Documents whose latest version cannot be read. Nothing is confirmed until it can.
     unreadable: BTreeSet<OperatorDocument>,
+    /// Whether the last call was to read all values and was not answered in time.
+    has_slow_full_read: bool,
     /// Whether the next answer may be incomplete, so that the revision is read beside it.
     must_verify: bool,
     /// Whether the next call reads all values, since changes would hold too much that was replaced.
@@ -297,6 +302,7 @@
         config_version: None,
         model_versions: BTreeMap::new(),
         unreadable: BTreeSet::new(),
+        has_slow_full_read: false,
         must_verify: false,
         must_read_all: false,
     };
@@ -318,14 +324,14 @@
             self.settles_at = None;
             self.revision = None;
         }
-        let is_old = |at: Duration| sent_at.saturating_sub(at) > self.options.max_history_age;
-        if self.must_read_all || self.answered_at.is_some_and(is_old) {
-            self.revision = None;
-        }
-        let (result, verified_revision) = self.call().await;
+        let is_full_read = self.reads_all(sent_at);
+        let (result, verified_revision) = self.call(is_full_read).await;
+        self.has_slow_full_read = is_full_read && result == Err(SourceError::Timeout);
         match result {
             Ok(changes) => {
-                let is_full_read = self.revision.is_none();
+                if is_full_read {
+                    self.revision = None;
+                }
                 let is_restored = self
                     .era
                     .replace(changes.era)
@@ -356,6 +362,7 @@
                 self.must_read_all =
                     is_missing_changes || self.is_series_of_versions(&changes, is_full_read);
                 self.answered_at = Some(self.elapsed());
+                let is_idle = !is_full_read && changes.values.is_empty();
                 self.report_changes(changes, is_full_read);
                 (self.on_event)(FeedEvent::Answered(answer));
                 self.has_failed = false;
@@ -363,12 +370,17 @@
                     self.report_up();
                     return Duration::ZERO;
                 }
-                self.complete_since = Some(sent_at);
+                if self.settles_at.is_none() {
+                    // The source holds a watch without a change for the whole wait.
+                    let held =
+                        Some(self.options.max_wait).filter(|held| is_idle && answer.took >= *held);
+                    self.complete_since = Some(sent_at + held.unwrap_or_default());
+                }
                 if self.settles_at.is_none() && self.unreadable.is_empty() {
                     (self.on_event)(FeedEvent::Confirmed(sent_at));
                 }
                 self.report_up();
-                self.delay_after_response()
+                self.delay_after_response(answer.took)
             }
             Err(SourceError::HistoryDropped) => {
                 // The next full read shows which entries were removed meanwhile, but may itself
@@ -394,17 +406,31 @@
 
     /// Reads all values or waits for changes. Where the answer may be incomplete, also returns the
     /// revision of the source just before, which a complete answer reaches.
-    async fn call(&self) -> (Result<PublishedChanges, SourceError>, Option<u64>) {
-        let Some(revision) = self.revision else {
+    async fn call(
+        &self,
+        is_full_read: bool,
+    ) -> (Result<PublishedChanges, SourceError>, Option<u64>) {
+        let Some(revision) = self.revision.filter(|_| !is_full_read) else {
             return ((self.source.read_all)().await, None);
         };
-        let present = if self.must_verify {
-            (self.source.read_revision)().await.ok()
-        } else {
-            None
-        };
-        let changes = (self.source.watch)(revision, self.options.max_wait).await;
-        (changes, present)
+        if !self.must_verify {
+            let changes = (self.source.watch)(revision, self.options.max_wait).await;
+            return (changes, None);
+        }
+        let present = (self.source.read_revision)().await;
+        if let Err(e) = &present {
+            log::debug!("cannot read the revision that verifies an answer: {e}");
+        }
+        let changes = (self.source.watch)(revision, Duration::ZERO).await;
+        (changes, present.ok())
+    }
+
+    /// Whether the next call reads all values. After such a call was not answered in time, changes are
+    /// tried again, since they may be read in less time.
+    fn reads_all(&self, now: Duration) -> bool {
+        let is_old = |at: Duration| now.saturating_sub(at) > self.options.max_history_age;
+        let has_too_much_history = self.must_read_all || self.answered_at.is_some_and(is_old);
+        self.revision.is_none() || has_too_much_history && !self.has_slow_full_read
     }
 
     /// Whether more versions of the configuration are likely to follow soon, so that changes would
@@ -436,14 +462,14 @@
         let detail = format!("restored from a copy, era {era}");
         (self.on_event)(FeedEvent::SourceState {
             is_up: true,
-            status: self.status,
             detail: detail.into(),
         });
+        (self.on_event)(FeedEvent::Status(self.status));
     }
 
-    /// The delay after a response, which ends when a restored source has settled.
-    fn delay_after_response(&self) -> Duration {
-        let delay = self.options.delay_after_response;
+    /// The delay after a response that took this time. It ends when a restored source has settled.
+    fn delay_after_response(&self, took: Duration) -> Duration {
+        let delay = self.options.call_interval.saturating_sub(took);
         match self.settles_at {
             Some(at) => delay.min(at.saturating_sub(self.elapsed())),
             None => delay,
@@ -454,17 +480,22 @@
         let grace = self.grace_period();
         let mut listed: Vec<Name> = Vec::new();
         let mut disabled: BTreeSet<Name> = BTreeSet::new();
+        let mut unreadable: BTreeSet<OperatorDocument> = BTreeSet::new();
         for value in changes.values {
             match &value {
                 PublishedValue::Target(entry) => listed.push(entry.id.clone()),
                 PublishedValue::DataCentreDisabled(name) => {
                     disabled.insert(name.clone());
                 }
+                PublishedValue::Unreadable(document) => {
+                    unreadable.insert(document.clone());
+                }
                 _ => {}
             }
             self.report_value(value, grace);
         }
         if is_full_read {
+            self.unreadable = unreadable;
             (self.on_event)(FeedEvent::FullTargetList {
                 names: listed,
                 grace,
@@ -514,6 +545,10 @@
                 self.unreadable.insert(document.clone());
                 return;
             }
+            PublishedValue::Withdrawn(document) => {
+                self.unreadable.remove(document);
+                return;
+            }
             PublishedValue::DataCentreDisabled(name) => {
                 self.disabled_data_centres.insert(name.clone());
             }
@@ -547,11 +582,10 @@
     }
 
     fn report_status(&mut self, status: SourceStatus, detail: Name) {
-        if self.status != status {
-            self.status = status;
+        (self.on_event)(FeedEvent::Status(status));
+        if std::mem::replace(&mut self.status, status) != status {
             (self.on_event)(FeedEvent::SourceState {
                 is_up: status == SourceStatus::Answering,
-                status,
                 detail,
             });
         }
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -207,18 +207,15 @@
                 }
                 return;
             }
-            FeedEvent::SourceState {
-                is_up,
-                status,
-                detail,
-            } => {
+            FeedEvent::Status(status) => Event::SourceStatus(status),
+            FeedEvent::SourceState { is_up, detail } => {
                 let name = "platform".into();
                 self.record(record::Decision::Dependency {
                     name,
                     up: is_up,
                     detail,
                 });
-                Event::SourceStatus(status)
+                return;
             }
         };
         self.handle_event(event);
@@ -300,7 +297,7 @@
             age: published_after.map(|_| Duration::ZERO),
             published_after,
         },
-        PublishedValue::Unreadable(_) => return None,
+        PublishedValue::Unreadable(_) | PublishedValue::Withdrawn(_) => return None,
     };
     Some(event)
 }
--- a/src/cmd/platform/agent.rs
+++ b/src/cmd/platform/agent.rs
@@ -32,8 +32,9 @@
 /// a request that hangs delays little.
 const FEED_MAX_WAIT: Duration = Duration::from_secs(10);
 
-/// The delay after a response, so that several changes in short succession are read together.
-const FEED_DELAY_AFTER_RESPONSE: Duration = Duration::from_millis(200);
+/// The shortest time between the starts of two requests, so that several changes in short succession
+/// are read together.
+const FEED_CALL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Agents watch versions of weights alone, of which changes hold few bytes however old they are.
 const FEED_MAX_HISTORY_AGE: Duration = Duration::MAX;
@@ -142,7 +143,7 @@
     );
     let feed_options = FeedOptions {
         max_wait: FEED_MAX_WAIT,
-        delay_after_response: FEED_DELAY_AFTER_RESPONSE,
+        call_interval: FEED_CALL_INTERVAL,
         retry_delay: FEED_RETRY_DELAY,
         max_history_age: FEED_MAX_HISTORY_AGE,
         ..FeedOptions::default()
