A second attempt needs the reply of the target's agent in the own region too

Cause: an instance's own link (7.6 Mbit/s) is full of pieces while a version is spread. Its agent does not answer within 120 ms; in the own region that was taken for a dead agent, and the request was sent. The first attempt took 1.5 s to its engine and counted as silent, the second one 1.5 to 2.7 s. Evidence: the forward lines of such a request have asked 1 and 2, no way_ms, and waited_ms 121 and 1743; both targets are in the entry's own data centre. Change: a second attempt is sent without a reply only if the instance refuses the connection, as it does while its agent restarts; an agent that was silent gets none for a second. First attempts are sent as before. Why it works: the missing reply is the measurement of the way.

--- a/components/control/src/router/region_path.rs
+++ b/components/control/src/router/region_path.rs
@@ -165,7 +165,12 @@
     /// Whether the request may be sent to the target now, as far as the path there decides.
     pub(super) fn access(&self, now: Duration, target: &Target, location: &Location) -> Access {
         let Some(path) = self.remote.path(target, location) else {
-            return Access::Now;
+            let is_first = self.tried_targets.is_empty();
+            return if is_first || !self.needs_agent(target) || now >= target.agent_silent_until {
+                Access::Now
+            } else {
+                Access::After(target.agent_silent_until - now)
+            };
         };
         let arrival = now + path.round_trip;
         let required = self.remote.required_versions.iter();
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -229,7 +229,12 @@
                     let learned_limit = reply.condition.learned_limit;
                     target.capacity.set_agent_limit(now, learned_limit);
                 }
-                None => target.agent_backoff_until = now + AGENT_BACKOFF,
+                None => {
+                    target.agent_backoff_until = now + AGENT_BACKOFF;
+                    if !is_answered {
+                        target.agent_silent_until = target.agent_backoff_until;
+                    }
+                }
             }
             let limit = target.notice.requests_per_second();
             let is_refused = |reply: ReservationReply| {
@@ -245,7 +250,7 @@
             accepts_requests,
             ..
         } = reply.unwrap_or(ReservationReply {
-            accepts_requests: !self.is_remote(&id),
+            accepts_requests: self.may_send_without_reply(token, &id, answer),
             ..ASSUMED_REPLY
         });
         if let Some(reason) = self.reason_not_to_send(now, token) {
@@ -270,6 +275,15 @@
         }
     }
 
+    /// Whether a request may be sent although the agent of its target did not reply. An agent that is
+    /// silent may be behind a full link, of its region or its instance. A first attempt in the own
+    /// region still arrives in time for its caller, a second one may not.
+    fn may_send_without_reply(&self, token: u64, id: &Name, answer: AgentAnswer) -> bool {
+        let pending = self.pending.get(&token);
+        let is_first = pending.is_some_and(|pending| pending.tried_targets.is_empty());
+        !self.is_remote(id) && (is_first || answer == AgentAnswer::Refused)
+    }
+
     /// Records that an agent stopped answering or answers again.
     fn record_agent_reachability(&mut self, id: &Name, answers: bool, effects: &mut Vec<Effect>) {
         let Some(target) = self.targets.get_mut(id) else {
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -87,6 +87,8 @@
     pub available_since: Duration,
     /// Until this time no reservation is requested from its agent, which did not answer.
     pub agent_backoff_until: Duration,
+    /// Until this time its agent counts as silent, perhaps behind a full link.
+    pub agent_silent_until: Duration,
     /// Whether its agent did not answer the last reservation request.
     pub is_agent_unreachable: bool,
     /// When its agent last reported its version.
@@ -115,6 +117,7 @@
             process_count: 1,
             available_since: now,
             agent_backoff_until: Duration::ZERO,
+            agent_silent_until: Duration::ZERO,
             is_agent_unreachable: false,
             agent_reported_at: None,
             agent_failed_at: None,
--- a/components/control/tests/way.rs
+++ b/components/control/tests/way.rs
@@ -40,7 +40,7 @@
 };
 
 /// All targets: engines `n` and `s` in the regions north and south, and plain targets `pn` and `ps`.
-const IDS: [&str; 6] = ["n1", "s1", "s2", "s3", "pn1", "ps1"];
+const IDS: [&str; 7] = ["n1", "s1", "s2", "s3", "pn1", "ps1", "n2"];
 
 /// How long requests may be sent to an older version.
 const VERSION_GRACE: Duration = Duration::from_secs(6);
@@ -320,6 +320,24 @@
             script: "chat refused=1 chat",
             expected: "asks s1, no_target, no_target",
         },
+        Case {
+            name: "second attempt in the own region, the agent does not reply",
+            targets: "n1 n2",
+            script: "chat reply=1 fail=1 wait=120 silent=1",
+            expected: "asks n, sent to n, asks n, no_target",
+        },
+        Case {
+            name: "second attempt in the own region, the agent did not reply before",
+            targets: "n1 n2",
+            script: "chat wait=120 silent=1 chat reply=2 fail=2",
+            expected: "asks n, sent to n, asks n, sent to n, no_target",
+        },
+        Case {
+            name: "second attempt in the own region, no agent there",
+            targets: "n1 n2",
+            script: "chat reply=1 fail=1 refused=1",
+            expected: "asks n, sent to n, asks n, sent to n",
+        },
         Case {
             name: "old version, the reply takes too long",
             targets: "s1",
