The feed handles answers in functions of their own

Cause: the function that makes a call had grown beyond what a reader can follow. Change: handling an answer, confirming it and its metrics are functions; nothing else.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -227,6 +227,12 @@
 }
 
 impl Answer {
+    fn record_metrics(&self) {
+        let seconds = self.took.as_secs_f64();
+        metrics::histogram!("medlarproxy_platform_answer_seconds").record(seconds);
+        metrics::counter!("medlarproxy_platform_bytes_total").increment(self.bytes as u64);
+    }
+
     /// The line for the record if the answer is large or slow.
     pub(crate) fn to_decision(self) -> Option<record::Decision> {
         let is_late = self.took >= SLOW_ANSWER_TIME && self.values > 0;
@@ -272,7 +278,7 @@
     unreadable: BTreeSet<OperatorDocument>,
     /// Whether the last call was to read all values and was not answered in time.
     has_slow_full_read: bool,
-    /// Whether the next answer may be incomplete, so that the revision is read beside it.
+    /// Whether the next answer may be incomplete, so that the revision is read before it.
     must_verify: bool,
     /// Whether the next call reads all values, since changes would hold too much that was replaced.
     must_read_all: bool,
@@ -328,60 +334,7 @@
         let (result, verified_revision) = self.call(is_full_read).await;
         self.has_slow_full_read = is_full_read && result == Err(SourceError::Timeout);
         match result {
-            Ok(changes) => {
-                if is_full_read {
-                    self.revision = None;
-                }
-                let is_restored = self
-                    .era
-                    .replace(changes.era)
-                    .is_some_and(|e| e != changes.era);
-                if is_restored {
-                    self.handle_restore(changes.era);
-                }
-                if is_restored && !is_full_read {
-                    // Changes since an earlier era's revision are incomplete.
-                    self.revision = None;
-                    return Duration::ZERO;
-                }
-                let answer = Answer {
-                    took: self.elapsed().saturating_sub(sent_at),
-                    bytes: changes.bytes,
-                    values: changes.values.len(),
-                    is_full_read,
-                };
-                metrics::histogram!("medlarproxy_platform_answer_seconds")
-                    .record(answer.took.as_secs_f64());
-                metrics::counter!("medlarproxy_platform_bytes_total")
-                    .increment(answer.bytes as u64);
-                let revision = changes.revision;
-                let is_missing_changes = verified_revision.is_some_and(|known| known > revision);
-                let is_complete = !changes.may_be_incomplete
-                    || verified_revision.is_some_and(|known| known <= revision);
-                self.must_verify = changes.may_be_incomplete;
-                self.must_read_all =
-                    is_missing_changes || self.is_series_of_versions(&changes, is_full_read);
-                self.answered_at = Some(self.elapsed());
-                let is_idle = !is_full_read && changes.values.is_empty();
-                self.report_changes(changes, is_full_read);
-                (self.on_event)(FeedEvent::Answered(answer));
-                self.has_failed = false;
-                if !is_complete {
-                    self.report_up();
-                    return Duration::ZERO;
-                }
-                if self.settles_at.is_none() {
-                    // The source holds a watch without a change for the whole wait.
-                    let held =
-                        Some(self.options.max_wait).filter(|held| is_idle && answer.took >= *held);
-                    self.complete_since = Some(sent_at + held.unwrap_or_default());
-                }
-                if self.settles_at.is_none() && self.unreadable.is_empty() {
-                    (self.on_event)(FeedEvent::Confirmed(sent_at));
-                }
-                self.report_up();
-                self.delay_after_response(answer.took)
-            }
+            Ok(changes) => self.handle_answer(sent_at, changes, is_full_read, verified_revision),
             Err(SourceError::HistoryDropped) => {
                 // The next full read shows which entries were removed meanwhile, but may itself
                 // see an incomplete list, so missing targets get a grace period.
@@ -404,6 +357,73 @@
         }
     }
 
+    /// Handles the answer to a call that was sent at `sent_at`, and returns the delay before the next
+    /// call.
+    fn handle_answer(
+        &mut self,
+        sent_at: Duration,
+        changes: PublishedChanges,
+        is_full_read: bool,
+        verified_revision: Option<u64>,
+    ) -> Duration {
+        if is_full_read {
+            self.revision = None;
+        }
+        let former_era = self.era.replace(changes.era);
+        let is_restored = former_era.is_some_and(|era| era != changes.era);
+        if is_restored {
+            self.handle_restore(changes.era);
+        }
+        if is_restored && !is_full_read {
+            // Changes since an earlier era's revision are incomplete.
+            self.revision = None;
+            return Duration::ZERO;
+        }
+        let answer = Answer {
+            took: self.elapsed().saturating_sub(sent_at),
+            bytes: changes.bytes,
+            values: changes.values.len(),
+            is_full_read,
+        };
+        answer.record_metrics();
+        let revision = changes.revision;
+        let is_missing_changes = verified_revision.is_some_and(|known| known > revision);
+        let is_verified = verified_revision.is_some_and(|known| known <= revision);
+        let is_complete = !changes.may_be_incomplete || is_verified;
+        self.must_verify = changes.may_be_incomplete;
+        self.must_read_all =
+            is_missing_changes || self.is_series_of_versions(&changes, is_full_read);
+        self.answered_at = Some(self.elapsed());
+        self.report_changes(changes, is_full_read);
+        (self.on_event)(FeedEvent::Answered(answer));
+        self.has_failed = false;
+        if is_complete {
+            self.confirm(sent_at, answer);
+        }
+        self.report_up();
+        if is_complete {
+            self.delay_after_response(answer.took)
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Records that a complete answer was received. A source that settles after it was restored, and
+    /// one with an unreadable document, confirm nothing.
+    fn confirm(&mut self, sent_at: Duration, answer: Answer) {
+        if self.settles_at.is_some() {
+            return;
+        }
+        // The source holds a watch without a change for the whole wait.
+        let max_wait = self.options.max_wait;
+        let is_held = !answer.is_full_read && answer.values == 0 && answer.took >= max_wait;
+        let held = if is_held { max_wait } else { Duration::ZERO };
+        self.complete_since = Some(sent_at + held);
+        if self.unreadable.is_empty() {
+            (self.on_event)(FeedEvent::Confirmed(sent_at));
+        }
+    }
+
     /// Reads all values or waits for changes. Where the answer may be incomplete, also returns the
     /// revision of the source just before, which a complete answer reaches.
     async fn call(
