One conversion of durations to whole milliseconds

Change: the function moves to `utils`, and all of them call it. Measured: the workspace builds; no behaviour changes.

--- a/components/control/src/agent/admission.rs
+++ b/components/control/src/agent/admission.rs
@@ -17,6 +17,7 @@
     Guard,
     Refusal, //
 };
+use utils::millis::millis;
 use utils::Name;
 
 use super::fair_queue::{
@@ -375,7 +376,7 @@
         let wait =
             Duration::from_secs_f64((average * rounds).clamp(MIN_RETRY_SECONDS, MAX_RETRY_SECONDS));
         Refusal::Busy {
-            retry_after_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+            retry_after_ms: millis(wait),
         }
     }
 
--- a/components/control/src/agent/at_most_once.rs
+++ b/components/control/src/agent/at_most_once.rs
@@ -23,11 +23,10 @@
     Sheet, //
 };
 use utils::clock::ClockReading;
+use utils::millis::millis;
 use utils::Name;
 use uuid::Uuid;
 
-use crate::millis::millis;
-
 /// Settings of the table of tickets and keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AtMostOnceOptions {
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -15,6 +15,7 @@
 };
 use utils::clock::ClockReading;
 use utils::digest::Digest;
+use utils::millis::millis;
 use utils::Name;
 use weights::{
     Limits,
@@ -382,7 +383,7 @@
                     // delay the next one.
                     self.pending_target_read_since = None;
                     effects.push(Effect::Record(Decision::Resume {
-                        paused_ms: u64::try_from(gap.as_millis()).unwrap_or(u64::MAX),
+                        paused_ms: millis(gap),
                     }));
                 }
                 other => effects.push(Effect::Follow(other)),
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -24,6 +24,10 @@
 };
 use record::Decision;
 use utils::digest::Digest;
+use utils::millis::{
+    millis,
+    millis_rounded_up, //
+};
 use utils::Name;
 use weights::{
     Limits,
@@ -35,10 +39,6 @@
     self,
     LimitStatus, //
 };
-use crate::millis::{
-    millis,
-    millis_rounded_up, //
-};
 use crate::router::learned::learned_limit;
 use crate::CrashSuspects;
 
--- a/components/control/src/crash_suspects/evidence.rs
+++ b/components/control/src/crash_suspects/evidence.rs
@@ -10,13 +10,13 @@
     Crash,
     Suspect, //
 };
+use utils::millis::millis;
 use utils::Name;
 
 use super::{
     time_of_crash,
     time_since, //
 };
-use crate::millis::millis;
 
 /// Crashes that follow each other faster may have a common cause, for example a loss of power, so they
 /// count as one.
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -19,6 +19,7 @@
 };
 use utils::clock::ClockReading;
 use utils::digest::Digest;
+use utils::millis::millis;
 use utils::Name;
 
 use super::choice::RampUps;
@@ -248,7 +249,7 @@
                 }
                 follower::Effect::ResumedAfterPause(pause) => {
                     effects.push(Effect::Record(Decision::Resume {
-                        paused_ms: u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+                        paused_ms: millis(pause),
                     }))
                 }
                 other => effects.push(Effect::Follow(other)),
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod entry;
 pub mod follower;
 pub mod instance_list;
-mod millis;
 pub mod notice;
 pub mod retry_budget;
 pub mod router;
--- a/components/control/src/notice.rs
+++ b/components/control/src/notice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use protocol::AgedLimit;
+use utils::millis::millis;
 
 /// The longest time for which a target is left alone at its own word.
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
@@ -76,7 +77,7 @@
     /// The limit for other processes, which need it only if the target limits its requests, or has
     /// done so and no longer does.
     pub fn limit_for_others(&self, now: Duration) -> Option<AgedLimit> {
-        let age_ms = u64::try_from(self.limit_age(now).as_millis()).unwrap_or(u64::MAX);
+        let age_ms = millis(self.limit_age(now));
         self.was_limited.then_some(AgedLimit {
             requests_per_second: self.limit,
             age_ms,
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -4,10 +4,9 @@
 
 use protocol::AcceptableBacklog;
 use record::Decision;
+use utils::millis::millis;
 use utils::Name;
 
-use crate::millis::millis;
-
 use super::config::Service;
 use super::pending::Pending;
 use super::rejection::{
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -8,10 +8,9 @@
 };
 use rand_pcg::Pcg64Mcg;
 use record::Decision;
+use utils::millis::millis;
 use utils::Name;
 
-use crate::millis::millis;
-
 use super::demand::TypicalRequest;
 use super::pending::Pending;
 use super::queue::QueuedRequest;
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -4,6 +4,7 @@
 
 use protocol::AgedLimit;
 use record::Decision;
+use utils::millis::millis;
 use utils::Name;
 
 use crate::notice::{
@@ -23,7 +24,6 @@
     Outcome,
     Rejection, //
 };
-use crate::millis::millis;
 
 /// How long a target is kept after its address turned out to belong to another instance, unless the
 /// list renews its entry.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -18,6 +18,10 @@
 };
 use rand_pcg::Pcg64Mcg;
 use utils::clock::ClockReading;
+use utils::millis::{
+    millis,
+    millis_rounded_up, //
+};
 use utils::{
     rank,
     Name, //
@@ -54,10 +58,6 @@
     Effect,
     Event, //
 };
-use crate::millis::{
-    millis,
-    millis_rounded_up, //
-};
 use crate::CrashSuspects;
 
 /// Options of the reducer.
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use record::Decision;
+use utils::millis::millis;
 use utils::Name;
 
-use crate::millis::millis;
-
 use super::config::Config;
 use super::state::{
     RequiredVersion,
--- a/components/proxy/src/control_thread.rs
+++ b/components/proxy/src/control_thread.rs
@@ -19,6 +19,7 @@
     Clock,
     ClockReading, //
 };
+use utils::millis::millis;
 
 use crate::error::ProxyError;
 
@@ -146,8 +147,9 @@
             let now = self.clock.now();
             if now.elapsed >= next_tick {
                 next_tick = now.elapsed + self.tick_interval;
-                let millis = u64::try_from(now.elapsed.as_millis()).unwrap_or(u64::MAX);
-                inbox.last_tick_ms.store(millis, Ordering::Relaxed);
+                inbox
+                    .last_tick_ms
+                    .store(millis(now.elapsed), Ordering::Relaxed);
                 self.handle_event(now, (self.tick_event)(), &mut execute);
             }
             let wait = next_tick.saturating_sub(self.clock.now().elapsed);
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use utils::digest::Digest;
+use utils::millis::millis;
 use utils::Name;
 use weights::{
     Denial,
@@ -456,7 +457,7 @@
             status: current,
             watchers,
             named,
-            held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
+            held_ms: millis(held),
         };
         self.send_reply(responder, reply).await;
     }
--- a/components/proxy/src/entry/forwarder.rs
+++ b/components/proxy/src/entry/forwarder.rs
@@ -30,6 +30,7 @@
 };
 use tokio::sync::oneshot;
 use tokio::time::timeout;
+use utils::millis::millis;
 use utils::Name;
 use wire::{
     MessageReader,
@@ -197,7 +198,7 @@
             }
             _ => None,
         };
-        self.agent_request.remaining_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        self.agent_request.remaining_ms = millis(timeout);
         let Self {
             active_request,
             agent_request,
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -18,6 +18,7 @@
 use futures_util::future::LocalBoxFuture;
 use thiserror::Error;
 use utils::clock::Clock;
+use utils::millis::millis;
 use utils::Name;
 
 /// The time from which an answer of the source is recorded as slow.
@@ -238,7 +239,7 @@
         let is_late = self.took >= SLOW_ANSWER_TIME && self.values > 0;
         let is_notable = is_late || self.bytes >= LARGE_ANSWER_BYTES;
         is_notable.then(|| record::Decision::StoreAnswer {
-            took_ms: u64::try_from(self.took.as_millis()).unwrap_or(u64::MAX),
+            took_ms: millis(self.took),
             bytes: self.bytes,
             values: self.values,
             full: self.is_full_read,
--- a/components/utils/src/clock.rs
+++ b/components/utils/src/clock.rs
@@ -10,6 +10,8 @@
     SystemTime, //
 };
 
+use crate::millis::millis;
+
 /// A simultaneous reading of the monotonic clock and the wall clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
@@ -24,7 +26,7 @@
     pub fn unix_ms(&self) -> u64 {
         self.wall_clock
             .duration_since(SystemTime::UNIX_EPOCH)
-            .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+            .map_or(0, millis)
     }
 }
 
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod boot_clock;
 pub mod clock;
 pub mod digest;
+pub mod millis;
 pub mod rank;
 
 use std::sync::Arc;
