Entries and agents share the type of a named version

Cause: `RequiredVersion` of the router and `KnownVersion` of the controller held the same three facts, with the same merge of bounds, message and line of the record; both ends of the message converted its ages alike. Change: `PublishedVersion` serves both reducers, and `NamedVersion` has the two conversions. How the times at which a version became known are merged differs and stays with each reducer.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -24,10 +24,7 @@
 };
 use record::Decision;
 use utils::digest::Digest;
-use utils::millis::{
-    millis,
-    millis_rounded_up, //
-};
+use utils::millis::millis;
 use utils::Name;
 use weights::{
     Limits,
@@ -39,6 +36,7 @@
     self,
     LimitStatus, //
 };
+use crate::published_version::PublishedVersion;
 use crate::router::learned::learned_limit;
 use crate::CrashSuspects;
 
@@ -191,36 +189,14 @@
     Loading(Duration),
 }
 
-/// A version that operators named.
-#[derive(Clone, Copy, Debug)]
-struct KnownVersion {
-    version: u64,
-    /// When a process learned of it, if that is known.
-    named_at: Option<Duration>,
-    /// It was published after this time, if that is known. Entries stop sending requests to older
-    /// versions by this bound.
-    published_after: Option<Duration>,
-}
-
 /// How much earlier than a process learned of a version the schedule of its update may start. Bounds on
 /// the publication that are further away are not close.
 const MAX_SCHEDULE_ADVANCE: Duration = Duration::from_millis(1000);
 
-impl KnownVersion {
-    /// Adds a bound on the publication. Bounds are lower ones, so the latest is the closest; but a
-    /// message that was delayed gives one that is too late, and none can be later than a process
-    /// learned of the version.
-    fn add_bound(&mut self, published_after: Option<Duration>) {
-        let latest = self.named_at.unwrap_or(Duration::MAX);
-        let bound = published_after.map(|at| at.min(latest));
-        self.published_after = self.published_after.max(bound);
-    }
-
-    /// The time that the schedule of the update starts from, which entries count from as well.
-    fn schedule_start(&self) -> Option<Duration> {
-        let earliest = self.named_at?.saturating_sub(MAX_SCHEDULE_ADVANCE);
-        Some(self.published_after.map_or(earliest, |at| at.max(earliest)))
-    }
+/// The time that the schedule of the update to a version starts from, which entries count from as well.
+fn schedule_start(version: &PublishedVersion) -> Option<Duration> {
+    let earliest = version.learned_at?.saturating_sub(MAX_SCHEDULE_ADVANCE);
+    version.published_after.max(Some(earliest))
 }
 
 /// The state of an agent.
@@ -233,7 +209,7 @@
     wait_for_engine: bool,
     model: Option<Name>,
     /// The versions that operators named, in ascending order.
-    versions: Vec<KnownVersion>,
+    versions: Vec<PublishedVersion>,
     members: Vec<Member>,
     origin_region: Name,
     /// The downloads in the order of their start, which is that of their versions.
@@ -465,15 +441,7 @@
     /// The newest named version, for peers and entries.
     pub fn newest_version(&self, now: Duration) -> Option<NamedVersion> {
         let newest = self.versions.last()?;
-        let age = newest.named_at.map(|at| now.saturating_sub(at));
-        Some(NamedVersion {
-            model: self.model.clone()?,
-            version: newest.version,
-            age_ms: age.map(millis),
-            max_age_ms: newest
-                .published_after
-                .map(|at| millis_rounded_up(now.saturating_sub(at))),
-        })
+        Some(newest.to_message(now, self.model.clone()?))
     }
 
     /// Whether the newest version is not running yet, so that ticks must be frequent.
@@ -510,12 +478,8 @@
                 age,
                 published_after,
             } => {
-                let known = KnownVersion {
-                    version,
-                    named_at: age.map(|age| now.saturating_sub(age)),
-                    published_after,
-                };
-                self.add_version(now, &model, known, &mut effects);
+                let named = PublishedVersion::new(now, version, age, published_after);
+                self.add_version(now, &model, named, &mut effects);
             }
             Event::Members {
                 members,
@@ -593,7 +557,7 @@
         &mut self,
         now: Duration,
         model: &Name,
-        named: KnownVersion,
+        named: PublishedVersion,
         effects: &mut Vec<Effect>,
     ) {
         let existing = self
@@ -601,7 +565,7 @@
             .iter_mut()
             .find(|known| known.version == named.version);
         if let Some(existing) = existing {
-            existing.named_at = existing.named_at.or(named.named_at);
+            existing.learned_at = existing.learned_at.or(named.learned_at);
             existing.add_bound(named.published_after);
             return;
         }
@@ -611,13 +575,7 @@
             return;
         }
         self.versions.push(named);
-        effects.push(Effect::Record(Decision::VersionNamed {
-            model: model.clone(),
-            version: named.version,
-            age_ms: named
-                .published_after
-                .map(|at| millis(now.saturating_sub(at))),
-        }));
+        effects.push(Effect::Record(named.to_decision(now, model.clone())));
         // Read the list of engines again, as pieces are exchanged only among its members.
         self.members_read_at = None;
         self.download_newest(now, effects);
@@ -854,7 +812,7 @@
             return staged_at;
         };
         let mut newer = self.versions.iter().filter(|known| known.version > running);
-        let named_at = newer.next().and_then(KnownVersion::schedule_start);
+        let named_at = newer.next().and_then(schedule_start);
         let mut downloads = self.downloads.iter();
         let staged = downloads.find(|d| self.update.as_ref() == Some(&d.model_version));
         let (Some(named_at), Some(download)) = (named_at, staged) else {
@@ -867,7 +825,7 @@
 
     fn millis_since_named(&self, now: Duration, version: u64) -> u64 {
         let known = self.versions.iter().find(|known| known.version == version);
-        let named_at = known.and_then(|known| known.named_at).unwrap_or(now);
+        let named_at = known.and_then(|known| known.learned_at).unwrap_or(now);
         millis(now.saturating_sub(named_at))
     }
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod follower;
 pub mod instance_list;
 pub mod notice;
+mod published_version;
 pub mod retry_budget;
 pub mod router;
 pub mod speed_judge;
--- a/components/control/src/router/region_path.rs
+++ b/components/control/src/router/region_path.rs
@@ -10,6 +10,8 @@
 use record::Decision;
 use utils::Name;
 
+use crate::published_version::PublishedVersion;
+
 use super::distance::{
     Distance,
     Location, //
@@ -18,11 +20,9 @@
     self,
     Requirements, //
 };
-use super::state::{
-    RequiredVersion,
-    State, //
-};
+use super::state::State;
 use super::targets::Target;
+use super::updates::required_from;
 use super::Effect;
 
 /// Number of agents of a region that must be silent for its path to be slow. One may be dead.
@@ -122,7 +122,7 @@
 pub struct RemoteTerms<'a> {
     pub(super) paths: &'a [RegionPath],
     /// The named versions of the model.
-    pub(super) required_versions: &'a [RequiredVersion],
+    pub(super) required_versions: &'a [PublishedVersion],
     /// How long after a version was published requests may be sent to older ones.
     pub(super) version_grace: Duration,
     pub(super) caller_leaves_at: Duration,
@@ -175,7 +175,7 @@
         let arrival = now + path.round_trip;
         let required = self.remote.required_versions.iter();
         let mut required =
-            required.filter(|named| arrival >= named.required_from(self.remote.version_grace));
+            required.filter(|named| arrival >= required_from(named, self.remote.version_grace));
         let has_version = required.all(|named| target.entry.version >= Some(named.version));
         if arrival >= self.remote.caller_leaves_at || !has_version {
             return Access::TooLate;
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -18,10 +18,6 @@
 };
 use rand_pcg::Pcg64Mcg;
 use utils::clock::ClockReading;
-use utils::millis::{
-    millis,
-    millis_rounded_up, //
-};
 use utils::{
     rank,
     Name, //
@@ -58,6 +54,7 @@
     Effect,
     Event, //
 };
+use crate::published_version::PublishedVersion;
 use crate::CrashSuspects;
 
 /// Options of the reducer.
@@ -82,34 +79,6 @@
     pub seed: u64,
 }
 
-/// A version of a model's weights that was named as the one to serve.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RequiredVersion {
-    pub version: u64,
-    /// When a process learned of it. `None` if that process found it at its start.
-    pub learned_at: Option<Duration>,
-    /// It was published after this time, if that is known. Operators count from the publication, so
-    /// this end of the time in which it can have happened is the one to count from.
-    pub published_after: Option<Duration>,
-}
-
-impl RequiredVersion {
-    /// Adds a bound on the publication. Bounds are lower ones, so the latest is the closest; but none
-    /// can be later than a process learned of the version.
-    pub fn add_bound(&mut self, published_after: Option<Duration>) {
-        let latest = self.learned_at.unwrap_or(Duration::MAX);
-        let bound = published_after.map(|at| at.min(latest));
-        self.published_after = self.published_after.max(bound);
-    }
-
-    /// From when on no request may be sent to an older version. Without a bound on its publication,
-    /// that is at once.
-    pub fn required_from(&self, version_grace: Duration) -> Duration {
-        self.published_after
-            .map_or(Duration::ZERO, |at| at + version_grace)
-    }
-}
-
 /// The state of the reducer: what it knows, and the requests in progress.
 #[derive(Debug)]
 pub struct State {
@@ -117,7 +86,7 @@
     pub(super) table: Option<RoutingTable>,
     pub(super) lease: Lease,
     pub(super) out_data_centres: BTreeSet<Name>,
-    pub(super) required_versions: BTreeMap<Name, Vec<RequiredVersion>>,
+    pub(super) required_versions: BTreeMap<Name, Vec<PublishedVersion>>,
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) spillovers: BTreeMap<Name, Spillover>,
@@ -231,11 +200,7 @@
                 age,
                 published_after,
             } => {
-                let named = RequiredVersion {
-                    version,
-                    learned_at: age.map(|age| now.saturating_sub(age)),
-                    published_after,
-                };
+                let named = PublishedVersion::new(now, version, age, published_after);
                 self.update_required_version(now, model, named, &mut effects);
             }
             Event::ConfigConfirmed(sent) => self.lease.renew(sent),
@@ -330,13 +295,7 @@
     pub fn named_versions(&self, now: Duration) -> Vec<NamedVersion> {
         let newest = self.required_versions.iter().filter_map(|(model, named)| {
             let newest = named.last()?;
-            let age = |at: Duration| now.saturating_sub(at);
-            Some(NamedVersion {
-                model: model.clone(),
-                version: newest.version,
-                age_ms: newest.learned_at.map(age).map(millis),
-                max_age_ms: newest.published_after.map(age).map(millis_rounded_up),
-            })
+            Some(newest.to_message(now, model.clone()))
         });
         newest.collect()
     }
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -7,11 +7,10 @@
 use utils::millis::millis;
 use utils::Name;
 
+use crate::published_version::PublishedVersion;
+
 use super::config::Config;
-use super::state::{
-    RequiredVersion,
-    State, //
-};
+use super::state::State;
 use super::table::RoutingTable;
 use super::targets::{
     EntryChange,
@@ -28,6 +27,13 @@
     pub process_count: u32,
 }
 
+/// From when on no request may be sent to an older version than this one. Without a bound on its
+/// publication, that is at once.
+pub(super) fn required_from(version: &PublishedVersion, version_grace: Duration) -> Duration {
+    let published_after = version.published_after;
+    published_after.map_or(Duration::ZERO, |at| at + version_grace)
+}
+
 impl State {
     /// Removes targets whose entries have expired and records changes of the lease.
     pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
@@ -177,7 +183,7 @@
         &mut self,
         now: Duration,
         model: Name,
-        named: RequiredVersion,
+        named: PublishedVersion,
         effects: &mut Vec<Effect>,
     ) {
         let versions = self.required_versions.entry(model.clone()).or_default();
@@ -195,17 +201,12 @@
             return;
         }
         // The last confirmed call of this process did not show it.
-        let published_after = named.published_after.max(self.lease.confirmed_at());
-        let age = published_after.map(|at| now.saturating_sub(at));
-        effects.push(Effect::Record(Decision::VersionNamed {
-            model,
-            version: named.version,
-            age_ms: age.map(millis),
-        }));
-        versions.push(RequiredVersion {
-            published_after,
+        let named = PublishedVersion {
+            published_after: named.published_after.max(self.lease.confirmed_at()),
             ..named
-        });
+        };
+        effects.push(Effect::Record(named.to_decision(now, model)));
+        versions.push(named);
     }
 
     /// Updates a target with the report of its agent.
@@ -255,7 +256,7 @@
         let versions = self.required_versions.get(model)?.iter();
         let newer = versions.filter(|named| version.is_some_and(|v| v < named.version));
         let grace = self.options.version_grace;
-        let required_from = newer.map(|named| named.required_from(grace)).min()?;
+        let required_from = newer.map(|named| required_from(named, grace)).min()?;
         Some(required_from + self.options.first_event_grace)
     }
 
@@ -263,7 +264,7 @@
     pub(super) fn oldest_version(&self, now: Duration, model: &str) -> Option<u64> {
         let versions = self.required_versions.get(model)?.iter();
         let grace = self.options.version_grace;
-        let required = versions.filter(|named| now >= named.required_from(grace));
+        let required = versions.filter(|named| now >= required_from(named, grace));
         required.map(|named| named.version).max()
     }
 }
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -1,6 +1,7 @@
 //! Requests and replies between processes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{
@@ -202,6 +203,19 @@
     pub max_age_ms: Option<u64>,
 }
 
+impl NamedVersion {
+    /// How long ago the sender learned of it.
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(Duration::from_millis)
+    }
+
+    /// A time after which it was published, if the message was written at `written_at` or later.
+    pub fn published_after(&self, written_at: Duration) -> Option<Duration> {
+        let max_age = self.max_age_ms.map(Duration::from_millis);
+        max_age.map(|max_age| written_at.saturating_sub(max_age))
+    }
+}
+
 /// The status of an engine, as reported by its agent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -409,13 +409,11 @@
         let is_prompt = data_centre == &*self.options.data_centre
             && !lock(&self.standstill).may_have_delayed(now);
         for named in named {
-            let max_age = named.max_age_ms.map(Duration::from_millis);
-            let published_after = max_age.map(|max_age| now.saturating_sub(max_age));
             self.handle_event(Event::VersionNamed {
+                age: named.age(),
+                published_after: named.published_after(now).filter(|_| is_prompt),
                 model: named.model,
                 version: named.version,
-                age: named.age_ms.map(Duration::from_millis),
-                published_after: published_after.filter(|_| is_prompt),
             });
         }
     }
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -207,19 +207,12 @@
 }
 
 fn handle_versions(router: &Router, written_after: Duration, named: Vec<NamedVersion>) {
-    for NamedVersion {
-        model,
-        version,
-        age_ms,
-        max_age_ms,
-    } in named
-    {
-        let max_age = max_age_ms.map(Duration::from_millis);
+    for named in named {
         router.handle_event(Event::VersionNamed {
-            model,
-            version,
-            age: age_ms.map(Duration::from_millis),
-            published_after: max_age.map(|max_age| written_after.saturating_sub(max_age)),
+            age: named.age(),
+            published_after: named.published_after(written_after),
+            model: named.model,
+            version: named.version,
         });
     }
 }
