One place for the record lines of feed events

Cause: entries and agents built the same lines for an answer of the store and for its failures; two negated comparisons told whether an answer reaches a revision; the detection of a standstill stood in the middle of the agent. Change: the feed's events give their lines, one comparison answers both questions, and the standstill has its module.

--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod peers;
 mod reservations;
 mod staging;
+mod standstill;
 
 use std::collections::{
     BTreeMap,
@@ -54,6 +55,8 @@
 use crate::store::PieceStore;
 use crate::watch_value::send_if_changed;
 
+use self::standstill::Standstill;
+
 pub use backends::{
     BackendError,
     Backends,
@@ -75,39 +78,6 @@
 /// their windows together take 170 ms on an instance's link.
 const PIECE_WINDOW_BYTES: u32 = 8 << 10;
 
-/// The longest time between two ticks of a process that runs.
-const MAX_TICK_GAP: Duration = Duration::from_millis(1500);
-
-/// How long after a standstill messages are handled that arrived during it.
-const STANDSTILL_BACKLOG_TIME: Duration = Duration::from_millis(1000);
-
-/// Recognises that the process stood still, so that messages waited before they were handled.
-#[derive(Debug, Default)]
-struct Standstill {
-    ticked_at: Option<Duration>,
-    ended_at: Option<Duration>,
-}
-
-impl Standstill {
-    fn tick(&mut self, now: Duration) {
-        if self.has_gap(now) {
-            self.ended_at = Some(now);
-        }
-        self.ticked_at = Some(now);
-    }
-
-    fn has_gap(&self, now: Duration) -> bool {
-        let is_long = |at: Duration| now.saturating_sub(at) > MAX_TICK_GAP;
-        self.ticked_at.is_some_and(is_long)
-    }
-
-    /// Whether a message that is handled now may have waited for long.
-    fn may_have_delayed(&self, now: Duration) -> bool {
-        let is_recent = |at: Duration| now.saturating_sub(at) < STANDSTILL_BACKLOG_TIME;
-        self.has_gap(now) || self.ended_at.is_some_and(is_recent)
-    }
-}
-
 /// The options of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentOptions {
@@ -242,26 +212,16 @@
 
     /// Handles an event of the feed.
     pub fn handle_feed_event(self: &Arc<Self>, event: FeedEvent) {
-        match event {
-            FeedEvent::Published {
-                value,
-                published_after,
-                ..
-            } => self.handle_value(value, published_after),
-            FeedEvent::SourceState { is_up, detail } => {
-                let name = "platform".into();
-                self.record(record::Decision::Dependency {
-                    name,
-                    up: is_up,
-                    detail,
-                });
-            }
-            FeedEvent::Answered(answer) => {
-                if let Some(decision) = answer.to_decision() {
-                    self.record(decision);
-                }
-            }
-            FeedEvent::FullTargetList { .. } | FeedEvent::Confirmed(_) | FeedEvent::Status(_) => {}
+        if let Some(decision) = event.to_decision() {
+            self.record(decision);
+        }
+        if let FeedEvent::Published {
+            value,
+            published_after,
+            ..
+        } = event
+        {
+            self.handle_value(value, published_after);
         }
     }
 
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -235,7 +235,7 @@
     }
 
     /// The line for the record if the answer is large or slow.
-    pub(crate) fn to_decision(self) -> Option<record::Decision> {
+    fn to_decision(self) -> Option<record::Decision> {
         let is_late = self.took >= SLOW_ANSWER_TIME && self.values > 0;
         let is_notable = is_late || self.bytes >= LARGE_ANSWER_BYTES;
         is_notable.then(|| record::Decision::StoreAnswer {
@@ -247,6 +247,21 @@
     }
 }
 
+impl FeedEvent {
+    /// The line for the record, if the event has one.
+    pub(crate) fn to_decision(&self) -> Option<record::Decision> {
+        match self {
+            Self::Answered(answer) => answer.to_decision(),
+            Self::SourceState { is_up, detail } => Some(record::Decision::Dependency {
+                name: "platform".into(),
+                up: *is_up,
+                detail: detail.clone(),
+            }),
+            _ => None,
+        }
+    }
+}
+
 /// The state of following a source.
 struct Feed<F> {
     clock: Arc<dyn Clock>,
@@ -388,12 +403,11 @@
         };
         answer.record_metrics();
         let revision = changes.revision;
-        let is_missing_changes = verified_revision.is_some_and(|known| known > revision);
-        let is_verified = verified_revision.is_some_and(|known| known <= revision);
-        let is_complete = !changes.may_be_incomplete || is_verified;
+        let has_all_changes = verified_revision.map(|known| known <= revision);
+        let is_complete = !changes.may_be_incomplete || has_all_changes == Some(true);
         self.must_verify = changes.may_be_incomplete;
         self.must_read_all =
-            is_missing_changes || self.is_series_of_versions(&changes, is_full_read);
+            has_all_changes == Some(false) || self.is_series_of_versions(&changes, is_full_read);
         self.answered_at = Some(self.elapsed());
         self.report_changes(changes, is_full_read);
         (self.on_event)(FeedEvent::Answered(answer));
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -190,6 +190,9 @@
 
     /// Handles an event of the feed.
     pub fn handle_feed_event(&self, event: FeedEvent) {
+        if let Some(decision) = event.to_decision() {
+            self.record(decision);
+        }
         let event = match event {
             FeedEvent::Published {
                 value,
@@ -201,22 +204,8 @@
             },
             FeedEvent::FullTargetList { names, grace } => Event::FullTargetList { names, grace },
             FeedEvent::Confirmed(sent_at) => Event::ConfigConfirmed(sent_at),
-            FeedEvent::Answered(answer) => {
-                if let Some(decision) = answer.to_decision() {
-                    self.record(decision);
-                }
-                return;
-            }
             FeedEvent::Status(status) => Event::SourceStatus(status),
-            FeedEvent::SourceState { is_up, detail } => {
-                let name = "platform".into();
-                self.record(record::Decision::Dependency {
-                    name,
-                    up: is_up,
-                    detail,
-                });
-                return;
-            }
+            FeedEvent::Answered(_) | FeedEvent::SourceState { .. } => return,
         };
         self.handle_event(event);
     }
