An entry's data centre is read from its state

Cause: the client of the agents got a copy of the data centre that the reducer's options hold. Change: the request to an agent takes it from the state. A comment is wrapped, and one of an event says what it means now. Measured: the workspace builds, clippy has no complaint; no behaviour changes.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -256,8 +256,8 @@
     }
 
     /// Why a request must not be sent to any target, if so: the configuration is too old, its key was
-    /// revoked or the request was quarantined while it waited. Streams that are resumed began under a configuration
-    /// that was in force.
+    /// revoked or the request was quarantined while it waited. Streams that are resumed began under a
+    /// configuration that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
         let has_key = pending.team.is_some();
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -167,7 +167,7 @@
     /// The configuration was current at this time: a call to the platform was sent then, and its
     /// answer was applied.
     ConfigConfirmed(Duration),
-    /// The platform's store began or stopped to answer this process.
+    /// How the platform's store responded to the last call.
     SourceStatus(SourceStatus),
     /// The agent of a target reported the target's state.
     EngineReported {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -291,6 +291,11 @@
         self.table.as_ref().map_or(0, |t| t.config().version)
     }
 
+    /// The data centre of the process.
+    pub fn data_centre(&self) -> &Name {
+        &self.options.location.data_centre
+    }
+
     /// The newest named version of each model, and how long ago it was named and learned of.
     pub fn named_versions(&self, now: Duration) -> Vec<NamedVersion> {
         let newest = self.required_versions.iter().filter_map(|(model, named)| {
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -50,8 +50,6 @@
 pub struct AgentClient {
     /// The name of this process's instance.
     pub instance: Name,
-    /// The data centre of this process.
-    pub data_centre: Name,
     /// The port on which agents listen.
     pub port: u16,
     /// The connections to agents.
@@ -60,11 +58,10 @@
 
 impl AgentClient {
     /// Creates a client without any connections.
-    pub fn new(instance: Name, data_centre: Name, port: u16) -> Self {
+    pub fn new(instance: Name, port: u16) -> Self {
         let pool = Pool::new(PoolOptions::default());
         Self {
             instance,
-            data_centre,
             port,
             pool,
         }
@@ -156,16 +153,16 @@
     let mut known: Option<EngineStatus> = None;
     loop {
         let sent_at = router.elapsed();
-        let message = {
-            let now = sent_at;
-            let named = router.inner.state.borrow().named_versions(now);
-            router.envelope(Request::Engine {
-                data_centre: agent_client.data_centre.clone(),
+        let request = {
+            let state = router.inner.state.borrow();
+            Request::Engine {
+                data_centre: state.data_centre().clone(),
                 known,
-                named,
+                named: state.named_versions(sent_at),
                 weight_source: engine.weight_source.clone(),
-            })
+            }
         };
+        let message = router.envelope(request);
         match agent_client.pool.call(agent, &message, AGENT_TIMEOUT).await {
             Ok(call) => match call.reply.body {
                 Reply::Engine {
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -69,11 +69,7 @@
         process.clock.clone(),
         process.record_writer.clone(),
         platform::header_codec(),
-        AgentClient::new(
-            settings.instance.clone(),
-            settings.data_centre.clone(),
-            settings.first_peer_port,
-        ),
+        AgentClient::new(settings.instance.clone(), settings.first_peer_port),
     );
     process.serve_metrics().await?;
     let source = platform::store_source(
