--- a/components/control/tests/config_age.rs
+++ b/components/control/tests/config_age.rs
@@ -45,18 +45,8 @@
 
 const START: Duration = Duration::from_secs(100);
 
-/// Creates a process whose configuration was confirmed at the start, with one target for a route that
-/// needs a key and one that needs none.
-fn router(status: SourceStatus) -> State {
-    let retry_limit = RetryLimit {
-        retries_per_request: 1.0,
-        extra_retries: 100.0,
-        window: Duration::from_secs(10),
-    };
-    let mut state = State::new(Options {
-        config_age_limits: LIMITS,
-        ..options(retry_limit, 1)
-    });
+/// A configuration with a route that needs a key, and one that needs none.
+fn config(version: u64, key: &str) -> Arc<Config> {
     let desk = Service {
         name: "desk".into(),
         cold_rate_per_second: 0.0,
@@ -68,19 +58,33 @@
         allows_anonymous: false,
         ..route("closed", "desk", Repeatability::Idempotent)
     };
-    let config = Config {
-        version: 1,
+    Arc::new(Config {
+        version,
         routes: vec![Arc::new(open), Arc::new(closed)],
         services: BTreeMap::from([("desk".into(), Arc::new(desk))]),
         teams: vec![Arc::new(Team {
             name: "studio".into(),
-            api_keys: vec!["key".into()],
+            api_keys: vec![key.into()],
             ..Team::default()
         })],
         ..Config::default()
+    })
+}
+
+/// Creates a process whose configuration was confirmed at the start, with one target for a route that
+/// needs a key and one that needs none.
+fn router(status: SourceStatus) -> State {
+    let retry_limit = RetryLimit {
+        retries_per_request: 1.0,
+        extra_retries: 100.0,
+        window: Duration::from_secs(10),
     };
+    let mut state = State::new(Options {
+        config_age_limits: LIMITS,
+        ..options(retry_limit, 1)
+    });
     for event in [
-        Event::ConfigRead(Arc::new(config)),
+        Event::ConfigRead(config(1, "key")),
         Event::TargetListed(target("d1", "desk", "a")),
         Event::ConfigConfirmed(START),
         Event::SourceStatus(status),
@@ -243,29 +247,8 @@
         ..request(1, "/closed/")
     };
     assert_eq!(rejection(&mut state, START, keyed), None);
-    let closed = Route {
-        allows_anonymous: false,
-        ..route("closed", "desk", Repeatability::Idempotent)
-    };
-    let desk = Service {
-        name: "desk".into(),
-        cold_rate_per_second: 0.0,
-        delays: Default::default(),
-        engine_profile: None,
-    };
-    let config = Config {
-        version: 2,
-        routes: vec![Arc::new(closed)],
-        services: BTreeMap::from([("desk".into(), Arc::new(desk))]),
-        teams: vec![Arc::new(Team {
-            name: "studio".into(),
-            api_keys: vec!["other".into()],
-            ..Team::default()
-        })],
-        ..Config::default()
-    };
     let revoked_at = START + Duration::from_millis(100);
-    state.step(clock(revoked_at), Event::ConfigRead(Arc::new(config)));
+    state.step(clock(revoked_at), Event::ConfigRead(config(2, "other")));
     let now = revoked_at + Duration::from_millis(5200);
     state.step(clock(now), Event::ConfigConfirmed(now));
     let effects = state.step(
