Record targets whose entries are missing, and what passed in an outage

Requests reached a target 3.4 s after it had left, and the record could not tell whether the entry missed the change, kept the target since its entry might come back, or selected it although it was known to leave.

Adds the decision target_missing with the time for which a target is kept, missing_ms in forward, and the time and the number of changes in the line of a store that answers again. No logic changes.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -361,6 +361,7 @@
         if let Some(rate) = limited_rate {
             target.spend_limit_allowance(now, rate);
         }
+        let missing_since = target.missing_since;
         let load = target.load.total_requests(now);
         let notice_age = millis(target.notice.limit_age(now));
         let limit = target
@@ -408,6 +409,7 @@
             way_ms: pending.reservation_round_trip.take().map(millis),
             limit,
             version: request.version,
+            missing_ms: missing_since.map(|since| millis(now.saturating_sub(since))),
         }));
         effects.push(Effect::Forward(token, request));
     }
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -189,7 +189,7 @@
                 self.remove_target_entry(now, &id, grace, &mut effects)
             }
             Event::FullTargetList { names, grace } => {
-                self.expire_unlisted_targets(now, &names, grace)
+                self.expire_unlisted_targets(now, &names, grace, &mut effects)
             }
             Event::DataCentreState { name, is_out } => {
                 self.update_data_centre(name, is_out, &mut effects)
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -95,6 +95,8 @@
     pub agent_reported_at: Option<Duration>,
     /// When an exchange of crashes with its agent last failed.
     pub agent_failed_at: Option<Duration>,
+    /// When its entry was found to be missing from the list.
+    pub missing_since: Option<Duration>,
     /// When it is removed because its entry is missing. Until then it is used, since the list may
     /// be incomplete.
     pub expires_at: Option<Duration>,
@@ -121,6 +123,7 @@
             is_agent_unreachable: false,
             agent_reported_at: None,
             agent_failed_at: None,
+            missing_since: None,
             expires_at: None,
             cold_allowance: RateAllowance::default(),
             limit_allowance: RateAllowance::default(),
@@ -227,6 +230,7 @@
         if entry.started_at_ms < target.entry.started_at_ms {
             return EntryChange::Unchanged;
         }
+        target.missing_since = None;
         target.expires_at = None;
         if target.entry.started_at_ms != entry.started_at_ms
             || target.entry.address != entry.address
@@ -273,10 +277,15 @@
     }
 
     /// Schedules the removal of a target whose entry is missing, unless one is scheduled already.
-    pub fn expire_at(&mut self, expires_at: Duration, id: &str) {
-        if let Some(target) = self.by_id.get_mut(id) {
-            target.expires_at.get_or_insert(expires_at);
-        }
+    /// Returns whether the entry was not known to be missing.
+    pub fn expire_at(&mut self, now: Duration, expires_at: Duration, id: &str) -> bool {
+        let Some(target) = self.by_id.get_mut(id) else {
+            return false;
+        };
+        target.expires_at.get_or_insert(expires_at);
+        let is_new = target.missing_since.is_none();
+        target.missing_since.get_or_insert(now);
+        is_new
     }
 
     /// Removes the targets whose scheduled removal is due, and returns them.
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -118,7 +118,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if !grace.is_zero() {
-            self.targets.expire_at(now + grace, id);
+            self.keep_missing_target(now, id, grace, effects);
         } else if let Some(target) = self.targets.remove(id) {
             self.handle_target_removed(now, &target, "taken off the list", effects);
         }
@@ -148,6 +148,7 @@
         now: Duration,
         names: &[Name],
         grace: Duration,
+        effects: &mut Vec<Effect>,
     ) {
         let missing: Vec<Name> = self
             .targets
@@ -156,7 +157,23 @@
             .filter(|id| !names.contains(id))
             .collect();
         for id in missing {
-            self.targets.expire_at(now + grace, &id);
+            self.keep_missing_target(now, &id, grace, effects);
+        }
+    }
+
+    /// Keeps a target whose entry is missing for the grace period.
+    fn keep_missing_target(
+        &mut self,
+        now: Duration,
+        id: &Name,
+        grace: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.targets.expire_at(now, now + grace, id) {
+            effects.push(Effect::Record(Decision::TargetMissing {
+                target: id.clone(),
+                kept_ms: millis(grace),
+            }));
         }
     }
 
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -262,6 +262,15 @@
     }
 }
 
+/// A time in which the source gave no answers to this process.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    /// From the last answer to the sending of the next call that was answered.
+    duration: Duration,
+    /// The number of changes to the source meanwhile.
+    changes: u64,
+}
+
 /// The state of following a source.
 struct Feed<F> {
     clock: Arc<dyn Clock>,
@@ -284,8 +293,10 @@
     recovered_at: Option<Duration>,
     /// How the source was last reported to respond.
     status: SourceStatus,
-    /// When the last response was complete.
+    /// When the last response was complete, and its revision.
     answered_at: Option<Duration>,
+    /// The revision of the last response.
+    answered_revision: u64,
     /// The version of the last configuration.
     config_version: Option<u64>,
     /// The newest reported version of each model's weights.
@@ -321,6 +332,7 @@
         recovered_at: None,
         status: SourceStatus::Answering,
         answered_at: None,
+        answered_revision: 0,
         config_version: None,
         model_versions: BTreeMap::new(),
         unreadable: BTreeSet::new(),
@@ -408,14 +420,16 @@
         self.must_verify = changes.may_be_incomplete;
         self.must_read_all =
             has_all_changes == Some(false) || self.is_series_of_versions(&changes, is_full_read);
+        let gap = self.gap_before(sent_at, revision);
         self.answered_at = Some(self.elapsed());
+        self.answered_revision = revision;
         self.report_changes(changes, is_full_read);
         (self.on_event)(FeedEvent::Answered(answer));
         self.has_failed = false;
         if is_complete {
             self.confirm(sent_at, answer);
         }
-        self.report_up();
+        self.report_up(gap);
         if is_complete {
             self.delay_after_response(answer.took)
         } else {
@@ -423,6 +437,16 @@
         }
     }
 
+    /// The time without answers before the call that was sent at `sent_at`, and the changes to the
+    /// source meanwhile.
+    fn gap_before(&self, sent_at: Duration, revision: u64) -> Gap {
+        let answered_at = self.answered_at.unwrap_or(sent_at);
+        Gap {
+            duration: sent_at.saturating_sub(answered_at),
+            changes: revision.saturating_sub(self.answered_revision),
+        }
+    }
+
     /// Records that a complete answer was received. A source that settles after it was restored, and
     /// one with an unreadable document, confirm nothing.
     fn confirm(&mut self, sent_at: Duration, answer: Answer) {
@@ -599,16 +623,20 @@
         });
     }
 
-    fn report_up(&mut self) {
+    fn report_up(&mut self, gap: Gap) {
         let (status, detail) = if !self.unreadable.is_empty() {
             let detail = "published a document that cannot be read";
-            (SourceStatus::Failing, detail)
+            (SourceStatus::Failing, detail.into())
         } else if self.settles_at.is_some() {
-            (SourceStatus::Failing, "settles after it was restored")
+            let detail = "settles after it was restored";
+            (SourceStatus::Failing, detail.into())
         } else {
-            (SourceStatus::Answering, "answers again")
+            let Gap { duration, changes } = gap;
+            let gap_ms = millis(duration);
+            let detail = format!("answers again after {gap_ms} ms and {changes} changes");
+            (SourceStatus::Answering, detail.into())
         };
-        self.report_status(status, detail.into());
+        self.report_status(status, detail);
     }
 
     fn report_down(&mut self, e: &SourceError) {
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -235,6 +235,13 @@
         /// The version of the weights that it runs.
         version: Option<u64>,
     },
+    /// The entry of a target is missing from the list. The target is kept in case it comes back.
+    TargetMissing {
+        /// The target.
+        target: Name,
+        /// Milliseconds for which it is kept.
+        kept_ms: u64,
+    },
     /// A target is no longer used.
     TargetGone {
         /// The target.
@@ -341,6 +348,9 @@
         limit: Option<(f64, u64)>,
         /// The version of the weights that must serve the request.
         version: Option<u64>,
+        /// Milliseconds since the entry of the target was found to be missing from the list.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        missing_ms: Option<u64>,
     },
     /// A request is not forwarded to a target because of the reply of the target's agent.
     NoPlace {
@@ -488,6 +498,7 @@
             Self::Configure { .. } => "configure",
             Self::StoreAnswer { .. } => "store_answer",
             Self::Target { .. } => "target",
+            Self::TargetMissing { .. } => "target_missing",
             Self::TargetGone { .. } => "target_gone",
             Self::Engine { .. } => "engine",
             Self::Rest { .. } => "rest",
--- a/components/record/src/trace.rs
+++ b/components/record/src/trace.rs
@@ -108,6 +108,7 @@
             Decision::Target { target, .. }
             | Decision::Engine { target, .. }
             | Decision::Rest { target, .. }
+            | Decision::TargetMissing { target, .. }
             | Decision::TargetGone { target, .. },
             Decision::Forward {
                 target: later_target,
