Times of leaving targets and closed data centres are read from the settings

Callers saw nothing of it: on all known deployments these times are as long as that of configurations or longer. Cause: a list was used while it was younger than a configuration may be, whatever the operators set for targets that leave and for data centres out of service.

--- a/components/control/src/router/lease.rs
+++ b/components/control/src/router/lease.rs
@@ -15,6 +15,9 @@
 /// refused at once then, an answer is on its way.
 const REFUSAL_TIME: Duration = Duration::from_millis(1200);
 
+/// How long a request takes at most to reach its target, if no link is full.
+const ARRIVAL_MARGIN: Duration = Duration::from_millis(50);
+
 /// Whether the platform's store answers this process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SourceStatus {
@@ -33,11 +36,30 @@
     /// Below this age, requests with a key may be served: a revoked key must stop working everywhere,
     /// also at a process that the store does not answer.
     pub with_key: Duration,
-    /// Below this age, all requests may be served while the store answers: a change of routes must be
-    /// in force within this time.
+    /// Below this age, all requests may be served while the store answers: within this time a change
+    /// of routes must be in force, a target that leaves must get nothing, and neither must a data
+    /// centre that is out of service.
     pub while_answered: Duration,
 }
 
+impl AgeLimits {
+    /// Creates the limits from the times within which changes must be in force: `with_key` for revoked
+    /// keys at any process, `config_time` for routes, and `removal_times` for targets that leave and
+    /// data centres out of service, which count the requests that arrive there.
+    pub fn new(
+        with_key: Duration,
+        config_time: Duration,
+        removal_times: impl IntoIterator<Item = Duration>,
+    ) -> Self {
+        let removal_times = removal_times.into_iter();
+        let removal_times = removal_times.map(|time| time.saturating_sub(ARRIVAL_MARGIN));
+        Self {
+            with_key,
+            while_answered: removal_times.fold(config_time, Duration::min),
+        }
+    }
+}
+
 /// The lease on the configuration.
 #[derive(Clone, Debug)]
 pub struct Lease {
--- a/components/control/tests/config_age.rs
+++ b/components/control/tests/config_age.rs
@@ -262,3 +262,42 @@
     let is_sent = effects.iter().any(|e| matches!(e, Effect::Forward(..)));
     assert!(!is_sent, "{effects:?}");
 }
+
+/// Guards against requests to a target that left, sent by a list that is younger than a configuration
+/// may be.
+#[test]
+fn the_shortest_time_in_which_a_change_must_be_in_force_bounds_the_age() {
+    const fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+    struct Case {
+        name: &'static str,
+        config_time: Duration,
+        removal_times: [Duration; 2],
+        expected: Duration,
+    }
+    let cases = [
+        Case {
+            name: "routes",
+            config_time: ms(1000),
+            removal_times: [ms(2000), ms(5000)],
+            expected: ms(1000),
+        },
+        Case {
+            name: "targets that leave",
+            config_time: ms(4000),
+            removal_times: [ms(2000), ms(5000)],
+            expected: ms(1950),
+        },
+        Case {
+            name: "data centres out of service",
+            config_time: ms(4000),
+            removal_times: [ms(4000), ms(3000)],
+            expected: ms(2950),
+        },
+    ];
+    for case in cases {
+        let limits = AgeLimits::new(ms(4000), case.config_time, case.removal_times);
+        assert_eq!(limits.while_answered, case.expected, "{}", case.name);
+    }
+}
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -119,13 +119,7 @@
     };
     Options {
         location,
-        config_age_limits: AgeLimits {
-            with_key: settings
-                .operator_limits
-                .key_revocation_time
-                .mul_f64(LEASE_FRACTION),
-            while_answered: settings.operator_limits.config_apply_time,
-        },
+        config_age_limits: age_limits(&settings.operator_limits),
         version_grace: old_version_time(&settings.operator_limits),
         retry_limit: retry_limit(&settings.operator_limits),
         first_event_grace: VERSION_SEND_MARGIN - VERSION_START_MARGIN,
@@ -135,6 +129,14 @@
     }
 }
 
+fn age_limits(limits: &OperatorLimits) -> AgeLimits {
+    AgeLimits::new(
+        limits.key_revocation_time.mul_f64(LEASE_FRACTION),
+        limits.config_apply_time,
+        [limits.target_removal_time, limits.data_centre_removal_time],
+    )
+}
+
 fn retry_limit(limits: &OperatorLimits) -> RetryLimit {
     RetryLimit {
         retries_per_request: limits.retries_per_request * RETRY_FRACTION,
