A target that left while the store refused one entry is removed with the first list

Callers' requests reached an engine 3.3 s after the store had acknowledged that it leaves; 2 s are allowed.

Cause: an entry that regains the store keeps targets that its list lacks for 2.5 s, since their entries may have expired while the store was away. It did so after any failed call, also if the store had served everybody else, and counted from its own first answer, up to 2.5 s after the return of the store.

Change: control::grace tells an outage of the store from one of the process by the changes that passed meanwhile: targets write once in a heartbeat interval. If the store was available, missing targets are removed at once. Otherwise the grace period counts from the sending of the last failed call, before which the store cannot have returned; only where at least half of a service is missing, as after an outage that expired all entries, it still counts from the first answer. A dropped history, in which nothing expires, keeps a majority alone. A target that said that it leaves is removed when it is missing. recovery_time is no longer needed: what is left of the grace period takes its place.

Why it works: a single target is dropped 2.5 s after the last failed call at the latest, so before the process counts as in touch again, however long the answer took.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod decaying_count;
 pub mod entry;
 pub mod follower;
+pub mod grace;
 pub mod instance_list;
 pub mod notice;
 mod published_version;
--- a/components/control/src/router/learned.rs
+++ b/components/control/src/router/learned.rs
@@ -208,7 +208,7 @@
         let Some(target) = self.targets.get_mut(&request.target) else {
             return;
         };
-        let is_leaving = target.entry.is_draining || target.notice.is_leaving();
+        let is_leaving = target.is_leaving();
         // The requests of another start of the target say nothing of this one.
         let is_other = target.entry.started_at_ms != request.started_at_ms;
         if terms.plain_limit(now, target, service).is_none() || is_leaving || is_other {
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -49,6 +49,7 @@
 use record::Decision;
 use utils::Name;
 
+use crate::grace::Grace;
 use crate::notice::Notice;
 use config::Config;
 use lease::SourceStatus;
@@ -137,14 +138,14 @@
         /// The target.
         id: Name,
         /// How long the target is kept in case its entry comes back.
-        grace: Duration,
+        grace: Grace,
     },
     /// The complete list was read: targets that are not in it have no entry.
     FullTargetList {
         /// The listed targets.
         names: Vec<Name>,
         /// How long other targets are kept in case their entries come back.
-        grace: Duration,
+        grace: Grace,
     },
     /// A data centre was taken out of service or back in.
     DataCentreState {
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -7,6 +7,7 @@
 use utils::millis::millis;
 use utils::Name;
 
+use crate::grace::Grace;
 use crate::notice::{
     Notice,
     TargetNotice, //
@@ -19,6 +20,7 @@
 use super::retry_share::RetryShare;
 use super::selection;
 use super::state::State;
+use super::targets::Missing;
 use super::{
     Effect,
     Outcome,
@@ -270,7 +272,10 @@
             }
             Outcome::WrongVersion => target.entry.version = None,
             Outcome::WrongInstance => {
-                target.expires_at.get_or_insert(now + WRONG_INSTANCE_GRACE);
+                target.missing.get_or_insert(Missing {
+                    since: now,
+                    grace: Grace::of(WRONG_INSTANCE_GRACE),
+                });
                 target.health.record_unreachable(now);
             }
         }
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -464,8 +464,7 @@
     requirements: &Requirements<'_>,
 ) -> bool {
     let entry = &target.entry;
-    let is_leaving = entry.is_draining || target.notice.is_leaving();
-    if is_leaving || entry.has_no_weights || target.is_switching {
+    if target.is_leaving() || entry.has_no_weights || target.is_switching {
         return false;
     }
     if out_data_centres.contains(&entry.data_centre)
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -6,6 +6,7 @@
 
 use utils::Name;
 
+use crate::grace::Grace;
 use crate::notice::TargetNotice;
 
 use super::health::Health;
@@ -64,6 +65,15 @@
     }
 }
 
+/// A target that is missing from the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Missing {
+    /// When this was found.
+    pub since: Duration,
+    /// How long the target is kept from then on.
+    pub grace: Grace,
+}
+
 /// One target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -95,11 +105,9 @@
     pub agent_reported_at: Option<Duration>,
     /// When an exchange of crashes with its agent last failed.
     pub agent_failed_at: Option<Duration>,
-    /// When its entry was found to be missing from the list.
-    pub missing_since: Option<Duration>,
-    /// When it is removed because its entry is missing. Until then it is used, since the list may
-    /// be incomplete.
-    pub expires_at: Option<Duration>,
+    /// Set if its entry is missing from the list, or its address belongs to another target. Until its
+    /// removal it is used, since the list may be incomplete.
+    pub missing: Option<Missing>,
     cold_allowance: RateAllowance,
     limit_allowance: RateAllowance,
     /// Until this time its agent is not asked, which refused a request because of the limit.
@@ -123,8 +131,7 @@
             is_agent_unreachable: false,
             agent_reported_at: None,
             agent_failed_at: None,
-            missing_since: None,
-            expires_at: None,
+            missing: None,
             cold_allowance: RateAllowance::default(),
             limit_allowance: RateAllowance::default(),
             limit_refused_until: Duration::ZERO,
@@ -154,6 +161,11 @@
         self.has_recent_agent_report(now) && self.agent_failed_at <= self.agent_reported_at
     }
 
+    /// Whether the target is about to stop, as its entry or an answer of it says.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.is_draining || self.notice.is_leaving()
+    }
+
     /// Whether the target is in cold start, in which it can handle fewer requests.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.cold_until
@@ -230,8 +242,7 @@
         if entry.started_at_ms < target.entry.started_at_ms {
             return EntryChange::Unchanged;
         }
-        target.missing_since = None;
-        target.expires_at = None;
+        target.missing = None;
         if target.entry.started_at_ms != entry.started_at_ms
             || target.entry.address != entry.address
         {
@@ -276,31 +287,49 @@
         self.by_id.remove(id)
     }
 
-    /// Schedules the removal of a target whose entry is missing, unless one is scheduled already.
-    /// Returns whether the entry was not known to be missing.
-    pub fn expire_at(&mut self, now: Duration, expires_at: Duration, id: &str) -> bool {
+    /// Schedules the removal of a target that is missing, unless one is scheduled already. Returns
+    /// whether it was not known to be missing.
+    pub fn set_missing(&mut self, now: Duration, grace: Grace, id: &str) -> bool {
         let Some(target) = self.by_id.get_mut(id) else {
             return false;
         };
-        target.expires_at.get_or_insert(expires_at);
-        let is_new = target.missing_since.is_none();
-        target.missing_since.get_or_insert(now);
+        let is_new = target.missing.is_none();
+        target.missing.get_or_insert(Missing { since: now, grace });
         is_new
     }
 
-    /// Removes the targets whose scheduled removal is due, and returns them.
-    pub fn remove_expired(&mut self, now: Duration) -> Vec<Target> {
-        let is_expired = |target: &Target| target.expires_at.is_some_and(|at| now >= at);
+    /// Removes the targets that have been missing for longer than their grace period, and returns
+    /// them.
+    pub fn remove_missing(&mut self, now: Duration) -> Vec<Target> {
         let expired: Vec<Name> = self
             .by_id
             .values()
-            .filter(|target| is_expired(target))
+            .filter(|target| self.is_expired(now, target))
             .map(|target| target.entry.id.clone())
             .collect();
         let removed = expired.iter().filter_map(|id| self.by_id.remove(id));
         removed.collect()
     }
 
+    fn is_expired(&self, now: Duration, target: &Target) -> bool {
+        let Some(missing) = target.missing else {
+            return false;
+        };
+        let elapsed = now.saturating_sub(missing.since);
+        let grace = missing.grace;
+        target.is_leaving()
+            || elapsed >= grace.majority
+            || elapsed >= grace.each && !self.is_majority_missing(&target.entry.service)
+    }
+
+    /// Whether at least half of the targets of a service are missing, not counting those that leave.
+    fn is_majority_missing(&self, service: &str) -> bool {
+        let targets = self.of_service(service).filter(|t| !t.is_leaving());
+        let (missing, listed): (Vec<&Target>, Vec<&Target>) =
+            targets.partition(|target| target.missing.is_some());
+        missing.len() >= listed.len()
+    }
+
     /// The target with this name.
     pub fn get(&self, id: &str) -> Option<&Target> {
         self.by_id.get(id)
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -7,6 +7,7 @@
 use utils::millis::millis;
 use utils::Name;
 
+use crate::grace::Grace;
 use crate::published_version::PublishedVersion;
 
 use super::config::Config;
@@ -37,9 +38,7 @@
 impl State {
     /// Removes targets whose entries have expired and records changes of the lease.
     pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        for target in self.targets.remove_expired(now) {
-            self.handle_target_removed(now, &target, "missing from the list", effects);
-        }
+        self.remove_missing_targets(now, effects);
         if let Some(valid) = self.lease.take_validity_change(now) {
             let age = self.lease.age(now).unwrap_or_default();
             effects.push(Effect::Record(Decision::Lease {
@@ -114,11 +113,12 @@
         &mut self,
         now: Duration,
         id: &Name,
-        grace: Duration,
+        grace: Grace,
         effects: &mut Vec<Effect>,
     ) {
-        if !grace.is_zero() {
+        if !grace.is_none() {
             self.keep_missing_target(now, id, grace, effects);
+            self.remove_missing_targets(now, effects);
         } else if let Some(target) = self.targets.remove(id) {
             self.handle_target_removed(now, &target, "taken off the list", effects);
         }
@@ -132,7 +132,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let entry = &target.entry;
-        if !entry.is_draining && !target.notice.is_leaving() {
+        if !target.is_leaving() {
             self.handle_target_end(now, &entry.id, entry.started_at_ms, effects);
         }
         effects.push(Effect::Record(Decision::TargetGone {
@@ -147,7 +147,7 @@
         &mut self,
         now: Duration,
         names: &[Name],
-        grace: Duration,
+        grace: Grace,
         effects: &mut Vec<Effect>,
     ) {
         let missing: Vec<Name> = self
@@ -159,6 +159,7 @@
         for id in missing {
             self.keep_missing_target(now, &id, grace, effects);
         }
+        self.remove_missing_targets(now, effects);
     }
 
     /// Keeps a target whose entry is missing for the grace period.
@@ -166,17 +167,24 @@
         &mut self,
         now: Duration,
         id: &Name,
-        grace: Duration,
+        grace: Grace,
         effects: &mut Vec<Effect>,
     ) {
-        if self.targets.expire_at(now, now + grace, id) {
+        if self.targets.set_missing(now, grace, id) {
             effects.push(Effect::Record(Decision::TargetMissing {
                 target: id.clone(),
-                kept_ms: millis(grace),
+                kept_ms: millis(grace.each),
+                kept_by_majority_ms: millis(grace.majority),
             }));
         }
     }
 
+    fn remove_missing_targets(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        for target in self.targets.remove_missing(now) {
+            self.handle_target_removed(now, &target, "missing from the list", effects);
+        }
+    }
+
     /// Takes a data centre out of service or back in.
     pub(super) fn update_data_centre(
         &mut self,
--- /dev/null
+++ b/components/control/tests/missing_targets.rs
@@ -0,0 +1,287 @@
+//! Tests of targets whose entries are missing from the list. Guards against requests to targets that
+//! have left, and against an entry that loses all its targets because the store was away.
+
+mod routers;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use control::grace::{
+    Gap,
+    Grace, //
+};
+use control::router::config::{
+    Config,
+    Repeatability,
+    Service, //
+};
+use control::router::targets::TargetEntry;
+use control::router::{
+    Effect,
+    Event,
+    RetryLimit,
+    State, //
+};
+use record::Decision;
+use routers::{
+    clock,
+    engine_service,
+    options,
+    route,
+    target, //
+};
+
+const START: Duration = Duration::from_secs(100);
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A process with plain targets.
+struct TestRouter {
+    state: State,
+    now: Duration,
+    decisions: Vec<Decision>,
+}
+
+impl TestRouter {
+    fn new(entries: impl IntoIterator<Item = TargetEntry>) -> Self {
+        let plain = Service {
+            name: "desk".into(),
+            engine_profile: None,
+            ..engine_service()
+        };
+        let services = [engine_service(), plain];
+        let config = Config {
+            version: 1,
+            routes: vec![
+                Arc::new(route("look", "desk", Repeatability::Idempotent)),
+                Arc::new(route("chat", "engines", Repeatability::ResumableStream)),
+            ],
+            services: BTreeMap::from(services.map(|s| (s.name.clone(), Arc::new(s)))),
+            ..Config::default()
+        };
+        let retry_limit = RetryLimit {
+            retries_per_request: 1.0,
+            extra_retries: 100.0,
+            window: Duration::from_secs(10),
+        };
+        let mut router = Self {
+            state: State::new(options(retry_limit, 1)),
+            now: START,
+            decisions: Vec::new(),
+        };
+        router.step(Event::ConfigRead(Arc::new(config)));
+        for entry in entries {
+            router.step(Event::TargetListed(entry));
+        }
+        router
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = self
+            .state
+            .step(clock(self.now), Event::ConfigConfirmed(self.now));
+        effects.extend(self.state.step(clock(self.now), event));
+        let decisions = effects.iter().filter_map(|effect| match effect {
+            Effect::Record(decision) => Some(decision.clone()),
+            _ => None,
+        });
+        self.decisions.extend(decisions);
+        effects
+    }
+
+    fn advance(&mut self, time: Duration) {
+        self.now += time;
+        self.step(Event::Tick);
+    }
+
+    /// Reads a list that has only these targets.
+    fn read_list(&mut self, ids: &[&str], grace: Grace) {
+        let names = ids.iter().map(|id| (*id).into()).collect();
+        self.step(Event::FullTargetList { names, grace });
+    }
+
+    fn known(&self) -> Vec<String> {
+        let targets = self.state.targets().iter();
+        targets.map(|t| t.entry.id.to_string()).collect()
+    }
+}
+
+fn plain_targets(ids: &[&str]) -> Vec<TargetEntry> {
+    ids.iter().map(|id| target(id, "desk", "a")).collect()
+}
+
+#[test]
+fn a_target_that_is_missing_alone_is_removed_before_a_majority_that_is_missing_together() {
+    const GRACE: Grace = Grace {
+        each: ms(500),
+        majority: ms(2500),
+    };
+    struct Case {
+        name: &'static str,
+        targets: &'static [&'static str],
+        listed: &'static [&'static str],
+        grace: Grace,
+        /// The known targets at once, after each of the times of `GRACE`.
+        known: [usize; 3],
+    }
+    let cases = [
+        Case {
+            name: "one of three",
+            targets: &["d1", "d2", "d3"],
+            listed: &["d1", "d2"],
+            grace: GRACE,
+            known: [3, 2, 2],
+        },
+        Case {
+            name: "two of three",
+            targets: &["d1", "d2", "d3"],
+            listed: &["d1"],
+            grace: GRACE,
+            known: [3, 3, 1],
+        },
+        Case {
+            name: "the only one",
+            targets: &["d1"],
+            listed: &[],
+            grace: GRACE,
+            known: [1, 1, 0],
+        },
+        Case {
+            name: "two of three, which cannot have expired",
+            targets: &["d1", "d2", "d3"],
+            listed: &["d1"],
+            grace: Grace::NONE,
+            known: [1, 1, 1],
+        },
+        Case {
+            name: "one of three, whose time was over before the list was read",
+            targets: &["d1", "d2", "d3"],
+            listed: &["d1", "d2"],
+            grace: Grace {
+                each: Duration::ZERO,
+                ..GRACE
+            },
+            known: [2, 2, 2],
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new(plain_targets(case.targets));
+        router.read_list(case.listed, case.grace);
+        let mut known = vec![router.known().len()];
+        for time in [GRACE.each, GRACE.majority - GRACE.each] {
+            router.advance(time);
+            known.push(router.known().len());
+        }
+        assert_eq!(known, case.known, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_missing_target_that_said_it_leaves_is_removed_at_once() {
+    let mut router = TestRouter::new(plain_targets(&["d1"]));
+    let mut leaving = target("d1", "desk", "a");
+    leaving.is_draining = true;
+    router.step(Event::TargetListed(leaving));
+    router.step(Event::TargetUnlisted {
+        id: "d1".into(),
+        grace: Grace::of(ms(2500)),
+    });
+    assert!(router.known().is_empty());
+}
+
+#[test]
+fn the_record_has_for_how_long_a_missing_target_is_kept() {
+    let mut router = TestRouter::new(plain_targets(&["d1", "d2", "d3"]));
+    let grace = Grace {
+        each: ms(500),
+        majority: ms(2500),
+    };
+    router.read_list(&["d1", "d2"], grace);
+    router.read_list(&["d1", "d2"], grace);
+    let missing = Decision::TargetMissing {
+        target: "d3".into(),
+        kept_ms: 500,
+        kept_by_majority_ms: 2500,
+    };
+    let lines = router.decisions.iter().filter(|d| **d == missing);
+    assert_eq!(lines.count(), 1, "{:?}", router.decisions);
+}
+
+/// Guards against an outage of one process that is taken for one of the store, and the reverse.
+#[test]
+fn changes_to_the_store_tell_an_outage_of_one_process_from_one_of_the_store() {
+    struct Case {
+        name: &'static str,
+        duration: Duration,
+        changes: Option<u64>,
+        targets: usize,
+        was_available: bool,
+    }
+    let case = |name, duration, changes, targets, was_available| Case {
+        name,
+        duration,
+        changes,
+        targets,
+        was_available,
+    };
+    let cases = [
+        case(
+            "all targets write all the time",
+            ms(6000),
+            Some(75),
+            15,
+            true,
+        ),
+        case(
+            "a third of the targets leaves in the middle",
+            ms(6000),
+            Some(15 * 3 + 10 * 2 + 2 * 5),
+            15,
+            true,
+        ),
+        case(
+            "away for 3.6 s, half of the expired entries are written again",
+            ms(4200),
+            Some(7 + 15 + 7),
+            15,
+            false,
+        ),
+        case(
+            "one of four targets leaves early",
+            ms(4500),
+            Some(3 * 3 + 1),
+            4,
+            true,
+        ),
+        case(
+            "away for 5.4 s, all entries expire and are written again",
+            ms(6000),
+            Some(15 * 2 + 8),
+            15,
+            false,
+        ),
+        case("nobody writes", ms(6000), Some(0), 15, false),
+        case("too short to tell", ms(3000), Some(40), 15, false),
+        case("restored from a copy", ms(6000), None, 15, false),
+        case("one target", ms(6000), Some(5), 1, true),
+        case("one target, which expired", ms(6000), Some(1), 1, false),
+    ];
+    for case in cases {
+        let gap = Gap {
+            duration: case.duration,
+            changes: case.changes,
+            targets: case.targets,
+        };
+        assert_eq!(
+            gap.was_store_available(HEARTBEAT_INTERVAL),
+            case.was_available,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::grace::Grace;
 use control::notice::Notice;
 use control::router::config::{
     Config,
@@ -538,7 +539,7 @@
 
     router.step(Event::TargetUnlisted {
         id: "e2".into(),
-        grace: Duration::ZERO,
+        grace: Grace::NONE,
     });
     let (token, _) = router.receive_with("chat", |request| request.fingerprint = 99);
     router.begin_answer(token);
@@ -612,7 +613,7 @@
             change: |r| {
                 r.step(Event::TargetUnlisted {
                     id: "e1".into(),
-                    grace: Duration::ZERO,
+                    grace: Grace::NONE,
                 });
             },
         },
@@ -810,7 +811,7 @@
     for id in ["d1", "d2"] {
         router.step(Event::TargetUnlisted {
             id: id.into(),
-            grace: ms(2500),
+            grace: Grace::of(ms(2500)),
         });
     }
     router.now += ms(1500);
@@ -950,7 +951,7 @@
     let unlisted: fn(&mut TestRouter, TargetEntry) = |router, entry| {
         router.step(Event::TargetUnlisted {
             id: entry.id,
-            grace: ms(500),
+            grace: Grace::of(ms(500)),
         });
         router.now += ms(600);
         router.step(Event::Tick);
@@ -986,7 +987,7 @@
                 router.step(Event::Tick);
                 router.step(Event::TargetUnlisted {
                     id: entry.id,
-                    grace: Duration::ZERO,
+                    grace: Grace::NONE,
                 });
             },
             Outcome::IdleTimeout,
@@ -1011,7 +1012,7 @@
                 router.step(Event::CallerDisconnected(token));
                 router.step(Event::TargetUnlisted {
                     id: entry.id,
-                    grace: Duration::ZERO,
+                    grace: Grace::NONE,
                 });
             },
             Outcome::IdleTimeout,
@@ -1025,7 +1026,7 @@
                 router.step(Event::TargetListed(entry));
                 router.step(Event::TargetUnlisted {
                     id,
-                    grace: Duration::ZERO,
+                    grace: Grace::NONE,
                 });
             },
             Outcome::IdleTimeout,
@@ -1043,7 +1044,7 @@
             if case.outcome == lost {
                 router.step(Event::TargetUnlisted {
                     id: listed.id.clone(),
-                    grace: Duration::ZERO,
+                    grace: Grace::NONE,
                 });
             }
             router.end_exchange(token, case.outcome);
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -11,6 +11,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::grace::{
+    Gap,
+    Grace, //
+};
 use control::router::config::Config;
 use control::router::lease::SourceStatus;
 use control::router::targets::TargetEntry;
@@ -147,15 +151,15 @@
     pub call_interval: Duration,
     /// The shortest delay after a failure; a random part of up to the same length is added.
     pub retry_delay: Duration,
-    /// How long a target that was unlisted while the source was unavailable may be missing before
-    /// it counts as removed. A target that still exists is listed again within two seconds after
-    /// the source recovers.
+    /// How often a target writes its entry.
+    pub heartbeat_interval: Duration,
+    /// How long a target whose entry expired while the source was away may be missing before it
+    /// counts as removed. A target that still exists is listed again within two seconds after the
+    /// source recovers.
     pub outage_grace: Duration,
-    /// The same for a target that was unlisted soon after the source recovered, or while its
-    /// history was dropped. Such a target may really have been removed, so this is shorter.
+    /// The same for a target that was unlisted after the source recovered, or while its history was
+    /// dropped. Such a target may really have been removed, so this is shorter.
     pub recovery_grace: Duration,
-    /// How long after the recovery of the source `recovery_grace` applies.
-    pub recovery_time: Duration,
     /// How long a source that was restored from a copy may lack what was published before. Until
     /// then, what it lacks counts as lost, and nothing is confirmed as current.
     pub settle_time: Duration,
@@ -170,9 +174,9 @@
             max_wait: Duration::from_millis(400),
             call_interval: Duration::from_millis(600),
             retry_delay: Duration::from_millis(250),
+            heartbeat_interval: Duration::from_millis(1200),
             outage_grace: Duration::from_millis(2500),
             recovery_grace: Duration::from_millis(800),
-            recovery_time: Duration::from_millis(1500),
             settle_time: Duration::from_millis(2500),
             max_history_age: Duration::from_millis(2000),
         }
@@ -187,7 +191,7 @@
         /// The value.
         value: PublishedValue,
         /// How long to wait for an unlisted target to be listed again.
-        grace: Duration,
+        grace: Grace,
         /// The value was published after this time: the last confirmed call was sent then, and its
         /// answer did not have the value. `None` if there was no such call.
         published_after: Option<Duration>,
@@ -197,7 +201,7 @@
         /// The listed targets.
         names: Vec<Name>,
         /// How long to wait for other targets to be listed again.
-        grace: Duration,
+        grace: Grace,
     },
     /// All values published before this time were reported.
     Confirmed(Duration),
@@ -262,13 +266,11 @@
     }
 }
 
-/// A time in which the source gave no answers to this process.
+/// The grace period that began when the source recovered from an outage.
 #[derive(Clone, Copy, Debug)]
-struct Gap {
-    /// From the last answer to the sending of the next call that was answered.
-    duration: Duration,
-    /// The number of changes to the source meanwhile.
-    changes: u64,
+struct Recovery {
+    began_at: Duration,
+    grace: Grace,
 }
 
 /// The state of following a source.
@@ -287,16 +289,20 @@
     disabled_data_centres: BTreeSet<Name>,
     /// When the last call was sent whose answer was complete.
     complete_since: Option<Duration>,
-    /// Whether a call failed since the last response.
-    has_failed: bool,
-    /// When the source first responded after a failure, or dropped its history.
-    recovered_at: Option<Duration>,
+    /// When the last call was sent that failed, if one did since the last response.
+    failed_call_sent_at: Option<Duration>,
+    /// Whether the source dropped its history since the last response.
+    is_history_dropped: bool,
+    /// Set after an outage in which entries of targets may have expired.
+    recovery: Option<Recovery>,
+    /// The targets that are listed.
+    listed_targets: BTreeSet<Name>,
     /// How the source was last reported to respond.
     status: SourceStatus,
     /// When the last response was complete, and its revision.
     answered_at: Option<Duration>,
-    /// The revision of the last response.
-    answered_revision: u64,
+    /// The revision of the last response, if later ones can be compared with it.
+    answered_revision: Option<u64>,
     /// The version of the last configuration.
     config_version: Option<u64>,
     /// The newest reported version of each model's weights.
@@ -328,11 +334,13 @@
         settles_at: None,
         disabled_data_centres: BTreeSet::new(),
         complete_since: None,
-        has_failed: false,
-        recovered_at: None,
+        failed_call_sent_at: None,
+        is_history_dropped: false,
+        recovery: None,
+        listed_targets: BTreeSet::new(),
         status: SourceStatus::Answering,
         answered_at: None,
-        answered_revision: 0,
+        answered_revision: None,
         config_version: None,
         model_versions: BTreeMap::new(),
         unreadable: BTreeSet::new(),
@@ -364,9 +372,7 @@
         match result {
             Ok(changes) => self.handle_answer(sent_at, changes, is_full_read, verified_revision),
             Err(SourceError::HistoryDropped) => {
-                // The next full read shows which entries were removed meanwhile, but may itself
-                // see an incomplete list, so missing targets get a grace period.
-                self.recovered_at = Some(self.elapsed());
+                self.is_history_dropped = true;
                 self.revision = None;
                 Duration::ZERO
             }
@@ -376,7 +382,7 @@
                 Duration::ZERO
             }
             Err(e) => {
-                self.has_failed = true;
+                self.failed_call_sent_at = Some(sent_at);
                 self.report_down(&e);
                 self.options
                     .retry_delay
@@ -400,7 +406,7 @@
         let former_era = self.era.replace(changes.era);
         let is_restored = former_era.is_some_and(|era| era != changes.era);
         if is_restored {
-            self.handle_restore(changes.era);
+            self.handle_restore(sent_at, changes.era);
         }
         if is_restored && !is_full_read {
             // Changes since an earlier era's revision are incomplete.
@@ -421,11 +427,13 @@
         self.must_read_all =
             has_all_changes == Some(false) || self.is_series_of_versions(&changes, is_full_read);
         let gap = self.gap_before(sent_at, revision);
+        let grace = self.grace_after(gap);
         self.answered_at = Some(self.elapsed());
-        self.answered_revision = revision;
-        self.report_changes(changes, is_full_read);
+        self.answered_revision = Some(revision);
+        self.report_changes(changes, is_full_read, grace);
         (self.on_event)(FeedEvent::Answered(answer));
-        self.has_failed = false;
+        self.failed_call_sent_at = None;
+        self.is_history_dropped = false;
         if is_complete {
             self.confirm(sent_at, answer);
         }
@@ -443,7 +451,10 @@
         let answered_at = self.answered_at.unwrap_or(sent_at);
         Gap {
             duration: sent_at.saturating_sub(answered_at),
-            changes: revision.saturating_sub(self.answered_revision),
+            changes: self
+                .answered_revision
+                .map(|known| revision.saturating_sub(known)),
+            targets: self.listed_targets.len(),
         }
     }
 
@@ -512,10 +523,11 @@
 
     /// Handles that the source was restored from a copy, which lacks the latest values until they
     /// are published again.
-    fn handle_restore(&mut self, era: u64) {
+    fn handle_restore(&mut self, sent_at: Duration, era: u64) {
         self.settles_at = Some(self.elapsed() + self.options.settle_time);
         // Targets that the copy lacks are kept as after an outage.
-        self.has_failed = true;
+        self.failed_call_sent_at = Some(sent_at);
+        self.answered_revision = None;
         self.status = SourceStatus::Failing;
         metrics::counter!("medlarproxy_platform_restores_total").increment(1);
         let detail = format!("restored from a copy, era {era}");
@@ -535,8 +547,7 @@
         }
     }
 
-    fn report_changes(&mut self, changes: PublishedChanges, is_full_read: bool) {
-        let grace = self.grace_period();
+    fn report_changes(&mut self, changes: PublishedChanges, is_full_read: bool, grace: Grace) {
         let mut listed: Vec<Name> = Vec::new();
         let mut disabled: BTreeSet<Name> = BTreeSet::new();
         let mut unreadable: BTreeSet<OperatorDocument> = BTreeSet::new();
@@ -555,6 +566,7 @@
         }
         if is_full_read {
             self.unreadable = unreadable;
+            self.listed_targets = listed.iter().cloned().collect();
             (self.on_event)(FeedEvent::FullTargetList {
                 names: listed,
                 grace,
@@ -571,26 +583,49 @@
         self.revision = Some(changes.revision.max(self.revision.unwrap_or_default()));
     }
 
-    /// How long to wait for a target to be listed again that is missing from this response.
-    fn grace_period(&mut self) -> Duration {
+    /// How long to wait for targets to be listed again that are missing from a response after this
+    /// gap.
+    fn grace_after(&mut self, gap: Gap) -> Grace {
         let now = self.elapsed();
-        if self.has_failed {
-            self.recovered_at = Some(now);
-            return self.options.outage_grace;
+        let options = &self.options;
+        if let Some(failed_call_sent_at) = self.failed_call_sent_at {
+            let is_own_outage = gap.was_store_available(options.heartbeat_interval);
+            // The source returned after the last failed call was sent at the earliest.
+            let each = failed_call_sent_at + options.outage_grace;
+            self.recovery = (!is_own_outage).then_some(Recovery {
+                began_at: now,
+                grace: Grace {
+                    each: each.saturating_sub(now),
+                    majority: options.outage_grace,
+                },
+            });
+            return self.recovery.map_or(Grace::NONE, |recovery| recovery.grace);
         }
-        let is_recent = |time: Duration| now.saturating_sub(time) < self.options.recovery_time;
-        if self.recovered_at.is_some_and(is_recent) {
-            self.options.recovery_grace
-        } else {
-            Duration::ZERO
+        let after_recovery = self.recovery.map_or(Grace::NONE, |recovery| {
+            let left = recovery.grace.after(now.saturating_sub(recovery.began_at));
+            left.min(Grace::of(options.recovery_grace))
+        });
+        if self.is_history_dropped {
+            let majority = options.recovery_grace;
+            return Grace {
+                majority,
+                ..after_recovery
+            };
         }
+        after_recovery
     }
 
-    fn report_value(&mut self, value: PublishedValue, grace: Duration) {
+    fn report_value(&mut self, value: PublishedValue, grace: Grace) {
         if let Some(document) = OperatorDocument::of(&value) {
             self.unreadable.remove(&document);
         }
         match &value {
+            PublishedValue::Target(entry) => {
+                self.listed_targets.insert(entry.id.clone());
+            }
+            PublishedValue::TargetRemoved(id) => {
+                self.listed_targets.remove(id);
+            }
             // Reading it again does not show when it was published.
             PublishedValue::ModelVersion(model, version) => {
                 let known = self.model_versions.entry(model.clone()).or_default();
@@ -631,8 +666,8 @@
             let detail = "settles after it was restored";
             (SourceStatus::Failing, detail.into())
         } else {
-            let Gap { duration, changes } = gap;
-            let gap_ms = millis(duration);
+            let gap_ms = millis(gap.duration);
+            let changes = gap.changes.unwrap_or_default();
             let detail = format!("answers again after {gap_ms} ms and {changes} changes");
             (SourceStatus::Answering, detail.into())
         };
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -27,6 +27,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::grace::Grace;
 use control::router::config::CallerLimits;
 use control::router::{
     Effect,
@@ -267,7 +268,7 @@
 
 fn to_event(
     value: PublishedValue,
-    grace: Duration,
+    grace: Grace,
     published_after: Option<Duration>,
 ) -> Option<Event> {
     let event = match value {
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -80,7 +80,14 @@
     let receiver = router.clone();
     let clock = process.clock.clone();
     let handle_event = move |event| receiver.handle_feed_event(event);
-    let follow_task = feed::follow_source(clock, source, FeedOptions::default(), handle_event);
+    let default_options = FeedOptions::default();
+    let feed_options = FeedOptions {
+        heartbeat_interval: settings
+            .heartbeat_interval
+            .unwrap_or(default_options.heartbeat_interval),
+        ..default_options
+    };
+    let follow_task = feed::follow_source(clock, source, feed_options, handle_event);
     tokio::task::spawn_local(follow_task);
     let timer = router.clone();
     tokio::task::spawn_local(async move { timer.run_timer().await });
