No requests to a missing engine whose agent does not answer either

In the incident the instance of the engine was stopped 0.3 s after the engine had said that it leaves. Its agent refused connections, which an entry takes for a restart of the agent, so it sent the request without a reservation.

Change: a target whose entry is missing and whose agent does not answer is not eligible. A listed target whose agent restarts gets requests as before, and so does a missing one whose agent answers.

Result: a_missing_engine_whose_agent_is_gone_gets_no_requests fails without the change and passes with it.

--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -464,7 +464,11 @@
     requirements: &Requirements<'_>,
 ) -> bool {
     let entry = &target.entry;
-    if target.is_leaving() || entry.has_no_weights || target.is_switching {
+    if target.is_leaving()
+        || target.has_probably_left()
+        || entry.has_no_weights
+        || target.is_switching
+    {
         return false;
     }
     if out_data_centres.contains(&entry.data_centre)
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -166,6 +166,11 @@
         self.entry.is_draining || self.notice.is_leaving()
     }
 
+    /// Whether the entry of the target is missing and its agent does not answer either.
+    pub fn has_probably_left(&self) -> bool {
+        self.missing.is_some() && self.is_agent_unreachable
+    }
+
     /// Whether the target is in cold start, in which it can handle fewer requests.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.cold_until
--- a/components/control/tests/missing_targets.rs
+++ b/components/control/tests/missing_targets.rs
@@ -28,6 +28,7 @@
     clock,
     engine_service,
     options,
+    request,
     route,
     target, //
 };
@@ -45,6 +46,7 @@
     state: State,
     now: Duration,
     decisions: Vec<Decision>,
+    last_token: u64,
 }
 
 impl TestRouter {
@@ -73,6 +75,7 @@
             state: State::new(options(retry_limit, 1)),
             now: START,
             decisions: Vec::new(),
+            last_token: 0,
         };
         router.step(Event::ConfigRead(Arc::new(config)));
         for entry in entries {
@@ -109,6 +112,17 @@
         let targets = self.state.targets().iter();
         targets.map(|t| t.entry.id.to_string()).collect()
     }
+
+    /// Receives a request for an engine, and returns whether it was sent without a reply of the agent.
+    fn is_sent_without_agent(&mut self) -> bool {
+        self.last_token += 1;
+        let token = self.last_token;
+        let mut request = request(token, "/chat/x");
+        request.prompt_and_max_answer_tokens = Some((100, 100));
+        let mut effects = self.step(Event::RequestReceived(request));
+        effects.extend(self.step(Event::AgentRefused(token)));
+        effects.iter().any(|e| matches!(e, Effect::Forward(..)))
+    }
 }
 
 fn plain_targets(ids: &[&str]) -> Vec<TargetEntry> {
@@ -212,6 +226,37 @@
     assert_eq!(lines.count(), 1, "{:?}", router.decisions);
 }
 
+/// Guards against requests to an engine that left together with its agent.
+#[test]
+fn a_missing_engine_whose_agent_is_gone_gets_no_requests() {
+    struct Case {
+        name: &'static str,
+        is_listed: bool,
+        is_sent: bool,
+    }
+    let cases = [
+        Case {
+            name: "the agent restarts",
+            is_listed: true,
+            is_sent: true,
+        },
+        Case {
+            name: "the entry is missing too",
+            is_listed: false,
+            is_sent: false,
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new([target("e1", "engines", "a")]);
+        let listed: &[&str] = if case.is_listed { &["e1"] } else { &[] };
+        router.read_list(listed, Grace::of(ms(2500)));
+        for attempt in ["first", "while the agent is not asked"] {
+            let is_sent = router.is_sent_without_agent();
+            assert_eq!(is_sent, case.is_sent, "{}, {attempt}", case.name);
+        }
+    }
+}
+
 /// Guards against an outage of one process that is taken for one of the store, and the reverse.
 #[test]
 fn changes_to_the_store_tell_an_outage_of_one_process_from_one_of_the_store() {
