Only an agent that has ended shows that a missing engine left

A silent agent may be behind a full link, and after an outage of the store all entries may be missing at once: an entry would then reject callers until the engines are listed again. An engine on an instance without power gets no requests either way. So only a refused connection counts.

--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -220,6 +220,11 @@
             self.handle_limit(now, token, limit, effects);
         }
         if let Some(target) = self.targets.get_mut(&id) {
+            target.has_agent_ended = match answer {
+                AgentAnswer::Reply(_) => false,
+                AgentAnswer::Refused => true,
+                AgentAnswer::Silent => target.has_agent_ended,
+            };
             match reply {
                 Some(reply) => {
                     target.load.apply_backlog(now, reply.backlog, prompt_tokens);
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -101,6 +101,8 @@
     pub agent_silent_until: Duration,
     /// Whether its agent did not answer the last reservation request.
     pub is_agent_unreachable: bool,
+    /// Whether its instance answered the last reservation request that there is no agent.
+    pub has_agent_ended: bool,
     /// When its agent last reported its version.
     pub agent_reported_at: Option<Duration>,
     /// When an exchange of crashes with its agent last failed.
@@ -129,6 +131,7 @@
             agent_backoff_until: Duration::ZERO,
             agent_silent_until: Duration::ZERO,
             is_agent_unreachable: false,
+            has_agent_ended: false,
             agent_reported_at: None,
             agent_failed_at: None,
             missing: None,
@@ -166,9 +169,10 @@
         self.entry.is_draining || self.notice.is_leaving()
     }
 
-    /// Whether the entry of the target is missing and its agent does not answer either.
+    /// Whether the entry of the target is missing and its agent has ended too. An agent that is only
+    /// silent may be behind a full link.
     pub fn has_probably_left(&self) -> bool {
-        self.missing.is_some() && self.is_agent_unreachable
+        self.missing.is_some() && self.has_agent_ended
     }
 
     /// Whether the target is in cold start, in which it can handle fewer requests.
--- a/components/control/tests/missing_targets.rs
+++ b/components/control/tests/missing_targets.rs
@@ -114,13 +114,17 @@
     }
 
     /// Receives a request for an engine, and returns whether it was sent without a reply of the agent.
-    fn is_sent_without_agent(&mut self) -> bool {
+    fn is_sent_without_agent(&mut self, is_agent_silent: bool) -> bool {
         self.last_token += 1;
         let token = self.last_token;
         let mut request = request(token, "/chat/x");
         request.prompt_and_max_answer_tokens = Some((100, 100));
         let mut effects = self.step(Event::RequestReceived(request));
-        effects.extend(self.step(Event::AgentRefused(token)));
+        effects.extend(self.step(if is_agent_silent {
+            Event::ReservationReply { token, reply: None }
+        } else {
+            Event::AgentRefused(token)
+        }));
         effects.iter().any(|e| matches!(e, Effect::Forward(..)))
     }
 }
@@ -232,26 +236,35 @@
     struct Case {
         name: &'static str,
         is_listed: bool,
+        is_agent_silent: bool,
         is_sent: bool,
     }
     let cases = [
         Case {
             name: "the agent restarts",
             is_listed: true,
+            is_agent_silent: false,
             is_sent: true,
         },
         Case {
             name: "the entry is missing too",
             is_listed: false,
+            is_agent_silent: false,
             is_sent: false,
         },
+        Case {
+            name: "the entry is missing, and the agent may be behind a full link",
+            is_listed: false,
+            is_agent_silent: true,
+            is_sent: true,
+        },
     ];
     for case in cases {
         let mut router = TestRouter::new([target("e1", "engines", "a")]);
         let listed: &[&str] = if case.is_listed { &["e1"] } else { &[] };
         router.read_list(listed, Grace::of(ms(2500)));
         for attempt in ["first", "while the agent is not asked"] {
-            let is_sent = router.is_sent_without_agent();
+            let is_sent = router.is_sent_without_agent(case.is_agent_silent);
             assert_eq!(is_sent, case.is_sent, "{}, {attempt}", case.name);
         }
     }
