Limits in an agent's reply count from the call, not from its arrival

A limit that a target names is passed on with its age. The age did not include the way of the message, so a reply that waited two seconds on a full link outranked what the target had said since.

Change: a limit in a reply counts from when the call was sent, which is before the reply was written. Messages to agents have no such bound; they remain as they are.

--- a/components/control/src/notice.rs
+++ b/components/control/src/notice.rs
@@ -49,11 +49,11 @@
             || was_paused != self.is_paused(now)
     }
 
-    /// Takes over the limit that another process knows. Returns whether it differs from the one
-    /// before.
-    pub fn merge(&mut self, now: Duration, other: AgedLimit) -> bool {
+    /// Takes over the limit that another process knows, from a message that was written after
+    /// `written_after`. Returns whether it differs from the one before.
+    pub fn merge(&mut self, written_after: Duration, other: AgedLimit) -> bool {
         let age = Duration::from_millis(other.age_ms);
-        self.set_limit(now.saturating_sub(age), other.requests_per_second)
+        self.set_limit(written_after.saturating_sub(age), other.requests_per_second)
     }
 
     /// Replaces the limit by one that the target named at `given_at`, unless a later one is known.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -82,15 +82,17 @@
         self.update_notice(now, token, effects, |known| known.update(now, notice));
     }
 
-    /// Adds the limit that an agent knows the target of a request to name.
+    /// Adds the limit that an agent knows the target of a request to name, from a reply to a call that
+    /// was sent at `called_at`.
     pub(super) fn handle_limit(
         &mut self,
         now: Duration,
+        called_at: Duration,
         token: u64,
         limit: AgedLimit,
         effects: &mut Vec<Effect>,
     ) {
-        self.update_notice(now, token, effects, |known| known.merge(now, limit));
+        self.update_notice(now, token, effects, |known| known.merge(called_at, limit));
     }
 
     /// Changes what is known of the target of a request, and records it if `change` returns true.
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -217,7 +217,7 @@
         let is_answered = answer != AgentAnswer::Silent;
         self.update_path(now, &id, requested_at, is_answered, has_waited);
         if let Some(limit) = reply.and_then(|reply| reply.limit) {
-            self.handle_limit(now, token, limit, effects);
+            self.handle_limit(now, requested_at, token, limit, effects);
         }
         if let Some(target) = self.targets.get_mut(&id) {
             target.has_agent_ended = match answer {
--- a/components/control/tests/missing_targets.rs
+++ b/components/control/tests/missing_targets.rs
@@ -11,6 +11,7 @@
     Gap,
     Grace, //
 };
+use control::notice::Notice;
 use control::router::config::{
     Config,
     Repeatability,
@@ -20,9 +21,15 @@
 use control::router::{
     Effect,
     Event,
+    ReservationReply,
     RetryLimit,
     State, //
 };
+use protocol::{
+    AgedLimit,
+    Backlog,
+    EngineCondition, //
+};
 use record::Decision;
 use routers::{
     clock,
@@ -113,13 +120,24 @@
         targets.map(|t| t.entry.id.to_string()).collect()
     }
 
-    /// Receives a request for an engine, and returns whether it was sent without a reply of the agent.
-    fn is_sent_without_agent(&mut self, is_agent_silent: bool) -> bool {
+    fn receive(&mut self, route: &str) -> (u64, Vec<Effect>) {
         self.last_token += 1;
         let token = self.last_token;
-        let mut request = request(token, "/chat/x");
-        request.prompt_and_max_answer_tokens = Some((100, 100));
-        let mut effects = self.step(Event::RequestReceived(request));
+        let mut request = request(token, &format!("/{route}/x"));
+        request.prompt_and_max_answer_tokens = (route == "chat").then_some((100, 100));
+        (token, self.step(Event::RequestReceived(request)))
+    }
+
+    /// Receives a request for an engine, whose agent is asked. Returns its token.
+    fn receive_at_engine(&mut self) -> u64 {
+        let (token, effects) = self.receive("chat");
+        assert!(effects.iter().any(|e| matches!(e, Effect::Reserve(..))));
+        token
+    }
+
+    /// Receives a request for an engine, and returns whether it was sent without a reply of the agent.
+    fn is_sent_without_agent(&mut self, is_agent_silent: bool) -> bool {
+        let (token, mut effects) = self.receive("chat");
         effects.extend(self.step(if is_agent_silent {
             Event::ReservationReply { token, reply: None }
         } else {
@@ -270,6 +288,67 @@
     }
 }
 
+/// Guards against a limit that a target has changed, and that a late reply of its agent brings back.
+#[test]
+fn a_late_reply_of_an_agent_does_not_outrank_what_the_target_said_since() {
+    struct Case {
+        name: &'static str,
+        /// The time from the call to the reply, in which the target answers another request.
+        delay: Duration,
+        age_ms: u64,
+        expected: Option<f64>,
+    }
+    let cases = [
+        Case {
+            name: "written before the answer",
+            delay: ms(2000),
+            age_ms: 100,
+            expected: Some(2.0),
+        },
+        Case {
+            name: "named after the answer",
+            delay: ms(0),
+            age_ms: 0,
+            expected: Some(50.0),
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new([target("e1", "engines", "a")]);
+        let answered = router.receive_at_engine();
+        router.step(Event::AgentRefused(answered));
+        router.now += ms(1100);
+        let waiting = router.receive_at_engine();
+        router.now += case.delay / 2;
+        router.step(Event::ResponseHead {
+            token: answered,
+            load: None,
+            cold_remaining: None,
+            version: Some(1),
+            notice: Some(Notice {
+                requests_per_second: Some(2.0),
+                ..Notice::default()
+            }),
+        });
+        router.now += case.delay / 2;
+        let reply = ReservationReply {
+            backlog: Backlog::default(),
+            accepts_requests: true,
+            limit: Some(AgedLimit {
+                requests_per_second: Some(50.0),
+                age_ms: case.age_ms,
+            }),
+            condition: EngineCondition::default(),
+        };
+        router.step(Event::ReservationReply {
+            token: waiting,
+            reply: Some(reply),
+        });
+        let target = router.state.targets().get("e1").unwrap();
+        let limit = target.notice.requests_per_second();
+        assert_eq!(limit, case.expected, "{}", case.name);
+    }
+}
+
 /// Guards against an outage of one process that is taken for one of the store, and the reverse.
 #[test]
 fn changes_to_the_store_tell_an_outage_of_one_process_from_one_of_the_store() {
