A target that left is not used again because a restored list names it

A store that is restored from a copy lists targets that left since the copy was made, as ready. A process that still knew the target kept it as leaving, but one that had removed it took it as new.

Change: targets that said that they leave and were removed are remembered for a minute by their start. A later start of the same name is used, and so is a target that names no start.

--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -233,16 +233,33 @@
     Unchanged,
 }
 
+/// How long a target that left is remembered. The platform's store is restored from copies that are
+/// seconds old.
+const LEFT_MEMORY_TIME: Duration = Duration::from_secs(60);
+
+/// A target that said that it leaves, and was removed.
+#[derive(Clone, Copy, Debug)]
+struct LeftTarget {
+    started_at_ms: u64,
+    removed_at: Duration,
+}
+
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     by_id: BTreeMap<Name, Target>,
+    /// Targets that are not used again if a restored list names them.
+    left: BTreeMap<Name, LeftTarget>,
 }
 
 impl Targets {
     /// Adds or updates a target from its entry in the list.
     pub fn update(&mut self, now: Duration, entry: TargetEntry) -> EntryChange {
         let Some(target) = self.by_id.get_mut(&entry.id) else {
+            let left = self.left.get(&entry.id);
+            if left.is_some_and(|left| entry.started_at_ms <= left.started_at_ms) {
+                return EntryChange::Unchanged;
+            }
             let id = entry.id.clone();
             self.by_id.insert(id, Target::new(now, entry));
             return EntryChange::Added;
@@ -292,8 +309,20 @@
     }
 
     /// Removes a target and returns it, if it was known.
-    pub fn remove(&mut self, id: &str) -> Option<Target> {
-        self.by_id.remove(id)
+    pub fn remove(&mut self, now: Duration, id: &str) -> Option<Target> {
+        let target = self.by_id.remove(id)?;
+        self.left
+            .retain(|_, left| now.saturating_sub(left.removed_at) < LEFT_MEMORY_TIME);
+        // Without a start time, a later start of the target could not be told from this one.
+        let started_at_ms = target.entry.started_at_ms;
+        if target.is_leaving() && started_at_ms > 0 {
+            let left = LeftTarget {
+                started_at_ms,
+                removed_at: now,
+            };
+            self.left.insert(target.entry.id.clone(), left);
+        }
+        Some(target)
     }
 
     /// Schedules the removal of a target that is missing, unless one is scheduled already. Returns
@@ -316,7 +345,7 @@
             .filter(|target| self.is_expired(now, target))
             .map(|target| target.entry.id.clone())
             .collect();
-        let removed = expired.iter().filter_map(|id| self.by_id.remove(id));
+        let removed = expired.iter().filter_map(|id| self.remove(now, id));
         removed.collect()
     }
 
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -119,7 +119,7 @@
         if !grace.is_none() {
             self.keep_missing_target(now, id, grace, effects);
             self.remove_missing_targets(now, effects);
-        } else if let Some(target) = self.targets.remove(id) {
+        } else if let Some(target) = self.targets.remove(now, id) {
             self.handle_target_removed(now, &target, "taken off the list", effects);
         }
     }
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::grace::Grace;
 use control::notice::Notice;
 use control::router::config::{
     Config,
@@ -359,6 +360,42 @@
     assert_eq!(targets, ["d1", "d2"]);
 }
 
+/// Guards against a target that left and is used again, since the store was restored from a copy that
+/// is older.
+#[test]
+fn target_that_left_is_not_used_again_because_a_restored_list_names_it() {
+    struct Case {
+        name: &'static str,
+        listed: TargetEntry,
+        expected: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "the same start",
+            listed: entry("d1", 1),
+            expected: &["d2"],
+        },
+        Case {
+            name: "a later start",
+            listed: entry("d1", 2),
+            expected: &["d1", "d2"],
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new();
+        let mut draining = entry("d1", 1);
+        draining.is_draining = true;
+        router.step(Event::TargetListed(draining));
+        router.step(Event::TargetUnlisted {
+            id: "d1".into(),
+            grace: Grace::NONE,
+        });
+        router.step(Event::TargetListed(case.listed));
+        let targets: Vec<String> = router.targets_of_requests().into_iter().flatten().collect();
+        assert_eq!(targets, case.expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn repeats_and_resumed_streams_avoid_targets_that_leave() {
     for (route, has_started) in [("look", false), ("chat", true)] {
