--- a/components/control/tests/distance.rs
+++ b/components/control/tests/distance.rs
@@ -250,7 +250,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut targets = targets(now, &mut rng);
         for index in (2..60).step_by(3) {
-            targets.remove(&format!("e{index}"));
+            targets.remove(now, &format!("e{index}"));
         }
         let requirements = requirements(&service, ms(400));
         let mut spillover = Spillover::default();
