An odd entry of another writer does not end those who read the list

Report of another operator: one entry among those of the engines, very deeply nested, with a number too large or with a port out of range, and the machines that read the list ended or no longer followed it.

It can happen here. Platform: a cold start of nearly 2^64 seconds is added to the clock, which overflows once the clock shows half an hour; four thousand million slots overflow in the limit of a target, which ends the request in a checked build and makes the target look idle in others. Depth, ports and numbers that do not fit were left out already. Own interface: one unreadable instance made the whole update of the list unreadable, so that the process stopped following it; and a sheet whose home horizon lies beyond the end of time was accepted, and overflows when it is added to the time of its publication.

Instances of the own list are decoded one by one. A home horizon is a year at most.

--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -517,9 +517,9 @@
 /// How many requests a warm target with `slots` may have at once, unless a lower limit was learned.
 pub(super) fn max_requests(slots: u32, service: &Service) -> u32 {
     if service.engine_profile.is_some() {
-        slots + ENGINE_QUEUED_REQUESTS
+        slots.saturating_add(ENGINE_QUEUED_REQUESTS)
     } else {
-        slots * PLAIN_REQUESTS_PER_SLOT
+        slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT)
     }
 }
 
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -1,5 +1,6 @@
 //! The messages that processes exchange, and the outcomes of requests.
 
+mod instance_list;
 mod message;
 mod outcome;
 mod reservation;
--- a/components/proxy/src/platform_client.rs
+++ b/components/proxy/src/platform_client.rs
@@ -106,7 +106,7 @@
         let text = self
             .get(self.instance_list, &path, RESPONSE_TIMEOUT)
             .await?;
-        serde_json::from_slice(&text).map_err(|e| ProxyError::Decode(e.to_string()))
+        InstanceListUpdate::from_json(&text).map_err(|e| ProxyError::Decode(e.to_string()))
     }
 
     async fn get(
--- a/components/sheet/src/validate.rs
+++ b/components/sheet/src/validate.rs
@@ -16,6 +16,9 @@
 
 const MAX_COLD_TIME: Duration = Duration::from_secs(3600);
 
+/// A year.
+const MAX_HOME_HORIZON: Duration = Duration::from_secs(365 * 24 * 3600);
+
 /// Validates a sheet. Only its own content counts, so that every process accepts the same sheets.
 pub(crate) fn check(sheet: &Sheet) -> Result<(), SheetError> {
     if sheet.version == 0 {
@@ -24,6 +27,13 @@
     if sheet.data_centres.is_empty() {
         return Err(SheetError::value("data_centres", "{}", "at least one"));
     }
+    if sheet.home_horizon > MAX_HOME_HORIZON {
+        return Err(SheetError::value(
+            "home_horizon",
+            humantime::format_duration(sheet.home_horizon),
+            "up to 365days",
+        ));
+    }
     check_origin_region(sheet)?;
     let mut known_instances = BTreeMap::new();
     for (name, model) in &sheet.models {
--- a/components/sheet/tests/documents.rs
+++ b/components/sheet/tests/documents.rs
@@ -55,6 +55,18 @@
             to: "leavin:",
             message_parts: &["section sheet", "unknown field `leavin`", "line"],
         },
+        Case {
+            name: "home horizon beyond the end of time",
+            from: "origin_region: accra",
+            to: "origin_region: accra\nhome_horizon: 500000000000years",
+            message_parts: &["home_horizon", "up to 365days"],
+        },
+        Case {
+            name: "version out of range",
+            from: "version: 7",
+            to: "version: 18446744073709551616",
+            message_parts: &["version", "line"],
+        },
         Case {
             name: "wrong type",
             from: "cold_limit: 2",
@@ -218,3 +230,13 @@
         assert_eq!(result.is_ok(), case.allowed, "{}: {result:?}", case.name);
     }
 }
+
+/// Guards against a process that ends by an overflow of its stack.
+#[test]
+fn deeply_nested_documents_are_rejected() {
+    for depth in [200, 2000] {
+        let nested = "[".repeat(depth) + &"]".repeat(depth);
+        let text = VALID.replace("{share: 3}", &nested);
+        assert!(parse(&text).is_err(), "{depth} levels");
+    }
+}
