An unreadable version of an unused model does not prevent confirmation

Found while looking where an odd document of another writer could still act: one under the versions of weights, for a model that no service has, kept every process from confirming its configuration, so that all rejected callers.

Change: such a document counts only if a service of the configuration has the model, or a version of it was read before.

Result: unreadable_version_of_an_unused_model_does_not_prevent_confirmation fails on the commit before and passes.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -307,8 +307,10 @@
     config_version: Option<u64>,
     /// The newest reported version of each model's weights.
     model_versions: BTreeMap<Name, u64>,
-    /// Documents whose latest version cannot be read. Nothing is confirmed until it can.
+    /// Documents whose latest version cannot be read.
     unreadable: BTreeSet<OperatorDocument>,
+    /// The models of the services in the last configuration.
+    configured_models: BTreeSet<Name>,
     /// Whether the last call was to read all values and was not answered in time.
     has_slow_full_read: bool,
     /// Whether the next answer may be incomplete, so that the revision is read before it.
@@ -344,6 +346,7 @@
         config_version: None,
         model_versions: BTreeMap::new(),
         unreadable: BTreeSet::new(),
+        configured_models: BTreeSet::new(),
         has_slow_full_read: false,
         must_verify: false,
         must_read_all: false,
@@ -469,7 +472,7 @@
         let is_held = !answer.is_full_read && answer.values == 0 && answer.took >= max_wait;
         let held = if is_held { max_wait } else { Duration::ZERO };
         self.complete_since = Some(sent_at + held);
-        if self.unreadable.is_empty() {
+        if !self.lacks_document() {
             (self.on_event)(FeedEvent::Confirmed(sent_at));
         }
     }
@@ -583,6 +586,17 @@
         self.revision = Some(changes.revision.max(self.revision.unwrap_or_default()));
     }
 
+    /// Whether a document that is in use cannot be read. Nothing is confirmed until it can. The version
+    /// of a model that no service has may come from another writer.
+    fn lacks_document(&self) -> bool {
+        self.unreadable.iter().any(|document| match document {
+            OperatorDocument::Config => true,
+            OperatorDocument::ModelVersion(model) => {
+                self.configured_models.contains(model) || self.model_versions.contains_key(model)
+            }
+        })
+    }
+
     /// How long to wait for targets to be listed again that are missing from a response after this
     /// gap.
     fn grace_after(&mut self, gap: Gap) -> Grace {
@@ -626,6 +640,11 @@
             PublishedValue::TargetRemoved(id) => {
                 self.listed_targets.remove(id);
             }
+            PublishedValue::Config(config) => {
+                let services = config.services.values();
+                let profiles = services.filter_map(|service| service.engine_profile.as_ref());
+                self.configured_models = profiles.map(|engine| engine.model.clone()).collect();
+            }
             // Reading it again does not show when it was published.
             PublishedValue::ModelVersion(model, version) => {
                 let known = self.model_versions.entry(model.clone()).or_default();
@@ -659,7 +678,7 @@
     }
 
     fn report_up(&mut self, gap: Gap) {
-        let (status, detail) = if !self.unreadable.is_empty() {
+        let (status, detail) = if self.lacks_document() {
             let detail = "published a document that cannot be read";
             (SourceStatus::Failing, detail.into())
         } else if self.settles_at.is_some() {
