A response without the request's id is not believed

Report of another operator: a faulty engine wrote an earlier refusal once more on a kept connection. Callers were told 'not run' for requests that ran, or such a request ran at a second engine.

It can happen here on the platform: a response with the id of another request was not believed, but one without an id was, and the refusal of a request that ran was taken as its own. With its id, and right behind the first one, it does no harm.

Change: a response counts only if it has the id of the request. Targets return the id in all responses to requests that have one, as ours do.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -668,7 +668,6 @@
             PublishedValue::DataCentreEnabled(name) => {
                 self.disabled_data_centres.remove(name);
             }
-            _ => {}
         }
         (self.on_event)(FeedEvent::Published {
             value,
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -121,7 +121,8 @@
         };
         let (parts, body) = response.into_parts();
         let head = (self.inner.header_codec.read_response)(&parts, &forward_request.target);
-        if head.id.as_ref().is_some_and(|id| *id != caller_request.id) {
+        // Targets return the id of the request. A response without it may be one that was sent before.
+        if head.id.as_ref() != Some(&caller_request.id) {
             return Err(Outcome::Broken {
                 connection_lost: false,
             });
