A stream is continued by its rest alone

Report of another operator: a stream had begun and broke off, the next engine answered with an error, and clients found its text, at times its whole head, in the middle of their stream, or a stream that ended as if it were complete.

It can happen here on the platform: an answer with an error status was not taken as the rest, but any success was, so a page or a document with status 200, events that the caller already had, and an empty answer, which ended the stream as complete.

Change: only an answer of status 200 and type text/event-stream continues a stream, its ids go on behind the last one, and it has at least one event: an empty rest does not show that the stream was complete when it broke off. Anything else counts as broken, so another target is tried, and the connection is cut if there is none.

--- a/components/proxy/src/router/events.rs
+++ b/components/proxy/src/router/events.rs
@@ -27,6 +27,8 @@
 pub struct EventBatch {
     /// The unchanged bytes of the events.
     pub bytes: Bytes,
+    /// The id of the first event with a numeric id.
+    pub first_id: Option<u64>,
     /// The id of the last event with a numeric id.
     pub last_id: Option<u64>,
     /// The number of events that have an id.
@@ -40,16 +42,17 @@
         let end = self.end_of_last_event()?;
         let bytes = self.buf.split_to(end).freeze();
         self.scanned_bytes = 0;
-        let (last_id, count) = read_ids(&bytes);
-        self.bytes_without_id = if count == 0 {
+        let ids = read_ids(&bytes);
+        self.bytes_without_id = if ids.count == 0 {
             self.bytes_without_id + bytes.len()
         } else {
             0
         };
         Some(EventBatch {
             bytes,
-            last_id,
-            count,
+            first_id: ids.first,
+            last_id: ids.last,
+            count: ids.count,
         })
     }
 
@@ -84,18 +87,29 @@
     data.windows(pattern.len()).rposition(|w| w == pattern)
 }
 
-/// Returns the last numeric event id, and the number of events that have an id.
-fn read_ids(bytes: &[u8]) -> (Option<u64>, u32) {
-    let mut last_id = None;
-    let mut count = 0;
+/// The ids of consecutive events.
+#[derive(Default)]
+struct EventIds {
+    /// The first numeric id.
+    first: Option<u64>,
+    /// The last numeric id.
+    last: Option<u64>,
+    /// The number of events that have an id.
+    count: u32,
+}
+
+fn read_ids(bytes: &[u8]) -> EventIds {
+    let mut ids = EventIds::default();
     for line in bytes.split(|byte| *byte == b'\n') {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         let Some(id) = line.strip_prefix(b"id:") else {
             continue;
         };
         let id = std::str::from_utf8(id).ok();
-        last_id = id.and_then(|n| n.trim().parse().ok()).or(last_id);
-        count += 1;
+        let id = id.and_then(|n| n.trim().parse().ok());
+        ids.first = ids.first.or(id);
+        ids.last = id.or(ids.last);
+        ids.count += 1;
     }
-    (last_id, count)
+    ids
 }
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -7,7 +7,11 @@
     ForwardRequest,
     Outcome, //
 };
-use http::Response;
+use http::header::CONTENT_TYPE;
+use http::{
+    Response,
+    StatusCode, //
+};
 use http_body_util::combinators::BoxBody;
 use http_body_util::StreamBody;
 use hyper::body::{
@@ -34,6 +38,9 @@
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
 const MAX_BUFFERED_BATCHES: usize = 16;
 
+/// The content type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 type BodyPart = Result<Frame<Bytes>, BodyError>;
 
 /// The result of reading the next events of a stream.
@@ -98,6 +105,8 @@
         mut splitter: EventSplitter,
         tx: mpsc::Sender<BodyPart>,
     ) {
+        // Whether the present target has sent an event of the stream.
+        let mut has_events = true;
         loop {
             let result = tokio::select! {
                 result = self.read(&mut response.body, &mut splitter, &forward_request) => result,
@@ -105,16 +114,21 @@
             };
             let outcome = match result {
                 ReadResult::Events(batch) => {
+                    has_events |= batch.count > 0;
                     self.record_events(&batch);
                     if tx.send(Ok(Frame::data(batch.bytes))).await.is_err() {
                         return;
                     }
                     continue;
                 }
-                ReadResult::End => {
+                ReadResult::End if has_events => {
                     self.complete(response);
                     return;
                 }
+                // An empty rest does not show that the stream was complete when it broke off.
+                ReadResult::End => Outcome::Broken {
+                    connection_lost: false,
+                },
                 ReadResult::Failed(outcome) => outcome,
             };
             drop(response);
@@ -124,7 +138,10 @@
                 () = tx.closed() => return,
             };
             match resumed {
-                Some(resumed) => (response, forward_request) = resumed,
+                Some(resumed) => {
+                    (response, forward_request) = resumed;
+                    has_events = false;
+                }
                 None => {
                     // Fails only if the caller has disconnected.
                     let _disconnected = tx.send(Err(BodyError::Incomplete)).await;
@@ -151,7 +168,7 @@
                 )
                 .await;
             match result {
-                Ok(response) if response.parts.status.is_success() => {
+                Ok(response) if is_event_stream(&response) => {
                     return Some((response, forward_request))
                 }
                 Ok(_) => {
@@ -201,7 +218,12 @@
                 Err(outcome) => return ReadResult::Failed(outcome),
             };
             let batch = splitter.push(&part);
-            if splitter.is_too_long() {
+            let repeats_events = batch.as_ref().is_some_and(|batch| {
+                batch
+                    .first_id
+                    .is_some_and(|id| Some(id) <= self.last_event_id)
+            });
+            if splitter.is_too_long() || repeats_events {
                 return ReadResult::Failed(Outcome::Broken {
                     connection_lost: false,
                 });
@@ -213,6 +235,14 @@
     }
 }
 
+/// Whether a response may continue a stream. An error, or a success of another kind, may not.
+fn is_event_stream(response: &TargetResponse) -> bool {
+    let content_type = response.parts.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    response.parts.status == StatusCode::OK
+        && content_type.is_some_and(|value| value.starts_with(EVENT_STREAM))
+}
+
 /// Turns the receiver into a stream of body parts.
 fn as_stream(
     mut rx: mpsc::Receiver<BodyPart>,
