An agent takes a refusal for the request's own only with the request's id

Change: a refusal of an engine counts only with the id of the request. Other answers may lack it, unless the target has returned an id before. The stand-in engine returns the id with its refusals too.

--- a/components/control/src/agent/requests.rs
+++ b/components/control/src/agent/requests.rs
@@ -30,7 +30,7 @@
     NotSent,
     /// The target rejected the request before it started, since it cannot serve now.
     Declined,
-    /// The target sent the response of another request.
+    /// The target sent the response of another request, or one that may be.
     WrongResponse,
     /// The connection broke after the request was sent.
     ConnectionLost,
--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -173,6 +173,36 @@
     );
 }
 
+/// Guards against callers who are told that a request did not run, and against a second run, if a target
+/// writes an earlier refusal again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_refusal_is_not_reported_as_not_run() {
+    let fleet = fleet(2).await;
+    let (client, entries) = client(&fleet);
+    for target in fleet.targets().values() {
+        target.engine.set_faults(EngineFaults {
+            repeat_refusals: true,
+            ..EngineFaults::default()
+        });
+    }
+    let started = || -> u64 {
+        let targets = fleet.targets();
+        let counters = targets.values().map(|target| target.engine.counters());
+        counters.map(|c| c.started_requests).sum()
+    };
+    let mut told_unknown = 0;
+    for _ in 0..4 {
+        let before = started();
+        let response = client.complete(entries[0], "head-office", "p", 4).await;
+        match response {
+            Err(Failure::NotRun { .. }) => assert_eq!(started(), before, "{response:?}"),
+            Err(Failure::ErrorResponse { .. }) => told_unknown += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(told_unknown > 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_targets_crashes_at_most_two() {
     let fleet = fleet(6).await;
--- a/components/proxy/src/agent/mod.rs
+++ b/components/proxy/src/agent/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{
+    AtomicBool,
     AtomicU64,
     Ordering, //
 };
@@ -101,6 +102,8 @@
     cancel_signals: Mutex<HashMap<u64, Arc<Notify>>>,
     fetches: Mutex<HashMap<Piece, tokio::task::AbortHandle>>,
     drained: Notify,
+    /// Whether the target has returned the id of a request in a response.
+    target_returns_ids: AtomicBool,
 }
 
 /// A running agent.
@@ -158,6 +161,7 @@
             cancel_signals: Mutex::default(),
             fetches: Mutex::default(),
             drained: Notify::new(),
+            target_returns_ids: AtomicBool::new(false),
             node,
         });
         let control_thread = ControlThread {
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -1,5 +1,6 @@
 //! Runs callers' requests at the target and relays the responses to the entry.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -250,14 +251,16 @@
                 return RunResult::ConnectionLost;
             }
         };
-        if !response_matches_request(&response, request.id) {
+        let is_refusal =
+            response.status() == StatusCode::SERVICE_UNAVAILABLE && is_model(&request.work);
+        if !self.belongs_to_request(&response, request.id, is_refusal) {
             log::warn!(
                 "request {}: the target sent the response to another request",
                 request.id
             );
             return RunResult::WrongResponse;
         }
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE && is_model(&request.work) {
+        if is_refusal {
             // An engine sends this status only before it starts a request, so nothing was run.
             return RunResult::Declined;
         }
@@ -267,6 +270,17 @@
             .await
     }
 
+    /// Whether a response belongs to the request with this id. A target need not return ids, but one
+    /// that has done so returns them always. A refusal without the id may be one that was sent before
+    /// on the same connection, and must not be taken as proof that the request has not run.
+    fn belongs_to_request(&self, response: &Response<Incoming>, id: u64, is_refusal: bool) -> bool {
+        let Some(returned) = response.headers().get(REQUEST_ID) else {
+            return !is_refusal && !self.target_returns_ids.load(Ordering::Relaxed);
+        };
+        self.target_returns_ids.store(true, Ordering::Relaxed);
+        returned.to_str().is_ok_and(|text| text == id.to_string())
+    }
+
     async fn relay_body(
         &self,
         token: u64,
@@ -372,14 +386,6 @@
     matches!(work, Work::Model(_))
 }
 
-/// Whether the response carries the id of the request, or none.
-fn response_matches_request(response: &Response<Incoming>, id: u64) -> bool {
-    response
-        .headers()
-        .get(REQUEST_ID)
-        .is_none_or(|value| value.to_str().is_ok_and(|value| value == id.to_string()))
-}
-
 /// Appends to the kept end of a response, which must contain the last event of a stream.
 fn append_to_tail(tail: &mut Vec<u8>, data: &Bytes) {
     const TAIL_BYTES: usize = 64;
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -85,6 +85,8 @@
     pub fail_state_requests: bool,
     /// The engine ends each response after half of its tokens, without a connection error.
     pub truncate_responses: bool,
+    /// The engine runs requests, and writes an earlier refusal, which has no id, as their responses.
+    pub repeat_refusals: bool,
 }
 
 /// Counters of an engine.
@@ -359,11 +361,19 @@
         };
         completion.resume_after = resume_after.unwrap_or(0);
         let Some(running_request) = self.start_request()? else {
+            let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, "no model is loaded");
+            if let Some(id) = self.response_id(id) {
+                refusal.headers_mut().insert("x-request-id", id);
+            }
+            return Ok(refusal);
+        };
+        let faults = self.lock().faults;
+        if faults.repeat_refusals {
             return Ok(response(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no model is loaded",
             ));
-        };
+        }
         if completion.prompt.contains(CRASH_PROMPT) {
             tokio::time::sleep(self.options.time_to_first_token).await;
             self.crash();
