A stream is continued by its rest alone on the product's own interface too

An entry passed on whatever followed the head of a second attempt: the page of an error stood in the caller's stream, and its end ended the stream as complete. The agent took any answer to a request that resumes a stream.

Change: the agent reports an answer that is no stream as not continued, and the entry passes on nothing unless the answer has status 200, the type of a stream and the version that began it.

Result: a_stream_is_not_continued_by_anything_but_a_stream (an error page, a document, an empty stream) fails on the commit before with the page in the stream, and passes.

--- a/components/control/src/agent/requests.rs
+++ b/components/control/src/agent/requests.rs
@@ -32,6 +32,8 @@
     Declined,
     /// The target sent the response of another request, or one that may be.
     WrongResponse,
+    /// The target answered a request to continue a stream with something else.
+    NotContinued,
     /// The connection broke after the request was sent.
     ConnectionLost,
     /// The caller disconnected and the request was cancelled at the target.
@@ -47,7 +49,7 @@
             Self::Answered { status } => Outcome::Ran { status },
             Self::NotStarted | Self::NotSent | Self::Declined => Outcome::NotRun(Refusal::NotReady),
             Self::ConnectionLost => Outcome::Unknown { crashed: true },
-            Self::WrongResponse | Self::Cancelled | Self::TimedOut => {
+            Self::WrongResponse | Self::NotContinued | Self::Cancelled | Self::TimedOut => {
                 Outcome::Unknown { crashed: false }
             }
         }
--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -16,6 +16,7 @@
 use sheet::DataCentreState;
 use standins::{
     EngineFaults,
+    ResumeResponse,
     ServiceFaults, //
 };
 use tokio::io::{
@@ -173,6 +174,35 @@
     );
 }
 
+/// Guards against an error of the next engine in the middle of a stream, and against a stream that ends
+/// as if it were complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_continued_by_anything_but_a_stream() {
+    for resume_response in [
+        ResumeResponse::ErrorPage,
+        ResumeResponse::Document,
+        ResumeResponse::EmptyStream,
+    ] {
+        let fleet = fleet(3).await;
+        for target in fleet.targets().values() {
+            target.engine.set_faults(EngineFaults {
+                truncate_responses: true,
+                resume_response: Some(resume_response),
+                ..EngineFaults::default()
+            });
+        }
+        let body = r#"{"model":"drafting","prompt":"p","max_tokens":9,"stream":true}"#;
+        let request = completion_request("x-team: head-office\r\n", body);
+        let entry = fleet.caller_addresses()[0];
+        let text = send_raw(entry, &request, Duration::from_secs(10)).await;
+        assert!(text.contains("data: {"), "{resume_response:?}: {text}");
+        for foreign in ["<h1>", "HTTP/1.1 500", "\"choices\":[]", "[DONE]"] {
+            assert!(!text.contains(foreign), "{resume_response:?}: {text}");
+        }
+        assert!(!text.ends_with("0\r\n\r\n"), "{resume_response:?}: {text}");
+    }
+}
+
 /// Guards against callers who are told that a request did not run, and against a second run, if a target
 /// writes an earlier refusal again.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -264,6 +264,14 @@
             // An engine sends this status only before it starts a request, so nothing was run.
             return RunResult::Declined;
         }
+        if request.resume.is_some() && !is_event_stream(&response) {
+            log::warn!(
+                "request {}: the target answered {} instead of continuing the stream",
+                request.id,
+                response.status()
+            );
+            return RunResult::NotContinued;
+        }
         let time_to_head = self.node.clock.now().elapsed.saturating_sub(sent_at);
         metrics::histogram!("medlarproxy_head_seconds").record(time_to_head);
         self.relay_body(token, request, version, response, stream)
@@ -297,7 +305,7 @@
             .map(str::to_owned);
         let is_stream = content_type
             .as_ref()
-            .is_some_and(|value| value.starts_with(EVENT_STREAM_CONTENT_TYPE));
+            .is_some_and(|value| is_event_stream_type(value));
         let head = ResponseHead {
             status,
             content_type,
@@ -386,6 +394,17 @@
     matches!(work, Work::Model(_))
 }
 
+/// Whether the response is a stream of events that may continue another one.
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let content_type = response.headers().get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    response.status() == StatusCode::OK && content_type.is_some_and(is_event_stream_type)
+}
+
+fn is_event_stream_type(content_type: &str) -> bool {
+    content_type.starts_with(EVENT_STREAM_CONTENT_TYPE)
+}
+
 /// Appends to the kept end of a response, which must contain the last event of a stream.
 fn append_to_tail(tail: &mut Vec<u8>, data: &Bytes) {
     const TAIL_BYTES: usize = 64;
--- a/components/proxy/src/entry/forwarder.rs
+++ b/components/proxy/src/entry/forwarder.rs
@@ -304,12 +304,23 @@
         agent_request.id,
         agent_request.target
     );
+    unknown_outcome()
+}
+
+fn unknown_outcome() -> AttemptResult {
     AttemptResult::Outcome {
         outcome: Outcome::Unknown { crashed: false },
         start_count: 0,
     }
 }
 
+/// Whether a response continues a stream that the caller has received a part of.
+fn continues_stream(head: &ResponseHead, resume: &ResumePoint) -> bool {
+    head.status == StatusCode::OK.as_u16()
+        && is_event_stream(head)
+        && head.version.as_ref() == Some(&resume.version)
+}
+
 /// Relays the response frames of the agent to the caller.
 async fn relay_frames(
     inner: &Arc<Inner>,
@@ -319,6 +330,7 @@
     mut reader: MessageReader,
 ) -> AttemptResult {
     let mut received_bytes = 0;
+    let mut has_head = false;
     loop {
         let frame = tokio::select! {
             frame = timeout(AGENT_IDLE_TIMEOUT, reader.receive_required()) => frame,
@@ -326,7 +338,19 @@
         };
         match frame.unwrap_or(Err(WireError::Timeout)) {
             Ok(ResponseFrame::Head(head)) => {
-                if agent_request.resume.is_none() {
+                has_head = true;
+                if let Some(resume) = &agent_request.resume {
+                    if !continues_stream(&head, resume) {
+                        log::warn!(
+                            target: LOG_TARGET,
+                            "request {}: the stream is not continued by status {} of {}",
+                            agent_request.id,
+                            head.status,
+                            agent_request.target
+                        );
+                        return unknown_outcome();
+                    }
+                } else {
                     let resumable = is_event_stream(&head) && head.version.is_some();
                     let response_started = Event::ResponseStarted { token, resumable };
                     inner.node.control.send(response_started);
@@ -336,6 +360,7 @@
                 }
             }
             Ok(ResponseFrame::KeepAlive) => {}
+            Ok(ResponseFrame::Data(_)) if !has_head => return unknown_outcome(),
             Ok(ResponseFrame::Data(data)) => {
                 received_bytes += data.len() as u64;
                 if !send_data(response, data).await {
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -87,6 +87,19 @@
     pub truncate_responses: bool,
     /// The engine runs requests, and writes an earlier refusal, which has no id, as their responses.
     pub repeat_refusals: bool,
+    /// What the engine answers to requests that resume a stream.
+    pub resume_response: Option<ResumeResponse>,
+}
+
+/// A response that does not continue a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumeResponse {
+    /// An error page, with blank lines as between events.
+    ErrorPage,
+    /// A success that is no stream.
+    Document,
+    /// A stream without any event, not even the last one.
+    EmptyStream,
 }
 
 /// Counters of an engine.
@@ -374,6 +387,9 @@
                 "no model is loaded",
             ));
         }
+        if let Some(resume_response) = faults.resume_response.filter(|_| resume_after.is_some()) {
+            return Ok(resume_response.to_response(id));
+        }
         if completion.prompt.contains(CRASH_PROMPT) {
             tokio::time::sleep(self.options.time_to_first_token).await;
             self.crash();
@@ -496,6 +512,31 @@
     }
 }
 
+impl ResumeResponse {
+    fn to_response(self, id: Option<HeaderValue>) -> Response<Body> {
+        let (status, content_type, text) = match self {
+            Self::ErrorPage => (
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "text/html",
+                "HTTP/1.1 500 Internal Server Error\n\n<h1>out of memory</h1>\n\n",
+            ),
+            Self::Document => (
+                StatusCode::OK,
+                "application/json",
+                "{\"choices\":[]}\n\ndata: [DONE]\n\n",
+            ),
+            Self::EmptyStream => (StatusCode::OK, "text/event-stream", ""),
+        };
+        let mut response = response(status, text);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+        if let Some(id) = id {
+            headers.insert("x-request-id", id);
+        }
+        response
+    }
+}
+
 /// A request that counts as running until this is dropped. The count is then decremented, unless
 /// the engine has restarted since, which has reset it.
 struct RunningRequest {
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -13,7 +13,8 @@
     Engine,
     EngineCounters,
     EngineFaults,
-    EngineOptions, //
+    EngineOptions,
+    ResumeResponse, //
 };
 pub use origin::{
     Origin,
