A service with as many listed targets as missing ones loses the missing ones first

Found when the trace and the fix were read once more: a target that left and the new one in its place count as one missing and one listed, so the one that left was still kept like a service whose entries expired together.

Change: only more missing targets than listed ones are kept from the first answer on.

Result: the new case of a_target_that_is_missing_alone_is_removed_before_a_majority_that_is_missing_together fails on the commit before and passes.

--- a/components/control/src/grace.rs
+++ b/components/control/src/grace.rs
@@ -18,8 +18,8 @@
 pub struct Grace {
     /// For how long each of them is kept.
     pub each: Duration,
-    /// For how long they are kept if at least half of the targets of their service are missing. An
-    /// outage of the store affects all entries, while targets leave one by one.
+    /// For how long they are kept if more targets of their service are missing than listed. An outage
+    /// of the store affects all entries, while targets leave one by one.
     pub majority: Duration,
 }
 
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -360,12 +360,12 @@
             || elapsed >= grace.each && !self.is_majority_missing(&target.entry.service)
     }
 
-    /// Whether at least half of the targets of a service are missing, not counting those that leave.
+    /// Whether more targets of a service are missing than listed, not counting those that leave.
     fn is_majority_missing(&self, service: &str) -> bool {
         let targets = self.of_service(service).filter(|t| !t.is_leaving());
         let (missing, listed): (Vec<&Target>, Vec<&Target>) =
             targets.partition(|target| target.missing.is_some());
-        missing.len() >= listed.len()
+        missing.len() > listed.len()
     }
 
     /// The target with this name.
--- a/components/control/tests/missing_targets.rs
+++ b/components/control/tests/missing_targets.rs
@@ -180,6 +180,13 @@
             grace: GRACE,
             known: [3, 3, 1],
         },
+        Case {
+            name: "one of two, the other one of which is new",
+            targets: &["d1", "d2"],
+            listed: &["d2"],
+            grace: GRACE,
+            known: [2, 1, 1],
+        },
         Case {
             name: "the only one",
             targets: &["d1"],
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -241,8 +241,7 @@
         target: Name,
         /// Milliseconds for which it is kept.
         kept_ms: u64,
-        /// Milliseconds for which it is kept if at least half of the targets of its service are
-        /// missing.
+        /// Milliseconds for which it is kept if more targets of its service are missing than listed.
         kept_by_majority_ms: u64,
     },
     /// A target is no longer used.
