The error event that ends an incomplete stream reaches the caller

Seen while testing what may continue a stream: the page on the callers' interface says that an incomplete stream ends with an event of type error, but the connection was cut before the event was written.

Change: the entry waits 250 ms between the event and the cut.

--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -200,6 +200,7 @@
             assert!(!text.contains(foreign), "{resume_response:?}: {text}");
         }
         assert!(!text.ends_with("0\r\n\r\n"), "{resume_response:?}: {text}");
+        assert!(text.contains("event: error"), "{resume_response:?}: {text}");
     }
 }
 
--- a/components/proxy/src/entry/forwarder.rs
+++ b/components/proxy/src/entry/forwarder.rs
@@ -64,6 +64,9 @@
 /// An agent that sends nothing for this long, not even a keep-alive, is considered gone.
 const AGENT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long writing the last event of an incomplete stream may take.
+const ERROR_EVENT_WRITE_TIME: Duration = Duration::from_millis(250);
+
 /// The response to the caller.
 enum CallerResponse {
     /// Nothing was sent yet.
@@ -250,6 +253,8 @@
                     let json = serde_json::to_string(&ErrorBody { error }).unwrap_or_default();
                     let event = format!("event: error\ndata: {json}\n\n");
                     let _disconnected = body.send_data(event.into()).await;
+                    // Bytes that are not written when the body is aborted are lost.
+                    tokio::time::sleep(ERROR_EVENT_WRITE_TIME).await;
                 }
                 // Aborts the connection, so that no client takes the response for a complete one.
                 body.abort(io::Error::other("the response is incomplete"));
