An outage of one process is told by entries that did not expire, not by the number of changes

A heartbeat that changes nothing else is no change to the store. So the grace period ran in every case, if only for 0.4 to 2.1 s after the first list, as it counts from the last failed call.

Change: the store says when each entry was created. If it had been away for four heartbeat intervals, all entries would have expired and been created anew; if one that can expire is older than the last answer before the gap, the store was available, and missing targets are removed at once. Shorter gaps cannot tell, and keep the grace period from the last failed call on.

--- a/components/control/src/grace.rs
+++ b/components/control/src/grace.rs
@@ -6,12 +6,9 @@
 
 use std::time::Duration;
 
-/// Number of missed heartbeats after which the store removes the entry of a target.
-const EXPIRY_HEARTBEATS: u32 = 3;
-
-/// How many writes of each target may be missing although the store was available: one by rounding, and
-/// those of targets that left.
-const MAX_MISSED_INTERVALS: f64 = 1.25;
+/// The heartbeats after which all entries have expired if targets cannot write them: the store removes
+/// an entry after three missed ones, and the last one was written up to one interval before.
+const EXPIRY_HEARTBEATS: u32 = 4;
 
 /// For how long targets are kept whose entries are missing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -65,25 +62,15 @@
 pub struct Gap {
     /// From the last answer to the sending of the next call that was answered.
     pub duration: Duration,
-    /// The number of changes to the store meanwhile, if it is known.
-    pub changes: Option<u64>,
-    /// The number of targets that were listed before.
-    pub targets: usize,
+    /// Whether the entry of any target was listed before and after the gap, and did not expire in
+    /// between.
+    pub has_surviving_entry: bool,
 }
 
 impl Gap {
-    /// Whether targets could write their entries nearly all the time, so that none has expired for want
-    /// of the store. Each target writes its entry once in `heartbeat_interval`. A store that was away
-    /// for so long that entries expired lacks the writes of three intervals, and has the removal of
-    /// each missing entry in their place.
+    /// Whether no entry can have expired for want of the store. Otherwise all of them would have
+    /// expired in a gap of this length, unless the store was away for a part of it only.
     pub fn was_store_available(&self, heartbeat_interval: Duration) -> bool {
-        let Some(changes) = self.changes else {
-            return false;
-        };
-        if self.duration < heartbeat_interval * EXPIRY_HEARTBEATS {
-            return false;
-        }
-        let intervals = self.duration.as_secs_f64() / heartbeat_interval.as_secs_f64();
-        changes as f64 >= self.targets as f64 * (intervals - MAX_MISSED_INTERVALS)
+        self.has_surviving_entry && self.duration >= heartbeat_interval * EXPIRY_HEARTBEATS
     }
 }
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -88,6 +88,9 @@
     /// Whether later changes may be missing, since the source limits its responses without saying
     /// what it left out. They are complete if they reach a revision that was read before.
     pub may_be_incomplete: bool,
+    /// The revision in which the entry of each target was created, if it expires when it is not written.
+    /// One that expired and was written again counts from then on.
+    pub entry_revisions: Vec<(Name, u64)>,
     /// Bytes of large values in the responses that later ones of the same key replace.
     pub superseded_bytes: usize,
     /// Rises each time the source was restored from a copy. Revisions of two eras cannot be
@@ -295,8 +298,8 @@
     is_history_dropped: bool,
     /// Set after an outage in which entries of targets may have expired.
     recovery: Option<Recovery>,
-    /// The targets that are listed.
-    listed_targets: BTreeSet<Name>,
+    /// The revision in which the entry of each listed target was created.
+    entry_revisions: BTreeMap<Name, u64>,
     /// How the source was last reported to respond.
     status: SourceStatus,
     /// When the last response was complete, and its revision.
@@ -339,7 +342,7 @@
         failed_call_sent_at: None,
         is_history_dropped: false,
         recovery: None,
-        listed_targets: BTreeSet::new(),
+        entry_revisions: BTreeMap::new(),
         status: SourceStatus::Answering,
         answered_at: None,
         answered_revision: None,
@@ -429,7 +432,14 @@
         self.must_verify = changes.may_be_incomplete;
         self.must_read_all =
             has_all_changes == Some(false) || self.is_series_of_versions(&changes, is_full_read);
-        let gap = self.gap_before(sent_at, revision);
+        self.update_entry_revisions(&changes, is_full_read);
+        let gap = Gap {
+            duration: sent_at.saturating_sub(self.answered_at.unwrap_or(sent_at)),
+            has_surviving_entry: !changes.may_be_incomplete && self.has_surviving_entry(),
+        };
+        let changes_in_gap = self
+            .answered_revision
+            .map(|known| revision.saturating_sub(known));
         let grace = self.grace_after(gap);
         self.answered_at = Some(self.elapsed());
         self.answered_revision = Some(revision);
@@ -440,7 +450,7 @@
         if is_complete {
             self.confirm(sent_at, answer);
         }
-        self.report_up(gap);
+        self.report_up(gap, changes_in_gap.unwrap_or_default());
         if is_complete {
             self.delay_after_response(answer.took)
         } else {
@@ -448,19 +458,26 @@
         }
     }
 
-    /// The time without answers before the call that was sent at `sent_at`, and the changes to the
-    /// source meanwhile.
-    fn gap_before(&self, sent_at: Duration, revision: u64) -> Gap {
-        let answered_at = self.answered_at.unwrap_or(sent_at);
-        Gap {
-            duration: sent_at.saturating_sub(answered_at),
-            changes: self
-                .answered_revision
-                .map(|known| revision.saturating_sub(known)),
-            targets: self.listed_targets.len(),
+    fn update_entry_revisions(&mut self, changes: &PublishedChanges, is_full_read: bool) {
+        if is_full_read {
+            self.entry_revisions.clear();
+        }
+        let revisions = changes.entry_revisions.iter().cloned();
+        self.entry_revisions.extend(revisions);
+        for value in &changes.values {
+            if let PublishedValue::TargetRemoved(id) = value {
+                self.entry_revisions.remove(id);
+            }
         }
     }
 
+    /// Whether the entry of any listed target existed at the last response and did not expire since.
+    fn has_surviving_entry(&self) -> bool {
+        let mut revisions = self.entry_revisions.values();
+        let known = self.answered_revision;
+        known.is_some_and(|known| revisions.any(|created| *created <= known))
+    }
+
     /// Records that a complete answer was received. A source that settles after it was restored, and
     /// one with an unreadable document, confirm nothing.
     fn confirm(&mut self, sent_at: Duration, answer: Answer) {
@@ -569,7 +586,6 @@
         }
         if is_full_read {
             self.unreadable = unreadable;
-            self.listed_targets = listed.iter().cloned().collect();
             (self.on_event)(FeedEvent::FullTargetList {
                 names: listed,
                 grace,
@@ -634,12 +650,6 @@
             self.unreadable.remove(&document);
         }
         match &value {
-            PublishedValue::Target(entry) => {
-                self.listed_targets.insert(entry.id.clone());
-            }
-            PublishedValue::TargetRemoved(id) => {
-                self.listed_targets.remove(id);
-            }
             PublishedValue::Config(config) => {
                 let services = config.services.values();
                 let profiles = services.filter_map(|service| service.engine_profile.as_ref());
@@ -668,6 +678,7 @@
             PublishedValue::DataCentreEnabled(name) => {
                 self.disabled_data_centres.remove(name);
             }
+            PublishedValue::Target(_) | PublishedValue::TargetRemoved(_) => {}
         }
         (self.on_event)(FeedEvent::Published {
             value,
@@ -676,7 +687,7 @@
         });
     }
 
-    fn report_up(&mut self, gap: Gap) {
+    fn report_up(&mut self, gap: Gap, changes: u64) {
         let (status, detail) = if self.lacks_document() {
             let detail = "published a document that cannot be read";
             (SourceStatus::Failing, detail.into())
@@ -685,7 +696,6 @@
             (SourceStatus::Failing, detail.into())
         } else {
             let gap_ms = millis(gap.duration);
-            let changes = gap.changes.unwrap_or_default();
             let detail = format!("answers again after {gap_ms} ms and {changes} changes");
             (SourceStatus::Answering, detail.into())
         };
