A majority of targets is kept too if the store removes expired entries after its return

Change: an outage is followed by 2.5 s in which a majority is kept in any case, and a single target for 0.2 to 0.8 s, so that removals in one answer count together. The first list after a gap with surviving entries still removes at once.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -32,6 +32,9 @@
 /// configuration then follow each other so quickly that reading them all would take longer.
 const MAX_SUPERSEDED_BYTES: usize = 16 << 10;
 
+/// In this time the removals of entries that expired together are counted together.
+const REMOVAL_BATCH_TIME: Duration = Duration::from_millis(200);
+
 /// The size from which an answer of the source is recorded as large.
 const LARGE_ANSWER_BYTES: usize = 128 << 10;
 
@@ -296,7 +299,7 @@
     failed_call_sent_at: Option<Duration>,
     /// Whether the source dropped its history since the last response.
     is_history_dropped: bool,
-    /// Set after an outage in which entries of targets may have expired.
+    /// The last outage of the source, or of the way to it.
     recovery: Option<Recovery>,
     /// The revision in which the entry of each listed target was created.
     entry_revisions: BTreeMap<Name, u64>,
@@ -619,30 +622,47 @@
         let now = self.elapsed();
         let options = &self.options;
         if let Some(failed_call_sent_at) = self.failed_call_sent_at {
-            let is_own_outage = gap.was_store_available(options.heartbeat_interval);
             // The source returned after the last failed call was sent at the earliest.
             let each = failed_call_sent_at + options.outage_grace;
-            self.recovery = (!is_own_outage).then_some(Recovery {
+            let grace = Grace {
+                each: each.saturating_sub(now),
+                majority: options.outage_grace,
+            };
+            self.recovery = Some(Recovery {
                 began_at: now,
-                grace: Grace {
-                    each: each.saturating_sub(now),
-                    majority: options.outage_grace,
-                },
+                grace,
             });
-            return self.recovery.map_or(Grace::NONE, |recovery| recovery.grace);
+            return if gap.was_store_available(options.heartbeat_interval) {
+                Grace::NONE
+            } else {
+                grace
+            };
         }
-        let after_recovery = self.recovery.map_or(Grace::NONE, |recovery| {
-            let left = recovery.grace.after(now.saturating_sub(recovery.began_at));
-            left.min(Grace::of(options.recovery_grace))
-        });
+        let mut grace = self.grace_in_recovery(now);
         if self.is_history_dropped {
-            let majority = options.recovery_grace;
-            return Grace {
-                majority,
-                ..after_recovery
-            };
+            grace.majority = grace.majority.max(options.recovery_grace);
+        }
+        grace
+    }
+
+    /// How long to wait for targets that are removed after the source recovered. It may remove entries
+    /// that expired in an outage only then.
+    fn grace_in_recovery(&self, now: Duration) -> Grace {
+        let options = &self.options;
+        let Some(recovery) = self.recovery else {
+            return Grace::NONE;
+        };
+        let left = recovery.grace.after(now.saturating_sub(recovery.began_at));
+        if left.majority.is_zero() {
+            return Grace::NONE;
+        }
+        Grace {
+            each: left
+                .each
+                .min(options.recovery_grace)
+                .max(REMOVAL_BATCH_TIME),
+            majority: left.majority,
         }
-        after_recovery
     }
 
     fn report_value(&mut self, value: PublishedValue, grace: Grace) {
