--- a/components/control/src/grace.rs
+++ b/components/control/src/grace.rs
@@ -35,14 +35,6 @@
         }
     }
 
-    /// The shorter of two times each.
-    pub fn min(self, other: Self) -> Self {
-        Self {
-            each: self.each.min(other.each),
-            majority: self.majority.min(other.majority),
-        }
-    }
-
     /// What is left of it after some time.
     pub fn after(self, elapsed: Duration) -> Self {
         Self {
