--- a/components/control/tests/config_age.rs
+++ b/components/control/tests/config_age.rs
@@ -263,8 +263,7 @@
     assert!(!is_sent, "{effects:?}");
 }
 
-/// Guards against requests to a target that left, sent by a list that is younger than a configuration
-/// may be.
+/// Guards against requests to a target that left, by a list as young as a configuration may be.
 #[test]
 fn the_shortest_time_in_which_a_change_must_be_in_force_bounds_the_age() {
     const fn ms(ms: u64) -> Duration {
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -360,8 +360,7 @@
     assert_eq!(targets, ["d1", "d2"]);
 }
 
-/// Guards against a target that left and is used again, since the store was restored from a copy that
-/// is older.
+/// Guards against a target that left and is used again after the store was restored from a copy.
 #[test]
 fn target_that_left_is_not_used_again_because_a_restored_list_names_it() {
     struct Case {
--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -174,8 +174,7 @@
     );
 }
 
-/// Guards against an error of the next engine in the middle of a stream, and against a stream that ends
-/// as if it were complete.
+/// Guards against an error in the middle of a stream, and against a stream that looks complete.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_not_continued_by_anything_but_a_stream() {
     for resume_response in [
@@ -204,8 +203,7 @@
     }
 }
 
-/// Guards against callers who are told that a request did not run, and against a second run, if a target
-/// writes an earlier refusal again.
+/// Guards against callers who are told that a request did not run although it did.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_refusal_is_not_reported_as_not_run() {
     let fleet = fleet(2).await;
