--- a/components/control/src/grace.rs
+++ b/components/control/src/grace.rs
@@ -35,20 +35,32 @@
         }
     }
 
-    /// What is left of it after some time.
-    pub fn after(self, elapsed: Duration) -> Self {
-        Self {
-            each: self.each.saturating_sub(elapsed),
-            majority: self.majority.saturating_sub(elapsed),
-        }
-    }
-
     /// Whether missing targets are removed at once.
     pub fn is_none(self) -> bool {
         self == Self::NONE
     }
 }
 
+/// A grace period that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GracePeriod {
+    /// When it began.
+    pub began_at: Duration,
+    /// How long it is.
+    pub grace: Grace,
+}
+
+impl GracePeriod {
+    /// What is left of it.
+    pub fn left(&self, now: Duration) -> Grace {
+        let elapsed = now.saturating_sub(self.began_at);
+        Grace {
+            each: self.grace.each.saturating_sub(elapsed),
+            majority: self.grace.majority.saturating_sub(elapsed),
+        }
+    }
+}
+
 /// A time in which the store gave no answers to this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gap {
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -361,7 +361,7 @@
         if let Some(rate) = limited_rate {
             target.spend_limit_allowance(now, rate);
         }
-        let missing_since = target.missing.map(|missing| missing.since);
+        let missing_since = target.missing.map(|period| period.began_at);
         let load = target.load.total_requests(now);
         let notice_age = millis(target.notice.limit_age(now));
         let limit = target
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -20,7 +20,6 @@
 use super::retry_share::RetryShare;
 use super::selection;
 use super::state::State;
-use super::targets::Missing;
 use super::{
     Effect,
     Outcome,
@@ -274,10 +273,7 @@
             }
             Outcome::WrongVersion => target.entry.version = None,
             Outcome::WrongInstance => {
-                target.missing.get_or_insert(Missing {
-                    since: now,
-                    grace: Grace::of(WRONG_INSTANCE_GRACE),
-                });
+                target.set_missing(now, Grace::of(WRONG_INSTANCE_GRACE));
                 target.health.record_unreachable(now);
             }
         }
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -220,13 +220,9 @@
             self.handle_limit(now, requested_at, token, limit, effects);
         }
         if let Some(target) = self.targets.get_mut(&id) {
-            target.has_agent_ended = match answer {
-                AgentAnswer::Reply(_) => false,
-                AgentAnswer::Refused => true,
-                AgentAnswer::Silent => target.has_agent_ended,
-            };
             match reply {
                 Some(reply) => {
+                    target.has_agent_ended = false;
                     target.load.apply_backlog(now, reply.backlog, prompt_tokens);
                     let slowness = reply.condition.slowness_percent;
                     target.load.apply_agent_slowness(now, slowness);
@@ -236,7 +232,9 @@
                 }
                 None => {
                     target.agent_backoff_until = now + AGENT_BACKOFF;
-                    if !is_answered {
+                    if is_answered {
+                        target.has_agent_ended = true;
+                    } else {
                         target.agent_silent_until = target.agent_backoff_until;
                     }
                 }
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -6,7 +6,10 @@
 
 use utils::Name;
 
-use crate::grace::Grace;
+use crate::grace::{
+    Grace,
+    GracePeriod, //
+};
 use crate::notice::TargetNotice;
 
 use super::health::Health;
@@ -65,15 +68,6 @@
     }
 }
 
-/// A target that is missing from the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Missing {
-    /// When this was found.
-    pub since: Duration,
-    /// How long the target is kept from then on.
-    pub grace: Grace,
-}
-
 /// One target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -109,7 +103,7 @@
     pub agent_failed_at: Option<Duration>,
     /// Set if its entry is missing from the list, or its address belongs to another target. Until its
     /// removal it is used, since the list may be incomplete.
-    pub missing: Option<Missing>,
+    pub missing: Option<GracePeriod>,
     cold_allowance: RateAllowance,
     limit_allowance: RateAllowance,
     /// Until this time its agent is not asked, which refused a request because of the limit.
@@ -164,6 +158,17 @@
         self.has_recent_agent_report(now) && self.agent_failed_at <= self.agent_reported_at
     }
 
+    /// Schedules the removal of the target, which is missing, unless one is scheduled already. Returns
+    /// whether it was not known to be missing.
+    pub fn set_missing(&mut self, now: Duration, grace: Grace) -> bool {
+        let is_new = self.missing.is_none();
+        self.missing.get_or_insert(GracePeriod {
+            began_at: now,
+            grace,
+        });
+        is_new
+    }
+
     /// Whether the target is about to stop, as its entry or an answer of it says.
     pub fn is_leaving(&self) -> bool {
         self.entry.is_draining || self.notice.is_leaving()
@@ -325,17 +330,6 @@
         Some(target)
     }
 
-    /// Schedules the removal of a target that is missing, unless one is scheduled already. Returns
-    /// whether it was not known to be missing.
-    pub fn set_missing(&mut self, now: Duration, grace: Grace, id: &str) -> bool {
-        let Some(target) = self.by_id.get_mut(id) else {
-            return false;
-        };
-        let is_new = target.missing.is_none();
-        target.missing.get_or_insert(Missing { since: now, grace });
-        is_new
-    }
-
     /// Removes the targets that have been missing for longer than their grace period, and returns
     /// them.
     pub fn remove_missing(&mut self, now: Duration) -> Vec<Target> {
@@ -350,14 +344,12 @@
     }
 
     fn is_expired(&self, now: Duration, target: &Target) -> bool {
-        let Some(missing) = target.missing else {
+        let Some(left) = target.missing.map(|period| period.left(now)) else {
             return false;
         };
-        let elapsed = now.saturating_sub(missing.since);
-        let grace = missing.grace;
         target.is_leaving()
-            || elapsed >= grace.majority
-            || elapsed >= grace.each && !self.is_majority_missing(&target.entry.service)
+            || left.majority.is_zero()
+            || left.each.is_zero() && !self.is_majority_missing(&target.entry.service)
     }
 
     /// Whether more targets of a service are missing than listed, not counting those that leave.
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -170,7 +170,8 @@
         grace: Grace,
         effects: &mut Vec<Effect>,
     ) {
-        if self.targets.set_missing(now, grace, id) {
+        let target = self.targets.get_mut(id);
+        if target.is_some_and(|target| target.set_missing(now, grace)) {
             effects.push(Effect::Record(Decision::TargetMissing {
                 target: id.clone(),
                 kept_ms: millis(grace.each),
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -38,6 +38,10 @@
     PendingRequest, //
 };
 use crate::error::ProxyError;
+use crate::event_stream::{
+    is_stream_type,
+    may_continue_stream, //
+};
 use crate::target::REQUEST_ID;
 
 /// The last event of a streamed response of a model engine.
@@ -46,9 +50,6 @@
 /// The interval of the keep-alive frames to an entry while there is no other frame to send.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The content type of streamed responses.
-const EVENT_STREAM_CONTENT_TYPE: &str = "text/event-stream";
-
 /// The stream of response frames to an entry.
 struct EntryStream {
     /// `None` once the entry has disconnected.
@@ -264,7 +265,8 @@
             // An engine sends this status only before it starts a request, so nothing was run.
             return RunResult::Declined;
         }
-        if request.resume.is_some() && !is_event_stream(&response) {
+        let may_continue = may_continue_stream(response.status(), response.headers());
+        if request.resume.is_some() && !may_continue {
             log::warn!(
                 "request {}: the target answered {} instead of continuing the stream",
                 request.id,
@@ -303,9 +305,7 @@
             .get(CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let is_stream = content_type
-            .as_ref()
-            .is_some_and(|value| is_event_stream_type(value));
+        let is_stream = content_type.as_deref().is_some_and(is_stream_type);
         let head = ResponseHead {
             status,
             content_type,
@@ -394,17 +394,6 @@
     matches!(work, Work::Model(_))
 }
 
-/// Whether the response is a stream of events that may continue another one.
-fn is_event_stream(response: &Response<Incoming>) -> bool {
-    let content_type = response.headers().get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    response.status() == StatusCode::OK && content_type.is_some_and(is_event_stream_type)
-}
-
-fn is_event_stream_type(content_type: &str) -> bool {
-    content_type.starts_with(EVENT_STREAM_CONTENT_TYPE)
-}
-
 /// Appends to the kept end of a response, which must contain the last event of a stream.
 fn append_to_tail(tail: &mut Vec<u8>, data: &Bytes) {
     const TAIL_BYTES: usize = 64;
--- a/components/proxy/src/entry/forwarder.rs
+++ b/components/proxy/src/entry/forwarder.rs
@@ -47,6 +47,7 @@
     Command,
     Inner, //
 };
+use crate::event_stream::is_stream_type;
 
 /// The `source` of the log lines: the former path of this module, which stays because operators'
 /// tools match it.
@@ -449,8 +450,7 @@
 }
 
 fn is_event_stream(head: &ResponseHead) -> bool {
-    let content_type = head.content_type.as_deref().unwrap_or_default();
-    content_type.starts_with("text/event-stream")
+    head.content_type.as_deref().is_some_and(is_stream_type)
 }
 
 fn set_request_id(response: &mut Response<Body>, id: u64) {
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -13,7 +13,8 @@
 
 use control::grace::{
     Gap,
-    Grace, //
+    Grace,
+    GracePeriod, //
 };
 use control::router::config::Config;
 use control::router::lease::SourceStatus;
@@ -272,13 +273,6 @@
     }
 }
 
-/// The grace period that began when the source recovered from an outage.
-#[derive(Clone, Copy, Debug)]
-struct Recovery {
-    began_at: Duration,
-    grace: Grace,
-}
-
 /// The state of following a source.
 struct Feed<F> {
     clock: Arc<dyn Clock>,
@@ -299,8 +293,8 @@
     failed_call_sent_at: Option<Duration>,
     /// Whether the source dropped its history since the last response.
     is_history_dropped: bool,
-    /// The last outage of the source, or of the way to it.
-    recovery: Option<Recovery>,
+    /// The grace period after the last outage of the source, or of the way to it.
+    recovery: Option<GracePeriod>,
     /// The revision in which the entry of each listed target was created.
     entry_revisions: BTreeMap<Name, u64>,
     /// How the source was last reported to respond.
@@ -628,7 +622,7 @@
                 each: each.saturating_sub(now),
                 majority: options.outage_grace,
             };
-            self.recovery = Some(Recovery {
+            self.recovery = Some(GracePeriod {
                 began_at: now,
                 grace,
             });
@@ -649,10 +643,7 @@
     /// that expired in an outage only then.
     fn grace_in_recovery(&self, now: Duration) -> Grace {
         let options = &self.options;
-        let Some(recovery) = self.recovery else {
-            return Grace::NONE;
-        };
-        let left = recovery.grace.after(now.saturating_sub(recovery.began_at));
+        let left = self.recovery.map_or(Grace::NONE, |period| period.left(now));
         if left.majority.is_zero() {
             return Grace::NONE;
         }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_replies;
 pub mod entry;
 mod error;
+mod event_stream;
 pub mod feed;
 
 mod links;
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -7,11 +7,7 @@
     ForwardRequest,
     Outcome, //
 };
-use http::header::CONTENT_TYPE;
-use http::{
-    Response,
-    StatusCode, //
-};
+use http::Response;
 use http_body_util::combinators::BoxBody;
 use http_body_util::StreamBody;
 use hyper::body::{
@@ -34,13 +30,11 @@
     NextStep,
     PendingRequest, //
 };
+use crate::event_stream::may_continue_stream;
 
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
 const MAX_BUFFERED_BATCHES: usize = 16;
 
-/// The content type of streams.
-const EVENT_STREAM: &str = "text/event-stream";
-
 type BodyPart = Result<Frame<Bytes>, BodyError>;
 
 /// The result of reading the next events of a stream.
@@ -168,7 +162,9 @@
                 )
                 .await;
             match result {
-                Ok(response) if is_event_stream(&response) => {
+                Ok(response)
+                    if may_continue_stream(response.parts.status, &response.parts.headers) =>
+                {
                     return Some((response, forward_request))
                 }
                 Ok(_) => {
@@ -218,11 +214,8 @@
                 Err(outcome) => return ReadResult::Failed(outcome),
             };
             let batch = splitter.push(&part);
-            let repeats_events = batch.as_ref().is_some_and(|batch| {
-                batch
-                    .first_id
-                    .is_some_and(|id| Some(id) <= self.last_event_id)
-            });
+            let first_id = batch.as_ref().and_then(|batch| batch.first_id);
+            let repeats_events = first_id.is_some() && first_id <= self.last_event_id;
             if splitter.is_too_long() || repeats_events {
                 return ReadResult::Failed(Outcome::Broken {
                     connection_lost: false,
@@ -235,14 +228,6 @@
     }
 }
 
-/// Whether a response may continue a stream. An error, or a success of another kind, may not.
-fn is_event_stream(response: &TargetResponse) -> bool {
-    let content_type = response.parts.headers.get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    response.parts.status == StatusCode::OK
-        && content_type.is_some_and(|value| value.starts_with(EVENT_STREAM))
-}
-
 /// Turns the receiver into a stream of body parts.
 fn as_stream(
     mut rx: mpsc::Receiver<BodyPart>,
