Tests share what they had in copies

Found on reading the whole change again; no assertion, bound or case changes.

- routers/mod.rs has the configuration of a model engine service and a plain one, and the limit of retries, which four test programs built for themselves.
- The stand-in targets add the id of a request to their responses in one function.

--- a/components/control/tests/config_age.rs
+++ b/components/control/tests/config_age.rs
@@ -24,7 +24,6 @@
     Options,
     Outcome,
     RejectionReason,
-    RetryLimit,
     State, //
 };
 use routers::{
@@ -32,7 +31,8 @@
     options,
     request,
     route,
-    target, //
+    target,
+    AMPLE_RETRIES, //
 };
 
 /// Changes must be in force within this time.
@@ -74,14 +74,9 @@
 /// Creates a process whose configuration was confirmed at the start, with one target for a route that
 /// needs a key and one that needs none.
 fn router(status: SourceStatus) -> State {
-    let retry_limit = RetryLimit {
-        retries_per_request: 1.0,
-        extra_retries: 100.0,
-        window: Duration::from_secs(10),
-    };
     let mut state = State::new(Options {
         config_age_limits: LIMITS,
-        ..options(retry_limit, 1)
+        ..options(AMPLE_RETRIES, 1)
     });
     for event in [
         Event::ConfigRead(config(1, "key")),
--- a/components/control/tests/missing_targets.rs
+++ b/components/control/tests/missing_targets.rs
@@ -3,8 +3,6 @@
 
 mod routers;
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use control::grace::{
@@ -12,17 +10,11 @@
     Grace, //
 };
 use control::notice::Notice;
-use control::router::config::{
-    Config,
-    Repeatability,
-    Service, //
-};
 use control::router::targets::TargetEntry;
 use control::router::{
     Effect,
     Event,
     ReservationReply,
-    RetryLimit,
     State, //
 };
 use protocol::{
@@ -33,11 +25,11 @@
 use record::Decision;
 use routers::{
     clock,
-    engine_service,
+    config_of_both_services,
     options,
     request,
-    route,
-    target, //
+    target,
+    AMPLE_RETRIES, //
 };
 
 const START: Duration = Duration::from_secs(100);
@@ -58,33 +50,13 @@
 
 impl TestRouter {
     fn new(entries: impl IntoIterator<Item = TargetEntry>) -> Self {
-        let plain = Service {
-            name: "desk".into(),
-            engine_profile: None,
-            ..engine_service()
-        };
-        let services = [engine_service(), plain];
-        let config = Config {
-            version: 1,
-            routes: vec![
-                Arc::new(route("look", "desk", Repeatability::Idempotent)),
-                Arc::new(route("chat", "engines", Repeatability::ResumableStream)),
-            ],
-            services: BTreeMap::from(services.map(|s| (s.name.clone(), Arc::new(s)))),
-            ..Config::default()
-        };
-        let retry_limit = RetryLimit {
-            retries_per_request: 1.0,
-            extra_retries: 100.0,
-            window: Duration::from_secs(10),
-        };
         let mut router = Self {
-            state: State::new(options(retry_limit, 1)),
+            state: State::new(options(AMPLE_RETRIES, 1)),
             now: START,
             decisions: Vec::new(),
             last_token: 0,
         };
-        router.step(Event::ConfigRead(Arc::new(config)));
+        router.step(Event::ConfigRead(config_of_both_services()));
         for entry in entries {
             router.step(Event::TargetListed(entry));
         }
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -20,7 +20,6 @@
     Outcome,
     Rejection,
     RejectionReason,
-    RetryLimit,
     State, //
 };
 use routers::{
@@ -28,7 +27,8 @@
     options,
     request,
     route,
-    target, //
+    target,
+    AMPLE_RETRIES, //
 };
 
 const LEAVING: Notice = Notice {
@@ -81,14 +81,9 @@
 impl TestRouter {
     /// Creates a reducer that knows the targets d1 and d2.
     fn new() -> Self {
-        let retry_limit = RetryLimit {
-            retries_per_request: 1.0,
-            extra_retries: 100.0,
-            window: Duration::from_secs(10),
-        };
         let state = State::new(Options {
             uses_reservations: false,
-            ..options(retry_limit, 1)
+            ..options(AMPLE_RETRIES, 1)
         });
         let mut router = Self {
             state,
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test program uses a part of this module")]
 
+use std::sync::Arc;
 use std::time::{
     Duration,
     SystemTime, //
@@ -13,6 +14,7 @@
     UpdateLimits, //
 };
 use control::router::config::{
+    Config,
     EngineProfile,
     Repeatability,
     Route,
@@ -33,6 +35,13 @@
 use utils::clock::ClockReading;
 use weights::Limits;
 
+/// More retries than a test makes.
+pub const AMPLE_RETRIES: RetryLimit = RetryLimit {
+    retries_per_request: 1.0,
+    extra_retries: 100.0,
+    window: Duration::from_secs(10),
+};
+
 /// The time `elapsed` after the start of the clock.
 pub fn clock(elapsed: Duration) -> ClockReading {
     ClockReading {
@@ -133,6 +142,27 @@
     }
 }
 
+/// A configuration with a stream of the service `engines` and a call of the plain service `desk`, which
+/// need no key.
+pub fn config_of_both_services() -> Arc<Config> {
+    let plain = Service {
+        name: "desk".into(),
+        engine_profile: None,
+        ..engine_service()
+    };
+    Arc::new(Config {
+        version: 1,
+        routes: vec![
+            Arc::new(route("chat", "engines", Repeatability::ResumableStream)),
+            Arc::new(route("look", "desk", Repeatability::Idempotent)),
+        ],
+        services: [engine_service(), plain]
+            .map(|service| (service.name.clone(), Arc::new(service)))
+            .into(),
+        ..Config::default()
+    })
+}
+
 /// An agent, as far as it passes on crashes.
 pub struct Agent {
     state: Controller,
--- a/components/control/tests/way.rs
+++ b/components/control/tests/way.rs
@@ -6,14 +6,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use control::router::config::{
-    Config,
-    Repeatability,
-    Service, //
-};
 use control::router::selection::Location;
 use control::router::targets::TargetEntry;
 use control::router::{
@@ -22,7 +16,6 @@
     Options,
     Outcome,
     ReservationReply,
-    RetryLimit,
     State, //
 };
 use protocol::{
@@ -32,11 +25,11 @@
 use record::Decision;
 use routers::{
     clock,
-    engine_service,
+    config_of_both_services,
     options,
     request,
-    route,
-    target, //
+    target,
+    AMPLE_RETRIES, //
 };
 
 /// All targets: engines `n` and `s` in the regions north and south, and plain targets `pn` and `ps`.
@@ -62,27 +55,6 @@
     fn new(ids: &str) -> Self {
         let regions = [("a", "north"), ("c", "south")];
         let regions = regions.map(|(dc, region)| (dc.into(), region.into()));
-        let retry_limit = RetryLimit {
-            retries_per_request: 1.0,
-            extra_retries: 100.0,
-            window: Duration::from_secs(10),
-        };
-        let plain = Service {
-            name: "desk".into(),
-            engine_profile: None,
-            ..engine_service()
-        };
-        let config = Config {
-            version: 1,
-            routes: vec![
-                Arc::new(route("chat", "engines", Repeatability::ResumableStream)),
-                Arc::new(route("look", "desk", Repeatability::Idempotent)),
-            ],
-            services: [engine_service(), plain]
-                .map(|service| (service.name.clone(), Arc::new(service)))
-                .into(),
-            ..Config::default()
-        };
         let mut router = Self {
             state: State::new(Options {
                 location: Location {
@@ -90,13 +62,13 @@
                     regions: BTreeMap::from(regions),
                 },
                 version_grace: VERSION_GRACE,
-                ..options(retry_limit, 1)
+                ..options(AMPLE_RETRIES, 1)
             }),
             now: Duration::from_secs(10),
             last_token: 0,
             decisions: Vec::new(),
         };
-        router.step(Event::ConfigRead(Arc::new(config)));
+        router.step(Event::ConfigRead(config_of_both_services()));
         for id in ids.split(' ') {
             router.list(id, false);
         }
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -39,8 +39,10 @@
     read_body,
     response,
     start_server,
+    with_id,
     Body,
-    Server, //
+    Server,
+    REQUEST_ID, //
 };
 
 /// Configuration of an engine.
@@ -362,7 +364,7 @@
     }
 
     async fn complete(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
-        let id = request.headers().get("x-request-id").cloned();
+        let id = request.headers().get(REQUEST_ID).cloned();
         let resume_after = request.headers().get("x-resume-events");
         let resume_after = resume_after.and_then(|v| v.to_str().ok()?.parse().ok());
         let body = read_body(request).await?;
@@ -374,18 +376,11 @@
         };
         completion.resume_after = resume_after.unwrap_or(0);
         let Some(running_request) = self.start_request()? else {
-            let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, "no model is loaded");
-            if let Some(id) = self.response_id(id) {
-                refusal.headers_mut().insert("x-request-id", id);
-            }
-            return Ok(refusal);
+            return Ok(with_id(refusal(), self.response_id(id)));
         };
         let faults = self.lock().faults;
         if faults.repeat_refusals {
-            return Ok(response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no model is loaded",
-            ));
+            return Ok(refusal());
         }
         if let Some(resume_response) = faults.resume_response.filter(|_| resume_after.is_some()) {
             return Ok(resume_response.to_response(id));
@@ -409,14 +404,12 @@
         };
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
-        if let Some(id) = self.response_id(id) {
-            headers.insert("x-request-id", id);
-        }
+        let id = self.response_id(id);
         tokio::spawn(
             self.clone()
                 .generate(completion, tx, crash_count, running_request),
         );
-        Ok(response)
+        Ok(with_id(response, id))
     }
 
     /// Counts a request as running, or returns nothing if no model is loaded. Crashes the engine
@@ -530,13 +523,15 @@
         let mut response = response(status, text);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
-        if let Some(id) = id {
-            headers.insert("x-request-id", id);
-        }
-        response
+        with_id(response, id)
     }
 }
 
+/// The response to a request that the engine does not run.
+fn refusal() -> Response<Body> {
+    response(StatusCode::SERVICE_UNAVAILABLE, "no model is loaded")
+}
+
 /// A request that counts as running until this is dropped. The count is then decremented, unless
 /// the engine has restarted since, which has reset it.
 struct RunningRequest {
--- a/components/standins/src/server.rs
+++ b/components/standins/src/server.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Request,
     Response,
     StatusCode, //
@@ -125,6 +126,17 @@
     response
 }
 
+/// The header with the id of a request, which targets return.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
+/// Adds the id of the request to a response, if the request had one.
+pub(crate) fn with_id(mut response: Response<Body>, id: Option<HeaderValue>) -> Response<Body> {
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    response
+}
+
 /// Returns the value of a parameter in the query of a request, without percent-decoding.
 pub(crate) fn query_parameter<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     let parameters = request.uri().query()?.split('&');
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -23,8 +23,10 @@
     read_body,
     response,
     start_server,
+    with_id,
     Body,
-    Server, //
+    Server,
+    REQUEST_ID, //
 };
 
 /// Faults that a service injects.
@@ -91,7 +93,7 @@
             return Ok(response(StatusCode::OK, "ok"));
         }
         let is_order = request.method() == Method::POST;
-        let id = request.headers().get("x-request-id").cloned();
+        let id = request.headers().get(REQUEST_ID).cloned();
         let body = read_body(request).await?;
         let faults = self.lock().faults;
         if is_order {
@@ -105,10 +107,6 @@
             ));
         }
         let text = format!("{{\"path\":\"{path}\",\"done\":true}}");
-        let mut response = response(StatusCode::OK, text);
-        if let Some(id) = id {
-            response.headers_mut().insert("x-request-id", id);
-        }
-        Ok(response)
+        Ok(with_id(response(StatusCode::OK, text), id))
     }
 }
