--- /dev/null
+++ b/review/standin/src/platform.rs
@@ -0,0 +1,62 @@
+//! What the operator and the targets write to the store, and the headers of the platform.
+
+use std::net::SocketAddr;
+
+use serde_json::{json, Value};
+
+use crate::http::Request;
+
+pub const ID: &str = "x-medlarproxy-request-id";
+pub const SIGNATURE: &str = "x-medlarproxy-response-signature";
+pub const EXPECTED_INSTANCE: &str = "x-medlarproxy-expected-instance";
+pub const INSTANCE_ID: &str = "x-medlarproxy-instance-id";
+
+/// A configuration with one plain service and the routes `/look/` (idempotent) and `/order/`
+/// (non_idempotent).
+pub fn config(version: u64, timeout_ms: u64, target_latency_ms: u64) -> Value {
+    let route = |name: &str, kind: &str| {
+        json!({
+            "name": name, "host": "h.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": timeout_ms, "target_latency_ms": target_latency_ms, "priority": 1,
+            "service": "desk", "max_attempts": 2, "allow_anonymous": false,
+            "sticky_sessions": false, "resume_streams": false, "allowed_regions": [],
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [route("look", "idempotent"), route("order", "non_idempotent")],
+        "services": [{
+            "name": "desk", "health_path": "/health", "connection_limit": 96, "protocol": "h1",
+            "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
+        }],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+        },
+        "tenants": [{ "name": "studio", "api_keys": ["k1"], "priority": 1, "allowed_regions": [] }],
+    })
+}
+
+/// The entry of a target of the service.
+pub fn target(address: SocketAddr, sequence: u64) -> Value {
+    json!({
+        "service": "desk", "address": address, "zone": "a", "version": "v1", "slots": 6,
+        "state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": 1_700_000_000_000_u64,
+    })
+}
+
+/// A client's request.
+pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64) -> Vec<u8> {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Medlarproxy-Request-Id: {id}\r\n\
+         X-Medlarproxy-Deadline-Ms: {deadline_ms}\r\nAuthorization: Token k1\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Whether the request is meant for another target.
+pub fn is_misdirected(request: &Request, id: &str) -> bool {
+    let expected = request.header(EXPECTED_INSTANCE);
+    !expected.is_empty() && expected != id
+}
--- /dev/null
+++ b/review/standin/src/process.rs
@@ -0,0 +1,142 @@
+//! Starts an entry as the platform does, with the settings of a small deployment.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::json;
+use tokio::process::{Child, Command};
+use tokio::time::sleep;
+
+use crate::http::exchange;
+
+/// The command of the role in deploy/system.toml, from the repository's root.
+const PROGRAM: &str = "target/release/medlarproxy";
+
+/// Ports that nobody else uses.
+fn free_ports<const N: usize>() -> [u16; N] {
+    let listeners: Vec<TcpListener> = (0..N)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    std::array::from_fn(|i| listeners[i].local_addr().expect("a bound address").port())
+}
+
+/// The first of two free ports in a row: that of internal traffic and that of the metrics.
+fn free_port_pair() -> u16 {
+    loop {
+        let [port] = free_ports::<1>();
+        let next = port.checked_add(1);
+        if next.is_some_and(|next| TcpListener::bind((Ipv4Addr::LOCALHOST, next)).is_ok()) {
+            return port;
+        }
+    }
+}
+
+/// An entry that runs as a process of its own.
+pub struct Entry {
+    pub address: SocketAddr,
+    pub ready_address: SocketAddr,
+    child: Child,
+    /// The files of the process, which are removed at the end.
+    files: Vec<PathBuf>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _already_ended = self.child.start_kill();
+        for path in &self.files {
+            let _already_removed = std::fs::remove_file(path);
+        }
+    }
+}
+
+impl Entry {
+    /// Starts an entry that reads `store`, and waits until it is ready.
+    pub async fn start(store: SocketAddr) -> Option<Self> {
+        let internal = free_port_pair();
+        let [frontend, ready, control] = free_ports::<3>();
+        let local = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let settings = json!({
+            "node_name": "frontend-a-1", "role": "entry", "machine_class": "frontend",
+            "serves": ["frontend", "control_plane"], "ip_address": "127.0.0.1",
+            "zone": "a", "region": "north", "zones": { "a": "north" },
+            "listen_addresses": {
+                "frontend": local(frontend), "ready": local(ready), "control_plane": local(control),
+            },
+            "internal_ports": [internal, internal + 1], "seed_nodes": [local(control)],
+            "bootstrap": true, "counts_toward_tolerance": false,
+            "limits": {
+                "cpu_share": 0.19, "cpu_cores": 1, "memory_mb": 260, "file_descriptors": 4200,
+                "link_mbps": 1000.0, "disk_mb": 0,
+            },
+            "data_directory": null, "discovery": "platform", "entry_point": "virtual_ip",
+            "heartbeat_interval_ms": 1200,
+            "bounds": {
+                "seed_lag_s": 3, "reuse_after_s": 2, "touch_ms": 3000, "ack_timeout_ms": 4000,
+                "catch_up_s": 4, "drain_timeout_ms": 2000, "grace_period_s": 8,
+                "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250,
+                "max_stretch_ms": 5000, "revoke_when_partitioned": true,
+                "revoke_timeout_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
+                "retry_budget_extra": 100, "cold_overshoot": 1.5, "cold_slack": 5,
+                "evacuation_ms": 5000, "recovery_s": 12, "pass_ms": 120, "retry_after_s": 0,
+                "version_ms": 8000, "version_all_ms": 0,
+            },
+            "platform": {
+                "address": store, "form": "read", "writes_per_s": 400, "reads_per_s": 2000,
+                "history_s": 20, "value_bytes": 1_048_576, "ttl_min_ms": 1000,
+            },
+        });
+        let file = |extension| format!("entry-{}-{frontend}.{extension}", std::process::id());
+        let path = std::env::temp_dir().join(file("json"));
+        let log = std::env::temp_dir().join(file("log"));
+        std::fs::write(&path, settings.to_string()).ok()?;
+        let child = Command::new(PROGRAM)
+            .args(["platform", "entry"])
+            .env("MEDLARPROXY_CONFIG", &path)
+            .stdin(Stdio::null())
+            .stdout(std::fs::File::create(&log).ok()?)
+            .stderr(Stdio::inherit())
+            .kill_on_drop(true)
+            .spawn()
+            .ok()?;
+        let entry = Self {
+            address: local(frontend),
+            ready_address: local(ready),
+            child,
+            files: vec![path, log],
+        };
+        for _ in 0..100 {
+            if entry.is_ready().await {
+                return Some(entry);
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        None
+    }
+
+    /// Asks as the platform does.
+    pub async fn is_ready(&self) -> bool {
+        let request = b"GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n";
+        let answer = exchange(self.ready_address, request).await;
+        answer.is_some_and(|(head, _)| head.status == 200)
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = self.child.id().and_then(|pid| i32::try_from(pid).ok());
+        if let Some(pid) = pid {
+            let _already_ended = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// Waits until the process has ended, for `limit` at most. Returns a text for the record.
+    pub async fn wait(&mut self, limit: Duration) -> String {
+        match tokio::time::timeout(limit, self.child.wait()).await {
+            Ok(Ok(status)) => status.to_string(),
+            Ok(Err(e)) => format!("its status cannot be read: {e}"),
+            Err(_) => "it still runs".to_owned(),
+        }
+    }
+}
