review: a target that said that it leaves is used again after a drill

Tried: a target whose entry is removed says in the answer of a request in flight that it leaves; the store then comes back from a copy that lists it.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod process;
 mod record;
+mod restored_list;
 mod store;
 
 use std::path::PathBuf;
@@ -50,6 +51,7 @@
     record.line(format!("case {name}, disruption: {}", case.has_trouble));
     let verdict = match name.as_str() {
         "cut-answers" => cut_answers::run(case).await,
+        "restored-list" => restored_list::run(case).await,
         other => Err(format!("there is no case {other}")),
     };
     match verdict {
