review: forty bodies of the allowed size exceed the memory of an entry

Tried: bodies of max_body_bytes from 12, 28, 32, 36, 40 and 72 clients at once. Seen: from 32 on the entry exceeds 260 MB and is killed, with up to 12 requests of other clients that had run; 28 take 238 MB, 12 take 107 MB.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 
 mod cut_answers;
 mod http;
+mod large_uploads;
 mod platform;
 mod process;
 mod record;
@@ -52,6 +53,7 @@
     let verdict = match name.as_str() {
         "cut-answers" => cut_answers::run(case).await,
         "restored-list" => restored_list::run(case).await,
+        "large-uploads" => large_uploads::run(case).await,
         other => Err(format!("there is no case {other}")),
     };
     match verdict {
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -60,3 +60,10 @@
     let expected = request.header(EXPECTED_INSTANCE);
     !expected.is_empty() && expected != id
 }
+
+/// The head of a client's request with a body of this length.
+pub fn request_with_body(path: &str, id: &str, deadline_ms: u64, length: usize) -> Vec<u8> {
+    let text = String::from_utf8_lossy(&request("POST", path, id, deadline_ms)).into_owned();
+    let length = format!("Content-Length: {length}");
+    text.replace("Content-Length: 0", &length).into_bytes()
+}
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -16,6 +16,9 @@
 /// The command of the role in deploy/system.toml, from the repository's root.
 const PROGRAM: &str = "target/release/medlarproxy";
 
+/// `memory_mb` of the settings.
+pub const MEMORY_MB: u32 = 260;
+
 /// Ports that nobody else uses.
 fn free_ports<const N: usize>() -> [u16; N] {
     let listeners: Vec<TcpListener> = (0..N)
@@ -69,7 +72,7 @@
             "internal_ports": [internal, internal + 1], "seed_nodes": [local(control)],
             "bootstrap": true, "counts_toward_tolerance": false,
             "limits": {
-                "cpu_share": 0.19, "cpu_cores": 1, "memory_mb": 260, "file_descriptors": 4200,
+                "cpu_share": 0.19, "cpu_cores": 1, "memory_mb": MEMORY_MB, "file_descriptors": 4200,
                 "link_mbps": 1000.0, "disk_mb": 0,
             },
             "data_directory": null, "discovery": "platform", "entry_point": "virtual_ip",
@@ -131,6 +134,16 @@
         }
     }
 
+    /// The memory of the process that no file backs, or `None` if it has ended.
+    pub fn private_memory_mb(&self) -> Option<f64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"))?;
+        let kib: f64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kib * 1024.0 / 1e6)
+    }
+
     /// Waits until the process has ended, for `limit` at most. Returns a text for the record.
     pub async fn wait(&mut self, limit: Duration) -> String {
         match tokio::time::timeout(limit, self.child.wait()).await {
