review: a silent target's stream that cannot be resumed is cut in a planned stop

Tried: targets are silent for 2.2 s in every third stream while the entry gets SIGTERM. Seen: in 5 of 5 runs three streams under way after SIGTERM end 1.5 s after their last event; without the silence all are complete.

--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 /// A request that a stand-in received.
 #[derive(Clone, Debug)]
@@ -30,6 +32,9 @@
     }
 }
 
+/// Bytes of a response, and the time to wait before they are written.
+pub type Part = (Duration, Vec<u8>);
+
 /// Serves connections on a free port until the program ends. `answer` returns the whole response, or
 /// `None` to close the connection.
 pub async fn serve<F>(
@@ -38,6 +43,21 @@
 ) -> SocketAddr
 where
     F: Future<Output = Option<Vec<u8>>> + Send + 'static,
+{
+    serve_parts(ip, move |request| {
+        let whole = answer(request);
+        async move { Some(vec![(Duration::ZERO, whole.await?)]) }
+    })
+    .await
+}
+
+/// Does the same with responses that are written in parts.
+pub async fn serve_parts<F>(
+    ip: &str,
+    answer: impl Fn(Request) -> F + Clone + Send + Sync + 'static,
+) -> SocketAddr
+where
+    F: Future<Output = Option<Vec<Part>>> + Send + 'static,
 {
     let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
@@ -51,15 +71,20 @@
 
 async fn serve_connection<F>(mut tcp: TcpStream, answer: impl Fn(Request) -> F + Send)
 where
-    F: Future<Output = Option<Vec<u8>>> + Send,
+    F: Future<Output = Option<Vec<Part>>> + Send,
 {
     let mut buf = Vec::new();
     while let Some(request) = read_request(&mut tcp, &mut buf).await {
-        let Some(response) = answer(request).await else {
+        let Some(parts) = answer(request).await else {
             return;
         };
-        if tcp.write_all(&response).await.is_err() {
-            return;
+        for (delay, bytes) in parts {
+            if !delay.is_zero() {
+                sleep(delay).await;
+            }
+            if tcp.write_all(&bytes).await.is_err() {
+                return;
+            }
         }
     }
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -11,6 +11,7 @@
 mod process;
 mod record;
 mod restored_list;
+mod silent_stream;
 mod store;
 
 use std::path::PathBuf;
@@ -54,6 +55,7 @@
         "cut-answers" => cut_answers::run(case).await,
         "restored-list" => restored_list::run(case).await,
         "large-uploads" => large_uploads::run(case).await,
+        "silent-stream" => silent_stream::run(case).await,
         other => Err(format!("there is no case {other}")),
     };
     match verdict {
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -37,6 +37,20 @@
     })
 }
 
+/// The same with a third route, `/draft/` (streaming), whose streams may not be resumed.
+pub fn config_with_streams(version: u64, timeout_ms: u64, target_latency_ms: u64) -> Value {
+    let mut config = config(version, timeout_ms, target_latency_ms);
+    let mut route = config["routes"][0].clone();
+    route["name"] = json!("draft");
+    route["prefix"] = json!("/draft/");
+    route["kind"] = json!("streaming");
+    route["gap_target_ms"] = json!(400);
+    if let Some(routes) = config["routes"].as_array_mut() {
+        routes.push(route);
+    }
+    config
+}
+
 /// The entry of a target of the service.
 pub fn target(address: SocketAddr, sequence: u64) -> Value {
     json!({
