review: show the loading of a spoilt piece with a script too

Tried: an entry, two agents and two engines; a piece turns bad while the second engine waits for its turn.

--- a/review/standin/src/large_uploads.rs
+++ b/review/standin/src/large_uploads.rs
@@ -136,7 +136,7 @@
 async fn limit_memory(entry: Arc<Entry>, stop_at: Instant, observed: Shared, record: Record) {
     while Instant::now() < stop_at {
         sleep(MEMORY_CHECK_INTERVAL).await;
-        let Some(used_mb) = entry.private_memory_mb() else {
+        let Some(used_mb) = entry.process.private_memory_mb() else {
             return;
         };
         let mut observed = observed.lock().unwrap();
@@ -144,7 +144,7 @@
         if used_mb > f64::from(MEMORY_MB) {
             observed.is_killed = true;
             record.line(format!("the entry uses {used_mb:.1} MB: it is killed"));
-            entry.signal(Signal::SIGKILL);
+            entry.process.signal(Signal::SIGKILL);
             return;
         }
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod restored_list;
 mod silent_stream;
+mod spoilt_piece;
 mod store;
 
 use std::path::PathBuf;
@@ -56,6 +57,7 @@
         "restored-list" => restored_list::run(case).await,
         "large-uploads" => large_uploads::run(case).await,
         "silent-stream" => silent_stream::run(case).await,
+        "spoilt-piece" => spoilt_piece::run(case).await,
         other => Err(format!("there is no case {other}")),
     };
     match verdict {
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -59,6 +59,40 @@
     })
 }
 
+/// A configuration with a service of model engines, the origin of their weights and the route
+/// `/draft/` (streaming).
+pub fn model_config(version: u64, origin: SocketAddr, pieces: usize, piece_bytes: usize) -> Value {
+    let mut config = config_with_streams(version, 6000, 500);
+    let mut route = config["routes"][2].clone();
+    route["service"] = json!("engines");
+    route["resume_streams"] = json!(true);
+    config["routes"] = json!([route]);
+    config["services"] = json!([
+        {
+            "name": "engines", "health_path": "/health", "connection_limit": 424, "protocol": "h1",
+            "tls": false, "cold_start_s": 3.0, "cold_per_s": 36.0, "engine": {
+                "slots": 16, "kv_cache_tokens": 317_000, "stride": 5, "step_ms": 9.27,
+                "models": [{ "name": "m", "pace": 1.0, "load_s": 4.0, "warm_s": 0.3 }],
+                "per_seq_ms": 0.0232, "context_per_k": 0.0322, "read_per_s": 20700.0,
+                "chunk": 2048, "usual": { "prompt": 979, "answer": 92 }, "layers": 16,
+                "chunks": pieces, "chunk_bytes": piece_bytes, "delays": [],
+            },
+        },
+        { "name": "origin", "origin": origin, "zone": "a", "link_mbps": 9.9, "connection_limit": 48 },
+    ]);
+    config
+}
+
+/// The entry of a model engine.
+pub fn model_target(address: SocketAddr, model: &str, version: u64, sequence: u64) -> Value {
+    let mut entry = target(address, sequence);
+    entry["service"] = json!("engines");
+    entry["slots"] = json!(16);
+    entry["stage"] = json!("combined");
+    entry["models"] = json!([{ "name": model, "version": version, "adapters": [] }]);
+    entry
+}
+
 /// A client's request.
 pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64) -> Vec<u8> {
     format!(
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -1,13 +1,13 @@
 //! Starts an entry as the platform does, with the settings of a small deployment.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
@@ -28,7 +28,7 @@
 }
 
 /// The first of two free ports in a row: that of internal traffic and that of the metrics.
-fn free_port_pair() -> u16 {
+pub fn free_port_pair() -> u16 {
     loop {
         let [port] = free_ports::<1>();
         let next = port.checked_add(1);
@@ -38,16 +38,14 @@
     }
 }
 
-/// An entry that runs as a process of its own.
-pub struct Entry {
-    pub address: SocketAddr,
-    pub ready_address: SocketAddr,
+/// A process of the system.
+pub struct Process {
     child: Child,
     /// The files of the process, which are removed at the end.
     files: Vec<PathBuf>,
 }
 
-impl Drop for Entry {
+impl Drop for Process {
     fn drop(&mut self) {
         let _already_ended = self.child.start_kill();
         for path in &self.files {
@@ -56,48 +54,16 @@
     }
 }
 
-impl Entry {
-    /// Starts an entry that reads `store`, and waits until it is ready.
-    pub async fn start(store: SocketAddr) -> Option<Self> {
-        let internal = free_port_pair();
-        let [frontend, ready, control] = free_ports::<3>();
-        let local = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        let settings = json!({
-            "node_name": "frontend-a-1", "role": "entry", "machine_class": "frontend",
-            "serves": ["frontend", "control_plane"], "ip_address": "127.0.0.1",
-            "zone": "a", "region": "north", "zones": { "a": "north" },
-            "listen_addresses": {
-                "frontend": local(frontend), "ready": local(ready), "control_plane": local(control),
-            },
-            "internal_ports": [internal, internal + 1], "seed_nodes": [local(control)],
-            "bootstrap": true, "counts_toward_tolerance": false,
-            "limits": {
-                "cpu_share": 0.19, "cpu_cores": 1, "memory_mb": MEMORY_MB, "file_descriptors": 4200,
-                "link_mbps": 1000.0, "disk_mb": 0,
-            },
-            "data_directory": null, "discovery": "platform", "entry_point": "virtual_ip",
-            "heartbeat_interval_ms": 1200,
-            "bounds": {
-                "seed_lag_s": 3, "reuse_after_s": 2, "touch_ms": 3000, "ack_timeout_ms": 4000,
-                "catch_up_s": 4, "drain_timeout_ms": 2000, "grace_period_s": 8,
-                "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250,
-                "max_stretch_ms": 5000, "revoke_when_partitioned": true,
-                "revoke_timeout_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
-                "retry_budget_extra": 100, "cold_overshoot": 1.5, "cold_slack": 5,
-                "evacuation_ms": 5000, "recovery_s": 12, "pass_ms": 120, "retry_after_s": 0,
-                "version_ms": 8000, "version_all_ms": 0,
-            },
-            "platform": {
-                "address": store, "form": "read", "writes_per_s": 400, "reads_per_s": 2000,
-                "history_s": 20, "value_bytes": 1_048_576, "ttl_min_ms": 1000,
-            },
-        });
-        let file = |extension| format!("entry-{}-{frontend}.{extension}", std::process::id());
+impl Process {
+    /// Starts a role with the command of deploy/system.toml.
+    pub fn start(role: &str, settings: &Value) -> Option<Self> {
+        let name = settings["node_name"].as_str().unwrap_or(role);
+        let file = |extension| format!("{name}-{}.{extension}", std::process::id());
         let path = std::env::temp_dir().join(file("json"));
         let log = std::env::temp_dir().join(file("log"));
         std::fs::write(&path, settings.to_string()).ok()?;
         let child = Command::new(PROGRAM)
-            .args(["platform", "entry"])
+            .args(["platform", role])
             .env("MEDLARPROXY_CONFIG", &path)
             .stdin(Stdio::null())
             .stdout(std::fs::File::create(&log).ok()?)
@@ -105,26 +71,10 @@
             .kill_on_drop(true)
             .spawn()
             .ok()?;
-        let entry = Self {
-            address: local(frontend),
-            ready_address: local(ready),
+        Some(Self {
             child,
             files: vec![path, log],
-        };
-        for _ in 0..100 {
-            if entry.is_ready().await {
-                return Some(entry);
-            }
-            sleep(Duration::from_millis(100)).await;
-        }
-        None
-    }
-
-    /// Asks as the platform does.
-    pub async fn is_ready(&self) -> bool {
-        let request = b"GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n";
-        let answer = exchange(self.ready_address, request).await;
-        answer.is_some_and(|(head, _)| head.status == 200)
+        })
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -153,3 +103,97 @@
         }
     }
 }
+
+/// The settings that the platform gives to processes of both roles.
+fn settings(name: &str, ip: Ipv4Addr, internal: u16, store: SocketAddr) -> Value {
+    json!({
+        "node_name": name, "ip_address": ip, "zone": "a", "region": "north",
+        "zones": { "a": "north" }, "listen_addresses": {},
+        "internal_ports": [internal, internal + 1], "seed_nodes": [], "bootstrap": true,
+        "counts_toward_tolerance": false, "data_directory": null, "discovery": "platform",
+        "entry_point": "virtual_ip", "heartbeat_interval_ms": 1200,
+        "bounds": {
+            "seed_lag_s": 3, "reuse_after_s": 2, "touch_ms": 3000, "ack_timeout_ms": 4000,
+            "catch_up_s": 4, "drain_timeout_ms": 2000, "grace_period_s": 8,
+            "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250,
+            "max_stretch_ms": 5000, "revoke_when_partitioned": true,
+            "revoke_timeout_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
+            "retry_budget_extra": 100, "cold_overshoot": 1.5, "cold_slack": 5,
+            "evacuation_ms": 5000, "recovery_s": 12, "pass_ms": 120, "retry_after_s": 0,
+            "version_ms": 8000, "version_all_ms": 0,
+        },
+        "platform": {
+            "address": store, "form": "read", "writes_per_s": 400, "reads_per_s": 2000,
+            "history_s": 20, "value_bytes": 1_048_576, "ttl_min_ms": 1000,
+        },
+    })
+}
+
+/// Starts the agent of the engine at `app`, on the instance with that address.
+pub fn start_agent(app: SocketAddr, internal: u16, store: SocketAddr) -> Option<Process> {
+    let IpAddr::V4(ip) = app.ip() else {
+        return None;
+    };
+    let mut settings = settings(&format!("side-a-{}", ip.octets()[3]), ip, internal, store);
+    settings["role"] = json!("agent");
+    settings["machine_class"] = json!("side");
+    settings["serves"] = json!(["side"]);
+    settings["app"] = json!(app);
+    settings["service"] = json!("engines");
+    settings["limits"] = json!({
+        "cpu_share": 0.3, "cpu_cores": 1, "memory_mb": 128, "file_descriptors": 2048,
+        "link_mbps": 7.6, "disk_mb": 0,
+    });
+    Process::start("agent", &settings)
+}
+
+/// An entry that runs as a process of its own.
+pub struct Entry {
+    pub address: SocketAddr,
+    pub ready_address: SocketAddr,
+    pub process: Process,
+}
+
+impl Entry {
+    /// Starts an entry that reads `store`, and waits until it is ready.
+    pub async fn start(store: SocketAddr) -> Option<Self> {
+        Self::start_with(store, free_port_pair()).await
+    }
+
+    /// Does the same with a given port for internal traffic, on which agents listen too.
+    pub async fn start_with(store: SocketAddr, internal: u16) -> Option<Self> {
+        let [frontend, ready, control] = free_ports::<3>();
+        let local = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let mut settings = settings("frontend-a-1", Ipv4Addr::LOCALHOST, internal, store);
+        settings["role"] = json!("entry");
+        settings["machine_class"] = json!("frontend");
+        settings["serves"] = json!(["frontend", "control_plane"]);
+        settings["listen_addresses"] = json!({
+            "frontend": local(frontend), "ready": local(ready), "control_plane": local(control),
+        });
+        settings["seed_nodes"] = json!([local(control)]);
+        settings["limits"] = json!({
+            "cpu_share": 0.19, "cpu_cores": 1, "memory_mb": MEMORY_MB, "file_descriptors": 4200,
+            "link_mbps": 1000.0, "disk_mb": 0,
+        });
+        let entry = Self {
+            address: local(frontend),
+            ready_address: local(ready),
+            process: Process::start("entry", &settings)?,
+        };
+        for _ in 0..100 {
+            if entry.is_ready().await {
+                return Some(entry);
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        None
+    }
+
+    /// Asks as the platform does.
+    pub async fn is_ready(&self) -> bool {
+        let request = b"GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n";
+        let answer = exchange(self.ready_address, request).await;
+        answer.is_some_and(|(head, _)| head.status == 200)
+    }
+}
--- a/review/standin/src/silent_stream.rs
+++ b/review/standin/src/silent_stream.rs
@@ -88,8 +88,11 @@
         .collect();
     sleep_until(term_at).await;
     case.record.line("SIGTERM to the entry");
-    entry.signal(Signal::SIGTERM);
-    let ended = entry.wait(GRACE_PERIOD + Duration::from_secs(1)).await;
+    entry.process.signal(Signal::SIGTERM);
+    let ended = entry
+        .process
+        .wait(GRACE_PERIOD + Duration::from_secs(1))
+        .await;
     case.record.line(format!("the entry ended: {ended}"));
     for client in clients {
         client.await.map_err(|e| e.to_string())?;
