--- a/review/standin/src/cut_answers.rs
+++ b/review/standin/src/cut_answers.rs
@@ -2,25 +2,54 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
+use tokio::net::{
+    TcpSocket,
+    TcpStream, //
+};
+use tokio::time::{
+    sleep,
+    sleep_until,
+    timeout_at,
+    Instant, //
+};
 
-use crate::http::{read_head, response, serve, Head, Request};
-use crate::platform::{config, is_misdirected, request, target, ID, INSTANCE_ID, SIGNATURE};
+use crate::http::{
+    read_head,
+    response,
+    serve,
+    Head,
+    Request, //
+};
+use crate::platform::{
+    config,
+    misdirected,
+    name,
+    request,
+    target, //
+};
 use crate::process::Entry;
 use crate::record::Record;
 use crate::store::Store;
-use crate::{Case, Verdict};
+use crate::{
+    Case,
+    Verdict, //
+};
 
 /// The route's timeout and the clients' deadline.
 const DEADLINE: Duration = Duration::from_millis(3000);
-const TARGET_LATENCY_MS: u64 = 300;
+const LATENCY_OBJECTIVE_MS: u64 = 300;
 
 /// The time for which a target works on a request.
 const WORK_TIME: Duration = Duration::from_millis(60);
@@ -78,8 +107,8 @@
     let store = Store::default();
     let store_address = store.start().await;
     store.put(
-        "op/config",
-        &config(1, DEADLINE.as_millis() as u64, TARGET_LATENCY_MS),
+        name("config_key"),
+        &config(1, DEADLINE.as_millis() as u64, LATENCY_OBJECTIVE_MS),
     );
     for id in TARGETS {
         start_target(id, &store, &observed, &case.record).await;
@@ -165,10 +194,9 @@
 }
 
 async fn answer(target: &str, request: &Request, observed: &Shared, record: &Record) -> Vec<u8> {
-    let id = request.header(ID);
-    if is_misdirected(request, target) {
-        let headers = [(INSTANCE_ID, target), (ID, id)];
-        return response("421 Misdirected Request", &headers, b"");
+    let id = request.header(name("request_id"));
+    if let Some(refusal) = misdirected(request, target) {
+        return refusal;
     }
     record.line(format!(
         "{target} runs {id} ({} {})",
@@ -177,7 +205,11 @@
     observed.lock().unwrap().ran.insert(id.to_owned());
     sleep(WORK_TIME).await;
     let body = vec![b'x'; ANSWER_BYTES];
-    response("200 OK", &[(ID, id), (SIGNATURE, target)], &body)
+    response(
+        "200 OK",
+        &[(name("request_id"), id), (name("signature"), target)],
+        &body,
+    )
 }
 
 /// Sends one request after the other on an open connection, or on a new one if that was closed.
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -5,8 +5,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
 use tokio::time::sleep;
 
 /// A request that a stand-in received.
--- a/review/standin/src/large_uploads.rs
+++ b/review/standin/src/large_uploads.rs
@@ -2,26 +2,50 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::{
+    sleep,
+    sleep_until,
+    timeout_at,
+    Instant, //
+};
 
-use crate::http::{read_head, response, serve, Request};
+use crate::http::{
+    read_head,
+    response,
+    serve,
+    Request, //
+};
 use crate::platform::{
-    config, is_misdirected, request, request_with_body, target, ID, INSTANCE_ID, SIGNATURE,
+    config,
+    misdirected,
+    name,
+    request,
+    request_head,
+    target, //
+};
+use crate::process::{
+    Entry,
+    MEMORY_MB, //
 };
-use crate::process::{Entry, MEMORY_MB};
 use crate::record::Record;
 use crate::store::Store;
-use crate::{Case, Verdict};
+use crate::{
+    Case,
+    Verdict, //
+};
 
 /// The route's timeout and the clients' deadline.
 const DEADLINE: Duration = Duration::from_millis(6000);
-const TARGET_LATENCY_MS: u64 = 500;
+const LATENCY_OBJECTIVE_MS: u64 = 500;
 
 /// The time for which a target works on a request.
 const WORK_TIME: Duration = Duration::from_millis(60);
@@ -65,8 +89,8 @@
     let observed = Shared::default();
     let store = Store::default();
     let store_address = store.start().await;
-    let configuration = config(1, DEADLINE.as_millis() as u64, TARGET_LATENCY_MS);
-    store.put("op/config", &configuration);
+    let configuration = config(1, DEADLINE.as_millis() as u64, LATENCY_OBJECTIVE_MS);
+    store.put(name("config_key"), &configuration);
     for id in TARGETS {
         start_target(id, &store, &observed).await;
     }
@@ -169,15 +193,18 @@
 }
 
 async fn answer(target: &str, request: &Request, observed: &Shared) -> Vec<u8> {
-    let id = request.header(ID);
-    if is_misdirected(request, target) {
-        let headers = [(INSTANCE_ID, target), (ID, id)];
-        return response("421 Misdirected Request", &headers, b"");
+    let id = request.header(name("request_id"));
+    if let Some(refusal) = misdirected(request, target) {
+        return refusal;
     }
     observed.lock().unwrap().ran.insert(id.to_owned());
     sleep(WORK_TIME).await;
     let body = format!("{} bytes", request.body.len());
-    response("200 OK", &[(ID, id), (SIGNATURE, target)], body.as_bytes())
+    response(
+        "200 OK",
+        &[(name("request_id"), id), (name("signature"), target)],
+        body.as_bytes(),
+    )
 }
 
 /// Sends small requests one after the other on an open connection.
@@ -231,7 +258,14 @@
     let deadline = Instant::now() + DEADLINE;
     let exchange = async {
         let mut tcp = TcpStream::connect(entry).await.ok()?;
-        let head = request_with_body("/order/2", &id, DEADLINE.as_millis() as u64, BODY_BYTES);
+        let head = request_head(
+            "POST",
+            "/order/2",
+            &id,
+            DEADLINE.as_millis() as u64,
+            BODY_BYTES,
+            &[],
+        );
         tcp.write_all(&head).await.ok()?;
         let start = Instant::now();
         let part = vec![b'x'; SEND_BYTES];
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod process;
 mod record;
+mod restored_keys;
 mod restored_list;
 mod silent_stream;
 mod spoilt_piece;
@@ -58,6 +59,7 @@
         "large-uploads" => large_uploads::run(case).await,
         "silent-stream" => silent_stream::run(case).await,
         "spoilt-piece" => spoilt_piece::run(case).await,
+        "restored-keys" => restored_keys::run(case).await,
         other => Err(format!("there is no case {other}")),
     };
     match verdict {
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -1,86 +1,57 @@
-//! What the operator and the targets write to the store, and the headers of the platform.
+//! What the operator and the targets write to the store, and the requests of clients. The names of the
+//! platform and its documents stand in `wire/`.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::LazyLock;
 
-use serde_json::{json, Value};
+use serde_json::{
+    json,
+    Value, //
+};
 
 use crate::http::Request;
 
-pub const ID: &str = "x-medlarproxy-request-id";
-pub const SIGNATURE: &str = "x-medlarproxy-response-signature";
-pub const EXPECTED_INSTANCE: &str = "x-medlarproxy-expected-instance";
-pub const INSTANCE_ID: &str = "x-medlarproxy-instance-id";
+static NAMES: LazyLock<BTreeMap<&'static str, &'static str>> = LazyLock::new(|| {
+    let lines = include_str!("../wire/names.txt").lines();
+    lines.filter_map(|line| line.split_once(' ')).collect()
+});
 
-/// A configuration with one plain service and the routes `/look/` (idempotent) and `/order/`
-/// (non_idempotent).
-pub fn config(version: u64, timeout_ms: u64, target_latency_ms: u64) -> Value {
-    let route = |name: &str, kind: &str| {
-        json!({
-            "name": name, "host": "h.example", "prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": timeout_ms, "target_latency_ms": target_latency_ms, "priority": 1,
-            "service": "desk", "max_attempts": 2, "allow_anonymous": false,
-            "sticky_sessions": false, "resume_streams": false, "allowed_regions": [],
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [route("look", "idempotent"), route("order", "non_idempotent")],
-        "services": [{
-            "name": "desk", "health_path": "/health", "connection_limit": 96, "protocol": "h1",
-            "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
-        }],
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 4_194_304,
-            "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
-        },
-        "tenants": [{ "name": "studio", "api_keys": ["k1"], "priority": 1, "allowed_regions": [] }],
-    })
+/// The name that the platform gives to a header, path, key or field.
+pub fn name(of: &str) -> &'static str {
+    NAMES.get(of).copied().expect("names.txt has all names")
 }
 
-/// The same with a third route, `/draft/` (streaming), whose streams may not be resumed.
-pub fn config_with_streams(version: u64, timeout_ms: u64, target_latency_ms: u64) -> Value {
-    let mut config = config(version, timeout_ms, target_latency_ms);
-    let mut route = config["routes"][0].clone();
-    route["name"] = json!("draft");
-    route["prefix"] = json!("/draft/");
-    route["kind"] = json!("streaming");
-    route["gap_target_ms"] = json!(400);
-    if let Some(routes) = config["routes"].as_array_mut() {
-        routes.push(route);
+fn document(text: &str) -> Value {
+    serde_json::from_str(text).expect("a valid document")
+}
+
+/// A configuration with one plain service and the routes `/look/` (idempotent), `/order/` (may run once)
+/// and `/draft/` (streams that may not be resumed).
+pub fn config(version: u64, timeout_ms: u64, latency_objective_ms: u64) -> Value {
+    let mut config = document(include_str!("../wire/config.json"));
+    config["version"] = json!(version);
+    for route in config["routes"].as_array_mut().into_iter().flatten() {
+        route["timeout_ms"] = json!(timeout_ms);
+        route[name("latency_objective")] = json!(latency_objective_ms);
     }
     config
 }
 
-/// The entry of a target of the service.
-pub fn target(address: SocketAddr, sequence: u64) -> Value {
-    json!({
-        "service": "desk", "address": address, "zone": "a", "version": "v1", "slots": 6,
-        "state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": 1_700_000_000_000_u64,
-    })
+/// A configuration with a service of model engines, the origin of their weights and the route `/draft/`
+/// (streams that may be resumed).
+pub fn model_config(origin: SocketAddr) -> Value {
+    let mut config = document(include_str!("../wire/model-config.json"));
+    config["services"][1]["origin"] = json!(origin);
+    config
 }
 
-/// A configuration with a service of model engines, the origin of their weights and the route
-/// `/draft/` (streaming).
-pub fn model_config(version: u64, origin: SocketAddr, pieces: usize, piece_bytes: usize) -> Value {
-    let mut config = config_with_streams(version, 6000, 500);
-    let mut route = config["routes"][2].clone();
-    route["service"] = json!("engines");
-    route["resume_streams"] = json!(true);
-    config["routes"] = json!([route]);
-    config["services"] = json!([
-        {
-            "name": "engines", "health_path": "/health", "connection_limit": 424, "protocol": "h1",
-            "tls": false, "cold_start_s": 3.0, "cold_per_s": 36.0, "engine": {
-                "slots": 16, "kv_cache_tokens": 317_000, "stride": 5, "step_ms": 9.27,
-                "models": [{ "name": "m", "pace": 1.0, "load_s": 4.0, "warm_s": 0.3 }],
-                "per_seq_ms": 0.0232, "context_per_k": 0.0322, "read_per_s": 20700.0,
-                "chunk": 2048, "usual": { "prompt": 979, "answer": 92 }, "layers": 16,
-                "chunks": pieces, "chunk_bytes": piece_bytes, "delays": [],
-            },
-        },
-        { "name": "origin", "origin": origin, "zone": "a", "link_mbps": 9.9, "connection_limit": 48 },
-    ]);
-    config
+/// The entry of a target of the plain service.
+pub fn target(address: SocketAddr, sequence: u64) -> Value {
+    let mut entry = document(include_str!("../wire/target.json"));
+    entry["address"] = json!(address);
+    entry["sequence"] = json!(sequence);
+    entry
 }
 
 /// The entry of a model engine.
@@ -93,25 +64,50 @@
     entry
 }
 
-/// A client's request.
+/// The settings that the platform gives to processes of both roles.
+pub fn settings() -> Value {
+    document(include_str!("../wire/settings.json"))
+}
+
+/// The head of a client's request with a body of this length and more headers.
+pub fn request_head(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    length: usize,
+    more: &[(&str, &str)],
+) -> Vec<u8> {
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\n{}: {id}\r\n{}: {deadline_ms}\r\n\
+         Authorization: Token k1\r\nContent-Length: {length}\r\n",
+        name("request_id"),
+        name("deadline"),
+    );
+    for (name, value) in more {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    text.into_bytes()
+}
+
+/// A client's request without a body.
 pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64) -> Vec<u8> {
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Medlarproxy-Request-Id: {id}\r\n\
-         X-Medlarproxy-Deadline-Ms: {deadline_ms}\r\nAuthorization: Token k1\r\n\
-         Content-Length: 0\r\n\r\n"
-    )
-    .into_bytes()
+    request_head(method, path, id, deadline_ms, 0, &[])
 }
 
-/// Whether the request is meant for another target.
-pub fn is_misdirected(request: &Request, id: &str) -> bool {
-    let expected = request.header(EXPECTED_INSTANCE);
-    !expected.is_empty() && expected != id
+/// The answer to a request that is meant for another target, if it is.
+pub fn misdirected(request: &Request, target: &str) -> Option<Vec<u8>> {
+    let expected = request.header(name("expected_instance"));
+    if expected.is_empty() || expected == target {
+        return None;
+    }
+    Some(refuse_misdirected(request, target))
 }
 
-/// The head of a client's request with a body of this length.
-pub fn request_with_body(path: &str, id: &str, deadline_ms: u64, length: usize) -> Vec<u8> {
-    let text = String::from_utf8_lossy(&request("POST", path, id, deadline_ms)).into_owned();
-    let length = format!("Content-Length: {length}");
-    text.replace("Content-Length: 0", &length).into_bytes()
+/// The answer that a request is meant for another target or version.
+pub fn refuse_misdirected(request: &Request, target: &str) -> Vec<u8> {
+    let id = request.header(name("request_id"));
+    let headers = [(name("instance_id"), target), (name("request_id"), id)];
+    crate::http::response("421 Misdirected Request", &headers, b"")
 }
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -1,17 +1,35 @@
 //! Starts an entry as the platform does, with the settings of a small deployment.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    SocketAddr,
+    TcpListener, //
+};
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 
-use nix::sys::signal::{kill, Signal};
+use nix::sys::signal::{
+    kill,
+    Signal, //
+};
 use nix::unistd::Pid;
-use serde_json::{json, Value};
-use tokio::process::{Child, Command};
+use serde_json::{
+    json,
+    Value, //
+};
+use tokio::process::{
+    Child,
+    Command, //
+};
 use tokio::time::sleep;
 
 use crate::http::exchange;
+use crate::platform::{
+    self,
+    name, //
+};
 
 /// The command of the role in deploy/system.toml, from the repository's root.
 const PROGRAM: &str = "target/release/medlarproxy";
@@ -57,14 +75,14 @@
 impl Process {
     /// Starts a role with the command of deploy/system.toml.
     pub fn start(role: &str, settings: &Value) -> Option<Self> {
-        let name = settings["node_name"].as_str().unwrap_or(role);
-        let file = |extension| format!("{name}-{}.{extension}", std::process::id());
+        let node = settings["node_name"].as_str().unwrap_or(role);
+        let file = |extension| format!("{node}-{}.{extension}", std::process::id());
         let path = std::env::temp_dir().join(file("json"));
         let log = std::env::temp_dir().join(file("log"));
         std::fs::write(&path, settings.to_string()).ok()?;
         let child = Command::new(PROGRAM)
             .args(["platform", role])
-            .env("MEDLARPROXY_CONFIG", &path)
+            .env(name("settings_variable"), &path)
             .stdin(Stdio::null())
             .stdout(std::fs::File::create(&log).ok()?)
             .stderr(Stdio::inherit())
@@ -104,29 +122,14 @@
     }
 }
 
-/// The settings that the platform gives to processes of both roles.
+/// The settings of a process on the instance with this address.
 fn settings(name: &str, ip: Ipv4Addr, internal: u16, store: SocketAddr) -> Value {
-    json!({
-        "node_name": name, "ip_address": ip, "zone": "a", "region": "north",
-        "zones": { "a": "north" }, "listen_addresses": {},
-        "internal_ports": [internal, internal + 1], "seed_nodes": [], "bootstrap": true,
-        "counts_toward_tolerance": false, "data_directory": null, "discovery": "platform",
-        "entry_point": "virtual_ip", "heartbeat_interval_ms": 1200,
-        "bounds": {
-            "seed_lag_s": 3, "reuse_after_s": 2, "touch_ms": 3000, "ack_timeout_ms": 4000,
-            "catch_up_s": 4, "drain_timeout_ms": 2000, "grace_period_s": 8,
-            "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250,
-            "max_stretch_ms": 5000, "revoke_when_partitioned": true,
-            "revoke_timeout_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
-            "retry_budget_extra": 100, "cold_overshoot": 1.5, "cold_slack": 5,
-            "evacuation_ms": 5000, "recovery_s": 12, "pass_ms": 120, "retry_after_s": 0,
-            "version_ms": 8000, "version_all_ms": 0,
-        },
-        "platform": {
-            "address": store, "form": "read", "writes_per_s": 400, "reads_per_s": 2000,
-            "history_s": 20, "value_bytes": 1_048_576, "ttl_min_ms": 1000,
-        },
-    })
+    let mut settings = platform::settings();
+    settings["node_name"] = json!(name);
+    settings["ip_address"] = json!(ip);
+    settings["internal_ports"] = json!([internal, internal + 1]);
+    settings["platform"]["address"] = json!(store);
+    settings
 }
 
 /// Starts the agent of the engine at `app`, on the instance with that address.
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -3,7 +3,10 @@
 use std::fs::File;
 use std::io::Write as _;
 use std::path::Path;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 
 use tokio::time::Instant;
 
--- a/review/standin/src/restored_list.rs
+++ b/review/standin/src/restored_list.rs
@@ -1,20 +1,42 @@
 //! The store comes back from a copy that still lists a target which left and has said so.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
 
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{
+    sleep,
+    sleep_until,
+    timeout,
+    Instant, //
+};
 
-use crate::http::{exchange, response, serve, Request};
-use crate::platform::{config, is_misdirected, request, target, ID, INSTANCE_ID, SIGNATURE};
+use crate::http::{
+    exchange,
+    response,
+    serve,
+    Request, //
+};
+use crate::platform::{
+    config,
+    misdirected,
+    name,
+    request,
+    target, //
+};
 use crate::process::Entry;
 use crate::record::Record;
 use crate::store::Store;
-use crate::{Case, Verdict};
+use crate::{
+    Case,
+    Verdict, //
+};
 
 const DEADLINE: Duration = Duration::from_millis(6000);
-const TARGET_LATENCY_MS: u64 = 3000;
+const LATENCY_OBJECTIVE_MS: u64 = 3000;
 
 /// The time for which a target works on a request.
 const WORK_TIME: Duration = Duration::from_millis(900);
@@ -71,8 +93,8 @@
     let observed = Shared::default();
     let store = Store::default();
     let store_address = store.start().await;
-    let configuration = config(1, DEADLINE.as_millis() as u64, TARGET_LATENCY_MS);
-    store.put("op/config", &configuration);
+    let configuration = config(1, DEADLINE.as_millis() as u64, LATENCY_OBJECTIVE_MS);
+    store.put(name("config_key"), &configuration);
     for index in 0..TARGETS.len() {
         start_target(index, &store, &observed, &case.record).await;
     }
@@ -102,7 +124,7 @@
     clients.extend(late.map(|client| spawn_client(client, entry.address, &observed, &case.record)));
     if case.has_trouble {
         sleep_until(back_at + REWRITE_TIME).await;
-        store.put("op/config", &configuration);
+        store.put(name("config_key"), &configuration);
         store.delete(&format!("servers/{}", TARGETS[leaving]));
         case.record
             .line("operator and leaving target have written again");
@@ -193,17 +215,16 @@
     observed: &Shared,
     record: &Record,
 ) -> Option<Vec<u8>> {
-    let (id, name) = (request.header(ID), TARGETS[index]);
+    let (id, target) = (request.header(name("request_id")), TARGETS[index]);
     let left_at = has_left(observed, index);
     if left_at.is_some_and(|at| at.elapsed() >= SERVING_TIME) {
         return None;
     }
-    if is_misdirected(request, name) {
-        let headers = [(INSTANCE_ID, name), (ID, id)];
-        return Some(response("421 Misdirected Request", &headers, b""));
+    if let Some(refusal) = misdirected(request, target) {
+        return Some(refusal);
     }
     record.line(format!(
-        "{name} runs {id} ({} {})",
+        "{target} runs {id} ({} {})",
         request.method, request.target
     ));
     let may_leave = {
@@ -223,9 +244,9 @@
     }
     sleep(WORK_TIME).await;
     observed.lock().unwrap().running[index] -= 1;
-    let mut headers = vec![(ID, id), (SIGNATURE, name)];
+    let mut headers = vec![(name("request_id"), id), (name("signature"), target)];
     if has_left(observed, index).is_some() {
-        headers.push(("Server-Leaving", "1"));
+        headers.push((name("leaving"), "1"));
     }
     Some(response("200 OK", &headers, b"done"))
 }
@@ -262,7 +283,7 @@
             record.line(format!("{id}: no answer"));
             continue;
         };
-        let says_leaving = head.header("server-leaving") == "1";
+        let says_leaving = head.header(name("leaving")) == "1";
         record.line(format!(
             "{id}: status {}, leaving: {says_leaving}",
             head.status
--- a/review/standin/src/silent_stream.rs
+++ b/review/standin/src/silent_stream.rs
@@ -2,26 +2,49 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::{
+    sleep,
+    sleep_until,
+    timeout_at,
+    Instant, //
+};
 
-use crate::http::{read_head, response, serve_parts, Part, Request};
+use crate::http::{
+    read_head,
+    serve_parts,
+    Part,
+    Request, //
+};
 use crate::platform::{
-    config_with_streams, is_misdirected, request, target, ID, INSTANCE_ID, SIGNATURE,
+    config,
+    misdirected,
+    name,
+    request,
+    target, //
 };
 use crate::process::Entry;
 use crate::record::Record;
 use crate::store::Store;
-use crate::{Case, Verdict};
+use crate::{
+    Case,
+    Verdict, //
+};
 
 /// The route's timeout and the clients' deadline.
 const DEADLINE: Duration = Duration::from_millis(6000);
-const TARGET_LATENCY_MS: u64 = 500;
+const LATENCY_OBJECTIVE_MS: u64 = 500;
 
 /// A stream has this many events at this interval, and takes 1.6 s.
 const EVENTS: usize = 16;
@@ -71,8 +94,8 @@
     let observed = Shared::default();
     let store = Store::default();
     let store_address = store.start().await;
-    let configuration = config_with_streams(1, DEADLINE.as_millis() as u64, TARGET_LATENCY_MS);
-    store.put("op/config", &configuration);
+    let configuration = config(1, DEADLINE.as_millis() as u64, LATENCY_OBJECTIVE_MS);
+    store.put(name("config_key"), &configuration);
     for id in TARGETS {
         start_target(id, &store, &observed, &case).await;
     }
@@ -156,13 +179,9 @@
     record: &Record,
     may_pause: bool,
 ) -> Vec<Part> {
-    let id = request.header(ID);
-    if is_misdirected(request, target) {
-        let headers = [(INSTANCE_ID, target), (ID, id)];
-        return vec![(
-            Duration::ZERO,
-            response("421 Misdirected Request", &headers, b""),
-        )];
+    let id = request.header(name("request_id"));
+    if let Some(refusal) = misdirected(request, target) {
+        return vec![(Duration::ZERO, refusal)];
     }
     let mut observed = observed.lock().unwrap();
     observed.runs += 1;
@@ -171,7 +190,9 @@
     record.line(format!("{target} runs {id}, preempted: {is_preempted}"));
     let head = format!(
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\
-         {ID}: {id}\r\n{SIGNATURE}: {target}\r\n\r\n"
+         {}: {id}\r\n{}: {target}\r\n\r\n",
+        name("request_id"),
+        name("signature"),
     );
     let mut parts = vec![(EVENT_INTERVAL, head.into_bytes())];
     for number in 1..=EVENTS {
--- a/review/standin/src/spoilt_piece.rs
+++ b/review/standin/src/spoilt_piece.rs
@@ -2,19 +2,51 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
 
-use serde_json::{json, Value};
-use sha2::{Digest, Sha256};
-use tokio::time::{sleep, timeout, Instant};
+use serde_json::{
+    json,
+    Value, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use tokio::time::{
+    sleep,
+    timeout,
+    Instant, //
+};
 
-use crate::http::{exchange, response, serve, Request};
-use crate::platform::{is_misdirected, model_config, model_target, ID, INSTANCE_ID, SIGNATURE};
-use crate::process::{free_port_pair, start_agent, Entry};
+use crate::http::{
+    exchange,
+    response,
+    serve,
+    Request, //
+};
+use crate::platform::{
+    misdirected,
+    model_config,
+    model_target,
+    name,
+    refuse_misdirected,
+    request_head, //
+};
+use crate::process::{
+    free_port_pair,
+    start_agent,
+    Entry, //
+};
 use crate::record::Record;
 use crate::store::Store;
-use crate::{Case, Verdict};
+use crate::{
+    Case,
+    Verdict, //
+};
 
 const MODEL: &str = "m";
 const PIECES: usize = 16;
@@ -90,7 +122,7 @@
         |request| async move { answer_origin(&request) },
     )
     .await;
-    store.put("op/config", &model_config(1, origin, PIECES, PIECE_BYTES));
+    store.put(name("config_key"), &model_config(origin));
     let internal = free_port_pair();
     let mut agents = Vec::new();
     for index in 0..ENGINES.len() {
@@ -103,7 +135,7 @@
     sleep(NAME_AFTER).await;
     case.record.line("version 2 is named");
     let named = json!({ "model": MODEL, "version": 2 });
-    store.put(&format!("op/version/{MODEL}"), &named);
+    store.put(&format!("{}{MODEL}", name("version_prefix")), &named);
     let rot = tokio::spawn(spoil_waiting_engine(
         observed.clone(),
         case.record.clone(),
@@ -257,23 +289,29 @@
     record: &Record,
 ) -> Option<Vec<u8>> {
     let path = request.target.split('?').next()?;
-    if path == "/report" || path.starts_with("/stage-") || path == "/order" {
+    if path == "/report"
+        || path.starts_with(name("stage_put_path"))
+        || path.starts_with(name("stage_get_path"))
+        || path == "/order"
+    {
         let mut observed = observed.lock().unwrap();
         return answer_agent(index, path, request, &mut observed.engines[index], record);
     }
-    let (id, name) = (request.header(ID), ENGINES[index].0);
+    let (id, target) = (request.header(name("request_id")), ENGINES[index].0);
     let version = {
         let mut observed = observed.lock().unwrap();
         let engine = &mut observed.engines[index];
         engine.finish_loading();
-        let expected = request.header("x-medlarproxy-expected-version");
+        let expected = request.header(name("expected_version"));
         let is_other_version = !expected.is_empty() && expected != engine.version.to_string();
-        if is_misdirected(request, name) || is_other_version {
-            let headers = [(INSTANCE_ID, name), (ID, id)];
-            return Some(response("421 Misdirected Request", &headers, b""));
+        if let Some(refusal) = misdirected(request, target) {
+            return Some(refusal);
+        }
+        if is_other_version {
+            return Some(refuse_misdirected(request, target));
         }
         if engine.loading.is_some() {
-            let headers = [("X-Medlarproxy-Not-Executed", "1"), (ID, id)];
+            let headers = [(name("not_run"), "1"), (name("request_id"), id)];
             return Some(response("503 Service Unavailable", &headers, b""));
         }
         let (version, is_spoilt) = (engine.version, engine.is_spoilt);
@@ -281,16 +319,16 @@
             observed.spoilt.push(id.to_owned());
         }
         record.line(format!(
-            "{name} runs {id} on version {version}, spoilt: {is_spoilt}"
+            "{target} runs {id} on version {version}, spoilt: {is_spoilt}"
         ));
         version.to_string()
     };
     sleep(WORK_TIME).await;
     let headers = [
-        (ID, id),
-        (SIGNATURE, name),
+        (name("request_id"), id),
+        (name("signature"), target),
         ("Content-Type", "text/event-stream"),
-        ("X-Medlarproxy-Weight-Versions", version.as_str()),
+        (name("weight_version"), version.as_str()),
     ];
     let body = format!("id: 1\ndata: {id}\n\n");
     Some(response("200 OK", &headers, body.as_bytes()))
@@ -317,7 +355,7 @@
         });
         return Some(json_response("200 OK", &body));
     }
-    if path.starts_with("/stage-put/") {
+    if path.starts_with(name("stage_put_path")) {
         engine.staged.insert(number?, request.body.clone());
         if engine.holds(2) {
             record.line(format!(
@@ -327,7 +365,7 @@
         }
         return Some(json_response("200 OK", &json!({})));
     }
-    if path.starts_with("/stage-get/") {
+    if path.starts_with(name("stage_get_path")) {
         return Some(
             match number.and_then(|number: usize| engine.staged.get(&number)) {
                 Some(piece) => response("200 OK", &[], piece),
@@ -350,14 +388,15 @@
 
 async fn request(number: usize, entry: SocketAddr, observed: Shared, record: Record) {
     let id = format!("r-{number}");
-    let body_headers = format!(
-        "POST /draft/1 HTTP/1.1\r\nHost: h.example\r\nX-Medlarproxy-Request-Id: {id}\r\n\
-         X-Medlarproxy-Deadline-Ms: {}\r\nAuthorization: Token k1\r\nX-Medlarproxy-Model: {MODEL}\r\n\
-         X-Medlarproxy-Token-Counts: 100,20\r\nX-Medlarproxy-Prompt-Prefix: a1:40,b{number:x}:60\r\n\
-         Content-Length: 0\r\n\r\n",
-        DEADLINE.as_millis()
-    );
-    let status = read_status(entry, body_headers.as_bytes()).await;
+    let prompt = format!("a1:40,b{number:x}:60");
+    let headers = [
+        (name("model"), MODEL),
+        (name("token_counts"), "100,20"),
+        (name("prompt_parts"), prompt.as_str()),
+    ];
+    let deadline_ms = DEADLINE.as_millis() as u64;
+    let text = request_head("POST", "/draft/1", &id, deadline_ms, 0, &headers);
+    let status = read_status(entry, &text).await;
     record.line(format!("{id}: status {status:?}"));
     observed.lock().unwrap().answered += usize::from(status == Some(200));
 }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -1,15 +1,29 @@
 //! The platform's store, as far as the system reads it.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
-use serde_json::{json, Value};
-use tokio::time::{sleep, Instant};
-
-use crate::http::{response, serve, Request};
+use serde_json::{
+    json,
+    Value, //
+};
+use tokio::time::{
+    sleep,
+    Instant, //
+};
+
+use crate::http::{
+    response,
+    serve,
+    Request, //
+};
+use crate::platform::name;
 
 /// The usual time of an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
@@ -102,7 +116,7 @@
     async fn answer(&self, request: Request) -> Option<Vec<u8>> {
         sleep(ANSWER_TIME).await;
         let prefix = request.query("prefix").unwrap_or_default();
-        if request.target.starts_with("/kv-range") {
+        if request.target.starts_with(name("range_path")) {
             let after = request.query("after").unwrap_or_default();
             return self.range(&prefix, &after);
         }
@@ -157,7 +171,10 @@
 impl Contents {
     fn respond(&self, status: &str, body: &Value) -> Vec<u8> {
         let era = self.era.to_string();
-        let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
+        let headers = [
+            ("Content-Type", "application/json"),
+            (name("store_era"), era.as_str()),
+        ];
         response(status, &headers, body.to_string().as_bytes())
     }
 }
@@ -166,7 +183,7 @@
     match &item.value {
         Some(value) => json!({
             "key": item.key, "value": STANDARD.encode(value), "revision": item.revision,
-            "created": item.created, "lease": u64::from(item.key.starts_with("servers/")),
+            "created": item.created, "lease": u64::from(item.key.starts_with(name("target_prefix"))),
         }),
         None => json!({ "key": item.key, "revision": item.revision, "deleted": true }),
     }
