--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -66,6 +66,13 @@
 impl Drop for Process {
     fn drop(&mut self) {
         let _already_ended = self.child.start_kill();
+        // The program must not end before the processes that it started.
+        for _ in 0..500 {
+            match self.child.try_wait() {
+                Ok(None) => std::thread::sleep(Duration::from_millis(2)),
+                Ok(Some(_)) | Err(_) => break,
+            }
+        }
         for path in &self.files {
             let _already_removed = std::fs::remove_file(path);
         }
