Verify staged pieces again before an engine is ordered to load them

Cause: the pieces were read back once, when they had been staged. The engine loads what it holds when it accepts the order, which comes when it is the engine's turn, up to seven seconds later.

Change: the agent keeps when the check of the pieces began and ended. It checks them again shortly before its turn, so that the turn is not delayed, and orders only while the check is at most 1.5 s old, also if the process stood still in between; a check from before the engine was lost does not count. Stagings of two versions no longer overlap, since an engine keeps one piece of each number. The line of an order has the age of the check, and a counter the pieces that had to be written.

The reducer's tests play clock jumps, lost engines and slow checks.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -39,6 +39,7 @@
 use crate::published_version::PublishedVersion;
 use crate::router::learned::learned_limit;
 use crate::CrashSuspects;
+use crate::PieceCheck;
 
 use self::download::{
     Download,
@@ -144,9 +145,9 @@
     /// The check of the engine ended: these pieces that it holds match the manifest of the version
     /// with this key.
     EngineChecked(Digest, Vec<Piece>),
-    /// Staging ended: whether the engine holds every piece of the version with this key, verified
-    /// by its digest.
-    Staged(Digest, bool),
+    /// Staging ended: the check that found every piece of the version with this key at the engine, or
+    /// `None` if the engine does not hold all of them.
+    Staged(Digest, Option<PieceCheck>),
     /// The engine answered the order to load the version with this key: whether it accepted it.
     OrderAnswered(Digest, bool),
 }
@@ -164,7 +165,12 @@
     /// reading them back.
     Stage(ModelVersion),
     /// Order the engine to load the version.
-    OrderLoad(ModelVersion),
+    OrderLoad {
+        /// The version to load.
+        model_version: ModelVersion,
+        /// The order must not be sent later, since what it relies on may have changed by then.
+        valid_until: Duration,
+    },
     /// Ask the engine for its report.
     ReadEngine,
     /// Read the list of engines.
@@ -178,10 +184,10 @@
 enum UpdatePhase {
     /// No update is in progress: no newer version is complete, or the last update ended or failed.
     Idle,
-    /// The pieces are being written to the engine.
+    /// The pieces are being written to the engine, or verified once more.
     Staging,
-    /// The engine holds the pieces since this time and waits for its turn in the rolling update.
-    Waiting(Duration),
+    /// The engine holds the pieces and waits for its turn in the rolling update.
+    Waiting,
     /// Since this time, no reservation is accepted, and the engine processes the prompts of
     /// requests that were sent before.
     Draining(Duration),
@@ -189,6 +195,15 @@
     Loading(Duration),
 }
 
+/// The pieces of an update that the engine holds.
+#[derive(Clone, Copy, Debug)]
+struct StagedPieces {
+    /// When the engine held all of them for the first time.
+    since: Duration,
+    /// The last check of the pieces.
+    check: PieceCheck,
+}
+
 /// How much earlier than a process learned of a version the schedule of its update may start. Bounds on
 /// the publication that are further away are not close.
 const MAX_SCHEDULE_ADVANCE: Duration = Duration::from_millis(1000);
@@ -217,6 +232,11 @@
     /// The version of the current update of the engine, or of the last one.
     update: Option<ModelVersion>,
     phase: UpdatePhase,
+    /// What the engine holds of the current update. `None` until all pieces are staged.
+    staged: Option<StagedPieces>,
+    /// When the engine last became unreachable or lost its weights. Checks that began earlier say nothing
+    /// about the pieces that it holds now.
+    engine_lost_at: Duration,
     reservations: Reservations,
     /// Crashes of any targets that entries reported, which are passed on to all entries.
     suspects: CrashSuspects,
@@ -286,6 +306,8 @@
             downloads: Vec::new(),
             update: None,
             phase: UpdatePhase::Idle,
+            staged: None,
+            engine_lost_at: Duration::ZERO,
             reservations: Reservations::default(),
             suspects: CrashSuspects::default(),
             engine: None,
@@ -496,9 +518,7 @@
                     download.finish_engine_check(now, pieces, &mut effects);
                 }
             }
-            Event::Staged(key, is_verified) => {
-                self.handle_staged(now, &key, is_verified, &mut effects)
-            }
+            Event::Staged(key, check) => self.handle_staged(now, &key, check, &mut effects),
             Event::OrderAnswered(key, is_accepted) => {
                 self.handle_order_answered(now, &key, is_accepted)
             }
@@ -516,7 +536,7 @@
     fn handle_tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let is_updating = self.engine.is_none()
             || self.status().is_switching
-            || matches!(self.phase, UpdatePhase::Waiting(_));
+            || self.phase == UpdatePhase::Waiting;
         let interval = if is_updating {
             ENGINE_READ_INTERVAL_UPDATING
         } else if self.is_following_speed(now) {
@@ -667,6 +687,11 @@
         self.reservations
             .capacity_mut()
             .observe_engine(previous, report);
+        let version_of = |report: Option<EngineReport>| report.and_then(|report| report.version);
+        let has_lost_weights = version_of(previous).is_some() && version_of(report).is_none();
+        if report.is_none() || has_lost_weights {
+            self.engine_lost_at = now;
+        }
         let Some(report) = report else {
             // An engine that restarts has lost its order.
             if matches!(self.phase, UpdatePhase::Loading(_)) {
@@ -674,7 +699,7 @@
             }
             return;
         };
-        if previous.and_then(|previous| previous.version) != report.version {
+        if version_of(previous) != report.version {
             effects.push(Effect::Record(Decision::Engine {
                 target: self.name.clone(),
                 version: report.version,
@@ -698,31 +723,40 @@
         &mut self,
         now: Duration,
         key: &Digest,
-        is_verified: bool,
+        check: Option<PieceCheck>,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(update) = self.update.as_ref().filter(|update| update.key == *key) else {
-            return;
-        };
-        if self.phase != UpdatePhase::Staging {
+        if self.phase != UpdatePhase::Staging || !self.is_updating_to(key) {
             return;
         }
-        if !is_verified {
+        let Some(check) = check else {
             self.phase = UpdatePhase::Idle;
             self.retry_at = now + RETRY_DELAY;
             return;
+        };
+        self.phase = UpdatePhase::Waiting;
+        if let Some(staged) = &mut self.staged {
+            staged.check = check;
+            return;
         }
-        self.phase = UpdatePhase::Waiting(now);
-        effects.push(Effect::Record(Decision::Staged {
-            model: update.model.clone(),
-            version: update.version,
-            after_ms: self.millis_since_named(now, update.version),
-        }));
+        self.staged = Some(StagedPieces { since: now, check });
+        if let Some(update) = &self.update {
+            effects.push(Effect::Record(Decision::Staged {
+                model: update.model.clone(),
+                version: update.version,
+                after_ms: self.millis_since_named(now, update.version),
+            }));
+        }
+    }
+
+    /// Whether the engine is updated to the version with this key, or was at last.
+    pub fn is_updating_to(&self, key: &Digest) -> bool {
+        self.update.as_ref().is_some_and(|u| u.key == *key)
     }
 
     fn handle_order_answered(&mut self, now: Duration, key: &Digest, is_accepted: bool) {
-        let is_current = self.update.as_ref().is_some_and(|u| u.key == *key);
-        if is_current && !is_accepted && matches!(self.phase, UpdatePhase::Loading(_)) {
+        if self.is_updating_to(key) && !is_accepted && matches!(self.phase, UpdatePhase::Loading(_))
+        {
             self.phase = UpdatePhase::Idle;
             self.retry_at = now + RETRY_DELAY;
         }
@@ -750,13 +784,20 @@
             && now >= self.retry_at
             && (is_different || self.phase == UpdatePhase::Idle)
         {
-            self.update = Some(newest.clone());
-            self.phase = UpdatePhase::Staging;
-            effects.push(Effect::Stage(newest));
+            self.update = Some(newest);
+            self.staged = None;
+            self.start_staging(effects);
             return;
         }
-        if let UpdatePhase::Waiting(staged_at) = self.phase {
-            if !engine.is_busy && now >= self.update_time(staged_at) {
+        let Some(staged) = self.staged else {
+            return;
+        };
+        if self.phase == UpdatePhase::Waiting && !engine.is_busy {
+            let update_time = self.update_time(staged.since);
+            let is_check_valid = self.is_check_valid(now + MAX_DRAIN_TIME, &staged.check);
+            if !is_check_valid && now + staged.check.duration() >= update_time {
+                self.start_staging(effects);
+            } else if is_check_valid && now >= update_time {
                 self.phase = UpdatePhase::Draining(now);
             }
         }
@@ -764,13 +805,32 @@
             // Prompts that are not prefilled when the engine is ordered to load wait until the
             // new weights are loaded.
             let is_drained = self.reservations.backlog().unprefilled_tokens == 0;
-            if is_drained || now.saturating_sub(since) >= MAX_DRAIN_TIME {
-                self.order_load(now, engine, effects);
+            if !self.is_check_valid(now, &staged.check) {
+                self.start_staging(effects);
+            } else if is_drained || now.saturating_sub(since) >= MAX_DRAIN_TIME {
+                self.order_load(now, engine, &staged.check, effects);
             }
         }
     }
 
-    fn order_load(&mut self, now: Duration, engine: EngineReport, effects: &mut Vec<Effect>) {
+    /// Has the pieces of the current update verified at the engine, and those written that it lacks.
+    fn start_staging(&mut self, effects: &mut Vec<Effect>) {
+        self.phase = UpdatePhase::Staging;
+        effects.extend(self.update.clone().map(Effect::Stage));
+    }
+
+    /// Whether an order that is sent at `time` may rely on the check.
+    fn is_check_valid(&self, time: Duration, check: &PieceCheck) -> bool {
+        time <= check.valid_until() && check.started_at >= self.engine_lost_at
+    }
+
+    fn order_load(
+        &mut self,
+        now: Duration,
+        engine: EngineReport,
+        check: &PieceCheck,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(update) = self.update.clone() else {
             return;
         };
@@ -780,8 +840,12 @@
             version: update.version,
             before: engine.version,
             after_ms: self.millis_since_named(now, update.version),
+            checked_ms: millis(check.age(now)),
         }));
-        effects.push(Effect::OrderLoad(update));
+        effects.push(Effect::OrderLoad {
+            model_version: update,
+            valid_until: check.valid_until(),
+        });
     }
 
     /// Drops the downloads older than the newest one if that is complete, as peers should get the
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -11,6 +11,7 @@
     ReservationAnswer,
     UpdateLimits, //
 };
+use control::PieceCheck;
 use proptest::prelude::*;
 use protocol::{
     AcceptableBacklog,
@@ -52,9 +53,20 @@
     origin_versions: Vec<u64>,
     /// Whether the engine holds the pieces uncorrupted after staging.
     staging_succeeds: bool,
+    /// How long the check of the staged pieces takes.
+    check_time: Duration,
+    /// The staging in progress, with its start.
+    staging: Option<(ModelVersion, Duration)>,
     engine: EngineReport,
+    /// Whether the engine answers.
+    is_engine_up: bool,
     /// The versions that the engine was ordered to load, with the time of each order.
     orders: Vec<(u64, Duration)>,
+    /// When the check began that each order relies on.
+    checked_at: Vec<Duration>,
+    last_check_at: Duration,
+    /// Until when the last order may be sent.
+    order_valid_until: Duration,
 }
 
 impl Agent {
@@ -78,11 +90,17 @@
             now: ms(1000),
             origin_versions: vec![1, 2, 3],
             staging_succeeds: true,
+            check_time: Duration::ZERO,
+            staging: None,
             engine: EngineReport {
                 version: running,
                 ..EngineReport::default()
             },
+            is_engine_up: true,
             orders: Vec::new(),
+            checked_at: Vec::new(),
+            last_check_at: Duration::ZERO,
+            order_valid_until: Duration::ZERO,
         };
         agent.handle(Event::Model("m".into()));
         agent.handle(Event::Members {
@@ -113,11 +131,16 @@
                 self.handle(Event::EngineChecked(model_version.key, Vec::new()))
             }
             Effect::Stage(model_version) => {
-                let is_verified = self.staging_succeeds;
-                self.handle(Event::Staged(model_version.key, is_verified));
+                self.staging = Some((model_version, self.now));
+                self.finish_staging();
             }
-            Effect::OrderLoad(model_version) => {
+            Effect::OrderLoad {
+                model_version,
+                valid_until,
+            } => {
                 self.orders.push((model_version.version, self.now));
+                self.checked_at.push(self.last_check_at);
+                self.order_valid_until = valid_until;
                 self.engine.is_busy = true;
                 self.handle(Event::OrderAnswered(model_version.key, true));
             }
@@ -125,6 +148,22 @@
         }
     }
 
+    /// Ends the staging in progress once its check has taken its time.
+    fn finish_staging(&mut self) {
+        let check_time = self.check_time;
+        let is_due = |(_, started_at): &mut (_, Duration)| self.now >= *started_at + check_time;
+        let Some((model_version, started_at)) = self.staging.take_if(is_due) else {
+            return;
+        };
+        self.last_check_at = started_at;
+        let check = PieceCheck {
+            started_at,
+            ended_at: self.now,
+        };
+        let check = self.staging_succeeds.then_some(check);
+        self.handle(Event::Staged(model_version.key, check));
+    }
+
     fn fetch(&self, model_version: &ModelVersion, piece: u32, source: Source) -> weights::Event {
         let is_available =
             source == Source::Origin && self.origin_versions.contains(&model_version.version);
@@ -173,7 +212,8 @@
                     };
                 }
             }
-            self.handle(Event::Engine(Some(self.engine)));
+            self.finish_staging();
+            self.handle(Event::Engine(self.is_engine_up.then_some(self.engine)));
             self.handle(Event::Tick);
         }
     }
@@ -300,6 +340,139 @@
     assert_eq!(agent.ordered_versions(), [2, 2]);
 }
 
+/// Guards against the load of pieces that became corrupted after they were staged, since the engine loads what
+/// it holds when it accepts the order. Operators allow for corruption in the last 3 s before that, and an
+/// order may be on its way for 1.5 s.
+#[test]
+fn every_order_relies_on_a_recent_check_of_the_pieces() {
+    struct Case {
+        name: &'static str,
+        check_time: Duration,
+        /// What happens 3.2 s after the version was named, when its pieces are staged.
+        disruption: fn(&mut Agent),
+        /// Until when after the naming the order is expected.
+        ordered_within: Duration,
+    }
+    let within_schedule = ms(7100);
+    let cases = [
+        Case {
+            name: "the engine waits for its turn",
+            check_time: ms(0),
+            disruption: |_| {},
+            ordered_within: within_schedule,
+        },
+        Case {
+            name: "a check takes its time",
+            check_time: ms(600),
+            disruption: |_| {},
+            ordered_within: within_schedule,
+        },
+        Case {
+            name: "the process stands still for 2.5 s",
+            check_time: ms(100),
+            disruption: |agent| agent.now += ms(2500),
+            ordered_within: within_schedule,
+        },
+        Case {
+            name: "the process stands still beyond the update time",
+            check_time: ms(100),
+            disruption: |agent| agent.now += ms(4500),
+            ordered_within: ms(8400),
+        },
+        Case {
+            name: "the process stands still while prompts are prefilled before the order",
+            check_time: ms(100),
+            disruption: |agent| {
+                agent.advance(ms(3750));
+                let reserved = reserve(
+                    &mut agent.controller,
+                    agent.now,
+                    &ReservationTerms::default(),
+                );
+                assert!(reserved.is_some());
+                agent.advance(ms(100));
+                assert!(agent.controller.status().is_switching);
+                agent.now += ms(3000);
+            },
+            ordered_within: ms(10_800),
+        },
+        Case {
+            name: "the engine restarts without weights",
+            check_time: ms(100),
+            disruption: |agent| {
+                agent.engine.version = None;
+            },
+            ordered_within: ms(4000),
+        },
+        Case {
+            name: "the engine does not answer for a second",
+            check_time: ms(100),
+            disruption: |agent| {
+                agent.is_engine_up = false;
+                agent.advance(ms(1000));
+                agent.is_engine_up = true;
+            },
+            ordered_within: within_schedule,
+        },
+    ];
+    for case in cases {
+        let mut agent = agent_of_rank(4, 5, UPDATE_LIMITS);
+        agent.check_time = case.check_time;
+        agent.advance(ms(500));
+        let named_at = agent.now;
+        agent.name_version(2);
+        agent.receive_all(2);
+        agent.advance(ms(3200));
+        assert!(agent.orders.is_empty(), "{}", case.name);
+        let (had_weights, was_down) = (agent.engine.version.is_some(), agent.now);
+        (case.disruption)(&mut agent);
+        let has_lost_weights = had_weights && agent.engine.version.is_none();
+        agent.advance(ms(11_000));
+        assert_eq!(agent.ordered_versions(), [2], "{}", case.name);
+        let (_, ordered_at) = agent.orders[0];
+        let age = ordered_at - agent.checked_at[0];
+        assert!(age <= ms(1500), "{}: a check {age:?} old", case.name);
+        assert!(
+            agent.order_valid_until <= agent.checked_at[0] + ms(1500),
+            "{}",
+            case.name
+        );
+        if has_lost_weights {
+            assert!(agent.checked_at[0] > was_down, "{}", case.name);
+        }
+        let after = ordered_at - named_at;
+        assert!(after <= case.ordered_within, "{}: {after:?}", case.name);
+    }
+}
+
+/// Guards against an update that never ends because its pieces take longer to check than a check counts.
+#[test]
+fn engine_whose_check_takes_long_is_updated() {
+    let mut agent = Agent::new(1, Some(1));
+    agent.check_time = ms(2000);
+    agent.advance(ms(1000));
+    agent.name_version(2);
+    agent.advance(ms(9000));
+    assert_eq!(agent.ordered_versions(), [2]);
+}
+
+/// Guards against the load of pieces that changed between a refused order and the next one.
+#[test]
+fn order_that_was_not_answered_is_repeated_after_another_check() {
+    let mut agent = Agent::new(1, None);
+    while agent.orders.is_empty() {
+        agent.advance(ms(50));
+    }
+    agent.engine.is_busy = false;
+    agent.handle(Event::OrderAnswered(version_key(1), false));
+    agent.orders.clear();
+    agent.checked_at.clear();
+    let refused_at = agent.now;
+    agent.advance(ms(600));
+    assert_eq!(agent.ordered_versions(), [1]);
+    assert!(agent.checked_at[0] > refused_at);
+}
+
 /// Requests a reservation for a prompt of 100 tokens. Returns its number if it was made.
 fn reserve(controller: &mut Controller, now: Duration, terms: &ReservationTerms) -> Option<u64> {
     match controller.request(now, 100, terms) {
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -111,6 +111,8 @@
     upload_pacer: Pacer,
     download_pacer: Pacer,
     store: PieceStore,
+    /// Held while pieces are written to the engine, which keeps one piece of each number.
+    staging: tokio::sync::Mutex<()>,
     /// The address and region of the origin.
     origin: Mutex<Option<(SocketAddr, Name)>>,
     /// The tasks that download pieces, by key of the version and piece.
@@ -167,6 +169,7 @@
             upload_pacer,
             download_pacer,
             store: PieceStore::default(),
+            staging: tokio::sync::Mutex::default(),
             origin: Mutex::default(),
             downloads: Mutex::default(),
             upload_requests: Mutex::default(),
@@ -281,9 +284,10 @@
                 self.spawn(move |agent| agent.check_engine(model_version))
             }
             Effect::Stage(model_version) => self.spawn(move |agent| agent.stage(model_version)),
-            Effect::OrderLoad(model_version) => {
-                self.spawn(move |agent| agent.order_load(model_version))
-            }
+            Effect::OrderLoad {
+                model_version,
+                valid_until,
+            } => self.spawn(move |agent| agent.order_load(model_version, valid_until)),
             Effect::ReadEngine => self.spawn(Self::read_engine),
             Effect::ReadMembers => self.spawn(Self::read_members),
             Effect::Record(decision) => self.record(decision),
--- a/components/proxy/src/controller/staging.rs
+++ b/components/proxy/src/controller/staging.rs
@@ -1,19 +1,24 @@
 //! Sends pieces to the engine, reads them back, and orders the engine to load them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use control::controller::{
     Event,
     ModelVersion, //
 };
+use control::PieceCheck;
 use utils::digest::Digest;
 use weights::{
     Manifest,
     Piece, //
 };
 
-use super::Agent;
+use super::{
+    lock,
+    Agent, //
+};
 
 /// The `source` of the log lines: the former path of this module, which stays because operators'
 /// tools match it.
@@ -54,36 +59,51 @@
 
     /// Makes the engine hold all pieces of a version, and reports whether that succeeded.
     pub(super) async fn stage(self: Arc<Self>, model_version: ModelVersion) {
-        let is_complete = self.stage_all(&model_version).await;
-        self.handle_event(Event::Staged(model_version.key, is_complete));
+        let check = {
+            let _guard = self.staging.lock().await;
+            self.stage_all(&model_version).await
+        };
+        self.handle_event(Event::Staged(model_version.key, check));
     }
 
-    async fn stage_all(&self, model_version: &ModelVersion) -> bool {
-        let Some(manifest) = self.store.manifest(&model_version.key) else {
-            return false;
-        };
+    /// Returns the check that found all pieces, or `None` if the engine does not hold all of them or is
+    /// updated to another version by now.
+    async fn stage_all(&self, model_version: &ModelVersion) -> Option<PieceCheck> {
+        let manifest = self.store.manifest(&model_version.key)?;
         for _ in 0..MAX_STAGING_ROUNDS {
+            let started_at = self.clock.now().elapsed;
             let mut sent = 0;
             for (piece, digest) in chunks(&manifest) {
                 if self.read_back(model_version, piece, digest).await.is_some() {
                     continue;
                 }
                 sent += 1;
-                let Some(data) = self.store.get(&model_version.key, piece) else {
-                    return false;
-                };
+                let data = self.store.get(&model_version.key, piece)?;
+                if !lock(&self.state).is_updating_to(&model_version.key) {
+                    return None;
+                }
                 if let Err(e) =
                     (self.backends.write_piece)(model_version.model.clone(), piece, data).await
                 {
                     log::warn!(target: LOG_TARGET, "the engine did not accept piece {piece}: {e}");
-                    return false;
+                    return None;
                 }
             }
             if sent == 0 {
-                return true;
+                let ended_at = self.clock.now().elapsed;
+                return Some(PieceCheck {
+                    started_at,
+                    ended_at,
+                });
             }
+            log::info!(
+                target: LOG_TARGET,
+                "{sent} pieces of version {} were missing or corrupt at the engine and were written",
+                model_version.version
+            );
+            metrics::counter!("medlarproxy_staged_pieces_written_total").increment(sent);
         }
-        false
+        None
     }
 
     /// Reads a piece from the engine. Returns `None` if it is missing or its digest differs.
@@ -99,18 +119,30 @@
         (Digest::of(&data) == *digest).then_some(data)
     }
 
-    pub(super) async fn order_load(self: Arc<Self>, model_version: ModelVersion) {
-        let result =
-            (self.backends.order_load)(model_version.model.clone(), model_version.version).await;
+    /// Orders the engine to load a version unless it is later than `valid_until`. The process may have
+    /// stood still since the order was decided.
+    pub(super) async fn order_load(
+        self: Arc<Self>,
+        model_version: ModelVersion,
+        valid_until: Duration,
+    ) {
+        let is_accepted =
+            self.clock.now().elapsed <= valid_until && self.send_load_order(&model_version).await;
+        self.handle_event(Event::OrderAnswered(model_version.key, is_accepted));
+        self.read_engine().await;
+    }
+
+    /// Returns whether the engine accepted the order.
+    async fn send_load_order(&self, model_version: &ModelVersion) -> bool {
+        let ModelVersion { model, version, .. } = model_version;
+        let result = (self.backends.order_load)(model.clone(), *version).await;
         if let Err(e) = &result {
             log::warn!(
                 target: LOG_TARGET,
-                "the engine did not accept the order to load version {}: {e}",
-                model_version.version
+                "the engine did not accept the order to load version {version}: {e}"
             );
         }
-        self.handle_event(Event::OrderAnswered(model_version.key, result.is_ok()));
-        self.read_engine().await;
+        result.is_ok()
     }
 }
 
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -449,6 +449,8 @@
         before: Option<u64>,
         /// Milliseconds since the process learned of the version.
         after_ms: u64,
+        /// Milliseconds since the engine's pieces began to be verified for the last time.
+        checked_ms: u64,
     },
     /// Lines were dropped because the output was too slow.
     Dropped {
