Verify staged pieces before the order on the own interface too

Change: the agent reads the pieces back (GET of the path to which it writes them) and writes those that differ; engines that do not return pieces get them again. The rolling update asks for this check before it takes the target out, after its requests have ended if that took longer than the check counts, and before an order is repeated. A restarted engine makes the check void.

Evidence: the new test in promises.rs fails on the code as found (one of six targets loads a corrupt piece) and passes now, two of two runs; the table in waves.rs plays waiting, draining, refusals and a restart.

--- a/components/control/src/agent/mod.rs
+++ b/components/control/src/agent/mod.rs
@@ -49,6 +49,7 @@
 use utils::Name;
 
 use crate::follower;
+use crate::PieceCheck;
 
 /// An input of the agent's reducer.
 #[derive(Clone, Debug)]
@@ -78,8 +79,9 @@
     TicketRequested(u64),
     /// The engine reported its state, or `None` if it did not respond.
     EngineStateRead(Option<EngineState>),
-    /// Whether handing the pieces of a version to the engine succeeded.
-    StagingFinished(ModelVersion, bool),
+    /// Staging ended: the check that found every piece of the version at the engine, or `None` if the
+    /// engine does not hold all of them.
+    StagingFinished(ModelVersion, Option<PieceCheck>),
     /// Whether the engine accepted the load order. False if it refused or did not respond.
     OrderFinished(bool),
     /// Another target reported its status, or `None` if it did not respond.
@@ -115,7 +117,7 @@
         /// Whether it is a model engine.
         is_engine: bool,
     },
-    /// Hand every piece of a version to the engine.
+    /// Verify the pieces of a version at the engine, and hand over those that it lacks.
     Stage(ModelVersion),
     /// Order the engine to load a version.
     Order {
--- a/components/control/src/agent/rollout.rs
+++ b/components/control/src/agent/rollout.rs
@@ -16,6 +16,8 @@
 use utils::digest::Digest;
 use utils::Name;
 
+use crate::PieceCheck;
+
 /// Settings of the rolling update.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RolloutOptions {
@@ -62,7 +64,7 @@
 /// An action that the rolling update requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
-    /// Hand every piece of the version to the engine.
+    /// Verify the pieces of the version at the engine, and hand over those that it lacks.
     Stage(ModelVersion),
     /// Order the engine to load a version.
     Order {
@@ -92,6 +94,8 @@
     Waiting,
     /// The target takes no new requests and finishes the running ones.
     Draining,
+    /// The target has finished its requests, and its pieces are verified once more.
+    Checking,
     /// The engine was ordered to load the version.
     Ordered { ordered_at: Duration },
     /// The engine runs the version.
@@ -106,6 +110,8 @@
     predecessors: Vec<Predecessor>,
     status_requested_at: Duration,
     state: SwitchState,
+    /// The last check of the staged pieces. The engine loads what it holds when it accepts the order.
+    check: Option<PieceCheck>,
     engine: Option<EngineState>,
     /// The version that the engine may serve.
     trusted_version: Option<Name>,
@@ -134,6 +140,7 @@
             predecessors: Vec::new(),
             status_requested_at: Duration::ZERO,
             state: SwitchState::Transferring,
+            check: None,
             engine: None,
             trusted_version: None,
             has_engine_reported: false,
@@ -156,7 +163,7 @@
     pub fn serving_version(&self) -> Option<&Name> {
         if matches!(
             self.state,
-            SwitchState::Draining | SwitchState::Ordered { .. }
+            SwitchState::Draining | SwitchState::Checking | SwitchState::Ordered { .. }
         ) {
             return None;
         }
@@ -171,7 +178,7 @@
             _ if self.desired_version.is_none() => Phase::Idle,
             SwitchState::Transferring | SwitchState::Staging => Phase::Staging,
             SwitchState::Waiting => Phase::Waiting,
-            SwitchState::Draining => Phase::Draining,
+            SwitchState::Draining | SwitchState::Checking => Phase::Draining,
             SwitchState::Ordered { .. } => Phase::Loading,
             SwitchState::Done { .. } if is_warm => Phase::Warm,
             SwitchState::Done { .. } => Phase::Cold,
@@ -211,6 +218,7 @@
             return;
         }
         self.desired_version = desired_version;
+        self.check = None;
         self.state = SwitchState::Transferring;
         for predecessor in &mut self.predecessors {
             predecessor.status = None;
@@ -232,19 +240,34 @@
         ]
     }
 
-    /// Handles the result of handing the pieces to the engine.
-    pub fn staging_finished(&mut self, now: Duration, version: &ModelVersion, success: bool) {
-        if self.state != SwitchState::Staging || self.desired_version.as_ref() != Some(version) {
+    /// Handles the result of staging: the check that found all pieces at the engine, if it holds them.
+    pub fn staging_finished(
+        &mut self,
+        now: Duration,
+        version: &ModelVersion,
+        check: Option<PieceCheck>,
+    ) {
+        if self.desired_version.as_ref() != Some(version) {
             return;
         }
-        if success {
-            self.state = SwitchState::Waiting;
+        let next = match self.state {
+            SwitchState::Staging => SwitchState::Waiting,
+            SwitchState::Checking => SwitchState::Draining,
+            _ => return,
+        };
+        self.check = check;
+        if check.is_some() {
+            self.state = next;
         } else {
             self.state = SwitchState::Transferring;
             self.retry_at = now + ENGINE_RETRY_DELAY;
         }
     }
 
+    fn is_check_valid(&self, now: Duration) -> bool {
+        self.check.is_some_and(|check| now <= check.valid_until())
+    }
+
     /// Handles the status of another target, or `None` if it did not respond.
     pub fn predecessor_status(&mut self, now: Duration, name: &Name, status: Option<TargetStatus>) {
         let Some(predecessor) = self.predecessors.iter_mut().find(|p| p.name == *name) else {
@@ -266,6 +289,7 @@
     pub fn order_finished(&mut self, now: Duration, success: bool) {
         if !success && matches!(self.state, SwitchState::Ordered { .. }) {
             self.state = SwitchState::Draining;
+            self.check = None;
             self.retry_at = now + ENGINE_RETRY_DELAY;
         }
     }
@@ -289,6 +313,12 @@
             // An engine that serves nothing is already out of service, so it need not wait.
             let is_serving = self.serving_version().is_some();
             if !is_serving || self.may_switch(now, &desired_version, &is_gone) {
+                if !self.is_check_valid(now) {
+                    // Most of the check is done while the target still serves.
+                    self.state = SwitchState::Staging;
+                    effects.push(Effect::Stage(desired_version));
+                    return effects;
+                }
                 self.state = SwitchState::Draining;
                 effects.push(Effect::RecordStep(
                     SwitchStep::TakenOut,
@@ -302,6 +332,11 @@
         }
         if self.state == SwitchState::Draining && running == 0 && may_order && now >= self.retry_at
         {
+            if !self.is_check_valid(now) {
+                self.state = SwitchState::Checking;
+                effects.push(Effect::Stage(desired_version));
+                return effects;
+            }
             self.state = SwitchState::Ordered { ordered_at: now };
             effects.push(Effect::RecordStep(
                 SwitchStep::Ordered,
@@ -316,6 +351,7 @@
         if let SwitchState::Ordered { ordered_at } = self.state {
             if now.saturating_sub(ordered_at) >= self.options.order_timeout {
                 self.state = SwitchState::Draining;
+                self.check = None;
             }
         }
         effects
@@ -354,6 +390,7 @@
             .as_ref()
             .is_some_and(|previous| previous.start_count != engine.start_count)
         {
+            self.check = None;
             effects.push(Effect::EnterColdStart);
         }
         if engine.is_loading {
@@ -373,6 +410,7 @@
             (Some(desired_version), SwitchState::Done { .. }) if !runs_desired_version => {
                 // The engine lost the version, or another process ordered it to load.
                 self.state = SwitchState::Transferring;
+                self.check = None;
                 self.trusted_version = None;
                 effects.push(Effect::RecordStep(SwitchStep::Differs, desired_version));
             }
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -174,8 +174,8 @@
             Event::EngineStateRead(engine) => {
                 self.handle_engine_state(elapsed, engine, &mut effects)
             }
-            Event::StagingFinished(version, success) => {
-                self.rollout.staging_finished(elapsed, &version, success)
+            Event::StagingFinished(version, check) => {
+                self.rollout.staging_finished(elapsed, &version, check)
             }
             Event::OrderFinished(success) => self.rollout.order_finished(elapsed, success),
             Event::StatusReceived(name, status) => {
--- a/components/control/tests/waves.rs
+++ b/components/control/tests/waves.rs
@@ -10,6 +10,7 @@
     RolloutEffect,
     RolloutOptions, //
 };
+use control::PieceCheck;
 use proptest::prelude::*;
 use protocol::{
     Phase,
@@ -57,6 +58,14 @@
     }
 }
 
+/// A check of the pieces that takes no time.
+fn check_at(now: Duration) -> PieceCheck {
+    PieceCheck {
+        started_at: now,
+        ended_at: now,
+    }
+}
+
 fn network(count: usize, max_out: usize, seed: u64, loss_rate: f64) -> Network {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let targets = (0..count).map(|index| {
@@ -156,7 +165,7 @@
             RolloutEffect::Stage(version) => {
                 self.targets[index]
                     .rollout
-                    .staging_finished(now, &version, true);
+                    .staging_finished(now, &version, Some(check_at(now)));
             }
             RolloutEffect::Order { fencing_number, .. } => {
                 assert_eq!(fencing_number, 7);
@@ -251,3 +260,110 @@
     rollout.engine_reported(reports("v1"));
     assert_eq!(rollout.serving_version(), None);
 }
+
+/// Guards against the load of pieces that became corrupted after they were staged: while the target waits
+/// for its predecessors or finishes its requests, or after an order that the engine did not accept.
+#[test]
+fn every_order_relies_on_a_recent_check_of_the_pieces() {
+    struct Case {
+        name: &'static str,
+        /// How long the target waits for its predecessor, and then finishes its requests.
+        waits: Duration,
+        drains: Duration,
+        is_order_refused: bool,
+        engine_restarts: bool,
+    }
+    let case = |name, waits, drains| Case {
+        name,
+        waits: Duration::from_millis(waits),
+        drains: Duration::from_millis(drains),
+        is_order_refused: false,
+        engine_restarts: false,
+    };
+    let cases = [
+        case("no wait", 0, 0),
+        case("waits for its predecessor", 20_000, 0),
+        case("finishes its requests", 0, 20_000),
+        case("both", 9000, 9000),
+        Case {
+            is_order_refused: true,
+            ..case("the order is refused", 0, 0)
+        },
+        Case {
+            engine_restarts: true,
+            ..case("the engine restarts", 500, 0)
+        },
+    ];
+    for case in cases {
+        let mut rollout = Rollout::new(RolloutOptions::default());
+        rollout.set_desired_version(Some(desired_version()), vec![target_name(0)], 7);
+        let mut start_count = 1;
+        let mut checked_at = Vec::new();
+        let mut orders = Vec::new();
+        let mut restarted_at = Duration::ZERO;
+        for step in 0..500 {
+            let now = Duration::from_millis(1000 + step * 100);
+            let since_start = Duration::from_millis(step * 100);
+            if case.engine_restarts && since_start == Duration::from_millis(300) {
+                start_count += 1;
+                restarted_at = now;
+            }
+            let mut effects = rollout.engine_reported(Some(EngineState {
+                version: Some("v1".into()),
+                is_loading: false,
+                start_count,
+            }));
+            effects.extend(rollout.transfer_finished(now));
+            let phase = if since_start >= case.waits {
+                Phase::Warm
+            } else {
+                Phase::Loading
+            };
+            let status = TargetStatus {
+                workload: Some("m".into()),
+                version: Some("v2".into()),
+                phase,
+                ready: true,
+                running: 0,
+                queued: 0,
+                limit: 1,
+            };
+            rollout.predecessor_status(now, &target_name(0), Some(status));
+            let running = u32::from(since_start < case.waits + case.drains);
+            effects.extend(rollout.tick(now, running, true, |_| false));
+            for effect in effects {
+                match effect {
+                    RolloutEffect::Stage(version) => {
+                        checked_at.push(now);
+                        rollout.staging_finished(now, &version, Some(check_at(now)));
+                    }
+                    RolloutEffect::Order { .. } => {
+                        orders.push((now, *checked_at.last().unwrap()));
+                        if case.is_order_refused && orders.len() == 1 {
+                            rollout.order_finished(now, false);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!(
+            orders.len(),
+            1 + usize::from(case.is_order_refused),
+            "{}",
+            case.name
+        );
+        for (ordered_at, checked_at) in &orders {
+            let age = *ordered_at - *checked_at;
+            assert!(age <= Duration::from_millis(1500), "{}: {age:?}", case.name);
+            assert!(*checked_at >= restarted_at, "{}", case.name);
+        }
+        if let [(first, _), (_, checked_at)] = orders[..] {
+            assert!(
+                checked_at > first,
+                "{}: checked after the refusal",
+                case.name
+            );
+        }
+    }
+}
--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -1,5 +1,6 @@
 //! The guarantees to callers, over real sockets, each with the faults that it must hold for.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,10 @@
     LoadOptions, //
 };
 use http::Method;
+use protocol::{
+    Phase,
+    TargetStatus, //
+};
 use sheet::DataCentreState;
 use standins::{
     EngineFaults,
@@ -452,3 +457,46 @@
         assert_eq!(target.engine.version().as_deref(), Some("v2"), "{name}");
     }
 }
+
+/// Guards against tokens of corrupt weights: a target waits for its predecessors after its pieces were
+/// staged, and its engine loads what it holds when it accepts the order.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_target_loads_a_piece_that_changed_while_it_waited_for_its_turn() {
+    let mut layout = Layout::small(6);
+    layout.links = None;
+    layout.weight_bytes = 1 << 20;
+    // The predecessor is cold for this long, so that a target waits longer than a check counts.
+    layout.cold_time = Duration::from_secs(4);
+    let fleet = Fleet::start(layout, Arc::new(|_| ())).await.unwrap();
+    assert!(fleet.wait_ready("v1", TIMEOUT).await);
+    fleet.roll_out("v2", 2);
+    let mut corrupted = BTreeSet::new();
+    let corrupt_waiting_targets = async {
+        let mut waiting = BTreeSet::new();
+        while corrupted.len() < 3 {
+            let before = std::mem::take(&mut waiting);
+            let statuses = fleet.statuses().await;
+            let is_waiting = |status: &TargetStatus| status.phase == Phase::Waiting;
+            waiting.extend(
+                statuses
+                    .into_iter()
+                    .filter(|(_, s)| is_waiting(s))
+                    .map(|(n, _)| n),
+            );
+            // A target without predecessors waits for one tick only.
+            for name in waiting.intersection(&before) {
+                if corrupted.insert(name.clone()) {
+                    fleet.targets()[name].engine.corrupt_staged_pieces();
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, corrupt_waiting_targets)
+        .await
+        .expect("a target of each data centre waits");
+    assert!(fleet.wait_ready("v2", TIMEOUT).await);
+    for (name, target) in fleet.targets() {
+        assert_eq!(target.engine.counters().incomplete_loads, 0, "{name}");
+    }
+}
--- a/components/proxy/src/agent/effects.rs
+++ b/components/proxy/src/agent/effects.rs
@@ -9,6 +9,7 @@
     ModelVersion,
     State, //
 };
+use control::PieceCheck;
 use protocol::{
     Reply,
     Request, //
@@ -17,6 +18,8 @@
 use utils::Name;
 use weights::MANIFEST_PIECE;
 
+use crate::target::StagedPiece;
+
 use super::{
     lock,
     ControlReply,
@@ -27,6 +30,9 @@
 /// paused after the decision, which may be outdated.
 const MAX_ORDER_AGE: Duration = Duration::from_secs(1);
 
+/// The maximum number of rounds that check all pieces and send the differing ones.
+const MAX_STAGING_ROUNDS: usize = 3;
+
 /// The timeout for the status request to the agent of another target.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -99,28 +105,51 @@
     }
 
     async fn stage_version(self: Arc<Self>, version: ModelVersion) {
-        let is_staged = self.stage_pieces(&version).await;
+        let check = self.stage_pieces(&version).await;
         self.node
             .control
-            .send(Event::StagingFinished(version, is_staged));
+            .send(Event::StagingFinished(version, check));
     }
 
-    /// Sends every piece to the engine. Returns whether the engine accepted all of them.
-    async fn stage_pieces(&self, version: &ModelVersion) -> bool {
-        let Some(manifest) = self.store.manifest(&version.manifest) else {
-            return false;
-        };
+    /// Makes the engine hold every piece. Returns the check that found all of them, or `None` if the engine
+    /// does not hold them.
+    async fn stage_pieces(&self, version: &ModelVersion) -> Option<PieceCheck> {
+        let manifest = self.store.manifest(&version.manifest)?;
         let count = u32::try_from(manifest.piece_count()).unwrap_or(u32::MAX);
-        for piece in MANIFEST_PIECE..count {
-            let Some(data) = self.store.get(&version.manifest, piece) else {
-                return false;
-            };
-            if let Err(e) = self.target.stage(&version.manifest, piece, data).await {
-                log::warn!("cannot send piece {piece} to the engine: {e}");
-                return false;
+        for round in 0..MAX_STAGING_ROUNDS {
+            let started_at = self.node.clock.now().elapsed;
+            let mut sent = 0;
+            for piece in MANIFEST_PIECE..count {
+                let data = self.store.get(&version.manifest, piece)?;
+                match self.target.staged(&version.manifest, piece, &data).await {
+                    StagedPiece::Same => continue,
+                    // The engine accepted the piece in the last round, and cannot say more.
+                    StagedPiece::NotReadable if round > 0 => continue,
+                    StagedPiece::NotReadable | StagedPiece::Differs => {}
+                }
+                if let Err(e) = self.target.stage(&version.manifest, piece, data).await {
+                    log::warn!("cannot send piece {piece} to the engine: {e}");
+                    return None;
+                }
+                sent += 1;
+            }
+            if sent == 0 {
+                let ended_at = self.node.clock.now().elapsed;
+                return Some(PieceCheck {
+                    started_at,
+                    ended_at,
+                });
             }
+            log::info!(
+                "{sent} pieces of {} were missing or corrupt at the engine and were sent",
+                version.version
+            );
         }
-        true
+        log::warn!(
+            "the engine does not hold the pieces of {} that were sent",
+            version.version
+        );
+        None
     }
 
     /// Orders the engine to load a version. Checks the sheet version and the age of the order
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -71,6 +71,17 @@
     fence: u64,
 }
 
+/// What an engine holds of a piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StagedPiece {
+    /// The same bytes.
+    Same,
+    /// Other bytes, or the engine does not answer.
+    Differs,
+    /// Nothing, or the engine does not return pieces.
+    NotReadable,
+}
+
 /// The client of one target.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetClient {
@@ -115,6 +126,20 @@
         self.call(request, ORDER_TIMEOUT).await.map(drop)
     }
 
+    /// Compares a piece that the engine holds with these bytes.
+    pub async fn staged(&self, manifest: &Digest, piece: Piece, data: &Bytes) -> StagedPiece {
+        let path = format!("/engine/weights/{manifest}/{piece}");
+        let Ok(request) = request(Method::GET, self.address, &path, Bytes::new()) else {
+            return StagedPiece::Differs;
+        };
+        match self.call_with(request, ORDER_TIMEOUT, data.len()).await {
+            Ok(held) if held == *data => StagedPiece::Same,
+            Err(ProxyError::Status(404 | 405)) => StagedPiece::NotReadable,
+            // A piece that cannot be read is written again.
+            Ok(_) | Err(_) => StagedPiece::Differs,
+        }
+    }
+
     /// Orders the engine to load a version.
     pub async fn order_load(
         &self,
@@ -158,11 +183,22 @@
         &self,
         request: Request<Full<Bytes>>,
         timeout_after: Duration,
+    ) -> Result<Bytes, ProxyError> {
+        self.call_with(request, timeout_after, MAX_RESPONSE_BYTES)
+            .await
+    }
+
+    /// Sends a request of the agent itself, and reads a response of up to `max_bytes`.
+    async fn call_with(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout_after: Duration,
+        max_bytes: usize,
     ) -> Result<Bytes, ProxyError> {
         let exchange = async {
             let response = send(&self.http, request).await?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+            let body = Limited::new(response.into_body(), max_bytes);
             let collected = body.collect().await;
             let collected = collected.map_err(|e| ProxyError::CallFailed(e.to_string()))?;
             if status == StatusCode::OK || status == StatusCode::ACCEPTED {
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -261,6 +261,16 @@
         self.shared.crash();
     }
 
+    /// Replaces the first staged piece of every version by other bytes.
+    pub fn corrupt_staged_pieces(&self) {
+        let mut state = self.shared.lock();
+        for ((_, number), data) in &mut state.staged_pieces {
+            if *number == 1 {
+                *data = Bytes::from_static(b"corrupt");
+            }
+        }
+    }
+
     /// Makes the engine cold without a restart, so that its reported state does not show it.
     pub fn make_cold(&self) {
         let until = self.shared.clock.now().elapsed + self.shared.options.cold_time;
@@ -307,6 +317,14 @@
                 }
                 Ok(response(StatusCode::OK, ""))
             }
+            (&Method::GET, ["engine", "weights", manifest, piece]) => {
+                let key = manifest.parse().ok().zip(piece.parse().ok());
+                let data = key.and_then(|key| self.lock().staged_pieces.get(&key).cloned());
+                Ok(match data {
+                    Some(data) => response(StatusCode::OK, data),
+                    None => response(StatusCode::NOT_FOUND, "no such piece"),
+                })
+            }
             (&Method::POST, ["engine", "load"]) => {
                 let text = read_body(request).await?;
                 Ok(self.load(&text))
