Timeouts count only the time in which the process itself runs

Callers lost streams in the middle, with sound targets, around a planned stop of an entry that was short of processor time (LOST; seen by the users with real processes).

Cause: a process that stands still for a moment finds expired timers and unread messages at once when it goes on. The idle timeout of 1.5 s then blamed the target: a stop of the entry for 1.7 s cut every open stream in the millisecond in which it went on, with the events waiting in its sockets. So did the timeouts of connects, reservations, agents, heartbeats and the store; and the time to the first event, measured over the standstill, made targets look slow.

Change: run_time::timeout divides a timeout into parts, of which a standstill uses one at most, and handles messages that arrived meanwhile before it gives up. All timeouts that blame another process use it, on entry, agent and both interfaces. A reducer that saw no event for half a second, in spite of its ticks, learns nothing from answers that were on their way then. Callers' timeouts still count by the clock.

--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -136,11 +136,14 @@
             if let (Some((_, since)), Some(target)) = (assignment, target) {
                 let elapsed = now.saturating_sub(*since);
                 pending.time_to_first_event = Some(elapsed);
-                target.load.record_first_event(
-                    pending.expected_response_time,
-                    elapsed,
-                    pending.reported_slowness,
-                );
+                // A standstill of this process says nothing of the target.
+                if !self.standstill.ended_after(*since) {
+                    target.load.record_first_event(
+                        pending.expected_response_time,
+                        elapsed,
+                        pending.reported_slowness,
+                    );
+                }
             }
         }
         self.mark_prefilled(token);
@@ -204,7 +207,8 @@
             .or_default()
             .record_departure(now);
         self.account_share(now, &run.target, &service);
-        match (outcome, &answered) {
+        let is_measured = !self.standstill.ended_after(since);
+        match (outcome, answered.as_ref().filter(|_| is_measured)) {
             (Outcome::Answered { is_error: false }, Some(answered)) => {
                 self.learn_from_answer(now, answered, effects)
             }
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -18,6 +18,7 @@
 };
 use rand_pcg::Pcg64Mcg;
 use utils::clock::ClockReading;
+use utils::standstill::Standstill;
 use utils::{
     rank,
     Name, //
@@ -57,6 +58,9 @@
 use crate::published_version::PublishedVersion;
 use crate::CrashSuspects;
 
+/// The longest time between two events of a process that runs, which gets several ticks in it.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(500);
+
 /// Options of the reducer.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -100,6 +104,7 @@
     pub(super) pending: HashMap<u64, Pending>,
     pub(super) suspects: CrashSuspects,
     pub(super) silent_exchanges: SilentExchanges,
+    pub(super) standstill: Standstill,
     pub(super) is_draining: bool,
     pub(super) is_stopping: bool,
     pub(super) rng: Pcg64Mcg,
@@ -170,6 +175,7 @@
             pending: HashMap::new(),
             suspects: CrashSuspects::default(),
             silent_exchanges: SilentExchanges::default(),
+            standstill: Standstill::new(MAX_EVENT_GAP),
             is_draining: false,
             is_stopping: false,
             rng: Pcg64Mcg::seed_from_u64(options.seed),
@@ -180,6 +186,7 @@
     /// Handles one event.
     pub fn step(&mut self, now: ClockReading, event: Event) -> Vec<Effect> {
         let now = now.elapsed;
+        self.standstill.tick(now);
         let mut effects = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut effects),
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -5,7 +5,6 @@
 mod peers;
 mod reservations;
 mod staging;
-mod standstill;
 
 use std::collections::{
     BTreeMap,
@@ -37,6 +36,7 @@
 use tokio::task::AbortHandle;
 use utils::clock::Clock;
 use utils::digest::Digest;
+use utils::standstill::Standstill;
 use utils::Name;
 use weights::{
     Denial,
@@ -55,8 +55,6 @@
 use crate::store::PieceStore;
 use crate::watch_value::send_if_changed;
 
-use self::standstill::Standstill;
-
 pub use backends::{
     BackendError,
     Backends,
@@ -74,6 +72,9 @@
 /// How often the reducer gets a tick event otherwise.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The longest time between two ticks of a process that runs.
+const MAX_TICK_GAP: Duration = Duration::from_millis(1500);
+
 /// The flow control window of the download of one piece. Twenty instances may send at once; all
 /// their windows together take 170 ms on an instance's link.
 const PIECE_WINDOW_BYTES: u32 = 8 << 10;
@@ -179,7 +180,7 @@
             crash_revision: watch::Sender::new(0),
             watchers: Mutex::default(),
             config_version: Mutex::default(),
-            standstill: Mutex::default(),
+            standstill: Mutex::new(Standstill::new(MAX_TICK_GAP)),
             options,
         })
     }
--- a/components/proxy/src/entry/forwarder.rs
+++ b/components/proxy/src/entry/forwarder.rs
@@ -29,8 +29,8 @@
     ServeRequest, //
 };
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 use utils::millis::millis;
+use utils::run_time::timeout;
 use utils::Name;
 use wire::{
     MessageReader,
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to a target and receives the response.
 
+use std::future::Future;
 use std::time::Duration;
 
 use bytes::{
@@ -25,6 +26,7 @@
 };
 use hyper::body::Incoming;
 use tokio::time::timeout;
+use utils::run_time;
 use utils::Name;
 
 use super::header_codec::{
@@ -82,17 +84,23 @@
         deadline.saturating_sub(self.elapsed())
     }
 
-    /// How long to wait for the next part of a response; `is_first` if none was received yet.
-    fn idle_timeout(
+    /// Waits for a target's next message, `is_first` if the caller has received nothing yet.
+    async fn wait_for_target<F: Future>(
         &self,
         forward_request: &ForwardRequest,
-        time_left: Duration,
         is_first: bool,
-    ) -> Duration {
-        let idle_timeout = time_left.min(forward_request.idle_timeout);
-        match forward_request.first_event_deadline.filter(|_| is_first) {
-            Some(first_event_deadline) => idle_timeout.min(self.time_left(first_event_deadline)),
-            None => idle_timeout,
+        message: F,
+    ) -> Result<F::Output, Outcome> {
+        let time_left = self.time_left(forward_request.deadline);
+        let first_event_deadline = forward_request.first_event_deadline.filter(|_| is_first);
+        let first_event_time = first_event_deadline.map(|deadline| self.time_left(deadline));
+        let limit = first_event_time.map_or(time_left, |time| time.min(time_left));
+        let idle = run_time::timeout(forward_request.idle_timeout, message);
+        match run_time::timeout_by_clock(limit, idle).await {
+            Ok(Ok(message)) => Ok(message),
+            Ok(Err(_)) => Err(Outcome::IdleTimeout),
+            Err(_) if limit < time_left => Err(Outcome::IdleTimeout),
+            Err(_) => Err(Outcome::DeadlineExceeded),
         }
     }
 
@@ -104,20 +112,16 @@
         forward_request: &ForwardRequest,
         last_event_id: Option<u64>,
     ) -> Result<TargetResponse, Outcome> {
-        let time_left = self.time_left(forward_request.deadline);
-        let idle_timeout = self.idle_timeout(forward_request, time_left, true);
         let sending = self.send_request(caller_request, forward_request, last_event_id);
-        let result = timeout(idle_timeout, sending).await;
-        let (response, connection) = match result {
-            Ok(Ok(received)) => received,
-            Ok(Err(ExchangeError::NotSent)) => return Err(Outcome::NotSent),
-            Ok(Err(ExchangeError::ConnectionLost)) => {
+        let result = self.wait_for_target(forward_request, true, sending);
+        let (response, connection) = match result.await? {
+            Ok(received) => received,
+            Err(ExchangeError::NotSent) => return Err(Outcome::NotSent),
+            Err(ExchangeError::ConnectionLost) => {
                 return Err(Outcome::Broken {
                     connection_lost: true,
                 })
             }
-            Err(_) if idle_timeout < time_left => return Err(Outcome::IdleTimeout),
-            Err(_) => return Err(Outcome::DeadlineExceeded),
         };
         let (parts, body) = response.into_parts();
         let head = (self.inner.header_codec.read_response)(&parts, &forward_request.target);
@@ -252,17 +256,15 @@
             if time_left.is_zero() {
                 return Err(Outcome::DeadlineExceeded);
             }
-            let idle_timeout = self.idle_timeout(forward_request, time_left, is_first);
-            let frame = match timeout(idle_timeout, body.frame()).await {
-                Ok(None) => return Ok(None),
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => {
+            let frame = self.wait_for_target(forward_request, is_first, body.frame());
+            let frame = match frame.await? {
+                None => return Ok(None),
+                Some(Ok(frame)) => frame,
+                Some(Err(_)) => {
                     return Err(Outcome::Broken {
                         connection_lost: true,
                     })
                 }
-                Err(_) if idle_timeout < time_left => return Err(Outcome::IdleTimeout),
-                Err(_) => return Err(Outcome::DeadlineExceeded),
             };
             // Trailers are not forwarded.
             if let Ok(data) = frame.into_data() {
--- a/components/proxy/src/router/pool.rs
+++ b/components/proxy/src/router/pool.rs
@@ -20,8 +20,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
 use utils::clock::Clock;
+use utils::run_time::timeout;
 
 /// How long opening a connection may take. Data centres are milliseconds apart, and a lost SYN
 /// packet is resent only after a second.
--- a/components/proxy/src/router/reservations.rs
+++ b/components/proxy/src/router/reservations.rs
@@ -13,7 +13,7 @@
     Reply,
     Request, //
 };
-use tokio::time::timeout;
+use utils::run_time::timeout;
 use wire::{
     CallReply,
     WireError, //
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -26,8 +26,8 @@
     Deserialize,
     Serialize, //
 };
-use tokio::time::timeout;
 use utils::digest::Digest;
+use utils::run_time::timeout;
 use utils::Name;
 use weights::Piece;
 
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod digest;
 pub mod millis;
 pub mod rank;
+pub mod run_time;
+pub mod standstill;
 
 use std::sync::Arc;
 
--- a/components/proxy/src/controller/standstill.rs
+++ b/components/utils/src/standstill.rs
@@ -2,20 +2,28 @@
 
 use std::time::Duration;
 
-/// The longest time between two ticks of a process that runs.
-const MAX_TICK_GAP: Duration = Duration::from_millis(1500);
-
 /// How long after a standstill messages are handled that arrived during it.
-const STANDSTILL_BACKLOG_TIME: Duration = Duration::from_millis(1000);
+const BACKLOG_TIME: Duration = Duration::from_millis(1000);
 
 /// Recognises that the process stood still, so that messages waited before they were handled.
-#[derive(Debug, Default)]
-pub(super) struct Standstill {
+#[derive(Clone, Debug)]
+pub struct Standstill {
+    max_gap: Duration,
     ticked_at: Option<Duration>,
     ended_at: Option<Duration>,
 }
 
 impl Standstill {
+    /// Creates a value for a process in which at most `max_gap` passes between two ticks while it runs.
+    pub fn new(max_gap: Duration) -> Self {
+        Self {
+            max_gap,
+            ticked_at: None,
+            ended_at: None,
+        }
+    }
+
+    /// Records that the process runs.
     pub fn tick(&mut self, now: Duration) {
         if self.has_gap(now) {
             self.ended_at = Some(now);
@@ -24,13 +32,18 @@
     }
 
     fn has_gap(&self, now: Duration) -> bool {
-        let is_long = |at: Duration| now.saturating_sub(at) > MAX_TICK_GAP;
+        let is_long = |at: Duration| now.saturating_sub(at) > self.max_gap;
         self.ticked_at.is_some_and(is_long)
     }
 
     /// Whether a message that is handled now may have waited for long.
     pub fn may_have_delayed(&self, now: Duration) -> bool {
-        let is_recent = |at: Duration| now.saturating_sub(at) < STANDSTILL_BACKLOG_TIME;
+        let is_recent = |at: Duration| now.saturating_sub(at) < BACKLOG_TIME;
         self.has_gap(now) || self.ended_at.is_some_and(is_recent)
     }
+
+    /// Whether the process stood still after `since`, so that a time measured from then says little.
+    pub fn ended_after(&self, since: Duration) -> bool {
+        self.ended_at.is_some_and(|at| at > since)
+    }
 }
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -23,7 +23,7 @@
     Request, //
 };
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use utils::run_time::timeout;
 
 use crate::error::WireError;
 use crate::framing::{
