A silent target is left only if another one can go on

Cause: the idle timeout of 1.5 s held for each stream, whether or not another target may, and can, go on with it. Where none can, it only ended an answer that was still coming; so it did without attempts, retries or other targets left.

Change: when a target has been silent for its time, the reducer decides: the request leaves it if another target may run it, attempts and retries are left and one has capacity; otherwise it waits on, until its timeout. A begun stream is left after the caller's patience less one second instead of 1.5 s (2.2 s at a pause objective of 400 ms). The line silent of the record says which, once for each silence.

--- a/components/control/src/retry_budget.rs
+++ b/components/control/src/retry_budget.rs
@@ -56,9 +56,14 @@
         self.available = self.available.min(max_available);
     }
 
+    /// Whether there is a retry in the budget.
+    pub fn has_retry(&self) -> bool {
+        self.available >= 1.0
+    }
+
     /// Removes one retry from the budget. Returns whether there was one.
     pub fn try_take_retry(&mut self) -> bool {
-        if self.available < 1.0 {
+        if !self.has_retry() {
             return false;
         }
         self.available -= 1.0;
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -156,6 +156,7 @@
             shared_prompt_parts: parts.clone(),
             sent_parts: Vec::new(),
             answering_since: None,
+            was_silent: false,
             tried_targets: Vec::new(),
             may_have_run: false,
             assignment: None,
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -216,7 +216,7 @@
     }
 
     /// Selects a target for a request, without sending it.
-    fn choose(&mut self, now: Duration, token: u64) -> Option<Choice> {
+    pub(super) fn choose(&mut self, now: Duration, token: u64) -> Option<Choice> {
         let mut rng = Pcg64Mcg::seed_from_u64(self.rng.random());
         let service = self.pending.get(&token)?.service.name.clone();
         let mut spillover = self.spillovers.remove(&service).unwrap_or_default();
@@ -379,6 +379,7 @@
         pending.tried_targets.push(id.clone());
         pending.sent_parts = sent_parts;
         pending.answering_since = None;
+        pending.was_silent = false;
         pending.requests_at_start = load.round() as u32;
         pending.requests_at_answer = None;
         pending.slowness_percent = None;
@@ -392,6 +393,7 @@
             priority: pending.target_priority(),
             deadline: pending.deadline,
             idle_timeout: pending.idle_timeout(),
+            pause_timeout: pending.pause_timeout(),
             first_event_deadline,
             is_stream: pending.route.repeatability.is_stream(),
         };
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -248,8 +248,11 @@
     pub priority: u8,
     /// When the answer must be complete.
     pub deadline: Duration,
-    /// How long the target may stay silent before the attempt fails.
+    /// How long the target may stay silent before the answer begins. It is left then if another one can
+    /// go on with the request.
     pub idle_timeout: Duration,
+    /// The same for a silence in the middle of the answer.
+    pub pause_timeout: Duration,
     /// When the first part of the answer must have arrived. Set if the target runs an older version
     /// that may not begin answers after this time.
     pub first_event_deadline: Option<Duration>,
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -18,7 +18,10 @@
 use super::load::LoadReport;
 use super::rejection::RejectionReason;
 use super::retry_share::RetryShare;
-use super::selection;
+use super::selection::{
+    self,
+    Choice, //
+};
 use super::state::State;
 use super::{
     Effect,
@@ -297,8 +300,24 @@
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
-        let attempts = pending.attempts();
-        let may_run_again = !pending.may_have_run || pending.route.repeatability.may_run_again();
+        let service = pending.service.name.clone();
+        let reason = self.reason_not_to_retry(now, token, pending.may_have_run);
+        let is_out_of_retries = reason.is_none() && !self.try_take_retry(now, &service);
+        match reason.or(is_out_of_retries.then_some(RejectionReason::OutOfRetries)) {
+            Some(reason) => self.reject(now, token, reason, effects),
+            None => self.dispatch_or_queue(now, token, effects),
+        }
+    }
+
+    /// Why a request must not be sent to another target, if so, apart from the retry budget.
+    fn reason_not_to_retry(
+        &self,
+        now: Duration,
+        token: u64,
+        may_have_run: bool,
+    ) -> Option<RejectionReason> {
+        let pending = self.pending.get(&token)?;
+        let may_run_again = !may_have_run || pending.route.repeatability.may_run_again();
         let attempt_limit = pending.route.attempt_limit.max(1);
         let model = pending
             .service
@@ -309,10 +328,9 @@
         // No target may resume an answer whose version is no longer allowed.
         let is_outdated = pending.version < oldest;
         let cannot_resume = pending.response_started && (pending.version.is_none() || is_outdated);
-        let service = pending.service.name.clone();
-        let reason = if !may_run_again || cannot_resume {
+        if !may_run_again || cannot_resume {
             Some(RejectionReason::MayHaveRun)
-        } else if attempts >= attempt_limit {
+        } else if pending.attempts() >= attempt_limit {
             Some(RejectionReason::OutOfAttempts)
         } else if let Some(reason) =
             self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
@@ -320,15 +338,60 @@
             Some(reason)
         } else if now >= pending.deadline || self.arrives_after_caller_left(now, token) {
             Some(RejectionReason::TimedOut)
-        } else if !self.try_take_retry(now, &service) {
-            Some(RejectionReason::OutOfRetries)
         } else {
             None
+        }
+    }
+
+    /// Decides whether a request leaves a target that has been silent for as long as it may be: only if
+    /// another one can go on with it, as the answer may still come. Returns that, and the line for the record
+    /// if the target was not silent before.
+    pub fn handle_silence(&mut self, now: Duration, token: u64) -> (bool, Option<Decision>) {
+        let may_leave = self.can_go_on_elsewhere(now, token);
+        let Some(pending) = self.pending.get_mut(&token) else {
+            return (true, None);
         };
-        match reason {
-            Some(reason) => self.reject(now, token, reason, effects),
-            None => self.dispatch_or_queue(now, token, effects),
+        let Some((id, _)) = &pending.assignment else {
+            return (true, None);
+        };
+        if std::mem::replace(&mut pending.was_silent, true) {
+            return (may_leave, None);
         }
+        if let Some(target) = self.targets.get_mut(id).filter(|_| !may_leave) {
+            target.health.record_failure(now);
+        }
+        let decision = Decision::Silent {
+            request: pending.id.clone(),
+            target: id.clone(),
+            kept: !may_leave,
+            begun: pending.response_started,
+        };
+        (may_leave, Some(decision))
+    }
+
+    /// Whether another target can go on with a request that may have run.
+    fn can_go_on_elsewhere(&mut self, now: Duration, token: u64) -> bool {
+        let Some(pending) = self.pending.get(&token) else {
+            return false;
+        };
+        let response_started = pending.response_started;
+        let service = pending.service.name.clone();
+        if self.reason_not_to_retry(now, token, true).is_some()
+            || self.reason_not_to_send(now, token).is_some()
+        {
+            return false;
+        }
+        let process_count = self.process_count.get();
+        let has_retry = self
+            .retry_share(now, &service)
+            .has_retry(now, process_count);
+        // A caller that has a part of the answer does not wait until a target has capacity.
+        has_retry
+            && match self.choose(now, token) {
+                Some(Choice::Target(_)) => true,
+                Some(Choice::Full) => !response_started,
+                Some(Choice::NoTarget) | None => false,
+            }
     }
 
     /// Rejects a request that is still queued when its queueing time is over.
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -21,10 +21,13 @@
 };
 use super::queue::QueueRank;
 
-/// How long a stream may stay silent before another target resumes it. Engines pause for up to half
-/// a second while they prefill long prompts of other requests; callers give up after three seconds.
+/// How long a stream may stay silent at least before another target resumes it. Engines pause for up to half
+/// a second while they prefill long prompts of other requests, and sound ones fall silent for a second or so.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// The time that another target needs to go on with a stream before its caller leaves.
+const RESUME_TIME: Duration = Duration::from_millis(1000);
+
 /// How long a plain target may stay silent before another is tried, as a multiple of the route's
 /// latency objective.
 const PLAIN_IDLE_TIMEOUT_FACTOR: u32 = 2;
@@ -73,6 +76,8 @@
     pub sent_parts: Vec<SentPart>,
     /// When the head of the current target's answer arrived.
     pub answering_since: Option<Duration>,
+    /// Whether the current target has been silent for as long as it may be.
+    pub was_silent: bool,
     /// Targets that it was sent to.
     pub tried_targets: Vec<Name>,
     /// Whether a target may have run it.
@@ -158,11 +163,15 @@
         if !self.route.repeatability.is_stream() || self.response_started {
             return self.deadline;
         }
+        self.deadline.min(self.arrived + self.caller_patience())
+    }
+
+    /// How long a caller waits for an event of a stream.
+    fn caller_patience(&self) -> Duration {
         let for_latency = self.route.latency_objective * CALLER_PATIENCE_PER_LATENCY_OBJECTIVE;
         let pause_objective = self.route.pause_objective.unwrap_or_default();
         let for_pause = pause_objective * CALLER_PATIENCE_PER_PAUSE_OBJECTIVE;
-        let patience = MIN_CALLER_PATIENCE.max(for_latency).max(for_pause);
-        self.deadline.min(self.arrived + patience)
+        MIN_CALLER_PATIENCE.max(for_latency).max(for_pause)
     }
 
     /// How many targets it was sent to.
@@ -183,6 +192,16 @@
         }
     }
 
+    /// How long a target may stay silent in the middle of its answer.
+    pub fn pause_timeout(&self) -> Duration {
+        if self.route.repeatability.is_stream() {
+            let latest = self.caller_patience().saturating_sub(RESUME_TIME);
+            STREAM_IDLE_TIMEOUT.max(latest)
+        } else {
+            self.idle_timeout()
+        }
+    }
+
     /// The priority that is sent to the target; zero is the most urgent.
     pub fn target_priority(&self) -> u8 {
         if self.response_started {
--- a/components/control/src/router/retry_share.rs
+++ b/components/control/src/router/retry_share.rs
@@ -79,6 +79,17 @@
     /// Takes one retry. Returns whether there was one. An unknown number of processes allows no
     /// extra retries.
     pub fn try_take_retry(&mut self, now: Duration, process_count: Option<u32>) -> bool {
+        self.accrue(now, process_count);
+        self.budget.try_take_retry()
+    }
+
+    /// Whether there is a retry, without taking it.
+    pub fn has_retry(&mut self, now: Duration, process_count: Option<u32>) -> bool {
+        self.accrue(now, process_count);
+        self.budget.has_retry()
+    }
+
+    fn accrue(&mut self, now: Duration, process_count: Option<u32>) {
         let elapsed = now.saturating_sub(self.updated_at);
         self.updated_at = now;
         if let Some(count) = process_count {
@@ -87,6 +98,5 @@
             self.budget.set_max_available(half_share.max(1.0));
             self.budget.add(half_share * windows);
         }
-        self.budget.try_take_retry()
     }
 }
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a target and receives the response.
 
 use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::{
@@ -84,23 +85,36 @@
         deadline.saturating_sub(self.elapsed())
     }
 
-    /// Waits for a target's next message, `is_first` if the caller has received nothing yet.
+    /// Waits for a target's next message, `is_first` if the caller has received nothing yet. A target that
+    /// falls silent is left only if another one can go on with the request.
     async fn wait_for_target<F: Future>(
         &self,
+        token: u64,
         forward_request: &ForwardRequest,
         is_first: bool,
         message: F,
     ) -> Result<F::Output, Outcome> {
-        let time_left = self.time_left(forward_request.deadline);
-        let first_event_deadline = forward_request.first_event_deadline.filter(|_| is_first);
-        let first_event_time = first_event_deadline.map(|deadline| self.time_left(deadline));
-        let limit = first_event_time.map_or(time_left, |time| time.min(time_left));
-        let idle = run_time::timeout(forward_request.idle_timeout, message);
-        match run_time::timeout_by_clock(limit, idle).await {
-            Ok(Ok(message)) => Ok(message),
-            Ok(Err(_)) => Err(Outcome::IdleTimeout),
-            Err(_) if limit < time_left => Err(Outcome::IdleTimeout),
-            Err(_) => Err(Outcome::DeadlineExceeded),
+        let mut message = pin!(message);
+        let idle_timeout = if is_first {
+            forward_request.idle_timeout
+        } else {
+            forward_request.pause_timeout
+        };
+        loop {
+            let time_left = self.time_left(forward_request.deadline);
+            let first_event_deadline = forward_request.first_event_deadline.filter(|_| is_first);
+            let first_event_time = first_event_deadline.map(|deadline| self.time_left(deadline));
+            let limit = first_event_time.map_or(time_left, |time| time.min(time_left));
+            let idle = run_time::timeout(idle_timeout, message.as_mut());
+            match run_time::timeout_by_clock(limit, idle).await {
+                Ok(Ok(message)) => return Ok(message),
+                Ok(Err(_)) if self.may_leave_silent_target(token) => {
+                    return Err(Outcome::IdleTimeout)
+                }
+                Ok(Err(_)) => {}
+                Err(_) if limit < time_left => return Err(Outcome::IdleTimeout),
+                Err(_) => return Err(Outcome::DeadlineExceeded),
+            }
         }
     }
 
@@ -113,7 +127,7 @@
         last_event_id: Option<u64>,
     ) -> Result<TargetResponse, Outcome> {
         let sending = self.send_request(caller_request, forward_request, last_event_id);
-        let result = self.wait_for_target(forward_request, true, sending);
+        let result = self.wait_for_target(token, forward_request, true, sending);
         let (response, connection) = match result.await? {
             Ok(received) => received,
             Err(ExchangeError::NotSent) => return Err(Outcome::NotSent),
@@ -220,6 +234,7 @@
     /// Reads the body of a response and returns the connection to the pool.
     pub(super) async fn read_to_end(
         &self,
+        token: u64,
         response: TargetResponse,
         forward_request: &ForwardRequest,
     ) -> Result<(Parts, Bytes), Outcome> {
@@ -230,7 +245,10 @@
             ..
         } = response;
         let mut bytes = BytesMut::new();
-        while let Some(part) = self.read_part(&mut body, forward_request, false).await? {
+        while let Some(part) = self
+            .read_part(token, &mut body, forward_request, false)
+            .await?
+        {
             bytes.extend_from_slice(&part);
             if bytes.len() > MAX_RESPONSE_BYTES {
                 return Err(Outcome::Broken {
@@ -246,6 +264,7 @@
     /// received yet.
     pub(super) async fn read_part(
         &self,
+        token: u64,
         body: &mut Incoming,
         forward_request: &ForwardRequest,
         is_first: bool,
@@ -256,7 +275,7 @@
             if time_left.is_zero() {
                 return Err(Outcome::DeadlineExceeded);
             }
-            let frame = self.wait_for_target(forward_request, is_first, body.frame());
+            let frame = self.wait_for_target(token, forward_request, is_first, body.frame());
             let frame = match frame.await? {
                 None => return Ok(None),
                 Some(Ok(frame)) => frame,
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -166,6 +166,16 @@
         }
     }
 
+    /// Whether another target can go on with a request whose target has fallen silent.
+    fn may_leave_silent_target(&self, token: u64) -> bool {
+        let now = self.inner.clock.now().elapsed;
+        let (may_leave, decision) = self.inner.state.borrow_mut().handle_silence(now, token);
+        if let Some(decision) = decision {
+            self.record(decision);
+        }
+        may_leave
+    }
+
     /// The state that gauges and the readiness check report.
     pub fn summary(&self) -> Summary {
         let now = self.inner.clock.now().elapsed;
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -289,7 +289,10 @@
         forward_request: &ForwardRequest,
     ) -> Result<Response<Body>, Outcome> {
         let is_error = response.is_server_error();
-        let (mut parts, body) = self.router.read_to_end(response, forward_request).await?;
+        let (mut parts, body) = self
+            .router
+            .read_to_end(self.token, response, forward_request)
+            .await?;
         remove_hop_by_hop_headers(&mut parts.headers);
         // The server sets the length of the forwarded body itself. A response to HEAD has no body,
         // and keeps the length that the target declared.
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -202,7 +202,10 @@
     ) -> ReadResult {
         loop {
             let is_first = self.last_part_at.is_none();
-            let part = self.router.read_part(body, forward_request, is_first).await;
+            let part = self
+                .router
+                .read_part(self.token, body, forward_request, is_first)
+                .await;
             let part = match part {
                 Ok(Some(part)) => part,
                 Ok(None) if splitter.has_partial_event() => {
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -452,6 +452,17 @@
         /// Milliseconds since the engine's pieces began to be verified for the last time.
         checked_ms: u64,
     },
+    /// A target was silent for as long as it may be while it answered a request.
+    Silent {
+        /// The request's id.
+        request: Name,
+        /// The target.
+        target: Name,
+        /// Whether the request waits on, since no other target can go on with it.
+        kept: bool,
+        /// Whether the caller has received a part of the answer.
+        begun: bool,
+    },
     /// Lines were dropped because the output was too slow.
     Dropped {
         /// Number of dropped lines.
@@ -520,6 +531,7 @@
             Self::Process { .. } => "process",
             Self::Staged { .. } => "staged",
             Self::Order { .. } => "order",
+            Self::Silent { .. } => "silent",
             Self::Dropped { .. } => "dropped",
             Self::Drain => "drain",
             Self::Resume { .. } => "resume",
