A planned stop waits until answers are delivered, and reads what has arrived

Others found their connection closed with their request in it.

Cause: shut_down waited for the count of pending requests, and a request leaves it when its answer is handed to the caller's connection. Idle connections were closed without a look at what had arrived, and connections that were not accepted yet were reset with the listener.

Change: the shutdown counts the connections and waits for each until the caller has closed it or sent something else, which is not read. Answers of a stopping process carry Connection: close, from SIGTERM on. Idle connections are closed 50 ms after the signal, so that what has arrived is read first, and the listener stays: late callers get 503 and a time to come back, at once.

Evidence: tests/planned_stops.rs, real processes, two stops in a row in each of eight cases (silent targets, slow readers, slow senders, a process that stands still or has an eighth of a core), 24 callers on kept connections.

--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -287,6 +287,11 @@
         }
     }
 
+    /// Whether the process drains before a planned stop.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
     /// The current limits on callers' requests.
     pub fn caller_limits(&self) -> super::config::CallerLimits {
         let table = self.table.as_ref();
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -182,6 +182,11 @@
         self.inner.state.borrow().summary(now)
     }
 
+    /// Whether the process is about to stop.
+    fn is_draining(&self) -> bool {
+        self.inner.state.borrow().is_draining()
+    }
+
     /// The limits of requests and connections of callers.
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         self.inner.state.borrow().caller_limits()
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -9,6 +9,10 @@
     IncomingRequest,
     Outcome, //
 };
+use http::header::{
+    HeaderValue,
+    CONNECTION, //
+};
 use http::request::Parts;
 use http::{
     Request,
@@ -165,8 +169,19 @@
 }
 
 impl Router {
-    /// Handles a request of a caller.
+    /// Handles a request of a caller. A process that is about to stop lets its callers close their
+    /// connections, so that none sends a request as the connection is closed.
     pub(super) async fn handle_request(self, request: Request<Incoming>) -> Response<Body> {
+        let router = self.clone();
+        let mut response = self.respond(request).await;
+        if router.is_draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    async fn respond(self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         let limit = self.caller_limits().max_body_bytes;
         // Reading a body that is declared as too long is useless: the bytes would be discarded.
--- a/components/proxy/src/router/server.rs
+++ b/components/proxy/src/router/server.rs
@@ -1,7 +1,10 @@
 //! Connections of callers, the readiness check, and the graceful shutdown.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::future::{
+    poll_fn,
+    Future, //
+};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +27,7 @@
     TcpStream, //
 };
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::Router;
 
@@ -38,11 +42,20 @@
 /// head that is too long needs the first line of that head.
 const MIN_HEAD_BUFFER_BYTES: usize = 16 << 10;
 
-/// Tells the listener and the connections of callers to close when the process shuts down.
+/// The longest time to wait until a caller has received the end of its last answer. A process that ends
+/// earlier may take unsent bytes with it.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(5);
+
+/// How long after the signal idle connections are closed.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
+/// Tells the connections of callers to close when the process shuts down, and counts them.
 #[derive(Clone, Debug)]
 pub struct ShutdownSignal {
     tx: Rc<watch::Sender<bool>>,
     rx: watch::Receiver<bool>,
+    /// Held by each open connection, and by each copy of this value.
+    open_connections: Rc<()>,
 }
 
 impl Default for ShutdownSignal {
@@ -51,32 +64,39 @@
         Self {
             tx: Rc::new(tx),
             rx,
+            open_connections: Rc::new(()),
         }
     }
 }
 
 impl ShutdownSignal {
-    /// Stops accepting connections, and closes each open one after its current request.
+    /// Closes each connection after its current request.
     fn close_connections(&self) {
         self.tx.send_replace(true);
     }
 
-    async fn wait_for_close(&mut self) {
-        // Cannot fail: this value holds the sender.
-        let _closing = self.rx.wait_for(|closing| *closing).await;
+    fn is_closing(&self) -> bool {
+        *self.rx.borrow()
+    }
+
+    fn has_open_connections(&self) -> bool {
+        Rc::strong_count(&self.open_connections) > Rc::strong_count(&self.tx)
     }
 }
 
-/// Serves callers while the future is polled, until the process accepts no more connections.
-pub async fn serve_callers(router: Router, listener: TcpListener, mut shutdown: ShutdownSignal) {
+/// Serves callers while the future is polled. Callers that connect to a process that is about to stop are told
+/// to come back, since a connection that is closed without an answer tells them nothing.
+pub async fn serve_callers(router: Router, listener: TcpListener, shutdown: ShutdownSignal) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.wait_for_close() => return,
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((tcp, _)) => {
-                tokio::task::spawn_local(serve_connection(router.clone(), tcp, shutdown.clone()));
+                // The shutdown does not wait for connections that only get rejections.
+                let open = (!shutdown.is_closing()).then(|| shutdown.open_connections.clone());
+                let connection = serve_connection(router.clone(), tcp, shutdown.rx.clone());
+                tokio::task::spawn_local(async move {
+                    connection.await;
+                    drop(open);
+                });
             }
             Err(e) => {
                 log::warn!(target: LOG_TARGET, "cannot accept a connection: {e}");
@@ -86,33 +106,57 @@
     }
 }
 
-async fn serve_connection(router: Router, tcp: TcpStream, mut shutdown: ShutdownSignal) {
+async fn serve_connection(router: Router, tcp: TcpStream, mut closing: watch::Receiver<bool>) {
     // Without this option the connection is only slower.
     let _ignored = tcp.set_nodelay(true);
-    let service = service_fn(|request: Request<Incoming>| {
+    let limits = router.caller_limits();
+    let service = service_fn(move |request: Request<Incoming>| {
         let router = router.clone();
-        async move { Ok::<_, Infallible>(router.handle_request(request).await) }
+        Box::pin(async move { Ok::<_, Infallible>(router.handle_request(request).await) })
     });
-    let limits = router.caller_limits();
-    let connection = Builder::new()
+    let mut connection = Builder::new()
         .timer(TokioTimer::new())
         // This timeout covers both the idle time before a head and the time to receive it.
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(tcp), service);
-    let mut connection = pin!(connection);
+    let mut was_idle = false;
     let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = shutdown.wait_for_close() => {
+        // A request that has arrived is read before its connection is closed.
+        biased;
+        result = &mut connection => result,
+        () = close_after_reading(&mut closing) => {
+            let mut connection = Pin::new(&mut connection);
             connection.as_mut().graceful_shutdown();
-            connection.await
+            was_idle = true;
+            poll_fn(|cx| {
+                let result = connection.as_mut().poll(cx);
+                was_idle &= result.is_ready();
+                result
+            })
+            .await
         }
     };
     if let Err(e) = result {
         log::debug!(target: LOG_TARGET, "the connection of a caller failed: {e}");
+        return;
+    }
+    let tcp = connection.into_parts().io.into_inner();
+    if !was_idle {
+        // The caller has the whole answer when it closes the connection or sends another request, which
+        // is not read.
+        let _passed = timeout(MAX_LINGER_TIME, tcp.peek(&mut [0])).await;
     }
 }
 
+/// Waits until the connections are to be closed, and until requests are read that had arrived before, also if
+/// the process stood still.
+async fn close_after_reading(closing: &mut watch::Receiver<bool>) {
+    // Fails if the signal is gone, as the process ends.
+    let _closing = closing.wait_for(|closing| *closing).await;
+    tokio::time::sleep(CLOSE_DELAY).await;
+}
+
 /// Serves the readiness check at `path` while the future is polled: whether the process accepts new
 /// connections.
 pub async fn serve_readiness(router: Router, listener: TcpListener, path: &'static str) {
@@ -150,17 +194,15 @@
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Shuts the router down gracefully. The readiness check fails, so that new connections go to other
-/// processes; then connections are closed between requests, and pending requests get at most
-/// `grace` to complete.
+/// processes; then connections are closed between requests, and get at most `grace` until the last
+/// answers are delivered.
 pub async fn shut_down(router: Router, shutdown: ShutdownSignal, grace: Duration) {
     router.handle_event(control::router::Event::DrainRequested);
     let until = router.elapsed() + grace;
     tokio::time::sleep(READINESS_NOTICE_TIME.min(grace)).await;
     router.handle_event(control::router::Event::StopAccepting);
     shutdown.close_connections();
-    while router.elapsed() < until && router.summary().pending_requests > 0 {
+    while router.elapsed() < until && shutdown.has_open_connections() {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
-    // Socket buffers may still hold the last responses.
-    tokio::time::sleep(DRAIN_CHECK_INTERVAL * 2).await;
 }
--- /dev/null
+++ b/tests/planned_stops.rs
@@ -0,0 +1,505 @@
+//! Planned stops of an entry that is a real process on the real clock: targets fall silent, callers read
+//! slowly and use their connections until the process is gone, and the process is short of processor time.
+
+#[path = "soak/processes.rs"]
+mod processes;
+#[path = "../platform/tests/standin/mod.rs"]
+mod standin;
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use processes::Process;
+use standin::publish::{
+    publish_config_for_long_requests,
+    publish_target,
+    request_id,
+    timed_request_text,
+    ProcessAddresses,
+    CALLERS_PORT, //
+};
+use standin::router::{
+    chunk,
+    event,
+    signed_response,
+    stream_head, //
+};
+use standin::{
+    listen,
+    ReceivedRequest,
+    ResponseStep,
+    Store, //
+};
+use tokio::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
+use tokio::net::{
+    TcpSocket,
+    TcpStream, //
+};
+use tokio::task::JoinSet;
+use tokio::time::{
+    sleep,
+    timeout,
+    Instant, //
+};
+
+/// The timeout of callers and of all routes, as on the users' small sites.
+const TIMEOUT: Duration = Duration::from_secs(6);
+
+/// How long a stopped process may run on. The settings of the process name it.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// A target that is still at work later than this after the stop excuses a cut request, if that was sent
+/// no later than [`EXCUSED_SENDING_TIME`] after the stop.
+const EXCUSED_WORK_TIME: Duration = Duration::from_millis(8000 * 5 / 6);
+const EXCUSED_SENDING_TIME: Duration = Duration::from_secs(3);
+
+/// A request that is not passed on and gets no answer must have been sent this shortly before the end of its
+/// connection.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
+const STARTUP_TIME: Duration = Duration::from_secs(2);
+
+/// How long callers send requests before the stop.
+const RUN_UP_TIME: Duration = Duration::from_millis(1500);
+
+const CALLERS: usize = 24;
+
+/// Between two parts of an answer a slow caller pauses for this fraction of its first pause.
+const READING_PAUSE_DIVISOR: u32 = 64;
+
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+
+/// What a target does with a request, as its path says: `/ROUTE/EVENTS-INTERVAL-SILENCE/` for streams and
+/// `/ROUTE/KILOBYTES-DELAY-0/` otherwise, times in milliseconds.
+fn respond(request: &ReceivedRequest) -> Vec<ResponseStep> {
+    let numbers: Vec<u64> = request
+        .path
+        .split('/')
+        .nth(2)
+        .unwrap()
+        .split('-')
+        .map(|number| number.parse().unwrap())
+        .collect();
+    let [count, time, silence] = numbers[..] else {
+        panic!("{}", request.path);
+    };
+    let wait = |millis| ResponseStep::Wait(Duration::from_millis(millis));
+    if request.path.starts_with("/order") {
+        let body = "x".repeat(count as usize * 1024);
+        return vec![
+            wait(time),
+            ResponseStep::Write(signed_response(request, "200 OK", &body)),
+        ];
+    }
+    let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
+    let mut steps = vec![ResponseStep::Write(stream_head(request))];
+    for number in after + 1..=count {
+        if number == 3 {
+            steps.push(wait(silence));
+        }
+        steps.push(ResponseStep::Write(chunk(&event(number))));
+        steps.push(wait(time));
+    }
+    steps.push(ResponseStep::Write(b"0\r\n\r\n".to_vec()));
+    steps
+}
+
+/// How a request of a caller ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum End {
+    Answer(u16),
+    /// The connection ended before the answer was complete, or before it began.
+    Cut {
+        has_begun: bool,
+    },
+    /// The caller's timeout passed.
+    TimedOut,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    id: String,
+    path: String,
+    sent_at: Instant,
+    /// When the caller began to read the answer.
+    read_at: Instant,
+    ended_at: Instant,
+    end: End,
+}
+
+/// What callers and targets saw.
+#[derive(Clone, Default)]
+struct Observed {
+    requests: Arc<Mutex<Vec<Request>>>,
+    /// When each request reached a target for the first time.
+    passed_on: Arc<Mutex<BTreeMap<String, Instant>>>,
+}
+
+/// A caller's behaviour.
+#[derive(Clone, Copy)]
+struct Caller {
+    path: &'static str,
+    /// How long it waits before it reads an answer. Between two parts it waits for a fraction of this.
+    reading_pause: Duration,
+    /// How long sending the body of a request takes.
+    sending_time: Duration,
+}
+
+impl Caller {
+    const fn new(path: &'static str) -> Self {
+        Self {
+            path,
+            reading_pause: Duration::ZERO,
+            sending_time: Duration::ZERO,
+        }
+    }
+
+    /// Sends requests on kept connections until the process accepts none any more.
+    async fn run(self, number: usize, entry: String, observed: Observed) {
+        let mut connection = None;
+        for count in 0.. {
+            if connection.is_none() {
+                connection = connect(&entry).await.ok();
+            }
+            let Some(tcp) = &mut connection else {
+                return;
+            };
+            let id = format!("r-{number}-{count}");
+            let mut sent_at = Instant::now();
+            let exchange = self.exchange(tcp, &id, &mut sent_at);
+            let (end, keeps_open) = timeout(TIMEOUT + Duration::from_secs(1), exchange)
+                .await
+                .unwrap_or((End::TimedOut, false));
+            if !keeps_open {
+                connection = None;
+            }
+            observed.requests.lock().unwrap().push(Request {
+                id,
+                path: self.path.to_owned(),
+                sent_at,
+                read_at: sent_at + self.reading_pause,
+                ended_at: Instant::now(),
+                end,
+            });
+            sleep(Duration::from_millis(20 + number as u64)).await;
+        }
+    }
+
+    async fn exchange(self, tcp: &mut TcpStream, id: &str, sent_at: &mut Instant) -> (End, bool) {
+        let cut = |has_begun| (End::Cut { has_begun }, false);
+        let body = [b'x'; 100];
+        let head = timed_request_text(self.path, id, TIMEOUT, body.len());
+        if tcp.write_all(head.as_bytes()).await.is_err() {
+            return cut(false);
+        }
+        sleep(self.sending_time).await;
+        *sent_at = Instant::now();
+        if tcp.write_all(&body).await.is_err() {
+            return cut(false);
+        }
+        sleep(self.reading_pause).await;
+        let mut answer = Vec::new();
+        let mut buf = vec![0; 256 << 10];
+        loop {
+            match tcp.read(&mut buf).await {
+                Ok(0) | Err(_) => return cut(!answer.is_empty()),
+                Ok(count) => answer.extend_from_slice(&buf[..count]),
+            }
+            if let Some((status, keeps_open)) = parse_answer(&answer) {
+                return (End::Answer(status), keeps_open);
+            }
+            sleep(self.reading_pause / READING_PAUSE_DIVISOR).await;
+        }
+    }
+}
+
+/// Connects with a receive buffer so small that a caller that reads slowly holds up the process.
+async fn connect(entry: &str) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.connect(entry.parse().unwrap()).await
+}
+
+/// The status of a complete answer, and whether the connection stays open after it.
+fn parse_answer(answer: &[u8]) -> Option<(u16, bool)> {
+    let end = answer.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let keeps_open = !head.contains("connection: close");
+    let length = head.split("content-length: ").nth(1);
+    let is_complete = match length.and_then(|rest| rest.split("\r\n").next()) {
+        Some(length) => answer.len() - end >= length.parse::<usize>().ok()?,
+        None => answer.ends_with(b"0\r\n\r\n"),
+    };
+    is_complete.then_some((status, keeps_open))
+}
+
+/// What happens to the process from outside while it stops.
+#[derive(Clone, Copy)]
+enum Disturbance {
+    Nothing,
+    /// It stands still for this long, this long after the stop.
+    Pause {
+        after: Duration,
+        time: Duration,
+    },
+    /// It runs this percentage of each tenth of a second, from before the stop.
+    Share(u64),
+}
+
+struct Case {
+    name: &'static str,
+    callers: &'static [Caller],
+    disturbance: Disturbance,
+}
+
+const STEADY_STREAM: Caller = Caller::new("/talk/30-100-0/");
+const RESUMABLE_STREAM: Caller = Caller::new("/chat/30-100-0/");
+const SHORT_STREAM: Caller = Caller::new("/talk/8-60-0/");
+const SILENT_STREAM: Caller = Caller::new("/talk/8-100-2200/");
+const BRIEFLY_SILENT_STREAM: Caller = Caller::new("/talk/10-100-1200/");
+const BRIEFLY_SILENT_RESUMABLE: Caller = Caller::new("/chat/10-100-1200/");
+const ORDER: Caller = Caller::new("/order/1-300-0/");
+const SLOW_ORDER: Caller = Caller::new("/order/1-2500-0/");
+const SLOWLY_READ_ORDER: Caller = Caller {
+    path: "/order/6000-50-0/",
+    reading_pause: Duration::from_millis(800),
+    sending_time: Duration::ZERO,
+};
+const SLOWLY_SENT_ORDER: Caller = Caller {
+    path: "/order/1-3500-0/",
+    reading_pause: Duration::ZERO,
+    sending_time: Duration::from_millis(2900),
+};
+const SLOWLY_READ_STREAM: Caller = Caller {
+    path: "/talk/30-50-0/",
+    reading_pause: Duration::from_millis(700),
+    sending_time: Duration::ZERO,
+};
+
+const CASES: [Case; 8] = [
+    Case {
+        name: "calm",
+        callers: &[SHORT_STREAM, ORDER, RESUMABLE_STREAM],
+        disturbance: Disturbance::Nothing,
+    },
+    Case {
+        name: "targets are silent for a second or two",
+        callers: &[
+            SILENT_STREAM,
+            BRIEFLY_SILENT_STREAM,
+            BRIEFLY_SILENT_RESUMABLE,
+            ORDER,
+        ],
+        disturbance: Disturbance::Nothing,
+    },
+    Case {
+        name: "callers read slowly",
+        callers: &[SLOWLY_READ_ORDER, SLOWLY_READ_STREAM, SHORT_STREAM],
+        disturbance: Disturbance::Nothing,
+    },
+    Case {
+        name: "requests come late in the grace",
+        callers: &[SLOWLY_SENT_ORDER, SLOW_ORDER, STEADY_STREAM],
+        disturbance: Disturbance::Nothing,
+    },
+    Case {
+        name: "the process stands still",
+        callers: &[STEADY_STREAM, RESUMABLE_STREAM, SHORT_STREAM, SLOW_ORDER],
+        disturbance: Disturbance::Pause {
+            after: Duration::from_millis(600),
+            time: Duration::from_millis(1700),
+        },
+    },
+    Case {
+        name: "the process stands still as connections are closed",
+        callers: &[STEADY_STREAM, RESUMABLE_STREAM, SHORT_STREAM, ORDER],
+        disturbance: Disturbance::Pause {
+            after: Duration::from_millis(1800),
+            time: Duration::from_millis(900),
+        },
+    },
+    Case {
+        name: "the process has an eighth of a core",
+        callers: &[STEADY_STREAM, RESUMABLE_STREAM, SHORT_STREAM, ORDER],
+        disturbance: Disturbance::Share(13),
+    },
+    Case {
+        name: "an eighth of a core, silent targets and slow callers",
+        callers: &[
+            BRIEFLY_SILENT_STREAM,
+            BRIEFLY_SILENT_RESUMABLE,
+            SLOWLY_READ_STREAM,
+            SLOWLY_SENT_ORDER,
+            SHORT_STREAM,
+        ],
+        disturbance: Disturbance::Share(13),
+    },
+];
+
+/// Guards against requests that end without an answer because their entry is stopped as planned.
+#[test]
+fn planned_stop_loses_no_request() {
+    let cases = CASES.iter().enumerate();
+    let cases: Vec<_> = cases
+        .map(|(number, case)| std::thread::spawn(move || run_case(number, case)))
+        .collect();
+    let losses: Vec<String> = cases
+        .into_iter()
+        .flat_map(|case| case.join().unwrap())
+        .collect();
+    assert!(losses.is_empty(), "{}: {losses:#?}", losses.len());
+}
+
+/// Stops an entry twice, and returns what was lost.
+#[tokio::main(flavor = "multi_thread", worker_threads = 1)]
+async fn run_case(number: usize, case: &Case) -> Vec<String> {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("stops-{number}"));
+    std::fs::create_dir_all(&folder).unwrap();
+    let run = std::process::id() % 200 + 20;
+    let ip = format!("127.{run}.{}.10", 210 + number);
+    let store = Store::default();
+    publish_config_for_long_requests(&store, 1, TIMEOUT);
+    let observed = Observed::default();
+    for i in 0..6 {
+        let passed_on = observed.passed_on.clone();
+        let address = listen(move |request| {
+            let id = request_id(request).to_owned();
+            passed_on
+                .lock()
+                .unwrap()
+                .entry(id)
+                .or_insert_with(Instant::now);
+            respond(request)
+        })
+        .await;
+        let service = if i % 2 == 0 { "engines" } else { "desk" };
+        publish_target(&store, &format!("i-{i}"), service, address, false);
+    }
+    let addresses = ProcessAddresses {
+        name: "entry".into(),
+        ip: ip.clone(),
+        store: store.start().await,
+        engine: None,
+        seeds: Vec::new(),
+    };
+    let mut entry = Process::start(&folder, "entry", addresses);
+    let mut losses = Vec::new();
+    for stop in 0..2 {
+        sleep(STARTUP_TIME).await;
+        observed.requests.lock().unwrap().clear();
+        observed.passed_on.lock().unwrap().clear();
+        let mut callers = JoinSet::new();
+        for i in 0..CALLERS {
+            let caller = case.callers[i % case.callers.len()];
+            let address = format!("{ip}:{CALLERS_PORT}");
+            callers.spawn(caller.run(i, address, observed.clone()));
+        }
+        sleep(RUN_UP_TIME).await;
+        let (stopped_at, exited_at) = stop_entry(&mut entry, case.disturbance).await;
+        while callers.join_next().await.is_some() {}
+        let lost = find_losses(&observed, stopped_at, exited_at);
+        let of_case = |loss| format!("{}, stop {stop}: {loss}", case.name);
+        losses.extend(lost.into_iter().map(of_case));
+        entry.restart();
+    }
+    losses
+}
+
+/// Stops the process, and returns when it was asked to and when it was gone. It is killed after the grace.
+async fn stop_entry(entry: &mut Process, disturbance: Disturbance) -> (Instant, Instant) {
+    if let Disturbance::Share(_) = disturbance {
+        run_in_shares(entry, disturbance, Duration::from_millis(1500)).await;
+    }
+    let stopped_at = Instant::now();
+    entry.signal(Signal::SIGTERM);
+    match disturbance {
+        Disturbance::Nothing => {}
+        Disturbance::Pause { after, time } => {
+            sleep(after).await;
+            entry.signal(Signal::SIGSTOP);
+            sleep(time).await;
+            entry.signal(Signal::SIGCONT);
+        }
+        Disturbance::Share(_) => run_in_shares(entry, disturbance, GRACE).await,
+    }
+    while entry.exit_success().is_none() && stopped_at.elapsed() < GRACE {
+        sleep(Duration::from_millis(5)).await;
+    }
+    if entry.exit_success().is_none() {
+        entry.signal(Signal::SIGKILL);
+        while entry.exit_success().is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    (stopped_at, Instant::now())
+}
+
+/// Lets the process run for its share of each period only, until `time` has passed or it is gone.
+async fn run_in_shares(entry: &mut Process, disturbance: Disturbance, time: Duration) {
+    const PERIOD: Duration = Duration::from_millis(100);
+    let Disturbance::Share(percent) = disturbance else {
+        return;
+    };
+    let until = Instant::now() + time;
+    while Instant::now() < until && entry.exit_success().is_none() {
+        let running = PERIOD * percent as u32 / 100;
+        sleep(running).await;
+        entry.signal(Signal::SIGSTOP);
+        sleep(PERIOD - running).await;
+        entry.signal(Signal::SIGCONT);
+    }
+}
+
+fn find_losses(observed: &Observed, stopped_at: Instant, exited_at: Instant) -> Vec<String> {
+    let requests = observed.requests.lock().unwrap();
+    let passed_on = observed.passed_on.lock().unwrap();
+    let served = requests.iter().filter(|r| r.end == End::Answer(200));
+    let mut losses = Vec::new();
+    if served.count() < CALLERS {
+        losses.push(format!("only a few of {} were served", requests.len()));
+    }
+    for request in requests.iter() {
+        let was_passed_on = passed_on.contains_key(&request.id);
+        let held = request.ended_at - request.sent_at;
+        let is_loss = match request.end {
+            End::Answer(200) => false,
+            // A failure is an answer, but none that a sound target and a planned stop call for.
+            End::Answer(503) => was_passed_on,
+            End::Answer(_) => held + LOSS_SLACK < TIMEOUT,
+            End::Cut { has_begun } => {
+                // A caller that reads late sees the end of its connection late.
+                let seen_after = request.ended_at.saturating_duration_since(request.read_at);
+                let crossed_the_end = !was_passed_on && !has_begun && seen_after <= LOSS_SLACK;
+                let at_work_until = request.ended_at.saturating_duration_since(stopped_at);
+                let is_excused = at_work_until >= EXCUSED_WORK_TIME
+                    && request.sent_at <= stopped_at + EXCUSED_SENDING_TIME
+                    && !request.path.starts_with("/order/6000");
+                let timed_out = held + LOSS_SLACK >= TIMEOUT;
+                !crossed_the_end && !is_excused && !timed_out
+            }
+            End::TimedOut => held + LOSS_SLACK < TIMEOUT,
+        };
+        if is_loss {
+            let after_stop = request.sent_at.saturating_duration_since(stopped_at);
+            losses.push(format!(
+                "{} {} sent {after_stop:?} after the stop: {:?} after {held:?}, passed on: {was_passed_on}, \
+                 {:?} before the exit",
+                request.id,
+                request.path,
+                request.end,
+                exited_at.saturating_duration_since(request.ended_at),
+            ));
+        }
+    }
+    losses
+}
