Requests that cannot end before a planned stop are rejected at once

Change: the reducer knows when the process ends. It takes a request only if its timeout ends before that, or if it is expected to, by the longest time that requests of its route took in the last ten to twenty seconds; later only if its timeout does. The others get 503 and a time to come back at once, also from the queue. What is still at a target 0.2 s before the end gets 504 instead of a closed connection, and a begun stream an aborted one.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -45,10 +45,15 @@
         match self.admit(now, &request) {
             Ok(pending) => {
                 let service = pending.service.name.clone();
+                let ends_in_time = self.ends_in_time(now, &pending);
                 self.retry_share(now, &service).record_request();
                 self.record_demand(now, &pending);
                 self.pending.insert(token, pending);
-                self.dispatch_or_queue(now, token, effects);
+                if ends_in_time {
+                    self.dispatch_or_queue(now, token, effects);
+                } else {
+                    self.reject(now, token, RejectionReason::Stopping, effects);
+                }
             }
             Err((reason, route)) => {
                 let rejection = Rejection {
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -255,12 +255,15 @@
         true
     }
 
-    /// Why a request must not be sent to any target, if so: the configuration is too old, its key was
-    /// revoked or the request was quarantined while it waited. Streams that are resumed began under a
+    /// Why a request must not be sent to any target, if so: it would not end before this process, the
+    /// configuration is too old, its key was revoked or the request was quarantined while it waited. Streams that are resumed began under a
     /// configuration that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
         let has_key = pending.team.is_some();
+        if !pending.response_started && !self.ends_in_time(now, pending) {
+            return Some(RejectionReason::Stopping);
+        }
         if !pending.response_started && !self.lease.allows(now, has_key) {
             return Some(RejectionReason::StaleConfiguration);
         }
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -5,6 +5,7 @@
 //! know: that they are the expected instance and run the expected version.
 
 mod admission;
+mod answer_times;
 pub mod config;
 mod crash_exchange;
 mod crashes;
@@ -226,7 +227,10 @@
     /// The caller disconnected.
     CallerDisconnected(u64),
     /// The process is asked to drain before a planned stop.
-    DrainRequested,
+    DrainRequested {
+        /// When requests that are still in progress are cut off.
+        ends_at: Duration,
+    },
     /// The process accepts no more requests, since they could not end before it stops.
     StopAccepting,
 }
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -222,6 +222,7 @@
         self.update_target_after_exchange(now, &run, outcome, effects);
         match outcome {
             Outcome::Answered { is_error } => {
+                self.record_answer_time(now, token);
                 // A failing target may answer with an error before it runs the request.
                 if !is_error {
                     self.clear_suspects(now, run, outcome_name(outcome), effects);
@@ -235,6 +236,14 @@
         }
     }
 
+    fn record_answer_time(&mut self, now: Duration, token: u64) {
+        if let Some(pending) = self.pending.get(&token) {
+            let times = self.answer_times.entry(pending.route.name.clone());
+            let time = now.saturating_sub(pending.arrived);
+            times.or_default().record(now, time);
+        }
+    }
+
     /// Updates the health, load and version of a target after an exchange with it.
     fn update_target_after_exchange(
         &mut self,
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -24,6 +24,7 @@
     Name, //
 };
 
+use super::answer_times::AnswerTimes;
 use super::config::Config;
 use super::crashes::SilentExchanges;
 use super::demand::Demand;
@@ -58,6 +59,9 @@
 use crate::published_version::PublishedVersion;
 use crate::CrashSuspects;
 
+/// How long it takes to deliver the end of an answer.
+const DELIVERY_TIME: Duration = Duration::from_millis(200);
+
 /// The longest time between two events of a process that runs, which gets several ticks in it.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(500);
 
@@ -105,7 +109,9 @@
     pub(super) suspects: CrashSuspects,
     pub(super) silent_exchanges: SilentExchanges,
     pub(super) standstill: Standstill,
-    pub(super) is_draining: bool,
+    pub(super) answer_times: BTreeMap<Name, AnswerTimes>,
+    /// When the process cuts off what is still in progress, if it drains before a planned stop.
+    pub(super) ends_at: Option<Duration>,
     pub(super) is_stopping: bool,
     pub(super) rng: Pcg64Mcg,
 }
@@ -176,7 +182,8 @@
             suspects: CrashSuspects::default(),
             silent_exchanges: SilentExchanges::default(),
             standstill: Standstill::new(MAX_EVENT_GAP),
-            is_draining: false,
+            answer_times: BTreeMap::new(),
+            ends_at: None,
             is_stopping: false,
             rng: Pcg64Mcg::seed_from_u64(options.seed),
             options,
@@ -264,8 +271,8 @@
                 self.handle_caller_disconnected(now, token, &mut effects)
             }
             Event::StopAccepting => self.is_stopping = true,
-            Event::DrainRequested => {
-                self.is_draining = true;
+            Event::DrainRequested { ends_at } => {
+                self.ends_at = Some(ends_at);
                 effects.push(Effect::Record(record::Decision::Drain));
             }
         }
@@ -283,13 +290,25 @@
             known_targets: self.targets.iter().count(),
             pending_requests: self.pending.len(),
             queued_requests: self.queues.values().map(Queue::len).sum(),
-            is_draining: self.is_draining,
+            is_draining: self.is_draining(),
         }
     }
 
     /// Whether the process drains before a planned stop.
     pub fn is_draining(&self) -> bool {
-        self.is_draining
+        self.ends_at.is_some()
+    }
+
+    /// Whether a request is expected to end before this process does, by the longest time that requests of its
+    /// route took lately, and by its own timeout at the latest.
+    pub(super) fn ends_in_time(&self, now: Duration, pending: &Pending) -> bool {
+        let Some(ends_at) = self.ends_at else {
+            return true;
+        };
+        let times = self.answer_times.get(&pending.route.name);
+        let expected = times.map_or(Duration::MAX, AnswerTimes::longest);
+        let ends = now.saturating_add(expected).min(pending.deadline);
+        ends + DELIVERY_TIME <= ends_at
     }
 
     /// The current limits on callers' requests.
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -106,7 +106,12 @@
             let first_event_time = first_event_deadline.map(|deadline| self.time_left(deadline));
             let limit = first_event_time.map_or(time_left, |time| time.min(time_left));
             let idle = run_time::timeout(idle_timeout, message.as_mut());
-            match run_time::timeout_by_clock(limit, idle).await {
+            let waited = tokio::select! {
+                waited = run_time::timeout_by_clock(limit, idle) => waited,
+                // Callers get an answer as long as the process can give one.
+                () = self.wait_for_end() => return Err(Outcome::DeadlineExceeded),
+            };
+            match waited {
                 Ok(Ok(message)) => return Ok(message),
                 Ok(Err(_)) if self.may_leave_silent_target(token) => {
                     return Err(Outcome::IdleTimeout)
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -115,6 +115,8 @@
     agent_client: AgentClient,
     /// The revision of the crashes that the reducer knows of.
     crash_revision: watch::Sender<u64>,
+    /// Whether the time is over in which requests may end before a planned stop.
+    has_ended: watch::Sender<bool>,
     /// The targets whose learned limits the gauges show.
     reported_limits: RefCell<HashSet<Name>>,
 }
@@ -145,6 +147,7 @@
             header_codec,
             agent_client,
             crash_revision: watch::Sender::new(0),
+            has_ended: watch::Sender::new(false),
             reported_limits: RefCell::default(),
         };
         Self {
@@ -182,6 +185,18 @@
         self.inner.state.borrow().summary(now)
     }
 
+    /// Waits until what is still in progress must end, as the process does.
+    async fn wait_for_end(&self) {
+        let mut has_ended = self.inner.has_ended.subscribe();
+        // Cannot fail: this value holds the sender.
+        let _ended = has_ended.wait_for(|has_ended| *has_ended).await;
+    }
+
+    /// Ends everything that is still in progress.
+    fn end(&self) {
+        self.inner.has_ended.send_replace(true);
+    }
+
     /// Whether the process is about to stop.
     fn is_draining(&self) -> bool {
         self.inner.state.borrow().is_draining()
--- a/components/proxy/src/router/server.rs
+++ b/components/proxy/src/router/server.rs
@@ -190,18 +190,26 @@
 /// that it is not ready, which takes two checks at an interval of one second.
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2200);
 
+/// How long before its end a process answers the requests that are still in progress.
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// How often a process that shuts down checks whether requests are still pending.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Shuts the router down gracefully. The readiness check fails, so that new connections go to other
 /// processes; then connections are closed between requests, and get at most `grace` until the last
-/// answers are delivered.
+/// answers are delivered. What does not end by then gets an error, or is cut off if its answer has begun.
 pub async fn shut_down(router: Router, shutdown: ShutdownSignal, grace: Duration) {
-    router.handle_event(control::router::Event::DrainRequested);
     let until = router.elapsed() + grace;
+    let ends_at = until.saturating_sub(FINAL_ANSWERS_TIME);
+    router.handle_event(control::router::Event::DrainRequested { ends_at });
     tokio::time::sleep(READINESS_NOTICE_TIME.min(grace)).await;
     router.handle_event(control::router::Event::StopAccepting);
     shutdown.close_connections();
+    while router.elapsed() < ends_at && shutdown.has_open_connections() {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+    router.end();
     while router.elapsed() < until && shutdown.has_open_connections() {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -260,6 +260,9 @@
     name: &'static str,
     callers: &'static [Caller],
     disturbance: Disturbance,
+    /// Whether a request may be cut off that its target is still at work on late in the grace, as the
+    /// platform allows.
+    may_outlast_grace: bool,
 }
 
 const STEADY_STREAM: Caller = Caller::new("/talk/30-100-0/");
@@ -270,6 +273,12 @@
 const BRIEFLY_SILENT_RESUMABLE: Caller = Caller::new("/chat/10-100-1200/");
 const ORDER: Caller = Caller::new("/order/1-300-0/");
 const SLOW_ORDER: Caller = Caller::new("/order/1-2500-0/");
+/// It is complete shortly before the process closes its connections.
+const LONG_ORDER: Caller = Caller {
+    path: "/order/1-5900-0/",
+    reading_pause: Duration::ZERO,
+    sending_time: Duration::from_millis(3400),
+};
 const SLOWLY_READ_ORDER: Caller = Caller {
     path: "/order/6000-50-0/",
     reading_pause: Duration::from_millis(800),
@@ -286,11 +295,12 @@
     sending_time: Duration::ZERO,
 };
 
-const CASES: [Case; 8] = [
+const CASES: [Case; 9] = [
     Case {
         name: "calm",
         callers: &[SHORT_STREAM, ORDER, RESUMABLE_STREAM],
         disturbance: Disturbance::Nothing,
+        may_outlast_grace: true,
     },
     Case {
         name: "targets are silent for a second or two",
@@ -301,16 +311,25 @@
             ORDER,
         ],
         disturbance: Disturbance::Nothing,
+        may_outlast_grace: true,
     },
     Case {
         name: "callers read slowly",
         callers: &[SLOWLY_READ_ORDER, SLOWLY_READ_STREAM, SHORT_STREAM],
         disturbance: Disturbance::Nothing,
+        may_outlast_grace: true,
     },
     Case {
         name: "requests come late in the grace",
         callers: &[SLOWLY_SENT_ORDER, SLOW_ORDER, STEADY_STREAM],
         disturbance: Disturbance::Nothing,
+        may_outlast_grace: true,
+    },
+    Case {
+        name: "requests take as long as the grace",
+        callers: &[LONG_ORDER, SHORT_STREAM],
+        disturbance: Disturbance::Nothing,
+        may_outlast_grace: false,
     },
     Case {
         name: "the process stands still",
@@ -319,6 +338,7 @@
             after: Duration::from_millis(600),
             time: Duration::from_millis(1700),
         },
+        may_outlast_grace: true,
     },
     Case {
         name: "the process stands still as connections are closed",
@@ -327,11 +347,13 @@
             after: Duration::from_millis(1800),
             time: Duration::from_millis(900),
         },
+        may_outlast_grace: true,
     },
     Case {
         name: "the process has an eighth of a core",
         callers: &[STEADY_STREAM, RESUMABLE_STREAM, SHORT_STREAM, ORDER],
         disturbance: Disturbance::Share(13),
+        may_outlast_grace: true,
     },
     Case {
         name: "an eighth of a core, silent targets and slow callers",
@@ -343,6 +365,7 @@
             SHORT_STREAM,
         ],
         disturbance: Disturbance::Share(13),
+        may_outlast_grace: true,
     },
 ];
 
@@ -407,7 +430,7 @@
         sleep(RUN_UP_TIME).await;
         let (stopped_at, exited_at) = stop_entry(&mut entry, case.disturbance).await;
         while callers.join_next().await.is_some() {}
-        let lost = find_losses(&observed, stopped_at, exited_at);
+        let lost = find_losses(case, &observed, stopped_at, exited_at);
         let of_case = |loss| format!("{}, stop {stop}: {loss}", case.name);
         losses.extend(lost.into_iter().map(of_case));
         entry.restart();
@@ -460,7 +483,12 @@
     }
 }
 
-fn find_losses(observed: &Observed, stopped_at: Instant, exited_at: Instant) -> Vec<String> {
+fn find_losses(
+    case: &Case,
+    observed: &Observed,
+    stopped_at: Instant,
+    exited_at: Instant,
+) -> Vec<String> {
     let requests = observed.requests.lock().unwrap();
     let passed_on = observed.passed_on.lock().unwrap();
     let served = requests.iter().filter(|r| r.end == End::Answer(200));
@@ -481,7 +509,8 @@
                 let seen_after = request.ended_at.saturating_duration_since(request.read_at);
                 let crossed_the_end = !was_passed_on && !has_begun && seen_after <= LOSS_SLACK;
                 let at_work_until = request.ended_at.saturating_duration_since(stopped_at);
-                let is_excused = at_work_until >= EXCUSED_WORK_TIME
+                let is_excused = case.may_outlast_grace
+                    && at_work_until >= EXCUSED_WORK_TIME
                     && request.sent_at <= stopped_at + EXCUSED_SENDING_TIME
                     && !request.path.starts_with("/order/6000");
                 let timed_out = held + LOSS_SLACK >= TIMEOUT;
