--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -500,3 +500,38 @@
         assert_eq!(target.engine.counters().incomplete_loads, 0, "{name}");
     }
 }
+
+/// Guards against answers that are cut off by a planned stop while their callers still read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_entry_delivers_its_answers_to_slow_callers() {
+    const ANSWER_BYTES: usize = 24 << 20;
+    /// What the operating system may hold of an answer, at both ends.
+    const MAX_SOCKET_BUFFER_BYTES: usize = 12 << 20;
+    let fleet = fleet(1).await;
+    for service in fleet.services().values() {
+        service.service.set_faults(ServiceFaults {
+            padding_bytes: ANSWER_BYTES,
+            ..ServiceFaults::default()
+        });
+    }
+    let address = fleet.caller_addresses()[0];
+    let mut tcp = TcpStream::connect(address).await.unwrap();
+    let text = format!(
+        "GET /services/{}/stock HTTP/1.1\r\nhost: x\r\nx-team: head-office\r\n\r\n",
+        fleet::SERVICE
+    );
+    tcp.write_all(text.as_bytes()).await.unwrap();
+    let mut buf = vec![0; 256 << 10];
+    let mut received = tcp.read(&mut buf).await.unwrap();
+    let entry = fleet.entries().into_values().next().unwrap();
+    let draining = tokio::spawn(async move { entry.drain().await });
+    while !draining.is_finished() && received < ANSWER_BYTES {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        received += tcp.read(&mut buf).await.unwrap();
+    }
+    assert!(
+        received >= ANSWER_BYTES - MAX_SOCKET_BUFFER_BYTES,
+        "the entry ended after {received} bytes"
+    );
+    assert!(tokio::time::timeout(TIMEOUT, draining).await.is_ok());
+}
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -36,6 +36,8 @@
     pub drop_response_after_run: bool,
     /// Time that each call takes.
     pub call_duration: Duration,
+    /// Bytes that are added to each answer.
+    pub padding_bytes: usize,
 }
 
 #[derive(Debug, Default)]
@@ -106,7 +108,8 @@
                 "injected fault: connection closed after the run",
             ));
         }
-        let text = format!("{{\"path\":\"{path}\",\"done\":true}}");
+        let padding = "x".repeat(faults.padding_bytes);
+        let text = format!("{{\"path\":\"{path}\",\"done\":true}}{padding}");
         Ok(with_id(response(StatusCode::OK, text), id))
     }
 }
--- a/experiments/src/orders.rs
+++ b/experiments/src/orders.rs
@@ -236,6 +236,7 @@
                 let faults = |drop_response_after_run| ServiceFaults {
                     drop_response_after_run,
                     call_duration: Duration::from_millis(5),
+                    ..ServiceFaults::default()
                 };
                 node.service.set_faults(faults(true));
                 tokio::time::sleep(Duration::from_millis(200)).await;
