Bound the memory for bytes of all callers and targets together

Cause: each body has a bound (32 KiB a head, 8 MiB a plain answer, 256 KiB an event), their sum had none, and bodies of requests were held three times for a moment.

Change: Buffers counts the bytes that a process holds of requests, plain answers and events, as long as they are held, up to four tenths of memory_mb. Larger bodies may have half of what is left, so small ones find memory beside a flood. A request whose body finds none gets 503 at once; an answer counts as broken; events for a slow caller wait until it has taken the earlier ones. On the own interface, whose answers pass through with back pressure, an event without end had no bound; it has now.

--- a/components/proxy/src/entry/forwarder.rs
+++ b/components/proxy/src/entry/forwarder.rs
@@ -93,6 +93,9 @@
     partial_event: Vec<u8>,
 }
 
+/// The longest event of a stream. A faulty target may send bytes without end that are no events.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// The blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -116,6 +119,11 @@
         std::mem::replace(&mut self.partial_event, partial_event).into()
     }
 
+    /// Whether more bytes than in a valid stream came without the end of an event.
+    fn is_too_long(&self) -> bool {
+        self.partial_event.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns where another target must resume the stream, `None` if the model version is unknown.
     /// Discards the partial event, which that target sends again.
     fn resume_point(&mut self) -> Option<ResumePoint> {
@@ -372,6 +380,15 @@
                 if !send_data(response, data).await {
                     return AttemptResult::CallerDisconnected;
                 }
+                if has_endless_event(response) {
+                    log::warn!(
+                        target: LOG_TARGET,
+                        "request {}: {} sends bytes that are no events",
+                        agent_request.id,
+                        agent_request.target
+                    );
+                    return unknown_outcome();
+                }
             }
             Ok(ResponseFrame::End {
                 id,
@@ -436,6 +453,15 @@
     data.is_empty() || body.send_data(data).await.is_ok()
 }
 
+fn has_endless_event(response: &CallerResponse) -> bool {
+    match response {
+        CallerResponse::Streaming { events, .. } => {
+            events.as_ref().is_some_and(EventSplitter::is_too_long)
+        }
+        CallerResponse::NotStarted(_) | CallerResponse::Ended => false,
+    }
+}
+
 /// Sends the bytes after the last complete event of a response that has ended. Returns whether the
 /// caller is still connected.
 async fn flush_partial_event(response: &mut CallerResponse) -> bool {
--- a/components/proxy/src/router/events.rs
+++ b/components/proxy/src/router/events.rs
@@ -61,6 +61,11 @@
         !self.buf.is_empty()
     }
 
+    /// Bytes of the event that is not complete yet.
+    pub fn partial_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether more bytes than in a valid stream came without an event that has an id.
     pub fn is_too_long(&self) -> bool {
         self.buf.len() > MAX_EVENT_BYTES || self.bytes_without_id > MAX_BYTES_WITHOUT_ID
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -4,10 +4,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use control::router::{
     Event,
     ForwardRequest,
@@ -30,6 +27,7 @@
 use utils::run_time;
 use utils::Name;
 
+use super::buffers::BodyBuffer;
 use super::header_codec::{
     ExecutionStatus,
     ForwardParameters, //
@@ -249,20 +247,20 @@
             connection,
             ..
         } = response;
-        let mut bytes = BytesMut::new();
+        let mut buffer = BodyBuffer::new(&self.inner.buffers);
         while let Some(part) = self
             .read_part(token, &mut body, forward_request, false)
             .await?
         {
-            bytes.extend_from_slice(&part);
-            if bytes.len() > MAX_RESPONSE_BYTES {
+            let is_too_long = buffer.len() + part.len() > MAX_RESPONSE_BYTES;
+            if is_too_long || buffer.push(&part).is_err() {
                 return Err(Outcome::Broken {
                     connection_lost: false,
                 });
             }
         }
         self.release_connection(connection, &parts);
-        Ok((parts, bytes.freeze()))
+        Ok((parts, buffer.into_bytes()))
     }
 
     /// Reads the next part of the body of a response, or `None` at its end; `is_first` if none was
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! each message to another thread costs a wake-up.
 
 mod answers;
+mod buffers;
 mod crashes;
 mod engines;
 mod events;
@@ -53,6 +54,7 @@
 use crate::record_writer::RecordWriter;
 use crate::watch_value::send_if_changed;
 
+use self::buffers::Buffers;
 use self::pool::ConnectionPool;
 use self::reservations::Reservation;
 
@@ -112,6 +114,7 @@
     record_writer: Arc<RecordWriter>,
     header_codec: HeaderCodec,
     pool: ConnectionPool,
+    buffers: Buffers,
     agent_client: AgentClient,
     /// The revision of the crashes that the reducer knows of.
     crash_revision: watch::Sender<u64>,
@@ -128,13 +131,14 @@
 }
 
 impl Router {
-    /// Creates a router.
+    /// Creates a router that holds at most `max_buffer_bytes` of bodies and events at once.
     pub fn new(
         state: State,
         clock: Arc<dyn Clock>,
         record_writer: Arc<RecordWriter>,
         header_codec: HeaderCodec,
         agent_client: AgentClient,
+        max_buffer_bytes: usize,
     ) -> Self {
         let inner = Inner {
             state: RefCell::new(state),
@@ -145,6 +149,7 @@
             clock,
             record_writer,
             header_codec,
+            buffers: Buffers::new(max_buffer_bytes),
             agent_client,
             crash_revision: watch::Sender::new(0),
             has_ended: watch::Sender::new(false),
@@ -251,6 +256,7 @@
         let summary = self.summary();
         metrics::gauge!("medlarproxy_requests_under_way").set(summary.pending_requests as f64);
         metrics::gauge!("medlarproxy_requests_waiting").set(summary.queued_requests as f64);
+        metrics::gauge!("medlarproxy_buffer_bytes").set(self.inner.buffers.used_bytes() as f64);
         metrics::gauge!("medlarproxy_targets").set(summary.known_targets as f64);
         let version = summary.config_version.unwrap_or_default();
         metrics::gauge!("medlarproxy_configuration_version").set(version as f64);
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -11,7 +11,8 @@
 };
 use http::header::{
     HeaderValue,
-    CONNECTION, //
+    CONNECTION,
+    RETRY_AFTER, //
 };
 use http::request::Parts;
 use http::{
@@ -19,16 +20,13 @@
     Response,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
+use http_body_util::BodyExt;
 use hyper::body::{
     Body as _,
     Incoming, //
 };
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use utils::{
     rank,
     Name, //
@@ -41,6 +39,7 @@
     remove_hop_by_hop_headers,
     Body, //
 };
+use super::buffers::BodyBuffer;
 use super::exchange::{
     CallerRequest,
     TargetResponse, //
@@ -51,6 +50,9 @@
     Router, //
 };
 
+/// When a caller may come back for whose body there was no memory, in seconds.
+const OUT_OF_MEMORY_RETRY_SECONDS: u32 = 1;
+
 /// How long a caller may take to send the body of a request.
 const BODY_RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -189,14 +191,12 @@
         if usize::try_from(declared_bytes).map_or(true, |bytes| bytes > limit) {
             return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
         }
-        let body =
-            tokio::time::timeout(BODY_RECEIVE_TIMEOUT, Limited::new(body, limit).collect()).await;
-        let body = match body {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return empty_response(StatusCode::PAYLOAD_TOO_LARGE)
-            }
-            Ok(Err(_)) => return empty_response(StatusCode::BAD_REQUEST),
+        if !self.inner.buffers.has_room_for(declared_bytes as usize) {
+            return out_of_memory_response();
+        }
+        let body = match timeout(BODY_RECEIVE_TIMEOUT, self.read_body(body, limit)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(response)) => return response,
             Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT),
         };
         match self.register(parts, body) {
@@ -205,6 +205,22 @@
         }
     }
 
+    /// Reads the body of a request of at most `limit` bytes. Returns the response if that is not possible.
+    async fn read_body(&self, mut body: Incoming, limit: usize) -> Result<Bytes, Response<Body>> {
+        let mut buffer = BodyBuffer::new(&self.inner.buffers);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| empty_response(StatusCode::BAD_REQUEST))?;
+            let Ok(part) = frame.into_data() else {
+                continue;
+            };
+            if buffer.len() + part.len() > limit {
+                return Err(empty_response(StatusCode::PAYLOAD_TOO_LARGE));
+            }
+            buffer.push(&part).map_err(|_| out_of_memory_response())?;
+        }
+        Ok(buffer.into_bytes())
+    }
+
     /// Registers a request and reports it to the reducer.
     fn register(&self, parts: Parts, body: Bytes) -> Result<PendingRequest, StatusCode> {
         let head = (self.inner.header_codec.read_request)(&parts);
@@ -328,12 +344,21 @@
 
 /// Hashes the method, path, API key and body, to recognise repeated requests of a caller.
 fn fingerprint(parts: &Parts, key: Option<&str>, body: &Bytes) -> u64 {
-    let mut text = Vec::with_capacity(body.len() + 128);
-    text.extend_from_slice(parts.method.as_str().as_bytes());
-    text.extend_from_slice(parts.uri.path().as_bytes());
-    text.push(0);
-    text.extend_from_slice(key.unwrap_or_default().as_bytes());
-    text.push(0);
-    text.extend_from_slice(body);
-    rank::hash_key(&text)
+    rank::hash_parts([
+        parts.method.as_str().as_bytes(),
+        parts.uri.path().as_bytes(),
+        &[0],
+        key.unwrap_or_default().as_bytes(),
+        &[0],
+        body,
+    ])
+}
+
+/// The response to a request for whose body there is no memory. It has not run.
+fn out_of_memory_response() -> Response<Body> {
+    log::debug!("a request is rejected, since there is no memory for its body");
+    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    let after = HeaderValue::from(OUT_OF_MEMORY_RETRY_SECONDS);
+    response.headers_mut().insert(RETRY_AFTER, after);
+    response
 }
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -15,12 +15,14 @@
     Incoming, //
 };
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 
 use super::answers::{
     remove_hop_by_hop_headers,
     Body,
     BodyError, //
 };
+use super::buffers::OutOfMemory;
 use super::events::{
     EventBatch,
     EventSplitter, //
@@ -110,7 +112,7 @@
                 ReadResult::Events(batch) => {
                     has_events |= batch.count > 0;
                     self.record_events(&batch);
-                    if tx.send(Ok(Frame::data(batch.bytes))).await.is_err() {
+                    if self.send_events(&tx, batch.bytes).await.is_err() {
                         return;
                     }
                     continue;
@@ -177,6 +179,27 @@
         }
     }
 
+    /// Passes events on to the caller, which may read more slowly than the target writes. Without memory for
+    /// more events they wait until the caller has taken all earlier ones.
+    ///
+    /// Returns an error if the caller has disconnected.
+    async fn send_events(
+        &self,
+        tx: &mpsc::Sender<BodyPart>,
+        events: Bytes,
+    ) -> Result<(), SendError<()>> {
+        match self.router.inner.buffers.hold_bytes(events.clone()) {
+            Ok(held) => tx.reserve().await?.send(Ok(Frame::data(held))),
+            Err(OutOfMemory) => {
+                let mut permits = tx.reserve_many(tx.max_capacity()).await?;
+                if let Some(permit) = permits.next() {
+                    permit.send(Ok(Frame::data(events)));
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn record_events(&mut self, batch: &EventBatch) {
         let now = self.router.elapsed();
         if let Some(last) = self.last_part_at.replace(now) {
@@ -200,6 +223,7 @@
         splitter: &mut EventSplitter,
         forward_request: &ForwardRequest,
     ) -> ReadResult {
+        let mut held = self.router.inner.buffers.hold();
         loop {
             let is_first = self.last_part_at.is_none();
             let part = self
@@ -219,7 +243,8 @@
             let batch = splitter.push(&part);
             let first_id = batch.as_ref().and_then(|batch| batch.first_id);
             let repeats_events = first_id.is_some() && first_id <= self.last_event_id;
-            if splitter.is_too_long() || repeats_events {
+            let has_memory = held.resize(splitter.partial_bytes()).is_ok();
+            if splitter.is_too_long() || repeats_events || !has_memory {
                 return ReadResult::Failed(Outcome::Broken {
                     connection_lost: false,
                 });
--- a/components/utils/src/rank.rs
+++ b/components/utils/src/rank.rs
@@ -1,7 +1,10 @@
 //! Rendezvous (highest random weight) hashing, which lets processes choose the same members without
 //! communication.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{
+    xxh3_64_with_seed,
+    Xxh3, //
+};
 
 use crate::Name;
 
@@ -21,6 +24,15 @@
     xxh3_64_with_seed(bytes, 0)
 }
 
+/// Hashes the concatenation of parts to a key for [`weight`].
+pub fn hash_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hasher = Xxh3::with_seed(0);
+    for part in parts {
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
 /// Sorts `names` by descending weight for `key`; the first name has rank zero.
 pub fn rank_names<'a>(key: u64, names: impl IntoIterator<Item = &'a Name>) -> Vec<Name> {
     let mut weighted: Vec<(u64, &Name)> = names
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -52,6 +52,13 @@
 /// counts in another window than their requests.
 const RETRY_FRACTION: f64 = 0.7;
 
+/// The memory of an instance whose settings do not name it.
+const DEFAULT_MEMORY_BYTES: u64 = 256 << 20;
+
+/// The share of the memory for bodies and events. Buffers that grow are held twice for a moment, and
+/// connections and the process itself need the rest.
+const BUFFER_SHARE: f64 = 0.4;
+
 /// A stopping process exits by itself this long before the platform would kill it.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -70,6 +77,7 @@
         process.record_writer.clone(),
         platform::header_codec(),
         AgentClient::new(settings.instance.clone(), settings.first_peer_port),
+        max_buffer_bytes(settings),
     );
     process.serve_metrics().await?;
     let source = platform::store_source(
@@ -136,6 +144,12 @@
     }
 }
 
+/// The memory for bodies and events of all callers.
+fn max_buffer_bytes(settings: &NodeSettings) -> usize {
+    let memory = settings.memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
+    (memory as f64 * BUFFER_SHARE) as usize
+}
+
 fn age_limits(limits: &OperatorLimits) -> AgeLimits {
     AgeLimits::new(
         limits.key_revocation_time.mul_f64(LEASE_FRACTION),
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -2,7 +2,6 @@
 //! so, sent by callers to one entry after the other. The entries and agents are real processes.
 
 #[path = "soak/processes.rs"]
-#[expect(dead_code, reason = "the soak also signals processes")]
 mod processes;
 #[path = "../platform/tests/standin/mod.rs"]
 mod standin;
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -1,5 +1,7 @@
 //! Runs the real binary in child processes, which are killed when dropped.
 
+#![allow(dead_code, reason = "each test program uses a part of this module")]
+
 use std::path::{
     Path,
     PathBuf, //
@@ -50,6 +52,11 @@
         }
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&mut self, signal: Signal) {
         match signal {
             Signal::SIGSTOP => self.is_paused = true,
--- a/tests/spoilt_pieces.rs
+++ b/tests/spoilt_pieces.rs
@@ -2,7 +2,6 @@
 //! the agents are real processes.
 
 #[path = "soak/processes.rs"]
-#[expect(dead_code, reason = "the soak uses more of it")]
 mod processes;
 #[path = "../platform/tests/standin/mod.rs"]
 mod standin;
