A stream without any event is not complete

Cause: start_stream took the end of the body before the first event as the end of the stream, also if only the end of the connection framed it, and a first part without an event id counted as an event.

Change: a stream without any event is broken, and is sent elsewhere where that is allowed. Only a caller that has events already may get an empty rest, if a length or chunks frame it, and a 204 is empty by itself.

--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -7,7 +7,15 @@
     ForwardRequest,
     Outcome, //
 };
-use http::Response;
+use http::header::{
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING, //
+};
+use http::response::Parts;
+use http::{
+    Response,
+    StatusCode, //
+};
 use http_body_util::combinators::BoxBody;
 use http_body_util::StreamBody;
 use hyper::body::{
@@ -37,6 +45,11 @@
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
 const MAX_BUFFERED_BATCHES: usize = 16;
 
+/// The outcome of a stream that ends without any event, which sound targets do not send.
+const NO_EVENTS: Outcome = Outcome::Broken {
+    connection_lost: false,
+};
+
 type BodyPart = Result<Frame<Bytes>, BodyError>;
 
 /// The result of reading the next events of a stream.
@@ -59,7 +72,8 @@
             .await
         {
             ReadResult::Events(batch) => Some(batch),
-            ReadResult::End => None,
+            ReadResult::End if self.may_be_empty(&response.parts) => None,
+            ReadResult::End => return Err((self, NO_EVENTS)),
             ReadResult::Failed(outcome) => return Err((self, outcome)),
         };
         self.router.handle_event(Event::ResponseStarted(self.token));
@@ -73,6 +87,7 @@
         parts.headers.remove(http::header::CONTENT_LENGTH);
         match first {
             Some(batch) => {
+                let has_events = batch.count > 0;
                 self.record_events(&batch);
                 // Cannot fail: the receiver exists and the channel is empty.
                 let _sent = tx.try_send(Ok(Frame::data(batch.bytes)));
@@ -82,6 +97,7 @@
                     forward_request,
                     splitter,
                     tx,
+                    has_events,
                 ));
             }
             None => self.complete(response),
@@ -100,9 +116,9 @@
         mut forward_request: ForwardRequest,
         mut splitter: EventSplitter,
         tx: mpsc::Sender<BodyPart>,
-    ) {
         // Whether the present target has sent an event of the stream.
-        let mut has_events = true;
+        mut has_events: bool,
+    ) {
         loop {
             let result = tokio::select! {
                 result = self.read(&mut response.body, &mut splitter, &forward_request) => result,
@@ -122,9 +138,7 @@
                     return;
                 }
                 // An empty rest does not show that the stream was complete when it broke off.
-                ReadResult::End => Outcome::Broken {
-                    connection_lost: false,
-                },
+                ReadResult::End => NO_EVENTS,
                 ReadResult::Failed(outcome) => outcome,
             };
             drop(response);
@@ -179,6 +193,15 @@
         }
     }
 
+    /// Whether a stream without any event is complete: only if its caller has events already and the answer
+    /// says by its framing that it is whole, or if it says that it has no content.
+    fn may_be_empty(&self, parts: &Parts) -> bool {
+        let headers = &parts.headers;
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        parts.status == StatusCode::NO_CONTENT || (self.last_event_id.is_some() && is_framed)
+    }
+
     /// Passes events on to the caller, which may read more slowly than the target writes. Without memory for
     /// more events they wait until the caller has taken all earlier ones.
     ///
