Entries report the times in which they did not run

The record could not tell an entry that stands still from targets that are silent. Ticks that come 0.1 s late or more are counted and measured, and from 0.5 s on the process writes a line.

--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -81,6 +81,12 @@
     ShutdownSignal, //
 };
 
+/// A shorter delay of a tick is usual on an instance that is short of processor time.
+const MIN_STANDSTILL: Duration = Duration::from_millis(100);
+
+/// From this time on, timers of some processes would run out.
+const MIN_LOGGED_STANDSTILL: Duration = Duration::from_millis(500);
+
 /// How often the reducer gets a tick event.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -216,8 +222,12 @@
     pub async fn run_timer(&self) {
         let mut interval = tokio::time::interval(TICK_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticked_at = self.elapsed();
         loop {
             interval.tick().await;
+            let now = self.elapsed();
+            record_standstill(now.saturating_sub(ticked_at + TICK_INTERVAL));
+            ticked_at = now;
             self.handle_event(Event::Tick);
             self.inner.pool.close_expired();
             self.update_gauges();
@@ -302,6 +312,17 @@
     }
 }
 
+/// Counts the time in which this process should have run and did not, or was busy with something else.
+fn record_standstill(time: Duration) {
+    if time >= MIN_STANDSTILL {
+        metrics::counter!("medlarproxy_standstills_total").increment(1);
+        metrics::histogram!("medlarproxy_standstill_seconds").record(time.as_secs_f64());
+    }
+    if time >= MIN_LOGGED_STANDSTILL {
+        log::warn!("this process stood still for {} ms", time.as_millis());
+    }
+}
+
 fn to_event(
     value: PublishedValue,
     grace: Grace,
