Test that an entry gives up a stream with an endless event

The bound came with the memory of all callers; its test on the own interface was missing. On the code as found the first try goes on until the request times out, and the entry collects what it sends.

--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -535,3 +535,33 @@
     );
     assert!(tokio::time::timeout(TIMEOUT, draining).await.is_ok());
 }
+
+/// Guards against an entry that collects bytes without end, which are no events, until its memory is full or the
+/// request times out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_an_endless_event_is_given_up() {
+    let fleet = fleet(1).await;
+    let target = fleet.targets().into_values().next().unwrap();
+    target.engine.set_faults(EngineFaults {
+        sends_endless_event: true,
+        ..EngineFaults::default()
+    });
+    let body = "{\"model\": \"drafting\", \"prompt\": \"x\", \"max_tokens\": 8, \"stream\": true}";
+    let request = completion_request("x-team: head-office\r\n", body);
+    let address = fleet.caller_addresses()[0];
+    let answer = tokio::spawn(async move { send_raw(address, &request, TIMEOUT).await });
+    // The entry tries again, since the stream may be resumed.
+    let tried_again = async {
+        while target.engine.counters().started_requests < 2 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let result = tokio::time::timeout(Duration::from_secs(3), tried_again).await;
+    assert!(result.is_ok(), "the first try goes on");
+    let text = answer.await.unwrap();
+    assert!(text.contains("event: error"), "{text}");
+    assert!(
+        !text.contains("xxxx"),
+        "bytes that are no event are passed on"
+    );
+}
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -78,6 +78,9 @@
     }
 }
 
+/// The size of the parts in which an engine sends bytes without end.
+const ENDLESS_PART_BYTES: usize = 16 << 10;
+
 /// Faults that an engine injects.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EngineFaults {
@@ -87,6 +90,8 @@
     pub fail_state_requests: bool,
     /// The engine ends each response after half of its tokens, without a connection error.
     pub truncate_responses: bool,
+    /// The engine writes bytes without end after half of the tokens of a stream, which are no event.
+    pub sends_endless_event: bool,
     /// The engine runs requests, and writes an earlier refusal, which has no id, as their responses.
     pub repeat_refusals: bool,
     /// What the engine answers to requests that resume a stream.
@@ -482,13 +487,19 @@
         let mut text = String::new();
         let truncate_at = completion.max_tokens / 2;
         for number in completion.resume_after..completion.max_tokens {
-            let (label, truncates) = {
+            let (label, truncates, is_endless) = {
                 let state = self.lock();
                 let version = state.version.clone().unwrap_or_default();
                 let suffix = if state.is_complete { "" } else { "-partial" };
                 let label = format!("{version}{suffix}");
-                (label, state.faults.truncate_responses)
+                let faults = state.faults;
+                (label, faults.truncate_responses, faults.sends_endless_event)
             };
+            if is_endless && number == truncate_at {
+                let part = Bytes::from(vec![b'x'; ENDLESS_PART_BYTES]);
+                while tx.send_data(part.clone()).await.is_ok() {}
+                return;
+            }
             if truncates && number == truncate_at {
                 return;
             }
