A target that leaves is remembered if its entry was removed first

Cause: what a target says was kept with the target, which was not known any more.

Change: the reducer remembers the name and start time that the request was sent to. A later start is used.

Evidence: the table in notices.rs failed in its first case before.

--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -81,9 +81,25 @@
         notice: Notice,
         effects: &mut Vec<Effect>,
     ) {
+        if notice.is_leaving {
+            self.remember_unlisted_left(now, token);
+        }
         self.update_notice(now, token, effects, |known| known.update(now, notice));
     }
 
+    /// Remembers that the target of a request leaves, if its entry was removed while it answered. A restored
+    /// list may name it again.
+    fn remember_unlisted_left(&mut self, now: Duration, token: u64) {
+        let pending = self.pending.get(&token);
+        let assignment = pending.and_then(|pending| pending.assignment.as_ref());
+        if let (Some(pending), Some((id, _))) = (pending, assignment) {
+            if self.targets.get(id).is_none() {
+                let started_at_ms = pending.target_started_at_ms;
+                self.targets.remember_left(now, id, started_at_ms);
+            }
+        }
+    }
+
     /// Adds the limit that an agent knows the target of a request to name, from a reply to a call that
     /// was sent at `called_at`.
     pub(super) fn handle_limit(
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -316,18 +316,24 @@
     /// Removes a target and returns it, if it was known.
     pub fn remove(&mut self, now: Duration, id: &str) -> Option<Target> {
         let target = self.by_id.remove(id)?;
+        if target.is_leaving() {
+            self.remember_left(now, &target.entry.id, target.entry.started_at_ms);
+        }
+        Some(target)
+    }
+
+    /// Remembers that a target which is not known any more has left.
+    pub fn remember_left(&mut self, now: Duration, id: &Name, started_at_ms: u64) {
         self.left
             .retain(|_, left| now.saturating_sub(left.removed_at) < LEFT_MEMORY_TIME);
         // Without a start time, a later start of the target could not be told from this one.
-        let started_at_ms = target.entry.started_at_ms;
-        if target.is_leaving() && started_at_ms > 0 {
+        if started_at_ms > 0 {
             let left = LeftTarget {
                 started_at_ms,
                 removed_at: now,
             };
-            self.left.insert(target.entry.id.clone(), left);
+            self.left.insert(id.clone(), left);
         }
-        Some(target)
     }
 
     /// Removes the targets that have been missing for longer than their grace period, and returns
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -30,6 +30,7 @@
     target,
     AMPLE_RETRIES, //
 };
+use utils::Name;
 
 const LEAVING: Notice = Notice {
     requests_per_second: None,
@@ -427,3 +428,57 @@
     assert_eq!(rejection.reason, RejectionReason::NoTarget);
     assert!(rejection.not_run && rejection.retry_after.is_some());
 }
+
+/// Guards against requests to a target that has left, after a restored list names it again: its entry was
+/// removed while it answered, so that it was not known any more when its answer said that it leaves.
+#[test]
+fn target_that_says_that_it_leaves_after_its_entry_was_removed_is_not_used_again() {
+    struct Case {
+        name: &'static str,
+        notice: Notice,
+        /// When the target of the restored entry started.
+        started_at_ms: u64,
+        is_used: bool,
+    }
+    let cases = [
+        Case {
+            name: "it leaves",
+            notice: LEAVING,
+            started_at_ms: 1,
+            is_used: false,
+        },
+        Case {
+            name: "it said nothing",
+            notice: Notice::default(),
+            started_at_ms: 1,
+            is_used: true,
+        },
+        Case {
+            name: "it has started again",
+            notice: LEAVING,
+            started_at_ms: 2,
+            is_used: true,
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new();
+        let (token, target) = router.receive("look");
+        let target: Name = target.expect("it is sent").as_str().into();
+        let other = if &*target == "d1" { "d2" } else { "d1" };
+        for id in [other, &target] {
+            router.step(Event::TargetUnlisted {
+                id: id.into(),
+                grace: Grace::of(Duration::ZERO),
+            });
+        }
+        router.now += Duration::from_millis(200);
+        router.step(Event::Tick);
+        router.receive_head(token, case.notice);
+        router.end(token, Outcome::Answered { is_error: false });
+        router.now += Duration::from_secs(3);
+        router.step(Event::ConfigConfirmed(router.now));
+        router.step(Event::TargetListed(entry(&target, case.started_at_ms)));
+        let (_, sent_to) = router.receive("look");
+        assert_eq!(sent_to.is_some(), case.is_used, "{}", case.name);
+    }
+}
