The soak has silent targets, slow readers and processes short of processor time

It was too tame for the loss of answers around a planned stop: targets never fell silent, callers read at once, and a process that was not stopped always had its core. Targets now fall silent for up to 1.5 s in the middle of their answers, one caller in four reads slowly, and a process runs for 10 to 40 ms of each tenth of a second for a while.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -1,5 +1,5 @@
 //! Callers that send requests one after the other and keep their connections open until the process
-//! closes them.
+//! closes them. Some read their answers slowly.
 
 use std::sync::{
     Arc,
@@ -29,6 +29,11 @@
 /// The pause between two requests of a caller.
 const REQUEST_PAUSE: Duration = Duration::from_millis(25);
 
+/// The pause of a slow caller before each part of an answer, which it reads in small parts, and how many
+/// callers one of which is slow.
+const READING_PAUSE: Duration = Duration::from_millis(40);
+const SLOW_READER_INTERVAL: usize = 4;
+
 /// The kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -89,6 +94,11 @@
     until: Instant,
 ) {
     let kinds = [RequestKind::Stream, RequestKind::Lookup, RequestKind::Order];
+    let reading_pause = if number % SLOW_READER_INTERVAL == 1 {
+        READING_PAUSE
+    } else {
+        Duration::ZERO
+    };
     let mut connection: Option<TcpStream> = None;
     let mut count = 0;
     while Instant::now() < until {
@@ -105,12 +115,13 @@
         let sent = Instant::now();
         let (method, path) = kind.method_and_path();
         let text = request_text(method, path, &id, key);
-        let (result, keep_alive) = match timeout(RESPONSE_TIMEOUT, exchange(tcp, &text)).await {
-            Ok(Some((status, body, keep_alive))) => {
-                (RequestResult::Response(status, body), keep_alive)
-            }
-            _ => (RequestResult::NoResponse, false),
-        };
+        let (result, keep_alive) =
+            match timeout(RESPONSE_TIMEOUT, exchange(tcp, &text, reading_pause)).await {
+                Ok(Some((status, body, keep_alive))) => {
+                    (RequestResult::Response(status, body), keep_alive)
+                }
+                _ => (RequestResult::NoResponse, false),
+            };
         if !keep_alive {
             connection = None;
         }
@@ -129,13 +140,18 @@
 
 /// Sends a request and reads the whole response. Returns the status, the body and whether the
 /// connection stays open.
-async fn exchange(tcp: &mut TcpStream, text: &str) -> Option<(u16, String, bool)> {
+async fn exchange(
+    tcp: &mut TcpStream,
+    text: &str,
+    reading_pause: Duration,
+) -> Option<(u16, String, bool)> {
     tcp.write_all(text.as_bytes()).await.ok()?;
     let mut buf = Vec::new();
     let end = loop {
         if let Some(position) = find(&buf, b"\r\n\r\n") {
             break position + 4;
         }
+        tokio::time::sleep(reading_pause).await;
         if tcp.read_buf(&mut buf).await.ok()? == 0 {
             return None;
         }
@@ -146,6 +162,7 @@
     let keep_alive = !head.contains("connection: close");
     if head.contains("transfer-encoding: chunked") {
         while !body.ends_with(b"0\r\n\r\n") {
+            tokio::time::sleep(reading_pause).await;
             if tcp.read_buf(&mut body).await.ok()? == 0 {
                 return None;
             }
--- a/tests/soak/environment.rs
+++ b/tests/soak/environment.rs
@@ -231,7 +231,7 @@
             }
         }
         while Instant::now() < until {
-            self.inject_fault();
+            self.inject_fault().await;
             self.restart_exited();
             let pause = self.rng.random_range(50..900);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -246,6 +246,7 @@
         }
         for listed in &self.targets {
             listed.proxy.set_link(Link::Healthy);
+            listed.target.set_silence(Duration::ZERO);
         }
         for process in &mut self.processes {
             process.signal(Signal::SIGCONT);
@@ -275,8 +276,8 @@
         }
     }
 
-    fn inject_fault(&mut self) {
-        match self.rng.random_range(0..14) {
+    async fn inject_fault(&mut self) {
+        match self.rng.random_range(0..17) {
             0 | 1 => self.change_store_link(),
             2 | 3 => self.change_target_link(),
             4 => self.pause_or_resume(),
@@ -288,6 +289,8 @@
             10 => self.change_configuration(),
             11 => self.restore_store(),
             12 => self.announce_leaving(),
+            13 | 14 => self.change_silence(),
+            15 => self.starve_process().await,
             _ => self.list_or_unlist_target(),
         }
     }
@@ -356,6 +359,35 @@
         }
     }
 
+    /// Lets a target fall silent for a second or so in its answers, or no longer. That is no fault of a sound
+    /// target.
+    fn change_silence(&mut self) {
+        let index = self.rng.random_range(0..self.targets.len());
+        let silence = match self.rng.random_range(0..3) {
+            0 => Duration::ZERO,
+            _ => Duration::from_millis(self.rng.random_range(200..1500)),
+        };
+        self.targets[index].target.set_silence(silence);
+    }
+
+    /// Lets a process run for a part of each tenth of a second only, as on an instance with a share of a
+    /// core.
+    async fn starve_process(&mut self) {
+        const PERIOD: Duration = Duration::from_millis(100);
+        let index = self.disturb_process();
+        let process = &mut self.processes[index];
+        if process.is_paused {
+            return;
+        }
+        let running = Duration::from_millis(self.rng.random_range(10..40));
+        for _ in 0..self.rng.random_range(5..15) {
+            process.signal(Signal::SIGSTOP);
+            tokio::time::sleep(PERIOD - running).await;
+            process.signal(Signal::SIGCONT);
+            tokio::time::sleep(running).await;
+        }
+    }
+
     fn pause_or_resume(&mut self) {
         let index = self.disturb_process();
         let signal = if self.processes[index].is_paused {
