Bound the memory for request bodies on the own interface too

The same cause as on the platform: each body has a bound, their sum had none. Entries hold at most entry.buffer_limit_bytes (256 MiB by default) of all bodies; a request that finds no memory gets 503 no_memory at once.

Evidence: 40 bodies of 1 MiB at once to an entry with 8 MiB: at least 32 are rejected, and a small request beside them is answered (test in promises.rs; the code as found has no such bound to test).

--- a/components/fleet/src/processes.rs
+++ b/components/fleet/src/processes.rs
@@ -331,6 +331,7 @@
             options: self.layout.entry.clone(),
             callers: CallerOptions {
                 max_body_bytes: 1 << 20,
+                max_buffer_bytes: 8 << 20,
                 receive_timeout: Duration::from_secs(5),
                 default_timeout: Duration::from_secs(20),
                 max_timeout: Duration::from_secs(60),
--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -29,6 +29,7 @@
     AsyncWriteExt, //
 };
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use utils::Name;
 
 /// Longest time that a start, a rollout or an exchange of raw bytes may take.
@@ -565,3 +566,29 @@
         "bytes that are no event are passed on"
     );
 }
+
+/// Guards against an entry that runs out of memory while many callers send bodies of the allowed size: it takes
+/// as many as fit, rejects the others, and serves small requests beside them.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_many_callers_do_not_exceed_the_memory_for_them() {
+    /// Those that fit into the 8 MiB of the entry, and many more.
+    const MAX_HELD: usize = 8;
+    const UPLOADS: usize = 40;
+    let fleet = fleet(1).await;
+    let (client, entries) = client(&fleet);
+    let text = completion_request("x-team: head-office\r\n", &"x".repeat(1 << 20));
+    // All but the last byte, so that the entry holds the body.
+    let text = &text[..text.len() - 1];
+    let mut uploads = JoinSet::new();
+    for _ in 0..UPLOADS {
+        let (address, text) = (entries[0], text.to_owned());
+        uploads.spawn(async move { send_raw(address, &text, Duration::from_secs(2)).await });
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let small = client.complete(entries[0], "head-office", "p", 4).await;
+    let answers = uploads.join_all().await;
+    let rejected = answers.iter().filter(|text| text.contains("\"no_memory\""));
+    let rejected = rejected.count();
+    assert!(rejected >= UPLOADS - MAX_HELD, "{rejected} of {UPLOADS}");
+    assert!(small.is_ok(), "{small:?}");
+}
--- a/components/proxy/src/router/buffers.rs
+++ b/components/proxy/src/buffers.rs
@@ -23,11 +23,11 @@
 
 /// There is no memory for more bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct OutOfMemory;
+pub(crate) struct OutOfMemory;
 
 /// The memory for the bytes of all requests and answers. Clones share it.
 #[derive(Clone, Debug)]
-pub(super) struct Buffers {
+pub(crate) struct Buffers {
     max_bytes: usize,
     used: Arc<AtomicUsize>,
 }
@@ -74,7 +74,7 @@
 
 /// A number of bytes that are held until this value is dropped.
 #[derive(Debug)]
-pub(super) struct Held {
+pub(crate) struct Held {
     buffers: Buffers,
     bytes: usize,
 }
@@ -125,7 +125,7 @@
 
 /// A body that is being received.
 #[derive(Debug)]
-pub(super) struct BodyBuffer {
+pub(crate) struct BodyBuffer {
     data: BytesMut,
     held: Held,
 }
--- a/components/proxy/src/entry/caller_server.rs
+++ b/components/proxy/src/entry/caller_server.rs
@@ -3,6 +3,7 @@
 use std::panic::RefUnwindSafe;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use control::entry::Event;
 use futures_util::future;
 use gotham::handler::HandlerResult;
@@ -23,11 +24,7 @@
     StatusCode,
     Uri, //
 };
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
+use http_body_util::BodyExt;
 use protocol::{
     Reply,
     Request, //
@@ -56,6 +53,7 @@
     RawRequest, //
 };
 use super::Inner;
+use crate::buffers::BodyBuffer;
 
 /// The path prefix of calls to plain services.
 const SERVICES_PREFIX: &str = "/services/";
@@ -122,21 +120,13 @@
 async fn receive_request(inner: &Inner, state: &mut GothamState) -> Result<RawRequest, BadRequest> {
     let options = &inner.callers;
     let endpoint = parse_endpoint(Uri::borrow_from(state))?;
-    let body = Limited::new(state.take::<Body>(), options.max_body_bytes);
-    let received = tokio::time::timeout(options.receive_timeout, body.collect()).await;
-    let body = received
-        .map_err(|_| BadRequest::TooSlow(options.receive_timeout))?
-        .map_err(|e| {
-            if e.downcast_ref::<LengthLimitError>().is_some() {
-                BadRequest::TooLarge(options.max_body_bytes)
-            } else {
-                BadRequest::Incomplete
-            }
-        })?;
+    let receiving = inner.receive_body(state.take::<Body>());
+    let received = tokio::time::timeout(options.receive_timeout, receiving).await;
+    let body = received.map_err(|_| BadRequest::TooSlow(options.receive_timeout))??;
     Ok(RawRequest {
         method: Method::borrow_from(state).clone(),
         headers: HeaderMap::borrow_from(state).clone(),
-        body: body.to_bytes(),
+        body,
         endpoint,
     })
 }
@@ -183,6 +173,21 @@
 }
 
 impl Inner {
+    async fn receive_body(&self, mut body: Body) -> Result<Bytes, BadRequest> {
+        let max_bytes = self.callers.max_body_bytes;
+        let mut buffer = BodyBuffer::new(&self.buffers);
+        while let Some(frame) = body.frame().await {
+            let Ok(part) = frame.map_err(|_| BadRequest::Incomplete)?.into_data() else {
+                continue;
+            };
+            if buffer.len() + part.len() > max_bytes {
+                return Err(BadRequest::TooLarge(max_bytes));
+            }
+            buffer.push(&part).map_err(|_| BadRequest::NoMemory)?;
+        }
+        Ok(buffer.into_bytes())
+    }
+
     async fn handle_caller_request(self: &Arc<Self>, request: RawRequest) -> Response<Body> {
         let Some(sheet) = self.current_sheet().await else {
             return bad_request_response(&BadRequest::NoSheet);
--- a/components/proxy/src/entry/mod.rs
+++ b/components/proxy/src/entry/mod.rs
@@ -39,6 +39,7 @@
 use utils::Name;
 use wire::Responder;
 
+use crate::buffers::Buffers;
 use crate::control_thread::{
     control_channel,
     ControlHandle,
@@ -85,6 +86,8 @@
 struct Inner {
     node: Node<State, Event>,
     callers: CallerOptions,
+    /// The bodies of all requests.
+    buffers: Buffers,
     next_token: AtomicU64,
     command_senders: Mutex<HashMap<u64, mpsc::UnboundedSender<Command>>>,
     drained: Notify,
@@ -136,6 +139,7 @@
         };
         let node = Node::new(process_options, http.clone(), control, role_adapter);
         let inner = Arc::new(Inner {
+            buffers: Buffers::new(setup.callers.max_buffer_bytes),
             callers: setup.callers,
             next_token: AtomicU64::new(0),
             command_senders: Mutex::default(),
--- a/components/proxy/src/entry/request.rs
+++ b/components/proxy/src/entry/request.rs
@@ -45,6 +45,8 @@
 pub struct CallerOptions {
     /// The maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// The maximum size of all bodies that are held at the same time, in bytes.
+    pub max_buffer_bytes: usize,
     /// The timeout for receiving a request body.
     pub receive_timeout: Duration,
     /// The timeout of requests that set none.
@@ -71,6 +73,8 @@
     },
     /// the body is longer than {0} bytes
     TooLarge(usize),
+    /// there is no memory for the body now
+    NoMemory,
     /// the request did not arrive within {0:?}
     TooSlow(Duration),
     /// the connection broke before the request was whole
@@ -92,6 +96,7 @@
             Self::Body(_) => (400, "bad_body"),
             Self::Header { .. } => (400, "bad_header"),
             Self::TooLarge(_) => (413, "too_large"),
+            Self::NoMemory => (503, "no_memory"),
             Self::TooSlow(_) => (408, "too_slow"),
             Self::Incomplete => (400, "cut"),
             Self::UnknownWork(_) => (404, "unknown_work"),
@@ -368,6 +373,7 @@
     fn options() -> CallerOptions {
         CallerOptions {
             max_body_bytes: 1000,
+            max_buffer_bytes: 1_000_000,
             receive_timeout: Duration::from_secs(1),
             default_timeout: Duration::from_secs(10),
             max_timeout: Duration::from_secs(20),
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 //! store through `feed` and call their reducers directly.
 
 pub mod agent;
+mod buffers;
 mod capacity_metrics;
 mod control_thread;
 pub mod controller;
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -27,7 +27,8 @@
 use utils::run_time;
 use utils::Name;
 
-use super::buffers::BodyBuffer;
+use crate::buffers::BodyBuffer;
+
 use super::header_codec::{
     ExecutionStatus,
     ForwardParameters, //
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -4,7 +4,6 @@
 //! each message to another thread costs a wake-up.
 
 mod answers;
-mod buffers;
 mod crashes;
 mod engines;
 mod events;
@@ -46,6 +45,7 @@
 use utils::clock::Clock;
 use utils::Name;
 
+use crate::buffers::Buffers;
 use crate::capacity_metrics;
 use crate::feed::{
     FeedEvent,
@@ -54,7 +54,6 @@
 use crate::record_writer::RecordWriter;
 use crate::watch_value::send_if_changed;
 
-use self::buffers::Buffers;
 use self::pool::ConnectionPool;
 use self::reservations::Reservation;
 
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -32,6 +32,8 @@
     Name, //
 };
 
+use crate::buffers::BodyBuffer;
+
 use super::answers::{
     empty_response,
     full_body,
@@ -39,7 +41,6 @@
     remove_hop_by_hop_headers,
     Body, //
 };
-use super::buffers::BodyBuffer;
 use super::exchange::{
     CallerRequest,
     TargetResponse, //
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -30,7 +30,6 @@
     Body,
     BodyError, //
 };
-use super::buffers::OutOfMemory;
 use super::events::{
     EventBatch,
     EventSplitter, //
@@ -40,6 +39,7 @@
     NextStep,
     PendingRequest, //
 };
+use crate::buffers::OutOfMemory;
 use crate::event_stream::may_continue_stream;
 
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
--- a/components/settings/src/options.rs
+++ b/components/settings/src/options.rs
@@ -86,6 +86,9 @@
     /// The maximum size of a request body in bytes.
     #[serde(default = "default_body_limit_bytes")]
     pub body_limit_bytes: usize,
+    /// The maximum size of the bodies of all requests that are held at the same time, in bytes.
+    #[serde(default = "default_buffer_limit_bytes")]
+    pub buffer_limit_bytes: usize,
     /// How long a caller may take to send a request.
     #[serde(with = "humantime_serde", default = "default_receive_timeout")]
     pub receive_timeout: Duration,
@@ -299,6 +302,10 @@
     4 << 20
 }
 
+fn default_buffer_limit_bytes() -> usize {
+    256 << 20
+}
+
 fn default_receive_timeout() -> Duration {
     Duration::from_secs(10)
 }
--- a/components/settings/src/validation.rs
+++ b/components/settings/src/validation.rs
@@ -157,6 +157,12 @@
         body,
         "1 to 8388608",
     )?;
+    require(
+        entry.buffer_limit_bytes >= 2 * body,
+        "entry.buffer_limit_bytes",
+        entry.buffer_limit_bytes,
+        "at least twice entry.body_limit_bytes",
+    )?;
     require_duration("entry.receive_timeout", entry.receive_timeout)?;
     require_duration("entry.request_timeout", entry.request_timeout)?;
     require_duration("entry.longest_timeout", entry.longest_timeout)?;
--- a/components/settings/tests/documents.rs
+++ b/components/settings/tests/documents.rs
@@ -94,6 +94,13 @@
             to: "entry:\n  body_limit_bytes: 99999999\n",
             expected: &["entry.body_limit_bytes", "99999999", "8388608"],
         },
+        Case {
+            name: "buffer limit below two bodies",
+            document: ENTRY,
+            from: "entry:\n",
+            to: "entry:\n  buffer_limit_bytes: 5000000\n",
+            expected: &["entry.buffer_limit_bytes", "5000000", "twice"],
+        },
         Case {
             name: "longest timeout below the default",
             document: ENTRY,
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -52,6 +52,7 @@
         options: settings.entry_options(options),
         callers: CallerOptions {
             max_body_bytes: options.body_limit_bytes,
+            max_buffer_bytes: options.buffer_limit_bytes,
             receive_timeout: options.receive_timeout,
             default_timeout: options.request_timeout,
             max_timeout: options.longest_timeout,
