--- a/components/proxy/src/buffers.rs
+++ b/components/proxy/src/buffers.rs
@@ -13,6 +13,8 @@
     Bytes,
     BytesMut, //
 };
+use http_body_util::BodyExt;
+use hyper::body::Body;
 
 /// Bytes that a body may always have while there is memory. Most bodies are smaller.
 const SMALL_BODY_BYTES: usize = 64 << 10;
@@ -25,6 +27,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct OutOfMemory;
 
+/// Why a body was not received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReceiveError {
+    /// It is longer than allowed.
+    TooLong,
+    /// It broke off.
+    Incomplete,
+    /// There is no memory for it.
+    OutOfMemory,
+}
+
 /// The memory for the bytes of all requests and answers. Clones share it.
 #[derive(Clone, Debug)]
 pub(crate) struct Buffers {
@@ -144,6 +157,30 @@
         self.data.len()
     }
 
+    /// Receives a whole body of at most `max_bytes`.
+    ///
+    /// Returns an error if it is longer, breaks off or finds no memory.
+    pub async fn receive<B>(
+        buffers: &Buffers,
+        mut body: B,
+        max_bytes: usize,
+    ) -> Result<Bytes, ReceiveError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut buffer = Self::new(buffers);
+        while let Some(frame) = body.frame().await {
+            let Ok(part) = frame.map_err(|_| ReceiveError::Incomplete)?.into_data() else {
+                continue;
+            };
+            if buffer.len() + part.len() > max_bytes {
+                return Err(ReceiveError::TooLong);
+            }
+            buffer.push(&part).map_err(|_| ReceiveError::OutOfMemory)?;
+        }
+        Ok(buffer.into_bytes())
+    }
+
     /// Adds a part.
     ///
     /// Returns an error, and adds nothing, if there is no memory for it.
--- a/components/proxy/src/entry/caller_server.rs
+++ b/components/proxy/src/entry/caller_server.rs
@@ -3,7 +3,6 @@
 use std::panic::RefUnwindSafe;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use control::entry::Event;
 use futures_util::future;
 use gotham::handler::HandlerResult;
@@ -24,7 +23,6 @@
     StatusCode,
     Uri, //
 };
-use http_body_util::BodyExt;
 use protocol::{
     Reply,
     Request, //
@@ -53,7 +51,10 @@
     RawRequest, //
 };
 use super::Inner;
-use crate::buffers::BodyBuffer;
+use crate::buffers::{
+    BodyBuffer,
+    ReceiveError, //
+};
 
 /// The path prefix of calls to plain services.
 const SERVICES_PREFIX: &str = "/services/";
@@ -120,9 +121,16 @@
 async fn receive_request(inner: &Inner, state: &mut GothamState) -> Result<RawRequest, BadRequest> {
     let options = &inner.callers;
     let endpoint = parse_endpoint(Uri::borrow_from(state))?;
-    let receiving = inner.receive_body(state.take::<Body>());
+    let body = state.take::<Body>();
+    let receiving = BodyBuffer::receive(&inner.buffers, body, options.max_body_bytes);
     let received = tokio::time::timeout(options.receive_timeout, receiving).await;
-    let body = received.map_err(|_| BadRequest::TooSlow(options.receive_timeout))??;
+    let body = received
+        .map_err(|_| BadRequest::TooSlow(options.receive_timeout))?
+        .map_err(|e| match e {
+            ReceiveError::TooLong => BadRequest::TooLarge(options.max_body_bytes),
+            ReceiveError::Incomplete => BadRequest::Incomplete,
+            ReceiveError::OutOfMemory => BadRequest::NoMemory,
+        })?;
     Ok(RawRequest {
         method: Method::borrow_from(state).clone(),
         headers: HeaderMap::borrow_from(state).clone(),
@@ -173,21 +181,6 @@
 }
 
 impl Inner {
-    async fn receive_body(&self, mut body: Body) -> Result<Bytes, BadRequest> {
-        let max_bytes = self.callers.max_body_bytes;
-        let mut buffer = BodyBuffer::new(&self.buffers);
-        while let Some(frame) = body.frame().await {
-            let Ok(part) = frame.map_err(|_| BadRequest::Incomplete)?.into_data() else {
-                continue;
-            };
-            if buffer.len() + part.len() > max_bytes {
-                return Err(BadRequest::TooLarge(max_bytes));
-            }
-            buffer.push(&part).map_err(|_| BadRequest::NoMemory)?;
-        }
-        Ok(buffer.into_bytes())
-    }
-
     async fn handle_caller_request(self: &Arc<Self>, request: RawRequest) -> Response<Body> {
         let Some(sheet) = self.current_sheet().await else {
             return bad_request_response(&BadRequest::NoSheet);
--- a/components/proxy/src/entry/forwarder.rs
+++ b/components/proxy/src/entry/forwarder.rs
@@ -47,7 +47,10 @@
     Command,
     Inner, //
 };
-use crate::event_stream::is_stream_type;
+use crate::event_stream::{
+    is_stream_type,
+    MAX_EVENT_BYTES, //
+};
 
 /// The `source` of the log lines: the former path of this module, which stays because operators'
 /// tools match it.
@@ -93,9 +96,6 @@
     partial_event: Vec<u8>,
 }
 
-/// The longest event of a stream. A faulty target may send bytes without end that are no events.
-const MAX_EVENT_BYTES: usize = 256 << 10;
-
 /// The blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
--- a/components/proxy/src/event_stream.rs
+++ b/components/proxy/src/event_stream.rs
@@ -6,6 +6,9 @@
 };
 use http::StatusCode;
 
+/// The longest event of a valid stream. A faulty target may send bytes without end that are no events.
+pub(crate) const MAX_EVENT_BYTES: usize = 256 << 10;
+
 const STREAM_TYPE: &str = "text/event-stream";
 
 /// Whether a content type is that of a stream.
--- a/components/proxy/src/router/events.rs
+++ b/components/proxy/src/router/events.rs
@@ -5,8 +5,7 @@
     BytesMut, //
 };
 
-/// The longest event of a valid stream.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+use crate::event_stream::MAX_EVENT_BYTES;
 
 /// How many bytes of comments and events without an id may come in a row. Targets send a few to keep
 /// a connection open.
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -20,7 +20,6 @@
     Response,
     StatusCode, //
 };
-use http_body_util::BodyExt;
 use hyper::body::{
     Body as _,
     Incoming, //
@@ -32,7 +31,10 @@
     Name, //
 };
 
-use crate::buffers::BodyBuffer;
+use crate::buffers::{
+    BodyBuffer,
+    ReceiveError, //
+};
 
 use super::answers::{
     empty_response,
@@ -195,9 +197,12 @@
         if !self.inner.buffers.has_room_for(declared_bytes as usize) {
             return out_of_memory_response();
         }
-        let body = match timeout(BODY_RECEIVE_TIMEOUT, self.read_body(body, limit)).await {
+        let receiving = BodyBuffer::receive(&self.inner.buffers, body, limit);
+        let body = match timeout(BODY_RECEIVE_TIMEOUT, receiving).await {
             Ok(Ok(body)) => body,
-            Ok(Err(response)) => return response,
+            Ok(Err(ReceiveError::TooLong)) => return empty_response(StatusCode::PAYLOAD_TOO_LARGE),
+            Ok(Err(ReceiveError::Incomplete)) => return empty_response(StatusCode::BAD_REQUEST),
+            Ok(Err(ReceiveError::OutOfMemory)) => return out_of_memory_response(),
             Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT),
         };
         match self.register(parts, body) {
@@ -206,22 +211,6 @@
         }
     }
 
-    /// Reads the body of a request of at most `limit` bytes. Returns the response if that is not possible.
-    async fn read_body(&self, mut body: Incoming, limit: usize) -> Result<Bytes, Response<Body>> {
-        let mut buffer = BodyBuffer::new(&self.inner.buffers);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| empty_response(StatusCode::BAD_REQUEST))?;
-            let Ok(part) = frame.into_data() else {
-                continue;
-            };
-            if buffer.len() + part.len() > limit {
-                return Err(empty_response(StatusCode::PAYLOAD_TOO_LARGE));
-            }
-            buffer.push(&part).map_err(|_| out_of_memory_response())?;
-        }
-        Ok(buffer.into_bytes())
-    }
-
     /// Registers a request and reports it to the reducer.
     fn register(&self, parts: Parts, body: Bytes) -> Result<PendingRequest, StatusCode> {
         let head = (self.inner.header_codec.read_request)(&parts);
