The shutdown signal has one phase and counts connections with guards

It had two watches, and told open connections from its own copies by comparing reference counts. A phase (serving, closing, ended) and a count that a guard releases say the same plainly, and one loop waits for a condition instead of three.

--- a/components/proxy/src/router/server.rs
+++ b/components/proxy/src/router/server.rs
@@ -1,5 +1,6 @@
 //! Connections of callers, the readiness check, and the graceful shutdown.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::{
     poll_fn,
@@ -49,83 +50,102 @@
 /// How long after the signal idle connections are closed.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 
-/// Tells the connections of callers to close when the process shuts down, and counts them.
+/// How far a shutdown has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// The process serves callers.
+    Serving,
+    /// Connections are closed after their current request.
+    Closing,
+    /// The listener is closed.
+    Ended,
+}
+
+/// Counts connections.
+#[derive(Clone, Debug, Default)]
+struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    fn add(&self) -> OpenConnection {
+        self.0.set(self.0.get() + 1);
+        OpenConnection(self.clone())
+    }
+
+    fn is_zero(&self) -> bool {
+        self.0.get() == 0
+    }
+}
+
+/// Counts as a connection until it is dropped.
+#[derive(Debug)]
+struct OpenConnection(ConnectionCount);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let count = &self.0 .0;
+        count.set(count.get() - 1);
+    }
+}
+
+/// Tells the listener and the connections of callers to close when the process shuts down, and counts the
+/// connections.
 #[derive(Clone, Debug)]
 pub struct ShutdownSignal {
-    tx: Rc<watch::Sender<bool>>,
-    rx: watch::Receiver<bool>,
-    /// Held by each open connection, and by each copy of this value.
-    open_connections: Rc<()>,
-    /// The same for connections that were accepted when the others were closed already.
-    late_connections: Rc<()>,
-    ended: Rc<watch::Sender<bool>>,
+    phase: Rc<watch::Sender<Phase>>,
+    open_connections: ConnectionCount,
+    /// Connections that were accepted when the others were closed already.
+    late_connections: ConnectionCount,
 }
 
 impl Default for ShutdownSignal {
     fn default() -> Self {
-        let (tx, rx) = watch::channel(false);
         Self {
-            tx: Rc::new(tx),
-            rx,
-            open_connections: Rc::new(()),
-            late_connections: Rc::new(()),
-            ended: Rc::new(watch::Sender::new(false)),
+            phase: Rc::new(watch::Sender::new(Phase::Serving)),
+            open_connections: ConnectionCount::default(),
+            late_connections: ConnectionCount::default(),
         }
     }
 }
 
 impl ShutdownSignal {
-    /// Closes each connection after its current request.
-    fn close_connections(&self) {
-        self.tx.send_replace(true);
-    }
-
-    fn is_closing(&self) -> bool {
-        *self.rx.borrow()
+    fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
     }
 
-    fn has_open_connections(&self) -> bool {
-        Rc::strong_count(&self.open_connections) > Rc::strong_count(&self.tx)
-    }
-
-    fn has_late_connections(&self) -> bool {
-        Rc::strong_count(&self.late_connections) > Rc::strong_count(&self.tx)
-    }
-
-    /// Closes the listener.
-    fn close_listener(&self) {
-        self.ended.send_replace(true);
+    async fn wait_for(&self, phase: Phase) {
+        let mut current = self.phase.subscribe();
+        // Cannot fail: this value holds the sender.
+        let _entered = current.wait_for(|current| *current >= phase).await;
     }
 
-    async fn wait_for_end(&mut self) {
-        let mut ended = self.ended.subscribe();
-        // Cannot fail: this value holds the sender.
-        let _ended = ended.wait_for(|ended| *ended).await;
+    /// Counts a connection that was accepted now. A process that is about to stop does not run on for
+    /// connections that only get rejections.
+    fn count_connection(&self) -> OpenConnection {
+        if *self.phase.borrow() == Phase::Serving {
+            self.open_connections.add()
+        } else {
+            self.late_connections.add()
+        }
     }
 }
 
 /// Serves callers while the future is polled. Callers that connect to a process that is about to stop are told
 /// to come back, since a connection that is closed without an answer tells them nothing.
-pub async fn serve_callers(router: Router, listener: TcpListener, mut shutdown: ShutdownSignal) {
+pub async fn serve_callers(router: Router, listener: TcpListener, shutdown: ShutdownSignal) {
     loop {
         let accepted = tokio::select! {
             // What has arrived is accepted before the listener is closed.
             biased;
             accepted = listener.accept() => accepted,
-            () = shutdown.wait_for_end() => return,
+            () = shutdown.wait_for(Phase::Ended) => return,
         };
         match accepted {
             Ok((tcp, _)) => {
-                // A process that is about to stop does not run on for connections that only get rejections.
-                let open = if shutdown.is_closing() {
-                    shutdown.late_connections.clone()
-                } else {
-                    shutdown.open_connections.clone()
-                };
-                let connection = serve_connection(router.clone(), tcp, shutdown.rx.clone());
+                let counted = shutdown.count_connection();
+                let connection = serve_connection(router.clone(), tcp, shutdown.clone());
                 tokio::task::spawn_local(async move {
+                    let _counted = counted;
                     connection.await;
-                    drop(open);
                 });
             }
             Err(e) => {
@@ -136,7 +156,7 @@
     }
 }
 
-async fn serve_connection(router: Router, tcp: TcpStream, mut closing: watch::Receiver<bool>) {
+async fn serve_connection(router: Router, tcp: TcpStream, shutdown: ShutdownSignal) {
     // Without this option the connection is only slower.
     let _ignored = tcp.set_nodelay(true);
     let limits = router.caller_limits();
@@ -155,7 +175,7 @@
         // A request that has arrived is read before its connection is closed.
         biased;
         result = &mut connection => result,
-        () = close_after_reading(&mut closing) => {
+        () = close_after_reading(&shutdown) => {
             let mut connection = Pin::new(&mut connection);
             connection.as_mut().graceful_shutdown();
             was_idle = true;
@@ -181,9 +201,8 @@
 
 /// Waits until the connections are to be closed, and until requests are read that had arrived before, also if
 /// the process stood still.
-async fn close_after_reading(closing: &mut watch::Receiver<bool>) {
-    // Fails if the signal is gone, as the process ends.
-    let _closing = closing.wait_for(|closing| *closing).await;
+async fn close_after_reading(shutdown: &ShutdownSignal) {
+    shutdown.wait_for(Phase::Closing).await;
     tokio::time::sleep(CLOSE_DELAY).await;
 }
 
@@ -235,21 +254,23 @@
     router.handle_event(control::router::Event::DrainRequested { ends_at });
     tokio::time::sleep(READINESS_NOTICE_TIME.min(grace)).await;
     router.handle_event(control::router::Event::StopAccepting);
-    shutdown.close_connections();
-    while router.elapsed() < ends_at && shutdown.has_open_connections() {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-    }
+    shutdown.enter(Phase::Closing);
+    let open = &shutdown.open_connections;
+    wait_until(&router, ends_at, || open.is_zero()).await;
     router.end();
-    while router.elapsed() < until && shutdown.has_open_connections() {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-    }
+    wait_until(&router, until, || open.is_zero()).await;
     // A process that is short of processor time takes a while to end, in which nobody should connect to it.
-    shutdown.close_listener();
-    let rejections_end = until.min(router.elapsed() + FINAL_ANSWERS_TIME);
-    loop {
+    shutdown.enter(Phase::Ended);
+    let rejected_until = until.min(router.elapsed() + FINAL_ANSWERS_TIME);
+    // What has arrived is accepted first.
+    tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    let late = &shutdown.late_connections;
+    wait_until(&router, rejected_until, || late.is_zero()).await;
+}
+
+/// Waits until a condition holds, at most until `latest`.
+async fn wait_until(router: &Router, latest: Duration, is_met: impl Fn() -> bool) {
+    while router.elapsed() < latest && !is_met() {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        if router.elapsed() >= rejections_end || !shutdown.has_late_connections() {
-            return;
-        }
     }
 }
