Partial events are counted as long as they are held

The count of an event in progress was made and dropped with each read of a stream, so it cost atomics for every batch of events and left the event uncounted while its stream waited for a slow caller. It belongs to the request now. This makes the bound of the memory hold where it was only nearly so; no bound moved. A wait for a target subscribes to the end of the process only if its message is not ready yet.

--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -106,6 +106,8 @@
             let limit = first_event_time.map_or(time_left, |time| time.min(time_left));
             let idle = run_time::timeout(idle_timeout, message.as_mut());
             let waited = tokio::select! {
+                // Most messages are ready at once, so that nothing subscribes to the end.
+                biased;
                 waited = run_time::timeout_by_clock(limit, idle) => waited,
                 // Callers get an answer as long as the process can give one.
                 () = self.wait_for_end() => return Err(Outcome::DeadlineExceeded),
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -33,6 +33,7 @@
 
 use crate::buffers::{
     BodyBuffer,
+    Held,
     ReceiveError, //
 };
 
@@ -71,6 +72,8 @@
     pub last_part_at: Option<Duration>,
     /// The longest time between two parts of the response.
     pub longest_pause: Duration,
+    /// The memory of the event that is being received.
+    pub partial_event: Held,
     /// Capacity that is reserved for the request at a model engine.
     pub reservation: Option<Reservation>,
     /// When the whole request was received.
@@ -242,6 +245,7 @@
             received_at: self.elapsed(),
             last_part_at: None,
             longest_pause: Duration::ZERO,
+            partial_event: self.inner.buffers.hold(),
             reservation: None,
             rx,
             is_ended: false,
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -241,12 +241,11 @@
 
     /// Reads from the target until at least one event is complete.
     async fn read(
-        &self,
+        &mut self,
         body: &mut Incoming,
         splitter: &mut EventSplitter,
         forward_request: &ForwardRequest,
     ) -> ReadResult {
-        let mut held = self.router.inner.buffers.hold();
         loop {
             let is_first = self.last_part_at.is_none();
             let part = self
@@ -266,7 +265,7 @@
             let batch = splitter.push(&part);
             let first_id = batch.as_ref().and_then(|batch| batch.first_id);
             let repeats_events = first_id.is_some() && first_id <= self.last_event_id;
-            let has_memory = held.resize(splitter.partial_bytes()).is_ok();
+            let has_memory = self.partial_event.resize(splitter.partial_bytes()).is_ok();
             if splitter.is_too_long() || repeats_events || !has_memory {
                 return ReadResult::Failed(Outcome::Broken {
                     connection_lost: false,
