--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -253,7 +253,7 @@
         time: Duration,
     },
     /// It runs this percentage of each tenth of a second, from before the stop.
-    Share(u64),
+    Share(u32),
 }
 
 struct Case {
@@ -440,8 +440,8 @@
 
 /// Stops the process, and returns when it was asked to and when it was gone. It is killed after the grace.
 async fn stop_entry(entry: &mut Process, disturbance: Disturbance) -> (Instant, Instant) {
-    if let Disturbance::Share(_) = disturbance {
-        run_in_shares(entry, disturbance, Duration::from_millis(1500)).await;
+    if let Disturbance::Share(percent) = disturbance {
+        run_in_shares(entry, percent, Duration::from_millis(1500)).await;
     }
     let stopped_at = Instant::now();
     entry.signal(Signal::SIGTERM);
@@ -453,7 +453,7 @@
             sleep(time).await;
             entry.signal(Signal::SIGCONT);
         }
-        Disturbance::Share(_) => run_in_shares(entry, disturbance, GRACE).await,
+        Disturbance::Share(percent) => run_in_shares(entry, percent, GRACE).await,
     }
     while entry.exit_success().is_none() && stopped_at.elapsed() < GRACE {
         sleep(Duration::from_millis(5)).await;
@@ -468,14 +468,11 @@
 }
 
 /// Lets the process run for its share of each period only, until `time` has passed or it is gone.
-async fn run_in_shares(entry: &mut Process, disturbance: Disturbance, time: Duration) {
+async fn run_in_shares(entry: &mut Process, percent: u32, time: Duration) {
     const PERIOD: Duration = Duration::from_millis(100);
-    let Disturbance::Share(percent) = disturbance else {
-        return;
-    };
+    let running = PERIOD * percent / 100;
     let until = Instant::now() + time;
     while Instant::now() < until && entry.exit_success().is_none() {
-        let running = PERIOD * percent as u32 / 100;
         sleep(running).await;
         entry.signal(Signal::SIGSTOP);
         sleep(PERIOD - running).await;
