Agents end the use of a version whose time is over

Cause: the time of a version was checked by entries only, when they send. A request that is on its way reaches the engine when the time may be over, and cannot be called back, since the cancellation travels behind it. The engine takes it as long as it runs the version that the request names. In the record the engines of four regions did so for seconds, since the pieces of version 2 arrived late.

Change: the promise is kept where it is local. 0.4 s after entries stop sending to a version, the agent of an engine that still runs it orders the engine to load a single layer of the newer version, other than the first, whose pieces it holds and has verified. From the order on the engine accepts nothing new; what runs ends in peace. The other layers follow as soon as all pieces are there. An engine is not ordered any more to load a version whose time is over, as one that came back empty was.

Why it works: the order comes from the engine's own instance, so no path between regions is part of it, and the engine itself rejects what comes later with a true 'not run'.

--- a/components/control/src/controller/download.rs
+++ b/components/control/src/controller/download.rs
@@ -74,6 +74,15 @@
         self.transfer.as_ref().is_some_and(Transfer::is_complete)
     }
 
+    /// A layer other than the first one whose pieces are all held. An engine that holds the first layer
+    /// alone could be taken for one that holds all.
+    pub fn held_inner_layer(&self) -> Option<u32> {
+        let transfer = self.transfer.as_ref()?;
+        let manifest = transfer.manifest()?;
+        let is_held = |layer: &u32| manifest.layer_pieces(*layer).all(|p| transfer.holds(p));
+        (1..manifest.layers).find(is_held)
+    }
+
     pub fn report(&self) -> Option<TransferReport> {
         self.transfer.as_ref().map(Transfer::report)
     }
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -109,6 +109,16 @@
     }
 }
 
+/// What an engine is made to load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// The version.
+    pub model_version: ModelVersion,
+    /// The only layer to load, or `None` to load all of them. With a single layer the engine runs no
+    /// request, and so none on the version before.
+    pub layer: Option<u32>,
+}
+
 /// An input of the agent's reducer.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -145,11 +155,11 @@
     /// The check of the engine ended: these pieces that it holds match the manifest of the version
     /// with this key.
     EngineChecked(Digest, Vec<Piece>),
-    /// Staging ended: the check that found every piece of the version with this key at the engine, or
-    /// `None` if the engine does not hold all of them.
-    Staged(Digest, Option<PieceCheck>),
-    /// The engine answered the order to load the version with this key: whether it accepted it.
-    OrderAnswered(Digest, bool),
+    /// Staging ended: the check that found every piece of this load at the engine, or `None` if the
+    /// engine does not hold all of them.
+    Staged(Load, Option<PieceCheck>),
+    /// The engine answered the order for this load: whether it accepted it.
+    OrderAnswered(Load, bool),
 }
 
 /// An action that the agent's reducer requests.
@@ -161,13 +171,13 @@
     RetainVersions(Vec<Digest>),
     /// Compare the pieces that the engine holds with the manifest.
     CheckEngine(ModelVersion),
-    /// Write to the engine every piece that it lacks or holds corrupted, and verify all pieces by
-    /// reading them back.
-    Stage(ModelVersion),
-    /// Order the engine to load the version.
+    /// Write to the engine every piece of the load that it lacks or holds corrupted, and verify these
+    /// pieces by reading them back.
+    Stage(Load),
+    /// Order the engine to load.
     OrderLoad {
-        /// The version to load.
-        model_version: ModelVersion,
+        /// What to load.
+        load: Load,
         /// The order must not be sent later, since what it relies on may have changed by then.
         valid_until: Duration,
     },
@@ -229,8 +239,8 @@
     origin_region: Name,
     /// The downloads in the order of their start, which is that of their versions.
     downloads: Vec<Download>,
-    /// The version of the current update of the engine, or of the last one.
-    update: Option<ModelVersion>,
+    /// The current update of the engine, or the last one.
+    update: Option<Load>,
     phase: UpdatePhase,
     /// What the engine holds of the current update. `None` until all pieces are staged.
     staged: Option<StagedPieces>,
@@ -256,6 +266,10 @@
 /// How long the engine may process the prompts of accepted requests before it is ordered to load.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(400);
 
+/// How long entries may take to tell the agent a closer bound on the publication of a version. An agent
+/// that watches the store for seconds knows only a distant one itself.
+const BOUND_EXCHANGE_TIME: Duration = Duration::from_secs(1);
+
 /// The interval of engine reports while the engine is unreachable or about to change its weights.
 const ENGINE_READ_INTERVAL_UPDATING: Duration = Duration::from_millis(100);
 
@@ -518,9 +532,9 @@
                     download.finish_engine_check(now, pieces, &mut effects);
                 }
             }
-            Event::Staged(key, check) => self.handle_staged(now, &key, check, &mut effects),
-            Event::OrderAnswered(key, is_accepted) => {
-                self.handle_order_answered(now, &key, is_accepted)
+            Event::Staged(load, check) => self.handle_staged(now, &load, check, &mut effects),
+            Event::OrderAnswered(load, is_accepted) => {
+                self.handle_order_answered(now, &load, is_accepted)
             }
         }
         self.advance(now, &mut effects);
@@ -709,7 +723,8 @@
         if !matches!(self.phase, UpdatePhase::Loading(_)) || report.is_busy {
             return;
         }
-        let is_loaded = self.update.as_ref().map(|update| update.version) == report.version;
+        let updated = self.update.as_ref().map(|load| load.model_version.version);
+        let is_loaded = updated == report.version;
         if is_loaded {
             self.phase = UpdatePhase::Idle;
         } else if previous.is_some_and(|previous| previous.is_busy) {
@@ -722,11 +737,11 @@
     fn handle_staged(
         &mut self,
         now: Duration,
-        key: &Digest,
+        load: &Load,
         check: Option<PieceCheck>,
         effects: &mut Vec<Effect>,
     ) {
-        if self.phase != UpdatePhase::Staging || !self.is_updating_to(key) {
+        if self.phase != UpdatePhase::Staging || !self.is_updating_to(load) {
             return;
         }
         let Some(check) = check else {
@@ -740,22 +755,25 @@
             return;
         }
         self.staged = Some(StagedPieces { since: now, check });
-        if let Some(update) = &self.update {
+        let ModelVersion { model, version, .. } = &load.model_version;
+        if load.layer.is_none() {
             effects.push(Effect::Record(Decision::Staged {
-                model: update.model.clone(),
-                version: update.version,
-                after_ms: self.millis_since_named(now, update.version),
+                model: model.clone(),
+                version: *version,
+                after_ms: self.millis_since_named(now, *version),
             }));
         }
     }
 
-    /// Whether the engine is updated to the version with this key, or was at last.
-    pub fn is_updating_to(&self, key: &Digest) -> bool {
-        self.update.as_ref().is_some_and(|u| u.key == *key)
+    /// Whether this is the current update of the engine, or the last one.
+    pub fn is_updating_to(&self, load: &Load) -> bool {
+        self.update.as_ref() == Some(load)
     }
 
-    fn handle_order_answered(&mut self, now: Duration, key: &Digest, is_accepted: bool) {
-        if self.is_updating_to(key) && !is_accepted && matches!(self.phase, UpdatePhase::Loading(_))
+    fn handle_order_answered(&mut self, now: Duration, load: &Load, is_accepted: bool) {
+        if self.is_updating_to(load)
+            && !is_accepted
+            && matches!(self.phase, UpdatePhase::Loading(_))
         {
             self.phase = UpdatePhase::Idle;
             self.retry_at = now + RETRY_DELAY;
@@ -772,19 +790,8 @@
         let Some(engine) = self.engine else {
             return;
         };
-        let newest_complete = self.downloads.iter().rev().find(|d| d.is_complete());
-        let Some(newest) = newest_complete.map(|download| download.model_version.clone()) else {
-            return;
-        };
-        let is_newer = engine.version.is_none_or(|v| v < newest.version);
-        let is_loading = matches!(self.phase, UpdatePhase::Loading(_));
-        let is_different = self.update.as_ref() != Some(&newest);
-        if is_newer
-            && !is_loading
-            && now >= self.retry_at
-            && (is_different || self.phase == UpdatePhase::Idle)
-        {
-            self.update = Some(newest);
+        if let Some(load) = self.next_load(now, engine) {
+            self.update = Some(load);
             self.staged = None;
             self.start_staging(effects);
             return;
@@ -792,7 +799,13 @@
         let Some(staged) = self.staged else {
             return;
         };
-        if self.phase == UpdatePhase::Waiting && !engine.is_busy {
+        if self.phase == UpdatePhase::Waiting && self.is_retiring() {
+            if self.is_check_valid(now, &staged.check) {
+                self.order_load(now, engine, &staged.check, effects);
+            } else {
+                self.start_staging(effects);
+            }
+        } else if self.phase == UpdatePhase::Waiting && !engine.is_busy {
             let update_time = self.update_time(staged.since);
             let is_check_valid = self.is_check_valid(now + MAX_DRAIN_TIME, &staged.check);
             if !is_check_valid && now + staged.check.duration() >= update_time {
@@ -813,6 +826,73 @@
         }
     }
 
+    /// What the engine is to load instead of the current update, if anything.
+    fn next_load(&self, now: Duration, engine: EngineReport) -> Option<Load> {
+        if matches!(self.phase, UpdatePhase::Loading(_)) || now < self.retry_at {
+            return None;
+        }
+        let is_order_far = matches!(self.phase, UpdatePhase::Idle | UpdatePhase::Staging);
+        let is_retiring = self.is_retiring() && self.phase != UpdatePhase::Idle;
+        if is_retiring {
+            return None;
+        }
+        let running = engine
+            .version
+            .filter(|running| self.is_retired(now, *running));
+        if let (true, Some(running)) = (is_order_far, running) {
+            if let Some(load) = self.retiring_load(running) {
+                return Some(load);
+            }
+        }
+        let newest = self.downloads.iter().rev().find(|d| d.is_complete())?;
+        if self.is_retired(now, newest.model_version.version) {
+            return None;
+        }
+        let load = Load {
+            model_version: newest.model_version.clone(),
+            layer: None,
+        };
+        let is_newer = engine
+            .version
+            .is_none_or(|v| v < load.model_version.version);
+        let is_different = !self.is_updating_to(&load);
+        let is_next = is_newer && (is_different || self.phase == UpdatePhase::Idle);
+        is_next.then_some(load)
+    }
+
+    /// Whether the current update, or the last one, only ends the use of the version that the engine ran.
+    fn is_retiring(&self) -> bool {
+        self.update
+            .as_ref()
+            .is_some_and(|load| load.layer.is_some())
+    }
+
+    /// Whether the engine must be kept from running more requests on a version, since its time ends and
+    /// requests may still be on their way. The order of an update in time is sent before that.
+    fn is_retired(&self, now: Duration, version: u64) -> bool {
+        let mut newer = self.versions.iter().filter(|known| known.version > version);
+        newer.any(|known| {
+            let Some(published_after) = known.published_after else {
+                return false;
+            };
+            let ends_at = published_after + self.update_limits.old_version_time;
+            let bound_known_at = known.learned_at.map(|at| at + BOUND_EXCHANGE_TIME);
+            now >= ends_at.max(bound_known_at.unwrap_or_default()) + MAX_DRAIN_TIME
+        })
+    }
+
+    /// The load of one layer of a version newer than `running`, whose pieces are held.
+    fn retiring_load(&self, running: u64) -> Option<Load> {
+        let newer = self.downloads.iter().rev();
+        let mut newer = newer.filter(|d| d.model_version.version > running);
+        newer.find_map(|download| {
+            Some(Load {
+                layer: Some(download.held_inner_layer()?),
+                model_version: download.model_version.clone(),
+            })
+        })
+    }
+
     /// Has the pieces of the current update verified at the engine, and those written that it lacks.
     fn start_staging(&mut self, effects: &mut Vec<Effect>) {
         self.phase = UpdatePhase::Staging;
@@ -835,15 +915,17 @@
             return;
         };
         self.phase = UpdatePhase::Loading(now);
+        let ModelVersion { model, version, .. } = &update.model_version;
         effects.push(Effect::Record(Decision::Order {
-            model: update.model.clone(),
-            version: update.version,
+            model: model.clone(),
+            version: *version,
+            layer: update.layer,
             before: engine.version,
-            after_ms: self.millis_since_named(now, update.version),
+            after_ms: self.millis_since_named(now, *version),
             checked_ms: millis(check.age(now)),
         }));
         effects.push(Effect::OrderLoad {
-            model_version: update,
+            load: update,
             valid_until: check.valid_until(),
         });
     }
@@ -855,7 +937,7 @@
             .update
             .as_ref()
             .filter(|_| self.phase != UpdatePhase::Idle);
-        let updating_key = update.map(|update| update.key);
+        let updating_key = update.map(|load| load.model_version.key);
         let old_count = self.downloads.len();
         while self.downloads.len() > 1 {
             let newest_is_complete = self.downloads.last().is_some_and(Download::is_complete);
@@ -878,7 +960,8 @@
         let mut newer = self.versions.iter().filter(|known| known.version > running);
         let named_at = newer.next().and_then(schedule_start);
         let mut downloads = self.downloads.iter();
-        let staged = downloads.find(|d| self.update.as_ref() == Some(&d.model_version));
+        let update = self.update.as_ref().map(|load| &load.model_version);
+        let staged = downloads.find(|d| update == Some(&d.model_version));
         let (Some(named_at), Some(download)) = (named_at, staged) else {
             return staged_at;
         };
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -7,6 +7,7 @@
     Effect,
     EngineReport,
     Event,
+    Load,
     ModelVersion,
     ReservationAnswer,
     UpdateLimits, //
@@ -56,12 +57,16 @@
     /// How long the check of the staged pieces takes.
     check_time: Duration,
     /// The staging in progress, with its start.
-    staging: Option<(ModelVersion, Duration)>,
+    staging: Option<(Load, Duration)>,
     engine: EngineReport,
     /// Whether the engine answers.
     is_engine_up: bool,
     /// The versions that the engine was ordered to load, with the time of each order.
     orders: Vec<(u64, Duration)>,
+    /// What each order loads.
+    loads: Vec<Load>,
+    /// The layers of each version.
+    layers: u32,
     /// When the check began that each order relies on.
     checked_at: Vec<Duration>,
     last_check_at: Duration,
@@ -98,6 +103,8 @@
             },
             is_engine_up: true,
             orders: Vec::new(),
+            loads: Vec::new(),
+            layers: 1,
             checked_at: Vec::new(),
             last_check_at: Duration::ZERO,
             order_valid_until: Duration::ZERO,
@@ -130,19 +137,17 @@
             Effect::CheckEngine(model_version) => {
                 self.handle(Event::EngineChecked(model_version.key, Vec::new()))
             }
-            Effect::Stage(model_version) => {
-                self.staging = Some((model_version, self.now));
+            Effect::Stage(load) => {
+                self.staging = Some((load, self.now));
                 self.finish_staging();
             }
-            Effect::OrderLoad {
-                model_version,
-                valid_until,
-            } => {
-                self.orders.push((model_version.version, self.now));
+            Effect::OrderLoad { load, valid_until } => {
+                self.orders.push((load.model_version.version, self.now));
+                self.loads.push(load.clone());
                 self.checked_at.push(self.last_check_at);
                 self.order_valid_until = valid_until;
                 self.engine.is_busy = true;
-                self.handle(Event::OrderAnswered(model_version.key, true));
+                self.handle(Event::OrderAnswered(load, true));
             }
             _ => {}
         }
@@ -152,7 +157,7 @@
     fn finish_staging(&mut self) {
         let check_time = self.check_time;
         let is_due = |(_, started_at): &mut (_, Duration)| self.now >= *started_at + check_time;
-        let Some((model_version, started_at)) = self.staging.take_if(is_due) else {
+        let Some((load, started_at)) = self.staging.take_if(is_due) else {
             return;
         };
         self.last_check_at = started_at;
@@ -161,7 +166,7 @@
             ended_at: self.now,
         };
         let check = self.staging_succeeds.then_some(check);
-        self.handle(Event::Staged(model_version.key, check));
+        self.handle(Event::Staged(load, check));
     }
 
     fn fetch(&self, model_version: &ModelVersion, piece: u32, source: Source) -> weights::Event {
@@ -177,23 +182,34 @@
     }
 
     fn name_version(&mut self, version: u64) {
-        let model = "m".into();
-        let age = Some(Duration::ZERO);
+        self.name_version_published_at(version, self.now);
+    }
+
+    fn name_version_published_at(&mut self, version: u64, published_at: Duration) {
         self.handle(Event::VersionNamed {
-            model,
+            model: "m".into(),
             version,
-            age,
-            published_after: Some(self.now),
+            age: Some(Duration::ZERO),
+            published_after: Some(published_at),
         });
     }
 
     /// Receives all pieces of a version at once.
     fn receive_all(&mut self, version: u64) {
+        self.receive(version, &[1, 2, 3, 4]);
+    }
+
+    /// Receives these chunks of a version, and its manifest.
+    fn receive(&mut self, version: u64, chunks: &[u32]) {
         let key = version_key(version);
-        let manifest = weights::Event::ManifestReceived(Source::Origin, manifest(version));
+        let manifest = Manifest {
+            layers: self.layers,
+            ..manifest(version)
+        };
+        let manifest = weights::Event::ManifestReceived(Source::Origin, manifest);
         self.handle(Event::Transfer(key, manifest));
-        for piece in 1..=CHUNKS as u32 {
-            let chunk = weights::Event::ChunkReceived(piece, Source::Origin);
+        for piece in chunks {
+            let chunk = weights::Event::ChunkReceived(*piece, Source::Origin);
             self.handle(Event::Transfer(key, chunk));
         }
     }
@@ -206,8 +222,10 @@
             self.now += ms(50);
             if let Some((version, ordered_at)) = self.orders.last().copied() {
                 if self.engine.is_busy && self.now >= ordered_at + ms(300) {
+                    // With a single layer it runs nothing.
+                    let is_whole = self.loads.last().is_some_and(|l| l.layer.is_none());
                     self.engine = EngineReport {
-                        version: Some(version),
+                        version: Some(version).filter(|_| is_whole),
                         ..EngineReport::default()
                     };
                 }
@@ -456,6 +474,93 @@
     assert_eq!(agent.ordered_versions(), [2]);
 }
 
+/// Guards against requests that are on their way when the time of their version ends, and begin on it.
+#[test]
+fn engine_runs_nothing_on_a_version_whose_time_is_over() {
+    struct Case {
+        name: &'static str,
+        /// The chunks of version 2 that arrive at once; the others arrive after this time.
+        chunks: &'static [u32],
+        others_after: Duration,
+        /// How long before it learned of the version the agent believes it was published.
+        bound_distance: Duration,
+        /// The layers of the orders, and when the first one is expected after the naming.
+        layers: &'static [Option<u32>],
+        first_within: (Duration, Duration),
+    }
+    let never = ms(60_000);
+    let case = Case {
+        name: "",
+        chunks: &[],
+        others_after: never,
+        bound_distance: ms(0),
+        layers: &[],
+        first_within: (ms(0), never),
+    };
+    let cases = [
+        Case {
+            name: "half of the pieces do not arrive",
+            chunks: &[3, 4],
+            layers: &[Some(1)],
+            first_within: (ms(7000), ms(7600)),
+            ..case
+        },
+        Case {
+            name: "they arrive after that",
+            chunks: &[1, 3, 4],
+            others_after: ms(8500),
+            layers: &[Some(1), None],
+            first_within: (ms(7000), ms(7600)),
+            ..case
+        },
+        Case {
+            name: "they arrive in time",
+            chunks: &[3, 4],
+            others_after: ms(6000),
+            layers: &[None],
+            first_within: (ms(6000), ms(7500)),
+            ..case
+        },
+        Case {
+            name: "no layer arrives but the first one",
+            chunks: &[1, 2, 3],
+            ..case
+        },
+        Case {
+            name: "an agent that was told late hears a closer bound",
+            chunks: &[3, 4],
+            bound_distance: ms(9000),
+            layers: &[Some(1)],
+            first_within: (ms(7000), ms(7600)),
+            ..case
+        },
+    ];
+    for case in cases {
+        let mut agent = Agent::new(1, Some(1));
+        agent.advance(ms(10_000));
+        agent.layers = 2;
+        agent.origin_versions = vec![];
+        let named_at = agent.now;
+        agent.name_version_published_at(2, named_at - case.bound_distance);
+        agent.receive(2, case.chunks);
+        agent.advance(ms(500));
+        agent.name_version_published_at(2, named_at);
+        let arrival = case.others_after.min(ms(9000));
+        agent.advance(arrival - ms(500));
+        if case.others_after == arrival {
+            agent.receive(2, &[1, 2, 3, 4]);
+        }
+        agent.advance(ms(3000));
+        let layers: Vec<Option<u32>> = agent.loads.iter().map(|load| load.layer).collect();
+        assert_eq!(layers, case.layers, "{}", case.name);
+        if let Some((_, ordered_at)) = agent.orders.first() {
+            let (from, until) = case.first_within;
+            let after = *ordered_at - named_at;
+            assert!(from <= after && after <= until, "{}: {after:?}", case.name);
+        }
+    }
+}
+
 /// Guards against the load of pieces that changed between a refused order and the next one.
 #[test]
 fn order_that_was_not_answered_is_repeated_after_another_check() {
@@ -464,7 +569,8 @@
         agent.advance(ms(50));
     }
     agent.engine.is_busy = false;
-    agent.handle(Event::OrderAnswered(version_key(1), false));
+    let load = agent.loads[0].clone();
+    agent.handle(Event::OrderAnswered(load, false));
     agent.orders.clear();
     agent.checked_at.clear();
     let refused_at = agent.now;
--- a/components/proxy/src/controller/backends.rs
+++ b/components/proxy/src/controller/backends.rs
@@ -43,8 +43,8 @@
     pub write_piece: Box<dyn Fn(Name, Piece, Bytes) -> CallFuture<()> + Send + Sync>,
     /// Reads a piece from the engine.
     pub read_piece: Box<dyn Fn(Name, Piece) -> CallFuture<Bytes> + Send + Sync>,
-    /// Orders the engine to load a version of a model.
-    pub order_load: Box<dyn Fn(Name, u64) -> CallFuture<()> + Send + Sync>,
+    /// Orders the engine to load a version of a model, or only one layer of it.
+    pub order_load: Box<dyn Fn(Name, u64, Option<u32>) -> CallFuture<()> + Send + Sync>,
     /// Downloads the manifest of a version from the origin.
     pub download_manifest: Box<dyn Fn(SocketAddr, Name, u64) -> CallFuture<Manifest> + Send + Sync>,
     /// Downloads a piece of a version from the origin.
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -284,11 +284,10 @@
             Effect::CheckEngine(model_version) => {
                 self.spawn(move |agent| agent.check_engine(model_version))
             }
-            Effect::Stage(model_version) => self.spawn(move |agent| agent.stage(model_version)),
-            Effect::OrderLoad {
-                model_version,
-                valid_until,
-            } => self.spawn(move |agent| agent.order_load(model_version, valid_until)),
+            Effect::Stage(load) => self.spawn(move |agent| agent.stage(load)),
+            Effect::OrderLoad { load, valid_until } => {
+                self.spawn(move |agent| agent.order_load(load, valid_until))
+            }
             Effect::ReadEngine => self.spawn(Self::read_engine),
             Effect::ReadMembers => self.spawn(Self::read_members),
             Effect::Record(decision) => self.record(decision),
--- a/components/proxy/src/controller/staging.rs
+++ b/components/proxy/src/controller/staging.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use control::controller::{
     Event,
+    Load,
     ModelVersion, //
 };
 use control::PieceCheck;
@@ -57,29 +58,33 @@
         self.handle_event(Event::EngineChecked(model_version.key, found));
     }
 
-    /// Makes the engine hold all pieces of a version, and reports whether that succeeded.
-    pub(super) async fn stage(self: Arc<Self>, model_version: ModelVersion) {
+    /// Makes the engine hold all pieces of a load, and reports whether that succeeded.
+    pub(super) async fn stage(self: Arc<Self>, load: Load) {
         let check = {
             let _guard = self.staging.lock().await;
-            self.stage_all(&model_version).await
+            self.stage_all(&load).await
         };
-        self.handle_event(Event::Staged(model_version.key, check));
+        self.handle_event(Event::Staged(load, check));
     }
 
     /// Returns the check that found all pieces, or `None` if the engine does not hold all of them or is
-    /// updated to another version by now.
-    async fn stage_all(&self, model_version: &ModelVersion) -> Option<PieceCheck> {
+    /// updated to something else by now.
+    async fn stage_all(&self, load: &Load) -> Option<PieceCheck> {
+        let model_version = &load.model_version;
         let manifest = self.store.manifest(&model_version.key)?;
         for _ in 0..MAX_STAGING_ROUNDS {
             let started_at = self.clock.now().elapsed;
             let mut sent = 0;
-            for (piece, digest) in chunks(&manifest) {
+            for (piece, digest) in pieces_of(&manifest, load) {
+                if !lock(&self.state).is_updating_to(load) {
+                    return None;
+                }
                 if self.read_back(model_version, piece, digest).await.is_some() {
                     continue;
                 }
                 sent += 1;
                 let data = self.store.get(&model_version.key, piece)?;
-                if !lock(&self.state).is_updating_to(&model_version.key) {
+                if !lock(&self.state).is_updating_to(load) {
                     return None;
                 }
                 if let Err(e) =
@@ -119,23 +124,19 @@
         (Digest::of(&data) == *digest).then_some(data)
     }
 
-    /// Orders the engine to load a version unless it is later than `valid_until`. The process may have
-    /// stood still since the order was decided.
-    pub(super) async fn order_load(
-        self: Arc<Self>,
-        model_version: ModelVersion,
-        valid_until: Duration,
-    ) {
+    /// Orders the engine to load unless it is later than `valid_until`. The process may have stood still
+    /// since the order was decided.
+    pub(super) async fn order_load(self: Arc<Self>, load: Load, valid_until: Duration) {
         let is_accepted =
-            self.clock.now().elapsed <= valid_until && self.send_load_order(&model_version).await;
-        self.handle_event(Event::OrderAnswered(model_version.key, is_accepted));
+            self.clock.now().elapsed <= valid_until && self.send_load_order(&load).await;
+        self.handle_event(Event::OrderAnswered(load, is_accepted));
         self.read_engine().await;
     }
 
     /// Returns whether the engine accepted the order.
-    async fn send_load_order(&self, model_version: &ModelVersion) -> bool {
-        let ModelVersion { model, version, .. } = model_version;
-        let result = (self.backends.order_load)(model.clone(), *version).await;
+    async fn send_load_order(&self, load: &Load) -> bool {
+        let ModelVersion { model, version, .. } = &load.model_version;
+        let result = (self.backends.order_load)(model.clone(), *version, load.layer).await;
         if let Err(e) = &result {
             log::warn!(
                 target: LOG_TARGET,
@@ -146,6 +147,12 @@
     }
 }
 
+/// The pieces of a load, and their digests.
+fn pieces_of<'a>(manifest: &'a Manifest, load: &Load) -> impl Iterator<Item = (Piece, &'a Digest)> {
+    let pieces = load.layer.map(|layer| manifest.layer_pieces(layer));
+    chunks(manifest).filter(move |(piece, _)| pieces.as_ref().is_none_or(|p| p.contains(piece)))
+}
+
 /// The piece numbers of a manifest's chunks, and the digests of these chunks.
 fn chunks(manifest: &Manifest) -> impl Iterator<Item = (Piece, &Digest)> {
     (1..).zip(&manifest.chunks)
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -445,6 +445,9 @@
         model: Name,
         /// The version.
         version: u64,
+        /// The only layer that it loads, so that it runs nothing on the version before. `None` for all.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        layer: Option<u32>,
         /// The version that the engine runs until then.
         before: Option<u64>,
         /// Milliseconds since the process learned of the version.
--- a/components/weights/src/manifest.rs
+++ b/components/weights/src/manifest.rs
@@ -1,5 +1,7 @@
 //! The manifest of one version of a model's weights.
 
+use std::ops::Range;
+
 use displaydoc::Display;
 use serde::{
     Deserialize,
@@ -25,6 +27,13 @@
     pub total_bytes: u64,
     /// The digest of each chunk, in order.
     pub chunks: Vec<Digest>,
+    /// The number of layers of the model, in whose order the chunks are.
+    #[serde(default = "one_layer")]
+    pub layers: u32,
+}
+
+fn one_layer() -> u32 {
+    1
 }
 
 /// Why a manifest is rejected.
@@ -62,9 +71,22 @@
                 .chunks(chunk_bytes.max(1) as usize)
                 .map(Digest::of)
                 .collect(),
+            layers: one_layer(),
         }
     }
 
+    /// The pieces that a layer consists of. It shares the first and the last one with its neighbours
+    /// unless the chunks divide evenly.
+    pub fn layer_pieces(&self, layer: u32) -> Range<Piece> {
+        let chunks = self.chunks.len() as u64;
+        let layers = u64::from(self.layers.max(1));
+        let first = u64::from(layer) * chunks / layers;
+        let end = (u64::from(layer) + 1) * chunks;
+        let end = end.div_ceil(layers).min(chunks);
+        let piece = |chunk: u64| Piece::try_from(chunk + 1).unwrap_or(Piece::MAX);
+        piece(first)..piece(end)
+    }
+
     /// Verifies the digest of `text` and parses it.
     pub fn parse(text: &[u8], expected: &Digest) -> Result<Self, ManifestError> {
         let found = Digest::of(text);
--- a/components/weights/src/transfer/mod.rs
+++ b/components/weights/src/transfer/mod.rs
@@ -224,6 +224,11 @@
         self.manifest.is_some() && self.held_pieces.is_full()
     }
 
+    /// Whether a piece is held and verified.
+    pub fn holds(&self, piece: Piece) -> bool {
+        self.held_pieces.contains(piece as usize)
+    }
+
     /// The chunks that are held.
     pub fn held_chunks(&self) -> Vec<Piece> {
         let ones = self.held_pieces.ones().skip_while(|piece| *piece == 0);
