End an old version also where no layer of the newer one has arrived

Change: without such a layer the engine is ordered to keep a single layer of the version that it runs. It gives up the others, runs nothing, and the pieces need no check, since no token can come of them: every later order names a newer version.

The new cases of engine_runs_nothing_on_a_version_whose_time_is_over failed before; old_versions passes with a fourth case.

--- a/components/control/src/controller/download.rs
+++ b/components/control/src/controller/download.rs
@@ -15,7 +15,8 @@
 
 use super::{
     Effect,
-    ModelVersion, //
+    ModelVersion,
+    INNER_LAYER, //
 };
 
 /// The inputs of a transfer plan other than the version.
@@ -80,7 +81,13 @@
         let transfer = self.transfer.as_ref()?;
         let manifest = transfer.manifest()?;
         let is_held = |layer: &u32| manifest.layer_pieces(*layer).all(|p| transfer.holds(p));
-        (1..manifest.layers).find(is_held)
+        (INNER_LAYER..manifest.layers).find(is_held)
+    }
+
+    /// The number of layers of the model, or zero until the manifest is known.
+    pub fn layers(&self) -> u32 {
+        let manifest = self.transfer.as_ref().and_then(Transfer::manifest);
+        manifest.map_or(0, |manifest| manifest.layers)
     }
 
     pub fn report(&self) -> Option<TransferReport> {
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -266,6 +266,9 @@
 /// How long the engine may process the prompts of accepted requests before it is ordered to load.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(400);
 
+/// The first layer without which an engine runs nothing, and which cannot be taken for the whole model.
+const INNER_LAYER: u32 = 1;
+
 /// How long entries may take to tell the agent a closer bound on the publication of a version. An agent
 /// that watches the store for seconds knows only a distant one itself.
 const BOUND_EXCHANGE_TIME: Duration = Duration::from_secs(1);
@@ -791,9 +794,18 @@
             return;
         };
         if let Some(load) = self.next_load(now, engine) {
+            let is_held = engine.version == Some(load.model_version.version);
             self.update = Some(load);
             self.staged = None;
-            self.start_staging(effects);
+            if is_held {
+                let check = PieceCheck {
+                    started_at: now,
+                    ended_at: now,
+                };
+                self.order_load(now, engine, &check, effects);
+            } else {
+                self.start_staging(effects);
+            }
             return;
         }
         let Some(staged) = self.staged else {
@@ -881,15 +893,25 @@
         })
     }
 
-    /// The load of one layer of a version newer than `running`, whose pieces are held.
+    /// The load of one layer of a version newer than `running`, whose pieces are held. Without one, the
+    /// engine is to keep a single layer of the version that it runs.
     fn retiring_load(&self, running: u64) -> Option<Load> {
         let newer = self.downloads.iter().rev();
         let mut newer = newer.filter(|d| d.model_version.version > running);
-        newer.find_map(|download| {
+        let held = newer.find_map(|download| {
             Some(Load {
                 layer: Some(download.held_inner_layer()?),
                 model_version: download.model_version.clone(),
             })
+        });
+        if held.is_some() {
+            return held;
+        }
+        let has_inner_layers = self.downloads.iter().any(|d| d.layers() > INNER_LAYER);
+        let model = self.model.as_ref().filter(|_| has_inner_layers)?;
+        Some(Load {
+            model_version: ModelVersion::new(model, running),
+            layer: Some(INNER_LAYER),
         })
     }
 
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -524,6 +524,15 @@
         Case {
             name: "no layer arrives but the first one",
             chunks: &[1, 2, 3],
+            layers: &[Some(1)],
+            first_within: (ms(7000), ms(7600)),
+            ..case
+        },
+        Case {
+            name: "no layer arrives in time",
+            others_after: ms(8500),
+            layers: &[Some(1), None],
+            first_within: (ms(7000), ms(7600)),
             ..case
         },
         Case {
--- a/tests/old_versions.rs
+++ b/tests/old_versions.rs
@@ -7,6 +7,7 @@
 mod standin;
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::atomic::{
     AtomicBool,
@@ -120,8 +121,8 @@
 
 struct Case {
     name: &'static str,
-    /// The piece of version 2 that the origin lacks at first.
-    missing_piece: u64,
+    /// The pieces of version 2 that the origin lacks at first.
+    missing_pieces: Range<u64>,
     /// When the origin has it after version 2 was published.
     available_after: Duration,
     /// When the request is sent after version 2 was published, and how long it travels.
@@ -129,24 +130,31 @@
     delay: Duration,
 }
 
-const CASES: [Case; 3] = [
+const CASES: [Case; 4] = [
     Case {
         name: "the last layer does not arrive",
-        missing_piece: 7,
+        missing_pieces: 7..8,
         available_after: Duration::from_millis(8800),
         sent_after: Duration::from_millis(6900),
         delay: Duration::from_millis(1400),
     },
     Case {
         name: "the first layer does not arrive",
-        missing_piece: 0,
+        missing_pieces: 0..1,
         available_after: Duration::from_millis(9900),
         sent_after: Duration::from_millis(6900),
         delay: Duration::from_millis(2500),
     },
+    Case {
+        name: "no layer arrives",
+        missing_pieces: 0..8,
+        available_after: Duration::from_millis(8800),
+        sent_after: Duration::from_millis(6900),
+        delay: Duration::from_millis(1400),
+    },
     Case {
         name: "the last layer arrives just before",
-        missing_piece: 6,
+        missing_pieces: 6..7,
         available_after: Duration::from_millis(7900),
         sent_after: Duration::from_millis(6900),
         delay: Duration::from_millis(1250),
@@ -174,11 +182,11 @@
     let is_available = Arc::new(AtomicBool::new(false));
     let has_piece = is_available.clone();
     let origin = move |request: &ReceivedRequest| {
-        let number = request
+        let number: Option<u64> = request
             .query_parameter("number")
             .and_then(|n| n.parse().ok());
         let is_new = request.query_parameter("version").as_deref() == Some("2");
-        let is_asked = is_new && number == Some(case.missing_piece);
+        let is_asked = is_new && number.is_some_and(|n| case.missing_pieces.contains(&n));
         if is_asked && !has_piece.load(Ordering::SeqCst) {
             let response = http_response("404 Not Found", &[], b"");
             return vec![ResponseStep::Write(response)];
