Update the last engines in time if their agents learn late of a version

Cause: the schedule of an update counts from a second before the agent learned of the version at the earliest, also if entries told it a closer bound. An agent that learned of it three seconds late waited for its turn until two seconds after entries had stopped sending to the old version, so a request on its way could begin on it.

Change: an engine that waits for its turn is ordered to load when the time of its version is over, without waiting for prompts.

Measured: the test failed before, with an order 9 s after the publication where 7.5 s are allowed.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -811,6 +811,7 @@
         let Some(staged) = self.staged else {
             return;
         };
+        let is_retired = engine.version.is_some_and(|v| self.is_retired(now, v));
         if self.phase == UpdatePhase::Waiting && self.is_retiring() {
             if self.is_check_valid(now, &staged.check) {
                 self.order_load(now, engine, &staged.check, effects);
@@ -820,9 +821,9 @@
         } else if self.phase == UpdatePhase::Waiting && !engine.is_busy {
             let update_time = self.update_time(staged.since);
             let is_check_valid = self.is_check_valid(now + MAX_DRAIN_TIME, &staged.check);
-            if !is_check_valid && now + staged.check.duration() >= update_time {
+            if !is_check_valid && (is_retired || now + staged.check.duration() >= update_time) {
                 self.start_staging(effects);
-            } else if is_check_valid && now >= update_time {
+            } else if is_check_valid && (is_retired || now >= update_time) {
                 self.phase = UpdatePhase::Draining(now);
             }
         }
@@ -832,7 +833,7 @@
             let is_drained = self.reservations.backlog().unprefilled_tokens == 0;
             if !self.is_check_valid(now, &staged.check) {
                 self.start_staging(effects);
-            } else if is_drained || now.saturating_sub(since) >= MAX_DRAIN_TIME {
+            } else if is_drained || is_retired || now.saturating_sub(since) >= MAX_DRAIN_TIME {
                 self.order_load(now, engine, &staged.check, effects);
             }
         }
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -570,6 +570,21 @@
     }
 }
 
+/// Guards against requests that begin on the version before while the last engines wait for a turn that is
+/// counted from when their agents heard of the version.
+#[test]
+fn last_engine_is_updated_in_time_if_its_agent_learns_late_of_the_version() {
+    let mut agent = agent_of_rank(4, 5, UPDATE_LIMITS);
+    agent.advance(ms(10_000));
+    let published_at = agent.now - ms(3000);
+    agent.name_version_published_at(2, published_at);
+    agent.receive_all(2);
+    agent.advance(ms(7000));
+    assert_eq!(agent.ordered_versions(), [2]);
+    let ordered_after = agent.orders[0].1 - published_at;
+    assert!(ordered_after <= ms(7500), "{ordered_after:?}");
+}
+
 /// Guards against the load of pieces that changed between a refused order and the next one.
 #[test]
 fn order_that_was_not_answered_is_repeated_after_another_check() {
