Recognise the end of a load of one layer, and complete no unverified one

- The end of a load of one layer was not recognised, since success means that the engine reports no whole version.
If no report showed the engine busy, it stayed out until the order timed out (6.5 s); a report from before an order to keep one layer repeated the order at once.
- An engine that is busy accepts nothing, so it gets no such order.
- An agent that restarts could complete a version from the one layer that the engine kept without a check (WHOLE).
It now waits for the newest version.
- A closer bound that becomes known before the order revokes it.
- The number of layers is read from the engine, so that an agent without any manifest can order, and is written to manifests only if over one.

--- a/components/control/src/controller/download.rs
+++ b/components/control/src/controller/download.rs
@@ -84,12 +84,6 @@
         (INNER_LAYER..manifest.layers).find(is_held)
     }
 
-    /// The number of layers of the model, or zero until the manifest is known.
-    pub fn layers(&self) -> u32 {
-        let manifest = self.transfer.as_ref().and_then(Transfer::manifest);
-        manifest.map_or(0, |manifest| manifest.layers)
-    }
-
     pub fn report(&self) -> Option<TransferReport> {
         self.transfer.as_ref().map(Transfer::report)
     }
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -70,6 +70,10 @@
 pub struct EngineReport {
     /// The version of its weights, if all layers are loaded.
     pub version: Option<u64>,
+    /// The version of its weights, if only some layers are loaded.
+    pub partial_version: Option<u64>,
+    /// The number of layers that are loaded, if it says so.
+    pub layers: Option<u32>,
     /// Whether it is carrying out an order.
     pub is_busy: bool,
     /// How long work takes now, in percent of the usual time, if it says so.
@@ -266,7 +270,7 @@
 /// How long the engine may process the prompts of accepted requests before it is ordered to load.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(400);
 
-/// The first layer without which an engine runs nothing, and which cannot be taken for the whole model.
+/// A layer that is never the first one, so that its report cannot be taken for one of the whole model.
 const INNER_LAYER: u32 = 1;
 
 /// How long entries may take to tell the agent a closer bound on the publication of a version. An agent
@@ -726,8 +730,10 @@
         if !matches!(self.phase, UpdatePhase::Loading(_)) || report.is_busy {
             return;
         }
-        let updated = self.update.as_ref().map(|load| load.model_version.version);
-        let is_loaded = updated == report.version;
+        let is_loaded = self.update.as_ref().is_some_and(|load| match load.layer {
+            Some(_) => report.version.is_none(),
+            None => report.version == Some(load.model_version.version),
+        });
         if is_loaded {
             self.phase = UpdatePhase::Idle;
         } else if previous.is_some_and(|previous| previous.is_busy) {
@@ -813,7 +819,10 @@
         };
         let is_retired = engine.version.is_some_and(|v| self.is_retired(now, v));
         if self.phase == UpdatePhase::Waiting && self.is_retiring() {
-            if self.is_check_valid(now, &staged.check) {
+            if !is_retired || engine.is_busy {
+                // A closer bound became known, or an earlier order came into effect.
+                self.phase = UpdatePhase::Idle;
+            } else if self.is_check_valid(now, &staged.check) {
                 self.order_load(now, engine, &staged.check, effects);
             } else {
                 self.start_staging(effects);
@@ -844,30 +853,28 @@
         if matches!(self.phase, UpdatePhase::Loading(_)) || now < self.retry_at {
             return None;
         }
-        let is_order_far = matches!(self.phase, UpdatePhase::Idle | UpdatePhase::Staging);
-        let is_retiring = self.is_retiring() && self.phase != UpdatePhase::Idle;
-        if is_retiring {
+        if self.is_retiring() && self.phase != UpdatePhase::Idle {
             return None;
         }
-        let running = engine
-            .version
-            .filter(|running| self.is_retired(now, *running));
-        if let (true, Some(running)) = (is_order_far, running) {
-            if let Some(load) = self.retiring_load(running) {
+        // A busy engine accepts nothing, and one that waits for its turn is about to get its order.
+        let may_retire =
+            !engine.is_busy && matches!(self.phase, UpdatePhase::Idle | UpdatePhase::Staging);
+        let running = engine.version.filter(|_| may_retire);
+        if let Some(running) = running.filter(|running| self.is_retired(now, *running)) {
+            if let Some(load) = self.retiring_load(engine, running) {
                 return Some(load);
             }
         }
         let newest = self.downloads.iter().rev().find(|d| d.is_complete())?;
-        if self.is_retired(now, newest.model_version.version) {
+        let version = newest.model_version.version;
+        if self.is_retired(now, version) || self.has_unverified_layer(engine, version) {
             return None;
         }
         let load = Load {
             model_version: newest.model_version.clone(),
             layer: None,
         };
-        let is_newer = engine
-            .version
-            .is_none_or(|v| v < load.model_version.version);
+        let is_newer = engine.version.is_none_or(|running| running < version);
         let is_different = !self.is_updating_to(&load);
         let is_next = is_newer && (is_different || self.phase == UpdatePhase::Idle);
         is_next.then_some(load)
@@ -896,7 +903,7 @@
 
     /// The load of one layer of a version newer than `running`, whose pieces are held. Without one, the
     /// engine is to keep a single layer of the version that it runs.
-    fn retiring_load(&self, running: u64) -> Option<Load> {
+    fn retiring_load(&self, engine: EngineReport, running: u64) -> Option<Load> {
         let newer = self.downloads.iter().rev();
         let mut newer = newer.filter(|d| d.model_version.version > running);
         let held = newer.find_map(|download| {
@@ -908,7 +915,7 @@
         if held.is_some() {
             return held;
         }
-        let has_inner_layers = self.downloads.iter().any(|d| d.layers() > INNER_LAYER);
+        let has_inner_layers = engine.layers.is_some_and(|layers| layers > INNER_LAYER);
         let model = self.model.as_ref().filter(|_| has_inner_layers)?;
         Some(Load {
             model_version: ModelVersion::new(model, running),
@@ -916,6 +923,16 @@
         })
     }
 
+    /// Whether the engine may hold a layer of a version that was not verified before it was ordered to keep
+    /// only this one. It would be used again by an order to load the whole version.
+    fn has_unverified_layer(&self, engine: EngineReport, version: u64) -> bool {
+        let is_verified = self.update.as_ref().is_some_and(|load| {
+            load.layer.is_some() && load.model_version.version == version && self.staged.is_some()
+        });
+        let is_newest = self.versions.last().map(|known| known.version) == Some(version);
+        engine.partial_version == Some(version) && !is_verified && !is_newest
+    }
+
     /// Has the pieces of the current update verified at the engine, and those written that it lacks.
     fn start_staging(&mut self, effects: &mut Vec<Effect>) {
         self.phase = UpdatePhase::Staging;
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// Sets the number of layers of all versions, which the engine holds.
+    fn set_layers(&mut self, layers: u32) {
+        self.layers = layers;
+        self.engine.layers = Some(layers);
+    }
+
     fn name_version(&mut self, version: u64) {
         self.name_version_published_at(version, self.now);
     }
@@ -226,6 +232,8 @@
                     let is_whole = self.loads.last().is_some_and(|l| l.layer.is_none());
                     self.engine = EngineReport {
                         version: Some(version).filter(|_| is_whole),
+                        partial_version: Some(version).filter(|_| !is_whole),
+                        layers: Some(if is_whole { self.layers } else { 1 }),
                         ..EngineReport::default()
                     };
                 }
@@ -547,7 +555,7 @@
     for case in cases {
         let mut agent = Agent::new(1, Some(1));
         agent.advance(ms(10_000));
-        agent.layers = 2;
+        agent.set_layers(2);
         agent.origin_versions = vec![];
         let named_at = agent.now;
         agent.name_version_published_at(2, named_at - case.bound_distance);
@@ -570,6 +578,56 @@
     }
 }
 
+/// Guards against a second order, and against an engine that stays out of service, if the load of one layer
+/// ends before any report shows it, or a report from before it arrives late.
+#[test]
+fn end_of_the_load_of_one_layer_is_recognised() {
+    let mut agent = Agent::new(1, Some(1));
+    agent.advance(ms(10_000));
+    agent.set_layers(2);
+    agent.origin_versions = vec![];
+    agent.name_version(2);
+    agent.receive(2, &[3, 4]);
+    while agent.orders.is_empty() {
+        agent.advance(ms(50));
+    }
+    let before = EngineReport {
+        version: Some(1),
+        layers: Some(2),
+        ..EngineReport::default()
+    };
+    agent.handle(Event::Engine(Some(before)));
+    agent.handle(Event::Engine(Some(before)));
+    agent.engine = EngineReport {
+        partial_version: Some(2),
+        layers: Some(1),
+        ..EngineReport::default()
+    };
+    agent.advance(ms(100));
+    agent.receive(2, &[1, 2]);
+    agent.advance(ms(200));
+    let layers: Vec<Option<u32>> = agent.loads.iter().map(|load| load.layer).collect();
+    assert_eq!(layers, [Some(1), None]);
+}
+
+/// Guards against tokens of a layer that was kept without a check: an agent that restarts finds it, and may know
+/// only the version before.
+#[test]
+fn version_is_not_completed_from_an_unverified_layer() {
+    let mut agent = Agent::new(1, None);
+    agent.engine = EngineReport {
+        partial_version: Some(1),
+        layers: Some(1),
+        ..EngineReport::default()
+    };
+    agent.handle(Event::Engine(Some(agent.engine)));
+    agent.advance(ms(3000));
+    assert!(agent.orders.is_empty());
+    agent.name_version(2);
+    agent.advance(ms(500));
+    assert_eq!(agent.ordered_versions(), [2]);
+}
+
 /// Guards against requests that begin on the version before while the last engines wait for a turn that is
 /// counted from when their agents heard of the version.
 #[test]
--- a/components/weights/src/manifest.rs
+++ b/components/weights/src/manifest.rs
@@ -28,7 +28,7 @@
     /// The digest of each chunk, in order.
     pub chunks: Vec<Digest>,
     /// The number of layers of the model, in whose order the chunks are.
-    #[serde(default = "one_layer")]
+    #[serde(default = "one_layer", skip_serializing_if = "is_one_layer")]
     pub layers: u32,
 }
 
@@ -36,6 +36,10 @@
     1
 }
 
+fn is_one_layer(layers: &u32) -> bool {
+    *layers == one_layer()
+}
+
 /// Why a manifest is rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum ManifestError {
