The plan of a transfer looks up regions in an index

Cause: with each event of a transfer an agent asks for the region of each peer that it knows, once for itself and once for each piece, and each time all members were compared by name. The cost grows with instances times peers times pieces.

Change: the plan keeps the region of each member by name. Decisions do not change.

--- a/components/weights/src/plan.rs
+++ b/components/weights/src/plan.rs
@@ -6,6 +6,8 @@
 //! lags, and two views of it would yield two sets of candidates and so more copies fetched from the
 //! origin.
 
+use std::collections::BTreeMap;
+
 use sheet::Sheet;
 use utils::digest::Digest;
 use utils::{
@@ -39,6 +41,8 @@
     origin_region: Name,
     region: Name,
     members: Vec<Member>,
+    /// The region of each member, which is looked up for each peer and piece with each event.
+    regions: BTreeMap<Name, Name>,
     /// The instances of this region in rotation order: piece `i` is fetched into the region first
     /// by the instance at `i` modulo their number.
     rotation: Vec<Name>,
@@ -68,11 +72,17 @@
         me: &str,
     ) -> Option<Self> {
         let region = members.iter().find(|m| &*m.name == me)?.region.clone();
+        let mut regions = BTreeMap::new();
+        for member in &members {
+            let region = regions.entry(member.name.clone());
+            region.or_insert_with(|| member.region.clone());
+        }
         let mut plan = Self {
             manifest,
             origin_region,
             region,
             members,
+            regions,
             rotation: Vec::new(),
         };
         plan.rotation = plan.rotation_of(&plan.region);
@@ -101,8 +111,7 @@
 
     /// The region of `name`.
     pub fn region_of(&self, name: &str) -> Option<&Name> {
-        let member = self.members.iter().find(|m| &*m.name == name)?;
-        Some(&member.region)
+        self.regions.get(name)
     }
 
     /// The number of instances in this instance's region.
