Processes pass on all versions that still decide something

Cause: each version counts from its own publication, but the store, entries and agents named only the newest one, and receivers dropped versions older than their newest. A process that started while several versions were being spread learned one bound, and allowed every older version until that one was required.

Change: entries and agents pass on to each other the newest version whose time is over, which is the oldest allowed one, and all newer ones, 16 at most, the newest first: a receiver would otherwise start a download of each. A receiver inserts older versions in order. It takes one only with a bound, since a version without a bound is required at once. In an agent an older version starts no download and no reading of the members; it only counts for the schedule. The watches of engines restart for a new newest version only, as before.

What a process may assume that has heard no earlier bound: if the first version was named before its first confirmed call, it lacks what came before. It then allows the version one below the oldest known one, which may be in force until that one is required, and none older, whose time may be over since long. Any reply of an agent that knows more widens this. This takes versions to be numbered one by one; with gaps, a process that starts refuses the version before the gap until the next one is required. A process that had read the store before the first version was named lacks nothing and allows all older ones, as before.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -36,7 +36,11 @@
     self,
     LimitStatus, //
 };
-use crate::published_version::PublishedVersion;
+use crate::published_version::{
+    deciding_versions,
+    insert_older,
+    PublishedVersion, //
+};
 use crate::router::learned::learned_limit;
 use crate::CrashSuspects;
 use crate::PieceCheck;
@@ -460,10 +464,13 @@
         downloads.find(|d| d.model_version.key == *key)?.report()
     }
 
-    /// The newest named version, for peers and entries.
-    pub fn newest_version(&self, now: Duration) -> Option<NamedVersion> {
-        let newest = self.versions.last()?;
-        Some(newest.to_message(now, self.model.clone()?))
+    /// The named versions that still decide which ones requests may run on, the newest first.
+    pub fn named_versions(&self, now: Duration) -> Vec<NamedVersion> {
+        let Some(model) = &self.model else {
+            return Vec::new();
+        };
+        let old_version_time = self.update_limits.old_version_time;
+        deciding_versions(now, model, &self.versions, old_version_time)
     }
 
     /// Whether the newest version is not running yet, so that ticks must be frequent.
@@ -591,7 +598,14 @@
         }
         let is_own_model = self.model.as_ref() == Some(model);
         let newest = self.versions.last().map_or(0, |known| known.version);
-        if !is_own_model || named.version <= newest {
+        if !is_own_model {
+            return;
+        }
+        if named.version <= newest {
+            // It only tells when the engine must have left a version before it.
+            if insert_older(&mut self.versions, named) {
+                effects.push(Effect::Record(named.to_decision(now, model.clone())));
+            }
             return;
         }
         self.versions.push(named);
--- a/components/control/src/published_version.rs
+++ b/components/control/src/published_version.rs
@@ -10,6 +10,10 @@
 };
 use utils::Name;
 
+/// The maximum number of versions of a model that other processes are told. Operators may name several
+/// within the time of one, and messages must not grow without limit.
+const MAX_MESSAGE_VERSIONS: usize = 16;
+
 /// A version of a model's weights that operators named, as far as one process knows.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PublishedVersion {
@@ -66,3 +70,37 @@
         }
     }
 }
+
+/// Adds an older version than the newest known one to `versions`, which are in ascending order. Without
+/// a bound it is not added: it would be required at once although its time may not be over. Returns
+/// whether it was added.
+pub(crate) fn insert_older(versions: &mut Vec<PublishedVersion>, named: PublishedVersion) -> bool {
+    if named.published_after.is_none() {
+        return false;
+    }
+    let index = versions.partition_point(|known| known.version < named.version);
+    versions.insert(index, named);
+    true
+}
+
+/// What other processes are told of `versions`, which are in ascending order: those that still decide
+/// which ones requests may run on. These are the newest one whose time, `grace`, has passed since its
+/// publication, and all newer ones.
+///
+/// The newest is the first, as receivers start the download of each version that is newer than those
+/// they know.
+pub(crate) fn deciding_versions(
+    now: Duration,
+    model: &Name,
+    versions: &[PublishedVersion],
+    grace: Duration,
+) -> Vec<NamedVersion> {
+    let is_required = |known: &PublishedVersion| {
+        let published_after = known.published_after;
+        published_after.is_some_and(|at| now >= at + grace)
+    };
+    let oldest = versions.iter().rposition(is_required).unwrap_or(0);
+    let deciding = versions[oldest..].iter().rev().take(MAX_MESSAGE_VERSIONS);
+    let messages = deciding.map(|known| known.to_message(now, model.clone()));
+    messages.collect()
+}
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -56,7 +56,10 @@
     Effect,
     Event, //
 };
-use crate::published_version::PublishedVersion;
+use crate::published_version::{
+    deciding_versions,
+    PublishedVersion, //
+};
 use crate::CrashSuspects;
 
 /// How long it takes to deliver the end of an answer.
@@ -94,7 +97,11 @@
     pub(super) table: Option<RoutingTable>,
     pub(super) lease: Lease,
     pub(super) out_data_centres: BTreeSet<Name>,
+    /// The versions of each model that operators named, in ascending order.
     pub(super) required_versions: BTreeMap<Name, Vec<PublishedVersion>>,
+    /// The models of which a version was named before the process read the store for the first time, so
+    /// that it may lack earlier ones.
+    pub(super) models_named_at_start: BTreeSet<Name>,
     pub(super) targets: Targets,
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) spillovers: BTreeMap<Name, Spillover>,
@@ -170,6 +177,7 @@
             lease: Lease::new(options.config_age_limits),
             out_data_centres: BTreeSet::new(),
             required_versions: BTreeMap::new(),
+            models_named_at_start: BTreeSet::new(),
             targets: Targets::default(),
             queues: BTreeMap::new(),
             spillovers: BTreeMap::new(),
@@ -327,11 +335,21 @@
         &self.options.location.data_centre
     }
 
-    /// The newest named version of each model, and how long ago it was named and learned of.
+    /// The named versions of each model that still decide which ones requests may run on, the newest
+    /// first, and how long ago they were named and learned of.
     pub fn named_versions(&self, now: Duration) -> Vec<NamedVersion> {
+        let grace = self.options.version_grace;
+        let models = self.required_versions.iter();
+        let versions =
+            models.flat_map(|(model, named)| deciding_versions(now, model, named, grace));
+        versions.collect()
+    }
+
+    /// The newest named version of each model.
+    pub fn newest_versions(&self) -> Vec<(Name, u64)> {
         let newest = self.required_versions.iter().filter_map(|(model, named)| {
             let newest = named.last()?;
-            Some(newest.to_message(now, model.clone()))
+            Some((model.clone(), newest.version))
         });
         newest.collect()
     }
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -8,7 +8,10 @@
 use utils::Name;
 
 use crate::grace::Grace;
-use crate::published_version::PublishedVersion;
+use crate::published_version::{
+    insert_older,
+    PublishedVersion, //
+};
 
 use super::config::Config;
 use super::state::State;
@@ -224,8 +227,15 @@
         }
         let newest = versions.last().map(|last| last.version);
         if newest.is_some_and(|newest| newest > named.version) {
+            // The store names only the newest version, so what it showed is no bound on this one.
+            if insert_older(versions, named) {
+                effects.push(Effect::Record(named.to_decision(now, model)));
+            }
             return;
         }
+        if newest.is_none() && self.lease.confirmed_at().is_none() {
+            self.models_named_at_start.insert(model.clone());
+        }
         // The last confirmed call of this process did not show it.
         let named = PublishedVersion {
             published_after: named.published_after.max(self.lease.confirmed_at()),
@@ -287,10 +297,21 @@
     }
 
     /// The oldest version that requests for a model may run on now.
+    ///
+    /// If the time of no known version is over, the one before them may be in force still. What is
+    /// older than that may be over since any time, unless the process has followed the store since
+    /// before the first of them was named.
     pub(super) fn oldest_version(&self, now: Duration, model: &str) -> Option<u64> {
-        let versions = self.required_versions.get(model)?.iter();
+        let versions = self.required_versions.get(model)?;
         let grace = self.options.version_grace;
-        let required = versions.filter(|named| now >= required_from(named, grace));
-        required.map(|named| named.version).max()
+        let required = versions
+            .iter()
+            .rfind(|named| now >= required_from(named, grace));
+        if let Some(required) = required {
+            return Some(required.version);
+        }
+        let oldest = versions.first()?;
+        let may_lack_earlier = self.models_named_at_start.contains(model);
+        may_lack_earlier.then(|| oldest.version.saturating_sub(1))
     }
 }
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -177,14 +177,17 @@
     }
 
     fn name_version(&mut self, version: u64) {
-        let model = "m".into();
-        let age = Some(Duration::ZERO);
-        self.handle(Event::VersionNamed {
-            model,
+        self.handle(self.version_named(version, Some(Duration::ZERO)));
+    }
+
+    /// An entry's report on a version that was published `age` ago, if that is known.
+    fn version_named(&self, version: u64, age: Option<Duration>) -> Event {
+        Event::VersionNamed {
+            model: "m".into(),
             version,
             age,
-            published_after: Some(self.now),
-        });
+            published_after: age.map(|age| self.now - age),
+        }
     }
 
     /// Receives all pieces of a version at once.
@@ -305,6 +308,60 @@
     assert!(agent.controller.is_downloading(&version_key(3)));
 }
 
+/// Guards against an engine that keeps a version beyond its time, since its agent counts from the
+/// publication of the newest one, and against a download that starts again.
+#[test]
+fn an_older_version_that_becomes_known_moves_only_the_schedule() {
+    struct Case {
+        name: &'static str,
+        /// How long ago version 2 was published, if an entry reports that.
+        reported: Option<Duration>,
+        /// When the engine is ordered to load version 3, after that was named.
+        ordered_after: Duration,
+        ordered_within: Duration,
+    }
+    let cases = [
+        Case {
+            name: "an older version with a bound",
+            reported: Some(ms(4000)),
+            ordered_after: ms(300),
+            ordered_within: ms(1000),
+        },
+        Case {
+            name: "an older version without a bound",
+            reported: None,
+            ordered_after: ms(2600),
+            ordered_within: ms(3200),
+        },
+    ];
+    for case in cases {
+        let mut agent = Agent::new(1, Some(1));
+        agent.advance(ms(5000));
+        agent.name_version(3);
+        agent.advance(ms(300));
+        let named_at = agent.now - ms(300);
+        let event = agent.version_named(2, case.reported);
+        let effects = agent.controller.step(agent.now, event);
+        let is_read_again = effects.iter().any(|e| matches!(e, Effect::ReadMembers));
+        assert!(!is_read_again, "{}", case.name);
+        let is_transfer =
+            |e: &Effect| matches!(e, Effect::Transfer(..) | Effect::RetainVersions(_));
+        assert!(
+            !effects.iter().any(is_transfer),
+            "{}: {effects:?}",
+            case.name
+        );
+        assert!(agent.controller.is_downloading(&version_key(3)));
+        assert!(!agent.controller.is_downloading(&version_key(2)));
+        effects.into_iter().for_each(|effect| agent.apply(effect));
+        agent.advance(ms(9000));
+        assert_eq!(agent.ordered_versions(), [3], "{}", case.name);
+        let after = agent.orders[0].1 - named_at;
+        let is_in_time = (case.ordered_after..=case.ordered_within).contains(&after);
+        assert!(is_in_time, "{}: {after:?}", case.name);
+    }
+}
+
 #[test]
 fn a_complete_newer_version_replaces_the_previous_one() {
     let mut agent = Agent::new(1, Some(1));
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -221,6 +221,15 @@
         });
     }
 
+    /// Handles what an agent or the store says of versions: their numbers, and how many seconds ago
+    /// they were published at the earliest.
+    fn report_versions(&mut self, versions: &[(u64, Option<u64>)]) {
+        for (version, age) in versions {
+            let age = age.map(Duration::from_secs);
+            self.name_version(*version, age.map(|age| self.now - age));
+        }
+    }
+
     fn step(&mut self, event: Event) -> Vec<Effect> {
         self.state.step(clock(self.now), event)
     }
@@ -1172,3 +1181,147 @@
     let order: Vec<&str> = engines.iter().map(|e| data_centre(&e.target)).collect();
     assert_eq!(order, ["a", "a", "b", "c", "c"]);
 }
+
+/// A process that starts while several versions are being spread must not use one whose time is over,
+/// and must not refuse one whose time is not.
+#[test]
+fn a_process_that_starts_allows_the_versions_whose_time_is_not_over() {
+    struct Case {
+        name: &'static str,
+        /// What was said before the first confirmed call to the store, and after it.
+        at_start: &'static [(u64, Option<u64>)],
+        afterwards: &'static [(u64, Option<u64>)],
+        running: u64,
+        is_allowed: bool,
+    }
+    let case = |name, at_start, afterwards, running, is_allowed| Case {
+        name,
+        at_start,
+        afterwards,
+        running,
+        is_allowed,
+    };
+    let found: &[(u64, Option<u64>)] = &[(5, None)];
+    let reported: &[(u64, Option<u64>)] = &[(5, Some(2)), (4, Some(4)), (3, Some(6)), (2, Some(8))];
+    let cases = [
+        case("no bound: no older version", found, &[], 4, false),
+        case(
+            "only the newest bound: the one before",
+            found,
+            &[(5, Some(2))],
+            4,
+            true,
+        ),
+        case(
+            "only the newest bound: no older one",
+            found,
+            &[(5, Some(2))],
+            3,
+            false,
+        ),
+        case("all bounds: the oldest in time", found, reported, 2, true),
+        case("all bounds: over", found, reported, 1, false),
+        case(
+            "an agent came before the store",
+            &[(5, Some(2))],
+            found,
+            3,
+            false,
+        ),
+        case(
+            "an older one without a bound does not matter",
+            found,
+            &[(5, Some(2)), (3, None)],
+            3,
+            false,
+        ),
+        case(
+            "none named at the start: the one since installed",
+            &[],
+            &[(5, Some(2))],
+            1,
+            true,
+        ),
+    ];
+    for case in cases {
+        let mut router = TestRouter::new_at(ms(20_000));
+        router.state = State::new(options());
+        router.step(Event::ConfigRead(Arc::new(config(1))));
+        router.report_versions(case.at_start);
+        router.renew();
+        router.report_versions(case.afterwards);
+        router.step(Event::TargetListed(TargetEntry {
+            version: Some(case.running),
+            ..entry("e", "engines", "a")
+        }));
+        let (_, result) = router.receive("chat");
+        let is_sent = matches!(result, RequestResult::Sent(_));
+        assert_eq!(is_sent, case.is_allowed, "{}: {result:?}", case.name);
+    }
+}
+
+/// A version that was replaced between two calls to the store, so that this process learns of it only
+/// from others, must not be missed.
+#[test]
+fn a_version_that_was_replaced_before_it_was_seen_counts() {
+    let mut router = TestRouter::new();
+    router.step(Event::TargetListed(TargetEntry {
+        version: Some(1),
+        ..entry("e", "engines", "a")
+    }));
+    router.now += ms(9000);
+    router.report_versions(&[(3, Some(2))]);
+    router.renew();
+    assert_eq!(router.receive("chat").1.target(), "e");
+    router.report_versions(&[(2, Some(8))]);
+    let (_, result) = router.receive("chat");
+    assert_eq!(result.reason(), (RejectionReason::NoTarget, true));
+}
+
+/// A process that starts learns the bounds of earlier versions only if others pass them on. Those that
+/// are older than the one required now decide nothing.
+#[test]
+fn all_versions_that_decide_something_are_passed_on() {
+    struct Case {
+        name: &'static str,
+        known: &'static [(u64, Option<u64>)],
+        expected: &'static [u64],
+    }
+    let cases = [
+        Case {
+            name: "all in time",
+            known: &[(2, Some(4)), (3, Some(2)), (4, Some(0))],
+            expected: &[4, 3, 2],
+        },
+        Case {
+            name: "two over",
+            known: &[(2, Some(9)), (3, Some(7)), (4, Some(3))],
+            expected: &[4, 3],
+        },
+        Case {
+            name: "an older one became known last",
+            known: &[(4, Some(1)), (2, Some(5)), (3, Some(3))],
+            expected: &[4, 3, 2],
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new_at(ms(20_000));
+        router.state = State::new(options());
+        router.report_versions(case.known);
+        let named = router.state.named_versions(router.now);
+        let versions: Vec<u64> = named.iter().map(|named| named.version).collect();
+        assert_eq!(versions, case.expected, "{}", case.name);
+    }
+}
+
+/// Many versions within the time of one do not make messages grow without limit.
+#[test]
+fn the_number_of_versions_that_are_passed_on_is_limited() {
+    let mut router = TestRouter::new();
+    for version in 2..100 {
+        router.name_version(version, Some(router.now));
+    }
+    let named = router.state.named_versions(router.now);
+    assert_eq!(named.len(), 16);
+    assert_eq!(named.first().map(|named| named.version), Some(99));
+}
--- a/components/proxy/src/controller/peers.rs
+++ b/components/proxy/src/controller/peers.rs
@@ -447,10 +447,7 @@
         let watchers = self.watcher_count();
         let elapsed = self.clock.now().elapsed;
         let held = elapsed.saturating_sub(received_at);
-        let named = lock(&self.state)
-            .newest_version(elapsed)
-            .into_iter()
-            .collect();
+        let named = lock(&self.state).named_versions(elapsed);
         let reply = Reply::Engine {
             status: current,
             watchers,
--- a/components/proxy/src/router/engines.rs
+++ b/components/proxy/src/router/engines.rs
@@ -86,7 +86,7 @@
         let mut engines = router.inner.state.borrow().engines();
         // Restarts all watches when a version is named: the requests that agents are holding do not
         // contain it.
-        let versions = named_versions(&router);
+        let versions = router.inner.state.borrow().newest_versions();
         let must_restart = versions != sent_versions;
         sent_versions = versions;
         if must_restart {
@@ -196,13 +196,6 @@
     }
 }
 
-/// The model versions that operators named, without their ages.
-fn named_versions(router: &Router) -> Vec<(Name, u64)> {
-    let named = router.inner.state.borrow().named_versions(Duration::ZERO);
-    let versions = named.into_iter().map(|named| (named.model, named.version));
-    versions.collect()
-}
-
 fn handle_versions(router: &Router, written_after: Duration, named: Vec<NamedVersion>) {
     for named in named {
         router.handle_event(Event::VersionNamed {
