Forward lines have the believed path to another region

`way_ms` is the reservation of the request itself, includes a wait at the agent, and plain targets have none.

`forward` lines to another region now have `path_ms`, on which the decision was based, and `path_age_ms`, the time since an agent there last replied. A reply after a wait at the agent renews the age but not the round trip. Both are left out for targets of the own region. No decision changes.

Cost: one search in the list of regions for each request that is sent, and up to 34 bytes more (`,"path_ms":150,"path_age_ms":99999`) on lines to other regions only.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -353,6 +353,8 @@
         let target = self.targets.get(id);
         let limited_rate =
             target.and_then(|target| selection::limited_rate(now, target, &requirements));
+        let location = &self.options.location;
+        let path = target.and_then(|target| requirements.remote.known_path(now, target, location));
         let (Some(pending), Some(target)) =
             (self.pending.get_mut(&token), self.targets.get_mut(id))
         else {
@@ -412,6 +414,8 @@
             load: load.round() as u32,
             asked: pending.reservation_attempts,
             way_ms: pending.reservation_round_trip.take().map(millis),
+            path_ms: path.map(|path| millis(path.round_trip)),
+            path_age_ms: path.and_then(|path| path.age).map(millis),
             limit,
             version: request.version,
             missing_ms: missing_since.map(|since| millis(now.saturating_sub(since))),
--- a/components/control/src/router/region_path.rs
+++ b/components/control/src/router/region_path.rs
@@ -117,6 +117,15 @@
     TooLate,
 }
 
+/// What is believed of the path to a target in another region, for the record.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownPath {
+    /// The round trip. Zero if none has been measured.
+    pub round_trip: Duration,
+    /// The time since an agent there last replied, if one has.
+    pub age: Option<Duration>,
+}
+
 /// What decides whether a request may be sent to another region.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RemoteTerms<'a> {
@@ -140,6 +149,21 @@
         self.paths.iter().find(|path| path.region == *region)
     }
 
+    /// What is believed of the path to a target, if it is in another region and the path is known.
+    pub(super) fn known_path(
+        &self,
+        now: Duration,
+        target: &Target,
+        location: &Location,
+    ) -> Option<KnownPath> {
+        let path = self.path(target, location)?;
+        let has_replied = path.replied_at > Duration::ZERO;
+        Some(KnownPath {
+            round_trip: path.round_trip,
+            age: has_replied.then(|| now.saturating_sub(path.replied_at)),
+        })
+    }
+
     /// Whether the request would arrive at the target before its caller leaves.
     fn arrives_before_caller_leaves(
         &self,
--- a/components/control/tests/way.rs
+++ b/components/control/tests/way.rs
@@ -404,3 +404,82 @@
     let expected = ["forward Some(7)", "way to south false", "way to south true"];
     assert_eq!(found, expected);
 }
+
+/// Guards against a record that does not tell how long the path to a target's region was believed to be
+/// when a request was sent there, or how old that belief was.
+#[test]
+fn forward_lines_have_the_known_path_to_another_region() {
+    struct Case {
+        name: &'static str,
+        targets: &'static str,
+        script: &'static str,
+        /// Round trip and age of the last forward line.
+        expected: (Option<u64>, Option<u64>),
+    }
+    let cases = [
+        Case {
+            name: "the reservation for the request itself",
+            targets: "s1",
+            script: "chat wait=7 reply=1",
+            expected: (Some(7), Some(0)),
+        },
+        Case {
+            name: "a plain request uses an earlier reservation",
+            targets: "s1 ps1",
+            script: "chat wait=7 reply=1 wait=900 look",
+            expected: (Some(7), Some(900)),
+        },
+        Case {
+            name: "the longest round trip that is assumed",
+            targets: "s1 ps1",
+            script: "chat wait=400 reply=1 look",
+            expected: (Some(150), Some(0)),
+        },
+        Case {
+            name: "no agent there has replied",
+            targets: "s1 ps1",
+            script: "chat wait=120 silent=1 look",
+            expected: (Some(0), None),
+        },
+        Case {
+            name: "two agents were silent a while ago",
+            targets: "s1 s2 s3 ps1",
+            script: "chat wait=7 reply=1 chat wait=120 silent=2 wait=120 silent=2 wait=1000 look",
+            expected: (Some(150), Some(1240)),
+        },
+        Case {
+            name: "no agent there was ever asked",
+            targets: "ps1",
+            script: "look",
+            expected: (None, None),
+        },
+        Case {
+            name: "engine of the own region",
+            targets: "n1",
+            script: "chat wait=7 reply=1",
+            expected: (None, None),
+        },
+        Case {
+            name: "plain target of the own region, another region was measured",
+            targets: "s1 pn1",
+            script: "chat wait=7 reply=1 look",
+            expected: (None, None),
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new(case.targets);
+        for word in case.script.split(' ') {
+            router.play(word);
+        }
+        let found = router.decisions.iter().rev();
+        let mut found = found.filter_map(|decision| match decision {
+            Decision::Forward {
+                path_ms,
+                path_age_ms,
+                ..
+            } => Some((*path_ms, *path_age_ms)),
+            _ => None,
+        });
+        assert_eq!(found.next(), Some(case.expected), "{}", case.name);
+    }
+}
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -344,6 +344,13 @@
         /// Round trip of the reservation with the target's agent, in milliseconds, if it replied.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         way_ms: Option<u64>,
+        /// Believed round trip of the path to the target's region in milliseconds, if that is another one
+        /// and agents there were asked. Zero if none has been measured.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        path_ms: Option<u64>,
+        /// Milliseconds since an agent of that region last replied, if one has.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        path_age_ms: Option<u64>,
         /// Requests per second that the target takes from all processes together, if it limits
         /// them, and the age of that notice in milliseconds.
         #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/components/record/tests/trace_and_line_writer.rs
+++ b/components/record/tests/trace_and_line_writer.rs
@@ -37,6 +37,64 @@
     assert_eq!(read, turn_away("r-1", "overload"));
 }
 
+fn forward(path_ms: Option<u64>, path_age_ms: Option<u64>) -> Decision {
+    Decision::Forward {
+        request: "r-1".into(),
+        route: "chat".into(),
+        service: "engines".into(),
+        team: None,
+        target: "i-1".into(),
+        attempt: 1,
+        waited_ms: 0,
+        lease_ms: 100,
+        load: 0,
+        asked: 0,
+        way_ms: None,
+        path_ms,
+        path_age_ms,
+        limit: None,
+        version: None,
+        missing_ms: None,
+    }
+}
+
+/// Guards against measurements that make lines longer to which they do not apply, or that are lost when
+/// a line is read.
+#[test]
+fn measurements_are_left_out_of_lines_to_which_they_do_not_apply() {
+    struct Case {
+        decision: Decision,
+        /// The measurements in the line.
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            decision: forward(None, None),
+            expected: "",
+        },
+        Case {
+            decision: forward(Some(0), None),
+            expected: "path_ms=0",
+        },
+        Case {
+            decision: forward(Some(7), Some(900)),
+            expected: "path_age_ms=900 path_ms=7",
+        },
+    ];
+    const OPTIONAL: [&str; 2] = ["path_age_ms", "path_ms"];
+    for case in cases {
+        let line = serde_json::to_value(&case.decision).unwrap();
+        let found = OPTIONAL.iter().filter_map(|name| {
+            let value = line.get(name)?;
+            Some(format!("{name}={value}"))
+        });
+        let found: Vec<String> = found.collect();
+        assert_eq!(found.join(" "), case.expected);
+        let read: Decision = serde_json::from_value(line).unwrap();
+        assert_eq!(read, case.decision);
+    }
+}
+
 #[test]
 fn trace_contains_steps_with_prior_decisions() {
     let mut first = RecordChain::new("entry-1".into(), 1);
