Exchange lines have the time until the request left

The record of a request that reached its target late did not tell whether it left late or was long on its way: `took_ms` and `first_ms` include both.

`exchange` lines now have `sent_after_ms`, from the decision until the request was handed to a connection, and `connected_ms`, how long opening that connection took; it is left out if an idle one was used, and both are if the request was not handed over. The times go to the record in `Event::ExchangeEnded`. They are kept beside the request until then, since an exchange that is given up has no result. What the driver of the connection or the kernel buffers after that is not seen. No decision changes; the deadline in the request is computed from the same reading of the clock.

Cost: no reading of the clock more on an idle connection, one more when one is opened, and up to 42 bytes on an `exchange` line (`,"sent_after_ms":99999,"connected_ms":400`).

--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -125,6 +125,15 @@
     DeadlineExceeded,
 }
 
+/// When a request left this process for a target, for the record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sending {
+    /// When it was handed to a connection, if it was.
+    pub sent_at: Option<Duration>,
+    /// How long opening that connection took. `None` if an idle one was used.
+    pub connected_in: Option<Duration>,
+}
+
 /// The input of the reducer.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -211,6 +220,8 @@
         outcome: Outcome,
         /// The longest pause between two parts of the answer.
         longest_pause: Duration,
+        /// When the request left this process.
+        sending: Sending,
     },
     /// An agent replied to a reservation request, or did not answer.
     ReservationReply {
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -26,7 +26,8 @@
 use super::{
     Effect,
     Outcome,
-    Rejection, //
+    Rejection,
+    Sending, //
 };
 
 /// How long a target is kept after its address turned out to belong to another instance, unless the
@@ -190,6 +191,7 @@
         token: u64,
         outcome: Outcome,
         longest_pause: Duration,
+        sending: Sending,
         effects: &mut Vec<Effect>,
     ) {
         self.mark_prefilled(token);
@@ -205,6 +207,8 @@
             target: id.clone(),
             outcome: outcome_name(outcome).into(),
             took_ms: millis(now.saturating_sub(since)),
+            sent_after_ms: sending.sent_at.map(|at| millis(at.saturating_sub(since))),
+            connected_ms: sending.connected_in.map(millis),
             first_ms: pending.time_to_first_event.take().map(millis),
             pause_ms: millis(longest_pause),
         }));
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -255,7 +255,11 @@
                 token,
                 outcome,
                 longest_pause,
-            } => self.handle_exchange_ended(now, token, outcome, longest_pause, &mut effects),
+                sending,
+            } => {
+                let pause = longest_pause;
+                self.handle_exchange_ended(now, token, outcome, pause, sending, &mut effects)
+            }
             Event::ReservationReply { token, reply } => {
                 if let Some(reply) = reply {
                     self.record_backlog_utilization(now, token, reply);
--- a/components/control/tests/config_age.rs
+++ b/components/control/tests/config_age.rs
@@ -24,6 +24,7 @@
     Options,
     Outcome,
     RejectionReason,
+    Sending,
     State, //
 };
 use routers::{
@@ -252,6 +253,7 @@
             token: 1,
             outcome: Outcome::NotSent,
             longest_pause: Duration::ZERO,
+            sending: Sending::default(),
         },
     );
     let is_sent = effects.iter().any(|e| matches!(e, Effect::Forward(..)));
--- a/components/control/tests/crash_reports.rs
+++ b/components/control/tests/crash_reports.rs
@@ -21,6 +21,7 @@
     IncomingRequest,
     Outcome,
     RetryLimit,
+    Sending,
     State, //
 };
 use proptest::prelude::*;
@@ -158,6 +159,7 @@
                 token: self.last_token,
                 outcome,
                 longest_pause: Duration::ZERO,
+                sending: Sending::default(),
             };
             effects = self.entries[entry].step(self.now, ended);
         }
--- a/components/control/tests/crashing_prompts.rs
+++ b/components/control/tests/crashing_prompts.rs
@@ -26,6 +26,7 @@
     Outcome,
     RejectionReason,
     RetryLimit,
+    Sending,
     State, //
 };
 use rand::{
@@ -597,6 +598,7 @@
         token,
         outcome,
         longest_pause: Duration::ZERO,
+        sending: Sending::default(),
     }
 }
 
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -47,6 +47,7 @@
     ReservationReply,
     ReservationRequest,
     RetryLimit,
+    Sending,
     State, //
 };
 use protocol::{
@@ -885,6 +886,7 @@
                 token,
                 outcome,
                 longest_pause: Duration::ZERO,
+                sending: Sending::default(),
             },
         );
     }
--- a/components/control/tests/learned_capacity.rs
+++ b/components/control/tests/learned_capacity.rs
@@ -43,6 +43,7 @@
     Outcome,
     ReservationReply,
     RetryLimit,
+    Sending,
     State, //
 };
 use proptest::prelude::*;
@@ -536,6 +537,7 @@
             token,
             outcome,
             longest_pause: Duration::ZERO,
+            sending: Sending::default(),
         };
         self.step(now, ended);
     }
--- a/components/control/tests/notices.rs
+++ b/components/control/tests/notices.rs
@@ -20,6 +20,7 @@
     Outcome,
     Rejection,
     RejectionReason,
+    Sending,
     State, //
 };
 use routers::{
@@ -152,6 +153,7 @@
             token,
             outcome,
             longest_pause: Duration::ZERO,
+            sending: Sending::default(),
         });
         sent_to(&effects)
     }
--- a/components/control/tests/planned_stops.rs
+++ b/components/control/tests/planned_stops.rs
@@ -10,6 +10,7 @@
     Options,
     Outcome,
     RejectionReason,
+    Sending,
     State, //
 };
 use routers::{
@@ -50,6 +51,7 @@
         token: 1,
         outcome: Outcome::Answered { is_error: false },
         longest_pause: Duration::ZERO,
+        sending: Sending::default(),
     };
     state.step(clock(now + time), event);
 }
--- a/components/control/tests/retry_shares.rs
+++ b/components/control/tests/retry_shares.rs
@@ -17,6 +17,7 @@
     Event,
     Outcome,
     RetryLimit,
+    Sending,
     State, //
 };
 use proptest::prelude::*;
@@ -127,6 +128,7 @@
                 token,
                 outcome: Outcome::WrongVersion,
                 longest_pause: Duration::ZERO,
+                sending: Sending::default(),
             };
             effects = self.step(now, ended);
         }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -33,6 +33,7 @@
     RejectionReason,
     ReservationReply,
     RetryLimit,
+    Sending,
     State, //
 };
 use protocol::{
@@ -259,6 +260,7 @@
             token,
             outcome,
             longest_pause: Duration::ZERO,
+            sending: Sending::default(),
         });
         request_result(token, &effects)
     }
@@ -445,6 +447,7 @@
         token: tokens[0],
         outcome: answered,
         longest_pause: Duration::ZERO,
+        sending: Sending::default(),
     });
     if let RequestResult::Sent(request) = request_result(queued, &effects) {
         panic!("sent without a lease: {request:?}");
--- a/components/control/tests/silent_targets.rs
+++ b/components/control/tests/silent_targets.rs
@@ -16,6 +16,7 @@
     Options,
     Outcome,
     RetryLimit,
+    Sending,
     State, //
 };
 use record::Decision;
@@ -142,6 +143,7 @@
                 token: 1,
                 outcome: Outcome::IdleTimeout,
                 longest_pause: Duration::ZERO,
+                sending: Sending::default(),
             };
             let effects = state.step(clock(now), event);
             assert!(effects.iter().any(is_sent), "{}: {effects:?}", case.name);
@@ -218,6 +220,7 @@
         token,
         outcome: Outcome::Answered { is_error: false },
         longest_pause: Duration::ZERO,
+        sending: Sending::default(),
     };
     state.step(clock(now), event);
 }
--- a/components/control/tests/way.rs
+++ b/components/control/tests/way.rs
@@ -16,6 +16,7 @@
     Options,
     Outcome,
     ReservationReply,
+    Sending,
     State, //
 };
 use protocol::{
@@ -146,6 +147,7 @@
             token,
             outcome,
             longest_pause: Duration::ZERO,
+            sending: Sending::default(),
         })
     }
 
@@ -483,3 +485,58 @@
         assert_eq!(found.next(), Some(case.expected), "{}", case.name);
     }
 }
+
+/// Guards against a record that does not tell a request that left late from one that was long on its way.
+#[test]
+fn exchange_lines_have_the_time_until_the_request_left() {
+    struct Case {
+        name: &'static str,
+        /// When the request was handed to a connection after the decision, and how long opening it took.
+        sent: Option<(u64, Option<u64>)>,
+        expected: (Option<u64>, Option<u64>),
+    }
+    let cases = [
+        Case {
+            name: "on an idle connection, at once",
+            sent: Some((0, None)),
+            expected: (Some(0), None),
+        },
+        Case {
+            name: "on a new connection",
+            sent: Some((35, Some(30))),
+            expected: (Some(35), Some(30)),
+        },
+        Case {
+            name: "not sent",
+            sent: None,
+            expected: (None, None),
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new("pn1");
+        router.play("look");
+        let sent = case.sent.map(|(after, opened)| Sending {
+            sent_at: Some(router.now + Duration::from_millis(after)),
+            connected_in: opened.map(Duration::from_millis),
+        });
+        router.now += Duration::from_millis(50);
+        router.step(Event::ExchangeEnded {
+            token: 1,
+            outcome: Outcome::Answered { is_error: false },
+            longest_pause: Duration::ZERO,
+            sending: sent.unwrap_or_default(),
+        });
+        let mut found = router
+            .decisions
+            .iter()
+            .filter_map(|decision| match decision {
+                Decision::Exchange {
+                    sent_after_ms,
+                    connected_ms,
+                    ..
+                } => Some((*sent_after_ms, *connected_ms)),
+                _ => None,
+            });
+        assert_eq!(found.next(), Some(case.expected), "{}", case.name);
+    }
+}
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to a target and receives the response.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
@@ -8,7 +9,8 @@
 use control::router::{
     Event,
     ForwardRequest,
-    Outcome, //
+    Outcome,
+    Sending, //
 };
 use http::response::Parts;
 use http::{
@@ -57,6 +59,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// When the present attempt left this process. Kept here because an exchange may be given up.
+    pub sending: Cell<Sending>,
 }
 
 /// The head of a target's response, and the connection that delivers the body.
@@ -190,17 +194,33 @@
         forward_request: &ForwardRequest,
         last_event_id: Option<u64>,
     ) -> Result<(http::Response<Incoming>, Connection), ExchangeError> {
+        let sending = &caller_request.sending;
+        let build = |now| self.build_request(caller_request, forward_request, last_event_id, now);
+        sending.take();
         while let Some(mut connection) = self.inner.pool.reuse(forward_request.address).await {
-            let request = self.build_request(caller_request, forward_request, last_event_id)?;
+            let now = self.elapsed();
+            let request = build(now)?;
+            sending.set(Sending {
+                sent_at: Some(now),
+                connected_in: None,
+            });
             match connection.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 // The target closed the connection while it was idle.
-                Err(ExchangeError::NotSent) => {}
+                Err(ExchangeError::NotSent) => {
+                    sending.take();
+                }
                 Err(e) => return Err(e),
             }
         }
+        let opened_at = self.elapsed();
         let mut connection = self.inner.pool.open(forward_request.address).await?;
-        let request = self.build_request(caller_request, forward_request, last_event_id)?;
+        let now = self.elapsed();
+        let request = build(now)?;
+        sending.set(Sending {
+            sent_at: Some(now),
+            connected_in: Some(now.saturating_sub(opened_at)),
+        });
         let response = connection.send(request).await?;
         Ok((response, connection))
     }
@@ -210,11 +230,12 @@
         caller_request: &CallerRequest,
         forward_request: &ForwardRequest,
         last_event_id: Option<u64>,
+        now: Duration,
     ) -> Result<Request<Full<Bytes>>, ExchangeError> {
         let mut headers = caller_request.headers.clone();
         let parameters = ForwardParameters {
             forward: forward_request,
-            time_left: self.time_left(forward_request.deadline),
+            time_left: forward_request.deadline.saturating_sub(now),
             last_event_id,
         };
         (self.inner.header_codec.write_request)(&mut headers, &parameters);
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -1,5 +1,6 @@
 //! Handles a caller's request, from reading its body to the end of the response.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -156,6 +157,7 @@
             token,
             outcome,
             longest_pause,
+            sending: self.request.sending.take(),
         });
     }
 
@@ -240,6 +242,7 @@
                 uri: parts.uri,
                 headers,
                 body,
+                sending: Cell::default(),
             },
             last_event_id: head.last_event_id,
             received_at: self.elapsed(),
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -407,6 +407,12 @@
         outcome: Name,
         /// Its duration in milliseconds.
         took_ms: u64,
+        /// Milliseconds from the decision until the request was handed to a connection, if it was.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        sent_after_ms: Option<u64>,
+        /// Milliseconds that opening this connection took. `None` if an idle one was used.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        connected_ms: Option<u64>,
         /// Milliseconds from sending the request to the first part of the response, if any.
         first_ms: Option<u64>,
         /// The longest pause between two parts of the response, in milliseconds.
--- a/components/record/tests/trace_and_line_writer.rs
+++ b/components/record/tests/trace_and_line_writer.rs
@@ -58,6 +58,19 @@
     }
 }
 
+fn exchange(sent_after_ms: Option<u64>, connected_ms: Option<u64>) -> Decision {
+    Decision::Exchange {
+        request: "r-1".into(),
+        target: "i-1".into(),
+        outcome: "answered".into(),
+        took_ms: 500,
+        sent_after_ms,
+        connected_ms,
+        first_ms: None,
+        pause_ms: 0,
+    }
+}
+
 /// Guards against measurements that make lines longer to which they do not apply, or that are lost when
 /// a line is read.
 #[test]
@@ -80,8 +93,20 @@
             decision: forward(Some(7), Some(900)),
             expected: "path_age_ms=900 path_ms=7",
         },
+        Case {
+            decision: exchange(None, None),
+            expected: "",
+        },
+        Case {
+            decision: exchange(Some(0), None),
+            expected: "sent_after_ms=0",
+        },
+        Case {
+            decision: exchange(Some(41), Some(40)),
+            expected: "connected_ms=40 sent_after_ms=41",
+        },
     ];
-    const OPTIONAL: [&str; 2] = ["path_age_ms", "path_ms"];
+    const OPTIONAL: [&str; 4] = ["connected_ms", "path_age_ms", "path_ms", "sent_after_ms"];
     for case in cases {
         let line = serde_json::to_value(&case.decision).unwrap();
         let found = OPTIONAL.iter().filter_map(|name| {
