--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -14,7 +14,10 @@
 use super::demand::TypicalRequest;
 use super::pending::Pending;
 use super::queue::QueuedRequest;
-use super::region_path::RemoteTerms;
+use super::region_path::{
+    remote_region,
+    RemoteTerms, //
+};
 use super::rejection::RejectionReason;
 use super::selection::{
     self,
@@ -353,6 +356,8 @@
         let target = self.targets.get(id);
         let limited_rate =
             target.and_then(|target| selection::limited_rate(now, target, &requirements));
+        let location = &self.options.location;
+        let path = target.and_then(|target| requirements.remote.known_path(now, target, location));
         let (Some(pending), Some(target)) =
             (self.pending.get_mut(&token), self.targets.get_mut(id))
         else {
@@ -390,6 +395,7 @@
         let request = ForwardRequest {
             target: id.clone(),
             address: target.entry.address,
+            remote_region: remote_region(target, location).cloned(),
             team: pending.team.as_ref().map(|team| team.name.clone()),
             version: target.entry.version.filter(|_| has_constraint),
             attempt: pending.attempts(),
@@ -412,6 +418,8 @@
             load: load.round() as u32,
             asked: pending.reservation_attempts,
             way_ms: pending.reservation_round_trip.take().map(millis),
+            path_ms: path.map(|path| millis(path.round_trip)),
+            path_age_ms: path.and_then(|path| path.age).map(millis),
             limit,
             version: request.version,
             missing_ms: missing_since.map(|since| millis(now.saturating_sub(since))),
--- a/components/control/src/router/region_path.rs
+++ b/components/control/src/router/region_path.rs
@@ -117,6 +117,15 @@
     TooLate,
 }
 
+/// What is believed of the path to a target in another region, for the record.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownPath {
+    /// The round trip. Zero if none has been measured.
+    pub round_trip: Duration,
+    /// The time since an agent there last replied, if one has.
+    pub age: Option<Duration>,
+}
+
 /// What decides whether a request may be sent to another region.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RemoteTerms<'a> {
@@ -140,6 +149,21 @@
         self.paths.iter().find(|path| path.region == *region)
     }
 
+    /// What is believed of the path to a target, if it is in another region and the path is known.
+    pub(super) fn known_path(
+        &self,
+        now: Duration,
+        target: &Target,
+        location: &Location,
+    ) -> Option<KnownPath> {
+        let path = self.path(target, location)?;
+        let has_replied = path.replied_at > Duration::ZERO;
+        Some(KnownPath {
+            round_trip: path.round_trip,
+            age: has_replied.then(|| now.saturating_sub(path.replied_at)),
+        })
+    }
+
     /// Whether the request would arrive at the target before its caller leaves.
     fn arrives_before_caller_leaves(
         &self,
@@ -193,13 +217,20 @@
 }
 
 /// The region of a target, if it is another one. A data centre of an unknown region counts as one.
-fn remote_region<'a>(target: &'a Target, location: &'a Location) -> Option<&'a Name> {
+pub(super) fn remote_region<'a>(target: &'a Target, location: &'a Location) -> Option<&'a Name> {
     let data_centre = &target.entry.data_centre;
     let is_remote = location.distance(data_centre) == Distance::OtherRegion;
     is_remote.then(|| location.region_of(data_centre).unwrap_or(data_centre))
 }
 
 impl State {
+    /// The region of this process, or its data centre if the region is not known.
+    pub fn region(&self) -> &Name {
+        let location = &self.options.location;
+        let data_centre = &location.data_centre;
+        location.region_of(data_centre).unwrap_or(data_centre)
+    }
+
     /// Whether a target is in another region.
     pub(super) fn is_remote(&self, id: &Name) -> bool {
         let target = self.targets.get(id);
@@ -215,6 +246,7 @@
         requested_at: Duration,
         is_answered: bool,
         has_waited: bool,
+        effects: &mut Vec<Effect>,
     ) {
         let target = self.targets.get(id);
         let region = target.and_then(|target| remote_region(target, &self.options.location));
@@ -229,7 +261,10 @@
         let path = &mut self.paths[index];
         if is_answered {
             let round_trip = now.saturating_sub(requested_at);
-            path.record_reply(now, Some(round_trip).filter(|_| !has_waited));
+            let round_trip = Some(round_trip).filter(|_| !has_waited);
+            path.record_reply(now, round_trip);
+            let measured = round_trip.map(|time| Effect::ObservePath(path.region.clone(), time));
+            effects.extend(measured);
         } else {
             path.record_silence(now, id, requested_at);
         }
--- a/components/control/tests/crashing_prompts.rs
+++ b/components/control/tests/crashing_prompts.rs
@@ -26,6 +26,7 @@
     Outcome,
     RejectionReason,
     RetryLimit,
+    Sending,
     State, //
 };
 use rand::{
@@ -395,7 +396,7 @@
                     Effect::ScheduleQueueTimeout(token, until) => {
                         self.queue_timeouts.push((until, entry, token));
                     }
-                    Effect::Reserve(..) | Effect::Record(_) => {}
+                    Effect::Reserve(..) | Effect::ObservePath(..) | Effect::Record(_) => {}
                 }
             }
         }
@@ -597,6 +598,7 @@
         token,
         outcome,
         longest_pause: Duration::ZERO,
+        sending: Sending::default(),
     }
 }
 
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -47,6 +47,7 @@
     ReservationReply,
     ReservationRequest,
     RetryLimit,
+    Sending,
     State, //
 };
 use protocol::{
@@ -607,7 +608,7 @@
                     self.release(token);
                     self.handle_rejection(token, rejection.retry_after);
                 }
-                Effect::Record(_) => {}
+                Effect::Record(_) | Effect::ObservePath(..) => {}
             }
         }
     }
@@ -885,6 +886,7 @@
                 token,
                 outcome,
                 longest_pause: Duration::ZERO,
+                sending: Sending::default(),
             },
         );
     }
--- a/components/control/tests/way.rs
+++ b/components/control/tests/way.rs
@@ -16,6 +16,7 @@
     Options,
     Outcome,
     ReservationReply,
+    Sending,
     State, //
 };
 use protocol::{
@@ -31,6 +32,7 @@
     target,
     AMPLE_RETRIES, //
 };
+use utils::Name;
 
 /// All targets: engines `n` and `s` in the regions north and south, and plain targets `pn` and `ps`.
 const IDS: [&str; 7] = ["n1", "s1", "s2", "s3", "pn1", "ps1", "n2"];
@@ -49,6 +51,8 @@
     now: Duration,
     last_token: u64,
     decisions: Vec<Decision>,
+    /// The measured round trips to regions, in milliseconds.
+    round_trips: Vec<(Name, u64)>,
 }
 
 impl TestRouter {
@@ -67,6 +71,7 @@
             now: Duration::from_secs(10),
             last_token: 0,
             decisions: Vec::new(),
+            round_trips: Vec::new(),
         };
         router.step(Event::ConfigRead(config_of_both_services()));
         for id in ids.split(' ') {
@@ -106,6 +111,9 @@
                 }
                 Effect::Reject(_, rejection) => result = rejection.reason.as_str().into(),
                 Effect::Record(decision) => self.decisions.push(decision),
+                Effect::ObservePath(region, time) => {
+                    self.round_trips.push((region, time.as_millis() as u64));
+                }
                 Effect::ScheduleQueueTimeout(..) => {}
             }
         }
@@ -146,6 +154,7 @@
             token,
             outcome,
             longest_pause: Duration::ZERO,
+            sending: Sending::default(),
         })
     }
 
@@ -404,3 +413,184 @@
     let expected = ["forward Some(7)", "way to south false", "way to south true"];
     assert_eq!(found, expected);
 }
+
+/// Guards against a record that does not tell how long the path to a target's region was believed to be
+/// when a request was sent there, or how old that belief was.
+#[test]
+fn forward_lines_have_the_known_path_to_another_region() {
+    struct Case {
+        name: &'static str,
+        targets: &'static str,
+        script: &'static str,
+        /// Round trip and age of the last forward line.
+        expected: (Option<u64>, Option<u64>),
+    }
+    let cases = [
+        Case {
+            name: "the reservation for the request itself",
+            targets: "s1",
+            script: "chat wait=7 reply=1",
+            expected: (Some(7), Some(0)),
+        },
+        Case {
+            name: "a plain request uses an earlier reservation",
+            targets: "s1 ps1",
+            script: "chat wait=7 reply=1 wait=900 look",
+            expected: (Some(7), Some(900)),
+        },
+        Case {
+            name: "the longest round trip that is assumed",
+            targets: "s1 ps1",
+            script: "chat wait=400 reply=1 look",
+            expected: (Some(150), Some(0)),
+        },
+        Case {
+            name: "no agent there has replied",
+            targets: "s1 ps1",
+            script: "chat wait=120 silent=1 look",
+            expected: (Some(0), None),
+        },
+        Case {
+            name: "two agents were silent a while ago",
+            targets: "s1 s2 s3 ps1",
+            script: "chat wait=7 reply=1 chat wait=120 silent=2 wait=120 silent=2 wait=1000 look",
+            expected: (Some(150), Some(1240)),
+        },
+        Case {
+            name: "no agent there was ever asked",
+            targets: "ps1",
+            script: "look",
+            expected: (None, None),
+        },
+        Case {
+            name: "engine of the own region",
+            targets: "n1",
+            script: "chat wait=7 reply=1",
+            expected: (None, None),
+        },
+        Case {
+            name: "plain target of the own region, another region was measured",
+            targets: "s1 pn1",
+            script: "chat wait=7 reply=1 look",
+            expected: (None, None),
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new(case.targets);
+        for word in case.script.split(' ') {
+            router.play(word);
+        }
+        let found = router.decisions.iter().rev();
+        let mut found = found.filter_map(|decision| match decision {
+            Decision::Forward {
+                path_ms,
+                path_age_ms,
+                ..
+            } => Some((*path_ms, *path_age_ms)),
+            _ => None,
+        });
+        assert_eq!(found.next(), Some(case.expected), "{}", case.name);
+    }
+}
+
+/// Guards against a record that does not tell a request that left late from one that was long on its way.
+#[test]
+fn exchange_lines_have_the_time_until_the_request_left() {
+    struct Case {
+        name: &'static str,
+        /// When the request was handed to a connection after the decision, and how long opening it took.
+        sent: Option<(u64, Option<u64>)>,
+        expected: (Option<u64>, Option<u64>),
+    }
+    let cases = [
+        Case {
+            name: "on an idle connection, at once",
+            sent: Some((0, None)),
+            expected: (Some(0), None),
+        },
+        Case {
+            name: "on a new connection",
+            sent: Some((35, Some(30))),
+            expected: (Some(35), Some(30)),
+        },
+        Case {
+            name: "not sent",
+            sent: None,
+            expected: (None, None),
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new("pn1");
+        router.play("look");
+        let sent = case.sent.map(|(after, opened)| Sending {
+            sent_at: Some(router.now + Duration::from_millis(after)),
+            connected_in: opened.map(Duration::from_millis),
+        });
+        router.now += Duration::from_millis(50);
+        router.step(Event::ExchangeEnded {
+            token: 1,
+            outcome: Outcome::Answered { is_error: false },
+            longest_pause: Duration::ZERO,
+            sending: sent.unwrap_or_default(),
+        });
+        let mut found = router
+            .decisions
+            .iter()
+            .filter_map(|decision| match decision {
+                Decision::Exchange {
+                    sent_after_ms,
+                    connected_ms,
+                    ..
+                } => Some((*sent_after_ms, *connected_ms)),
+                _ => None,
+            });
+        assert_eq!(found.next(), Some(case.expected), "{}", case.name);
+    }
+}
+
+/// Guards against a histogram of round trips that lacks some, has those of the own region or times in
+/// which requests waited at an agent.
+#[test]
+fn round_trips_of_reservations_to_other_regions_are_measured() {
+    struct Case {
+        name: &'static str,
+        targets: &'static str,
+        script: &'static str,
+        expected: &'static [u64],
+    }
+    let cases = [
+        Case {
+            name: "replies, the second beyond the longest one that is assumed",
+            targets: "s1",
+            script: "chat wait=7 reply=1 chat wait=400 reply=2",
+            expected: &[7, 400],
+        },
+        Case {
+            name: "an instance without an agent",
+            targets: "s1",
+            script: "chat wait=3 refused=1",
+            expected: &[3],
+        },
+        Case {
+            name: "no reply",
+            targets: "s1",
+            script: "chat wait=120 silent=1",
+            expected: &[],
+        },
+        Case {
+            name: "own region",
+            targets: "n1",
+            script: "chat wait=7 reply=1",
+            expected: &[],
+        },
+    ];
+    for case in cases {
+        let mut router = TestRouter::new(case.targets);
+        for word in case.script.split(' ') {
+            router.play(word);
+        }
+        let expected = case.expected.iter().map(|time| ("south".into(), *time));
+        let expected: Vec<(Name, u64)> = expected.collect();
+        assert_eq!(router.round_trips, expected, "{}", case.name);
+    }
+}
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -344,6 +344,13 @@
         /// Round trip of the reservation with the target's agent, in milliseconds, if it replied.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         way_ms: Option<u64>,
+        /// Believed round trip of the path to the target's region in milliseconds, if that is another one
+        /// and agents there were asked. Zero if none has been measured.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        path_ms: Option<u64>,
+        /// Milliseconds since an agent of that region last replied, if one has.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        path_age_ms: Option<u64>,
         /// Requests per second that the target takes from all processes together, if it limits
         /// them, and the age of that notice in milliseconds.
         #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -400,6 +407,12 @@
         outcome: Name,
         /// Its duration in milliseconds.
         took_ms: u64,
+        /// Milliseconds from the decision until the request was handed to a connection, if it was.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        sent_after_ms: Option<u64>,
+        /// Milliseconds that opening this connection took. `None` if an idle one was used.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        connected_ms: Option<u64>,
         /// Milliseconds from sending the request to the first part of the response, if any.
         first_ms: Option<u64>,
         /// The longest pause between two parts of the response, in milliseconds.
