--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -274,6 +274,10 @@
 /// How long the engine may process the prompts of accepted requests before it is ordered to load.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(400);
 
+/// How long after entries stop sending to a version its use is ended at an engine that still runs it. An
+/// update in time is ordered before that, and staging one layer must end before the version's time does.
+const RETIREMENT_DELAY: Duration = MAX_DRAIN_TIME;
+
 /// A layer that is never the first one, so that its report cannot be taken for one of the whole model.
 const INNER_LAYER: u32 = 1;
 
@@ -814,10 +818,11 @@
             return;
         };
         if let Some(load) = self.next_load(now, engine) {
-            let is_held = engine.version == Some(load.model_version.version);
+            // A layer that the engine has loaded already need not be staged.
+            let is_loaded = engine.version == Some(load.model_version.version);
             self.update = Some(load);
             self.staged = None;
-            if is_held {
+            if is_loaded {
                 let check = PieceCheck {
                     started_at: now,
                     ended_at: now,
@@ -894,7 +899,8 @@
         is_next.then_some(load)
     }
 
-    /// Whether the current update, or the last one, only ends the use of the version that the engine ran.
+    /// Whether the current update, or the last one, is to a single layer, which ends the use of the version that
+    /// the engine ran.
     fn is_retiring(&self) -> bool {
         self.update
             .as_ref()
@@ -911,7 +917,7 @@
             };
             let ends_at = published_after + self.update_limits.old_version_time;
             let bound_known_at = known.learned_at.map(|at| at + BOUND_EXCHANGE_TIME);
-            now >= ends_at.max(bound_known_at.unwrap_or_default()) + MAX_DRAIN_TIME
+            now >= ends_at.max(bound_known_at.unwrap_or_default()) + RETIREMENT_DELAY
         })
     }
 
