One method says from when on a version is required

Cause: the time from which requests may not be sent to an older version was worked out in three places: for entries, for the versions that are passed on, and for engines whose version is retired.

Change: PublishedVersion::required_from serves all three. What the absence of a bound means differs between entries and agents, and stays with each.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -912,10 +912,10 @@
     fn is_retired(&self, now: Duration, version: u64) -> bool {
         let mut newer = self.versions.iter().filter(|known| known.version > version);
         newer.any(|known| {
-            let Some(published_after) = known.published_after else {
+            let old_version_time = self.update_limits.old_version_time;
+            let Some(ends_at) = known.required_from(old_version_time) else {
                 return false;
             };
-            let ends_at = published_after + self.update_limits.old_version_time;
             let bound_known_at = known.learned_at.map(|at| at + BOUND_EXCHANGE_TIME);
             now >= ends_at.max(bound_known_at.unwrap_or_default()) + RETIREMENT_DELAY
         })
--- a/components/control/src/published_version.rs
+++ b/components/control/src/published_version.rs
@@ -49,6 +49,12 @@
         self.published_after = self.published_after.max(bound);
     }
 
+    /// From when on no request may be sent to an older version, `grace` after the publication. `None` if no
+    /// bound on that is known.
+    pub fn required_from(&self, grace: Duration) -> Option<Duration> {
+        self.published_after.map(|at| at + grace)
+    }
+
     /// What other processes are told.
     pub fn to_message(self, now: Duration, model: Name) -> NamedVersion {
         let age = |at: Duration| now.saturating_sub(at);
@@ -95,10 +101,8 @@
     versions: &[PublishedVersion],
     grace: Duration,
 ) -> Vec<NamedVersion> {
-    let is_required = |known: &PublishedVersion| {
-        let published_after = known.published_after;
-        published_after.is_some_and(|at| now >= at + grace)
-    };
+    let is_required =
+        |known: &PublishedVersion| known.required_from(grace).is_some_and(|at| now >= at);
     let oldest = versions.iter().rposition(is_required).unwrap_or(0);
     let deciding = versions[oldest..].iter().rev().take(MAX_MESSAGE_VERSIONS);
     let messages = deciding.map(|known| known.to_message(now, model.clone()));
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -34,8 +34,7 @@
 /// From when on no request may be sent to an older version than this one. Without a bound on its
 /// publication, that is at once.
 pub(super) fn required_from(version: &PublishedVersion, version_grace: Duration) -> Duration {
-    let published_after = version.published_after;
-    published_after.map_or(Duration::ZERO, |at| at + version_grace)
+    version.required_from(version_grace).unwrap_or_default()
 }
 
 impl State {
