The regions of other agents are kept once

Cause: the agent kept the regions of its peers in a map of its own, beside the members in its reducer, only to count bytes by region.

Change: the reducer tells the region of a member; it is asked once a piece. The map and its lock are gone.

Measured: tests of proxy, region_bytes and serving of platform, old_versions and spoilt_pieces pass unchanged.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -476,6 +476,12 @@
         self.suspects.changes_after(now, revision)
     }
 
+    /// The region of the agent that its peers know as `name`, if it is a member.
+    pub fn region_of(&self, name: &str) -> Option<&Name> {
+        let member = self.members.iter().find(|member| &*member.name == name)?;
+        Some(&member.region)
+    }
+
     /// Whether the version with this key is downloaded here.
     pub fn is_downloading(&self, key: &Digest) -> bool {
         self.downloads
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -117,8 +117,6 @@
     staging: tokio::sync::Mutex<()>,
     /// The address and region of the origin.
     origin: Mutex<Option<(SocketAddr, Name)>>,
-    /// The regions of the agents in other regions, by name.
-    remote_peers: Mutex<BTreeMap<Name, Name>>,
     /// The tasks that download pieces, by key of the version and piece.
     downloads: Mutex<HashMap<(Digest, Piece), AbortHandle>>,
     /// The requests of other agents for pieces that wait for a decision of the reducer, by token.
@@ -175,7 +173,6 @@
             store: PieceStore::default(),
             staging: tokio::sync::Mutex::default(),
             origin: Mutex::default(),
-            remote_peers: Mutex::default(),
             downloads: Mutex::default(),
             upload_requests: Mutex::default(),
             waiting: Mutex::default(),
@@ -345,8 +342,6 @@
         members.extend(self.member(self.options.address, data_centre));
         members.sort();
         members.dedup_by(|a, b| a.name == b.name);
-        let remote = members.iter().filter(|m| m.region != *self.region());
-        *lock(&self.remote_peers) = remote.map(|m| (m.name.clone(), m.region.clone())).collect();
         self.handle_event(Event::Members {
             members,
             origin_region,
@@ -365,7 +360,7 @@
             Source::Origin => lock(&self.origin)
                 .as_ref()
                 .map(|(_, region)| region.clone()),
-            Source::Peer(name) => lock(&self.remote_peers).get(name).cloned(),
+            Source::Peer(name) => lock(&self.state).region_of(name).cloned(),
         };
         region.filter(|region| !region.is_empty() && region != self.region())
     }
