--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -932,14 +932,12 @@
     fn retiring_load(&self, engine: EngineReport, running: u64) -> Option<Load> {
         let newer = self.downloads.iter().rev();
         let mut newer = newer.filter(|d| d.model_version.version > running);
-        let held = newer.find_map(|download| {
-            Some(Load {
-                layer: Some(download.held_inner_layer()?),
-                model_version: download.model_version.clone(),
-            })
-        });
-        if held.is_some() {
-            return held;
+        let held = newer.find_map(|d| Some((d.model_version.clone(), d.held_inner_layer()?)));
+        if let Some((model_version, layer)) = held {
+            return Some(Load {
+                model_version,
+                layer: Some(layer),
+            });
         }
         let has_inner_layers = engine.layers.is_some_and(|layers| layers > INNER_LAYER);
         let model = self.model.as_ref().filter(|_| has_inner_layers)?;
--- a/tests/old_versions.rs
+++ b/tests/old_versions.rs
@@ -123,7 +123,7 @@
     name: &'static str,
     /// The pieces of version 2 that the origin lacks at first.
     missing_pieces: Range<u64>,
-    /// When the origin has it after version 2 was published.
+    /// When the origin has them after version 2 was published.
     available_after: Duration,
     /// When the request is sent after version 2 was published, and how long it travels.
     sent_after: Duration,
