Record what became of an order to load, and which pieces changed when

The record had the age of a check when an order was decided, but not how long the check took, not whether and when the engine answered, and not which piece changed after it was last read intact. So a check that took long, an order that was accepted late and a change at another time could not be told apart.

Change: the line order has check_took_ms; a new line order_answered says what became of the order (begun, in_effect, refused, missing, not_sent), after what time, and how old the oldest reading was then. A log line and medlarproxy_staged_pieces_changed_total name pieces that changed at the engine, and when they were last read intact. The reducer knows orders by number, so that a late answer is not taken for that of another order. An order to keep a layer that the engine holds is no longer recorded with a check that did not take place.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -6,6 +6,7 @@
 
 mod download;
 mod learned;
+mod orders;
 mod reservations;
 mod retirement;
 mod schedule;
@@ -23,7 +24,10 @@
     NamedVersion,
     ReservationTerms, //
 };
-use record::Decision;
+use record::{
+    Decision,
+    OrderAnswer, //
+};
 use utils::digest::Digest;
 use utils::millis::millis;
 use utils::Name;
@@ -51,6 +55,7 @@
     PlanContext, //
 };
 use self::learned::EngineCapacity;
+use self::orders::Orders;
 pub use self::reservations::{
     ReservationAnswer,
     Reservations,
@@ -70,6 +75,9 @@
 /// finishes its running requests first.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(6500);
 
+/// How old the engine's report may be when an order is sent that relies on it alone.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1500);
+
 /// The state that the engine reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
@@ -167,8 +175,8 @@
     /// Staging ended: the check that found every piece of this load at the engine, or `None` if the
     /// engine does not hold all of them.
     Staged(Load, Option<PieceCheck>),
-    /// The engine answered the order for this load: whether it accepted it.
-    OrderAnswered(Load, bool),
+    /// What became of the order with this number.
+    OrderAnswered(u64, OrderAnswer),
 }
 
 /// An action that the agent's reducer requests.
@@ -185,6 +193,8 @@
     Stage(Load),
     /// Order the engine to load.
     OrderLoad {
+        /// The number of the order.
+        number: u64,
         /// What to load.
         load: Load,
         /// The order must not be sent later, since what it relies on may have changed by then.
@@ -253,6 +263,7 @@
     phase: UpdatePhase,
     /// What the engine holds of the current update. `None` until all pieces are staged.
     staged: Option<StagedPieces>,
+    orders: Orders,
     /// When the engine last became unreachable or lost its weights. Checks that began earlier say nothing
     /// about the pieces that it holds now.
     engine_lost_at: Duration,
@@ -326,6 +337,7 @@
             update: None,
             phase: UpdatePhase::Idle,
             staged: None,
+            orders: Orders::default(),
             engine_lost_at: Duration::ZERO,
             reservations: Reservations::default(),
             suspects: CrashSuspects::default(),
@@ -547,8 +559,8 @@
                 }
             }
             Event::Staged(load, check) => self.handle_staged(now, &load, check, &mut effects),
-            Event::OrderAnswered(load, is_accepted) => {
-                self.handle_order_answered(now, &load, is_accepted)
+            Event::OrderAnswered(number, answer) => {
+                self.handle_order_answered(now, number, answer, &mut effects)
             }
         }
         self.advance(now, &mut effects);
@@ -793,11 +805,20 @@
         self.update.as_ref() == Some(load)
     }
 
-    fn handle_order_answered(&mut self, now: Duration, load: &Load, is_accepted: bool) {
-        if self.is_updating_to(load)
-            && !is_accepted
-            && matches!(self.phase, UpdatePhase::Loading(_))
-        {
+    fn handle_order_answered(
+        &mut self,
+        now: Duration,
+        number: u64,
+        answer: OrderAnswer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let is_newest = self.orders.is_newest(number);
+        let Some(order) = self.orders.take(number) else {
+            return;
+        };
+        effects.push(Effect::Record(order.answered(now, answer)));
+        let is_accepted = matches!(answer, OrderAnswer::Begun | OrderAnswer::InEffect);
+        if is_newest && !is_accepted && matches!(self.phase, UpdatePhase::Loading(_)) {
             self.phase = UpdatePhase::Idle;
             self.retry_at = now + RETRY_DELAY;
         }
@@ -819,11 +840,7 @@
             self.update = Some(load);
             self.staged = None;
             if is_loaded {
-                let check = PieceCheck {
-                    started_at: now,
-                    ended_at: now,
-                };
-                self.order_load(now, engine, &check, effects);
+                self.order_load(now, engine, None, effects);
             } else {
                 self.start_staging(effects);
             }
@@ -838,7 +855,7 @@
                 // A closer bound became known, or an earlier order came into effect.
                 self.phase = UpdatePhase::Idle;
             } else if self.is_check_valid(now, &staged.check) {
-                self.order_load(now, engine, &staged.check, effects);
+                self.order_load(now, engine, Some(staged.check), effects);
             } else {
                 self.start_staging(effects);
             }
@@ -858,7 +875,7 @@
             if !self.is_check_valid(now, &staged.check) {
                 self.start_staging(effects);
             } else if is_drained || is_retired || now.saturating_sub(since) >= MAX_DRAIN_TIME {
-                self.order_load(now, engine, &staged.check, effects);
+                self.order_load(now, engine, Some(staged.check), effects);
             }
         }
     }
@@ -906,11 +923,12 @@
         time <= check.valid_until() && check.started_at >= self.engine_lost_at
     }
 
+    /// Orders the engine to load what the update is to. Without a check the engine holds the layer already.
     fn order_load(
         &mut self,
         now: Duration,
         engine: EngineReport,
-        check: &PieceCheck,
+        check: Option<PieceCheck>,
         effects: &mut Vec<Effect>,
     ) {
         let Some(update) = self.update.clone() else {
@@ -924,11 +942,15 @@
             layer: update.layer,
             before: engine.version,
             after_ms: self.millis_since_named(now, *version),
-            checked_ms: millis(check.age(now)),
+            checked_ms: check.map(|check| millis(check.age(now))),
+            check_took_ms: check.map(|check| millis(check.duration())),
         }));
+        let number = self.orders.add(now, update.clone(), check);
+        let report_valid_until = self.engine_reported_at + MAX_REPORT_AGE;
         effects.push(Effect::OrderLoad {
+            number,
             load: update,
-            valid_until: check.valid_until(),
+            valid_until: check.map_or(report_valid_until, |check| check.valid_until()),
         });
     }
 
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -18,6 +18,7 @@
     AcceptableBacklog,
     ReservationTerms, //
 };
+use record::OrderAnswer;
 use utils::digest::Digest;
 use weights::{
     FailureCause,
@@ -72,6 +73,8 @@
     last_check_at: Duration,
     /// Until when the last order may be sent.
     order_valid_until: Duration,
+    /// The engine's answer to orders, which it accepts only if it begins to carry them out.
+    order_answer: OrderAnswer,
 }
 
 impl Agent {
@@ -108,6 +111,7 @@
             checked_at: Vec::new(),
             last_check_at: Duration::ZERO,
             order_valid_until: Duration::ZERO,
+            order_answer: OrderAnswer::Begun,
         };
         agent.handle(Event::Model("m".into()));
         agent.handle(Event::Members {
@@ -141,13 +145,17 @@
                 self.staging = Some((load, self.now));
                 self.finish_staging();
             }
-            Effect::OrderLoad { load, valid_until } => {
+            Effect::OrderLoad {
+                number,
+                load,
+                valid_until,
+            } => {
                 self.orders.push((load.model_version.version, self.now));
                 self.loads.push(load.clone());
                 self.checked_at.push(self.last_check_at);
                 self.order_valid_until = valid_until;
-                self.engine.is_busy = true;
-                self.handle(Event::OrderAnswered(load, true));
+                self.engine.is_busy = self.order_answer == OrderAnswer::Begun;
+                self.handle(Event::OrderAnswered(number, self.order_answer));
             }
             _ => {}
         }
@@ -711,12 +719,11 @@
 #[test]
 fn order_that_was_not_answered_is_repeated_after_another_check() {
     let mut agent = Agent::new(1, None);
+    agent.order_answer = OrderAnswer::Missing;
     while agent.orders.is_empty() {
         agent.advance(ms(50));
     }
-    agent.engine.is_busy = false;
-    let load = agent.loads[0].clone();
-    agent.handle(Event::OrderAnswered(load, false));
+    agent.order_answer = OrderAnswer::Begun;
     agent.orders.clear();
     agent.checked_at.clear();
     let refused_at = agent.now;
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -115,6 +115,8 @@
     store: PieceStore,
     /// Held while pieces are written to the engine, which keeps one piece of each number.
     staging: tokio::sync::Mutex<()>,
+    /// When each piece was last read from the engine as it should be, by key of the version and piece.
+    read_intact_at: Mutex<HashMap<(Digest, Piece), Duration>>,
     /// The address and region of the origin.
     origin: Mutex<Option<(SocketAddr, Name)>>,
     /// The tasks that download pieces, by key of the version and piece.
@@ -172,6 +174,7 @@
             download_pacer,
             store: PieceStore::default(),
             staging: tokio::sync::Mutex::default(),
+            read_intact_at: Mutex::default(),
             origin: Mutex::default(),
             downloads: Mutex::default(),
             upload_requests: Mutex::default(),
@@ -284,14 +287,19 @@
     fn execute(self: &Arc<Self>, effect: Effect) {
         match effect {
             Effect::Transfer(model_version, effect) => self.execute_transfer(model_version, effect),
-            Effect::RetainVersions(keys) => self.store.keep_only(&keys),
+            Effect::RetainVersions(keys) => {
+                self.store.keep_only(&keys);
+                lock(&self.read_intact_at).retain(|(key, _), _| keys.contains(key));
+            }
             Effect::CheckEngine(model_version) => {
                 self.spawn(move |agent| agent.check_engine(model_version))
             }
             Effect::Stage(load) => self.spawn(move |agent| agent.stage(load)),
-            Effect::OrderLoad { load, valid_until } => {
-                self.spawn(move |agent| agent.order_load(load, valid_until))
-            }
+            Effect::OrderLoad {
+                number,
+                load,
+                valid_until,
+            } => self.spawn(move |agent| agent.order_load(number, load, valid_until)),
             Effect::ReadEngine => self.spawn(Self::read_engine),
             Effect::ReadMembers => self.spawn(Self::read_members),
             Effect::Record(decision) => self.record(decision),
--- a/components/proxy/src/controller/staging.rs
+++ b/components/proxy/src/controller/staging.rs
@@ -10,7 +10,9 @@
     ModelVersion, //
 };
 use control::PieceCheck;
+use record::OrderAnswer;
 use utils::digest::Digest;
+use utils::millis::millis;
 use weights::{
     Manifest,
     Piece, //
@@ -18,7 +20,8 @@
 
 use super::{
     lock,
-    Agent, //
+    Agent,
+    BackendError, //
 };
 
 /// The `source` of the log lines: the former path of this module, which stays because operators'
@@ -83,6 +86,7 @@
                     continue;
                 }
                 sent += 1;
+                self.log_changed_piece(model_version, piece);
                 let data = self.store.get(&model_version.key, piece)?;
                 if !lock(&self.state).is_updating_to(load) {
                     return None;
@@ -121,29 +125,63 @@
         let data = (self.backends.read_piece)(model_version.model.clone(), piece)
             .await
             .ok()?;
-        (Digest::of(&data) == *digest).then_some(data)
+        let is_intact = Digest::of(&data) == *digest;
+        if is_intact {
+            let now = self.clock.now().elapsed;
+            lock(&self.read_intact_at).insert((model_version.key, piece), now);
+        }
+        is_intact.then_some(data)
+    }
+
+    /// Logs that a piece is corrupt or missing which the engine held intact before.
+    fn log_changed_piece(&self, model_version: &ModelVersion, piece: Piece) {
+        let intact_at = lock(&self.read_intact_at).remove(&(model_version.key, piece));
+        let Some(intact_at) = intact_at else {
+            return;
+        };
+        let age = self.clock.now().elapsed.saturating_sub(intact_at);
+        log::warn!(
+            target: LOG_TARGET,
+            "piece {piece} of version {} changed at the engine; it was last read intact {} ms ago",
+            model_version.version,
+            millis(age)
+        );
+        metrics::counter!("medlarproxy_staged_pieces_changed_total").increment(1);
     }
 
     /// Orders the engine to load unless it is later than `valid_until`. The process may have stood still
     /// since the order was decided.
-    pub(super) async fn order_load(self: Arc<Self>, load: Load, valid_until: Duration) {
-        let is_accepted =
-            self.clock.now().elapsed <= valid_until && self.send_load_order(&load).await;
-        self.handle_event(Event::OrderAnswered(load, is_accepted));
+    pub(super) async fn order_load(
+        self: Arc<Self>,
+        number: u64,
+        load: Load,
+        valid_until: Duration,
+    ) {
+        let answer = if self.clock.now().elapsed <= valid_until {
+            self.send_load_order(&load).await
+        } else {
+            OrderAnswer::NotSent
+        };
+        self.handle_event(Event::OrderAnswered(number, answer));
         self.read_engine().await;
     }
 
-    /// Returns whether the engine accepted the order.
-    async fn send_load_order(&self, load: &Load) -> bool {
+    async fn send_load_order(&self, load: &Load) -> OrderAnswer {
         let ModelVersion { model, version, .. } = &load.model_version;
         let result = (self.backends.order_load)(model.clone(), *version, load.layer).await;
-        if let Err(e) = &result {
-            log::warn!(
-                target: LOG_TARGET,
-                "the engine did not accept the order to load version {version}: {e}"
-            );
+        let e = match result {
+            Ok(answer) => return answer,
+            Err(e) => e,
+        };
+        log::warn!(
+            target: LOG_TARGET,
+            "the engine did not accept the order to load version {version}: {e}"
+        );
+        match e {
+            BackendError::Refused(400..=499) => OrderAnswer::Refused,
+            BackendError::Refused(_) | BackendError::Unreachable(_) => OrderAnswer::Missing,
+            BackendError::Unreadable(_) => OrderAnswer::NotSent,
         }
-        result.is_ok()
     }
 }
 
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -47,6 +47,22 @@
     Differs,
 }
 
+/// What became of an order to load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderAnswer {
+    /// The engine began to carry it out.
+    Begun,
+    /// The engine had carried out such an order before.
+    InEffect,
+    /// The engine refused it and never carries it out.
+    Refused,
+    /// No answer arrived. The engine may have accepted it, or may still do so.
+    Missing,
+    /// It was not sent, since what it relies on may have changed.
+    NotSent,
+}
+
 /// A decision, as written to the record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "decision")]
@@ -465,8 +481,30 @@
         before: Option<u64>,
         /// Milliseconds since the process learned of the version.
         after_ms: u64,
-        /// Milliseconds since the engine's pieces began to be verified for the last time.
-        checked_ms: u64,
+        /// Milliseconds since the engine's pieces began to be verified for the last time. `None` if the
+        /// engine holds the layer already.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        checked_ms: Option<u64>,
+        /// Milliseconds that this check of the pieces took.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        check_took_ms: Option<u64>,
+    },
+    /// An order to load was answered, or its answer is no longer waited for.
+    OrderAnswered {
+        /// The model.
+        model: Name,
+        /// The version.
+        version: u64,
+        /// The only layer to load. `None` for all.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        layer: Option<u32>,
+        /// What became of the order.
+        answer: OrderAnswer,
+        /// Milliseconds since the order was decided.
+        after_ms: u64,
+        /// Milliseconds since the first of the pieces that the order relies on was read.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        checked_ms: Option<u64>,
     },
     /// A target was silent for as long as it may be while it answered a request.
     Silent {
@@ -547,6 +585,7 @@
             Self::Process { .. } => "process",
             Self::Staged { .. } => "staged",
             Self::Order { .. } => "order",
+            Self::OrderAnswered { .. } => "order_answered",
             Self::Silent { .. } => "silent",
             Self::Dropped { .. } => "dropped",
             Self::Drain => "drain",
