Use loaded weights only if their pieces were intact when the engine took them

Cause: an engine takes the pieces that it holds when it accepts an order. The agent bounded the time between the start of its check and the moment at which it sent the order, not the one at which the engine accepted it. A check that took long made its own bound longer, and an order whose call was given up was still accepted when a silent engine went on.

Change: the weights are used only if the engine's answer arrives within 2.5 s of the first reading, or if a check that begins after the acceptance finds all pieces intact and none was written in between: a corrupt piece does not become intact by itself. Until then the agent reports that the engine is switching. If a piece has changed, the engine is made to keep one layer, then to load another one from pieces that are verified, then the rest. Orders carry the sequence number that the engine reported, so that at most one of several orders is accepted, and none by an engine that started anew with other numbers. A layer that an engine holds alone is completed only if it is known how it was loaded. Agents that find an engine busy, or with a single layer, check what it loaded. The line load_checked records these checks.

A table of cases for the reducer in controller.rs.

--- a/components/control/src/controller/download.rs
+++ b/components/control/src/controller/download.rs
@@ -67,6 +67,12 @@
         Some(self.transfer.as_ref()?.manifest()?.total_bytes)
     }
 
+    /// The number of layers, zero until the manifest is known.
+    pub fn layers(&self) -> u32 {
+        let manifest = self.transfer.as_ref().and_then(Transfer::manifest);
+        manifest.map_or(0, |manifest| manifest.layers)
+    }
+
     pub fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.started_at)
     }
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -26,6 +26,7 @@
 };
 use record::{
     Decision,
+    LoadCheck,
     OrderAnswer, //
 };
 use utils::digest::Digest;
@@ -87,8 +88,12 @@
     pub partial_version: Option<u64>,
     /// The number of layers that are loaded, if it says so.
     pub layers: Option<u32>,
+    /// The first of these layers, if it says so.
+    pub first_layer: Option<u32>,
     /// Whether it is carrying out an order.
     pub is_busy: bool,
+    /// The number of orders that it has accepted since its start, if it says so.
+    pub sequence: Option<u64>,
     /// How long work takes now, in percent of the usual time, if it says so.
     pub slowness_percent: Option<u16>,
     /// The use of its memory, if it says so.
@@ -172,11 +177,27 @@
     /// The check of the engine ended: these pieces that it holds match the manifest of the version
     /// with this key.
     EngineChecked(Digest, Vec<Piece>),
-    /// Staging ended: the check that found every piece of this load at the engine, or `None` if the
-    /// engine does not hold all of them.
-    Staged(Load, Option<PieceCheck>),
+    /// Staging ended.
+    Staged {
+        /// What was staged.
+        load: Load,
+        /// The check that found every piece of the load at the engine, or `None` if the engine does not hold
+        /// all of them.
+        check: Option<PieceCheck>,
+        /// How many pieces were written to the engine, also if that failed.
+        written: u64,
+    },
     /// What became of the order with this number.
     OrderAnswered(u64, OrderAnswer),
+    /// The pieces that the engine may have loaded were compared with the manifest.
+    LoadChecked {
+        /// What was compared.
+        load: Load,
+        /// When the first piece was read.
+        started_at: Duration,
+        /// What was found.
+        result: LoadCheck,
+    },
 }
 
 /// An action that the agent's reducer requests.
@@ -191,12 +212,16 @@
     /// Write to the engine every piece of the load that it lacks or holds corrupted, and verify these
     /// pieces by reading them back.
     Stage(Load),
+    /// Compare the pieces of a load that the engine holds with the manifest, and write none.
+    CheckLoaded(Load),
     /// Order the engine to load.
     OrderLoad {
         /// The number of the order.
         number: u64,
         /// What to load.
         load: Load,
+        /// The number of orders that the engine must have accepted before this one, if known.
+        sequence: Option<u64>,
         /// The order must not be sent later, since what it relies on may have changed by then.
         valid_until: Duration,
     },
@@ -271,6 +296,7 @@
     /// Crashes of any targets that entries reported, which are passed on to all entries.
     suspects: CrashSuspects,
     engine: Option<EngineReport>,
+    has_engine_reported: bool,
     engine_reported_at: Duration,
     /// When an entry last asked for a prediction.
     timing_requested_at: Option<Duration>,
@@ -342,6 +368,7 @@
             reservations: Reservations::default(),
             suspects: CrashSuspects::default(),
             engine: None,
+            has_engine_reported: false,
             engine_reported_at: Duration::ZERO,
             timing_requested_at: None,
             retry_at: Duration::ZERO,
@@ -363,10 +390,17 @@
         let engine = self.engine.unwrap_or_default();
         EngineStatus {
             version: engine.version,
-            is_switching: engine.is_busy || self.is_admission_closed(),
+            is_switching: engine.is_busy
+                || self.is_admission_closed()
+                || engine.version.is_some_and(|v| !self.is_verified(v)),
         }
     }
 
+    /// Whether requests may run on this version of the weights, which the engine holds.
+    fn is_verified(&self, version: u64) -> bool {
+        !self.orders.is_unverified(version, None) && !self.orders.has_changed(version)
+    }
+
     /// Whether no reservation is accepted, since the engine is about to load.
     fn is_admission_closed(&self) -> bool {
         matches!(
@@ -510,7 +544,8 @@
     pub fn is_updating(&self) -> bool {
         let running = self.engine.and_then(|engine| engine.version);
         let newest = self.downloads.last();
-        newest.is_none_or(|download| Some(download.model_version.version) != running)
+        self.orders.has_unverified()
+            || newest.is_none_or(|download| Some(download.model_version.version) != running)
     }
 
     /// Handles one event.
@@ -558,7 +593,21 @@
                     download.finish_engine_check(now, pieces, &mut effects);
                 }
             }
-            Event::Staged(load, check) => self.handle_staged(now, &load, check, &mut effects),
+            Event::Staged {
+                load,
+                check,
+                written,
+            } => {
+                if written > 0 {
+                    self.orders.record_written_pieces();
+                }
+                self.handle_staged(now, &load, check, &mut effects);
+            }
+            Event::LoadChecked {
+                load,
+                started_at,
+                result,
+            } => self.handle_load_checked(now, load, started_at, result, &mut effects),
             Event::OrderAnswered(number, answer) => {
                 self.handle_order_answered(now, number, answer, &mut effects)
             }
@@ -739,6 +788,13 @@
         if report.is_none() || has_lost_weights {
             self.engine_lost_at = now;
         }
+        if let Some(report) = report {
+            let is_first = !std::mem::replace(&mut self.has_engine_reported, true);
+            if is_first && (report.is_busy || report.partial_version.is_some()) {
+                self.orders.add_unknown(now);
+            }
+            self.orders.handle_report(report);
+        }
         let Some(report) = report else {
             // An engine that restarts has lost its order.
             if matches!(self.phase, UpdatePhase::Loading(_)) {
@@ -757,7 +813,9 @@
             return;
         }
         let is_loaded = self.update.as_ref().is_some_and(|load| match load.layer {
-            Some(_) => report.version.is_none(),
+            Some(layer) => {
+                report.version.is_none() && report.first_layer.is_none_or(|first| first == layer)
+            }
             None => report.version == Some(load.model_version.version),
         });
         if is_loaded {
@@ -800,11 +858,53 @@
         }
     }
 
+    /// Whether the pieces of this load are to be written to the engine now.
+    pub fn is_staging(&self, load: &Load) -> bool {
+        self.phase == UpdatePhase::Staging && self.is_updating_to(load)
+    }
+
     /// Whether this is the current update of the engine, or the last one.
-    pub fn is_updating_to(&self, load: &Load) -> bool {
+    fn is_updating_to(&self, load: &Load) -> bool {
         self.update.as_ref() == Some(load)
     }
 
+    fn handle_load_checked(
+        &mut self,
+        now: Duration,
+        load: Load,
+        started_at: Duration,
+        result: LoadCheck,
+        effects: &mut Vec<Effect>,
+    ) {
+        let ModelVersion { model, version, .. } = load.model_version;
+        let result = if started_at >= self.engine_lost_at {
+            result
+        } else {
+            LoadCheck::Unreadable
+        };
+        let result = self.orders.finish_check(now, version, load.layer, result);
+        effects.push(Effect::Record(Decision::LoadChecked {
+            model,
+            version,
+            layer: load.layer,
+            result,
+            took_ms: millis(now.saturating_sub(started_at)),
+        }));
+    }
+
+    /// Has the weights checked that the engine may have loaded on too old a check of their pieces.
+    fn check_loaded(&mut self, now: Duration, engine: EngineReport, effects: &mut Vec<Effect>) {
+        let Some(model) = self.model.clone() else {
+            return;
+        };
+        if let Some((version, layer)) = self.orders.start_check(now, engine) {
+            effects.push(Effect::CheckLoaded(Load {
+                model_version: ModelVersion::new(&model, version),
+                layer,
+            }));
+        }
+    }
+
     fn handle_order_answered(
         &mut self,
         now: Duration,
@@ -813,10 +913,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let is_newest = self.orders.is_newest(number);
-        let Some(order) = self.orders.take(number) else {
-            return;
-        };
-        effects.push(Effect::Record(order.answered(now, answer)));
+        let decision = self.orders.answered(now, number, answer);
+        effects.extend(decision.map(Effect::Record));
         let is_accepted = matches!(answer, OrderAnswer::Begun | OrderAnswer::InEffect);
         if is_newest && !is_accepted && matches!(self.phase, UpdatePhase::Loading(_)) {
             self.phase = UpdatePhase::Idle;
@@ -834,9 +932,12 @@
         let Some(engine) = self.engine else {
             return;
         };
+        self.check_loaded(now, engine, effects);
+        self.end_superfluous_update(engine);
         if let Some(load) = self.next_load(now, engine) {
             // A layer that the engine has loaded already need not be staged.
-            let is_loaded = engine.version == Some(load.model_version.version);
+            let is_loaded =
+                load.layer.is_some() && engine.version == Some(load.model_version.version);
             self.update = Some(load);
             self.staged = None;
             if is_loaded {
@@ -851,7 +952,8 @@
         };
         let is_retired = engine.version.is_some_and(|v| self.is_retired(now, v));
         if self.phase == UpdatePhase::Waiting && self.is_retiring() {
-            if !is_retired || engine.is_busy {
+            let is_needed = is_retired || self.reload_layer(engine).is_some();
+            if !is_needed || engine.is_busy {
                 // A closer bound became known, or an earlier order came into effect.
                 self.phase = UpdatePhase::Idle;
             } else if self.is_check_valid(now, &staged.check) {
@@ -899,19 +1001,43 @@
         }
         let newest = self.downloads.iter().rev().find(|d| d.is_complete())?;
         let version = newest.model_version.version;
-        if self.is_retired(now, version) || self.has_unverified_layer(engine, version) {
+        if self.is_retired(now, version) {
+            return None;
+        }
+        if self.phase == UpdatePhase::Idle && !engine.is_busy {
+            if let Some(load) = self.reload_layer(engine) {
+                return Some(load);
+            }
+        }
+        if self.has_unverified_layer(engine, version) {
             return None;
         }
         let load = Load {
             model_version: newest.model_version.clone(),
             layer: None,
         };
+        if engine.is_busy && self.orders.is_unverified(version, None) {
+            // The engine may be carrying out the order already.
+            return None;
+        }
         let is_newer = engine.version.is_none_or(|running| running < version);
         let is_different = !self.is_updating_to(&load);
         let is_next = is_newer && (is_different || self.phase == UpdatePhase::Idle);
         is_next.then_some(load)
     }
 
+    /// Ends an update to the version that the engine runs already, since it accepted an order that was given up.
+    fn end_superfluous_update(&mut self, engine: EngineReport) {
+        let is_pending = matches!(
+            self.phase,
+            UpdatePhase::Staging | UpdatePhase::Waiting | UpdatePhase::Draining(_)
+        );
+        let update = self.update.as_ref().filter(|load| load.layer.is_none());
+        if is_pending && update.is_some_and(|l| engine.version == Some(l.model_version.version)) {
+            self.phase = UpdatePhase::Idle;
+        }
+    }
+
     /// Has the pieces of the current update verified at the engine, and those written that it lacks.
     fn start_staging(&mut self, effects: &mut Vec<Effect>) {
         self.phase = UpdatePhase::Staging;
@@ -950,6 +1076,7 @@
         effects.push(Effect::OrderLoad {
             number,
             load: update,
+            sequence: engine.sequence,
             valid_until: check.map_or(report_valid_until, |check| check.valid_until()),
         });
     }
@@ -978,7 +1105,8 @@
     /// When the engine stops accepting requests in order to load the version that it holds since
     /// `staged_at`.
     fn update_time(&self, staged_at: Duration) -> Duration {
-        let Some(running) = self.engine.and_then(|engine| engine.version) else {
+        let running = self.engine.and_then(|engine| engine.version);
+        let Some(running) = running.filter(|running| !self.orders.has_changed(*running)) else {
             return staged_at;
         };
         let mut newer = self.versions.iter().filter(|known| known.version > running);
--- a/components/control/src/controller/retirement.rs
+++ b/components/control/src/controller/retirement.rs
@@ -67,13 +67,37 @@
         })
     }
 
-    /// Whether the engine may hold a layer of a version that was not verified before it was ordered to keep
-    /// only this one. It would be used again by an order to load the whole version.
+    /// Whether the engine holds a layer of a version alone that was not verified. It would be used again by an
+    /// order to load the whole version.
     pub(super) fn has_unverified_layer(&self, engine: EngineReport, version: u64) -> bool {
-        let is_verified = self.update.as_ref().is_some_and(|load| {
-            load.layer.is_some() && load.model_version.version == version && self.staged.is_some()
-        });
-        let is_newest = self.versions.last().map(|known| known.version) == Some(version);
-        engine.partial_version == Some(version) && !is_verified && !is_newest
+        let layer = engine.first_layer;
+        engine.partial_version == Some(version)
+            && (!self.orders.is_layer_verified(version, layer)
+                || self.orders.is_unverified(version, layer))
+    }
+
+    /// The load of a single layer of the newest version that makes the engine give up layers of this version
+    /// that had changed: first all but one, then this one. Other layers are loaded anew afterwards.
+    pub(super) fn reload_layer(&self, engine: EngineReport) -> Option<Load> {
+        let newest = self.downloads.iter().rev().find(|d| d.is_complete())?;
+        let version = newest.model_version.version;
+        let is_whole = engine.version == Some(version)
+            && self.orders.has_changed(version)
+            && !self.orders.is_unverified(version, None);
+        let is_layer_changed = self.has_unverified_layer(engine, version)
+            && !self.orders.is_unverified(version, engine.first_layer);
+        let layer = if is_whole {
+            INNER_LAYER
+        } else if is_layer_changed && engine.first_layer == Some(INNER_LAYER) {
+            INNER_LAYER + 1
+        } else if is_layer_changed {
+            INNER_LAYER
+        } else {
+            return None;
+        };
+        (layer < newest.layers()).then(|| Load {
+            model_version: newest.model_version.clone(),
+            layer: Some(layer),
+        })
     }
 }
--- a/components/control/src/piece_check.rs
+++ b/components/control/src/piece_check.rs
@@ -6,6 +6,10 @@
 /// engine may accept the order up to 1.5 s after it was sent; operators allow for the last 3 s.
 const MAX_CHECK_AGE: Duration = Duration::from_millis(1500);
 
+/// How old a check may be when an engine accepts the order that relies on it. Operators allow for changes in the
+/// last 3 s; the rest is for differences between the clocks and for the time until an answer is handled.
+const MAX_AGE_AT_ACCEPTANCE: Duration = Duration::from_millis(2500);
+
 /// How old a check may be beyond its own duration. Without it no order would follow a check that takes
 /// longer than [`MAX_CHECK_AGE`].
 const MIN_TIME_AFTER_CHECK: Duration = Duration::from_millis(500);
@@ -30,6 +34,11 @@
         now.saturating_sub(self.started_at)
     }
 
+    /// Whether pieces that an engine took at `time` or earlier, but after the check, count as verified.
+    pub fn covers(&self, time: Duration) -> bool {
+        self.age(time) <= MAX_AGE_AT_ACCEPTANCE
+    }
+
     /// Until when an order to load the pieces may be sent.
     pub fn valid_until(&self) -> Duration {
         let max_age = MAX_CHECK_AGE.max(self.duration() + MIN_TIME_AFTER_CHECK);
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -18,7 +18,10 @@
     AcceptableBacklog,
     ReservationTerms, //
 };
-use record::OrderAnswer;
+use record::{
+    LoadCheck,
+    OrderAnswer, //
+};
 use utils::digest::Digest;
 use weights::{
     FailureCause,
@@ -73,6 +76,14 @@
     last_check_at: Duration,
     /// Until when the last order may be sent.
     order_valid_until: Duration,
+    /// How long the engine takes to answer an order, and the order that is not answered yet.
+    answer_time: Duration,
+    unanswered_order: Option<(u64, Duration)>,
+    /// Whether the engine accepts orders whose answers do not arrive.
+    accepts_silently: bool,
+    /// What a check of loaded pieces finds next, and how many there were.
+    load_check: LoadCheck,
+    load_checks: u32,
     /// The engine's answer to orders, which it accepts only if it begins to carry them out.
     order_answer: OrderAnswer,
 }
@@ -111,6 +122,11 @@
             checked_at: Vec::new(),
             last_check_at: Duration::ZERO,
             order_valid_until: Duration::ZERO,
+            answer_time: Duration::ZERO,
+            unanswered_order: None,
+            accepts_silently: false,
+            load_check: LoadCheck::Intact,
+            load_checks: 0,
             order_answer: OrderAnswer::Begun,
         };
         agent.handle(Event::Model("m".into()));
@@ -149,18 +165,42 @@
                 number,
                 load,
                 valid_until,
+                ..
             } => {
                 self.orders.push((load.model_version.version, self.now));
                 self.loads.push(load.clone());
                 self.checked_at.push(self.last_check_at);
                 self.order_valid_until = valid_until;
-                self.engine.is_busy = self.order_answer == OrderAnswer::Begun;
-                self.handle(Event::OrderAnswered(number, self.order_answer));
+                self.engine.is_busy =
+                    self.order_answer == OrderAnswer::Begun || self.accepts_silently;
+                self.unanswered_order = Some((number, self.now + self.answer_time));
+                self.answer_order();
+            }
+            Effect::CheckLoaded(load) => {
+                self.load_checks += 1;
+                // Pieces that are staged again are intact, and later orders are answered at once.
+                let result = std::mem::replace(&mut self.load_check, LoadCheck::Intact);
+                self.order_answer = OrderAnswer::Begun;
+                self.answer_time = Duration::ZERO;
+                self.handle(Event::LoadChecked {
+                    load,
+                    started_at: self.now,
+                    result,
+                });
             }
             _ => {}
         }
     }
 
+    /// Answers the order once the answer has taken its time.
+    fn answer_order(&mut self) {
+        let now = self.now;
+        let order = self.unanswered_order.take_if(|(_, at)| now >= *at);
+        if let Some((number, _)) = order {
+            self.handle(Event::OrderAnswered(number, self.order_answer));
+        }
+    }
+
     /// Ends the staging in progress once its check has taken its time.
     fn finish_staging(&mut self) {
         let check_time = self.check_time;
@@ -174,7 +214,11 @@
             ended_at: self.now,
         };
         let check = self.staging_succeeds.then_some(check);
-        self.handle(Event::Staged(load, check));
+        self.handle(Event::Staged {
+            load,
+            check,
+            written: 0,
+        });
     }
 
     fn fetch(&self, model_version: &ModelVersion, piece: u32, source: Source) -> weights::Event {
@@ -252,10 +296,12 @@
                         version: Some(version).filter(|_| is_whole),
                         partial_version: Some(version).filter(|_| !is_whole),
                         layers: Some(if is_whole { self.layers } else { 1 }),
+                        first_layer: self.loads.last().and_then(|l| l.layer),
                         ..EngineReport::default()
                     };
                 }
             }
+            self.answer_order();
             self.finish_staging();
             self.handle(Event::Engine(self.is_engine_up.then_some(self.engine)));
             self.handle(Event::Tick);
@@ -554,6 +600,106 @@
     assert_eq!(agent.ordered_versions(), [2]);
 }
 
+/// Guards against tokens of pieces that changed after they were read: nothing bounds when an engine accepts an order.
+#[test]
+fn weights_loaded_on_an_old_check_are_used_only_if_their_pieces_are_still_intact() {
+    struct Case {
+        name: &'static str,
+        check_time: Duration,
+        answer_time: Duration,
+        answer: OrderAnswer,
+        found: LoadCheck,
+        checks: u32,
+        /// The layers of the orders.
+        layers: &'static [Option<u32>],
+    }
+    let case = Case {
+        name: "the check is short and the order is answered at once",
+        check_time: ms(100),
+        answer_time: ms(0),
+        answer: OrderAnswer::Begun,
+        found: LoadCheck::Intact,
+        checks: 0,
+        layers: &[None],
+    };
+    let cases = [
+        Case {
+            name: "the check takes long",
+            check_time: ms(2600),
+            checks: 1,
+            ..case
+        },
+        Case {
+            name: "the check takes long, and a piece changed",
+            check_time: ms(2600),
+            found: LoadCheck::Changed,
+            // The check of a single layer takes as long here, so each load is checked.
+            checks: 3,
+            layers: &[None, Some(1), Some(2), None],
+            ..case
+        },
+        Case {
+            name: "the order is answered late",
+            answer_time: ms(2500),
+            checks: 1,
+            ..case
+        },
+        Case {
+            name: "the order is answered late, and the check and the answer together take too long",
+            check_time: ms(1400),
+            answer_time: ms(1200),
+            checks: 1,
+            ..case
+        },
+        Case {
+            name: "the order is not answered",
+            answer_time: ms(1500),
+            answer: OrderAnswer::Missing,
+            checks: 1,
+            ..case
+        },
+        Case {
+            name: "the order is not answered, and a piece changed",
+            answer_time: ms(1500),
+            answer: OrderAnswer::Missing,
+            found: LoadCheck::Changed,
+            checks: 1,
+            layers: &[None, Some(1), Some(2), None],
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let mut agent = Agent::new(1, Some(1));
+        agent.advance(ms(1000));
+        agent.set_layers(4);
+        agent.check_time = case.check_time;
+        agent.answer_time = case.answer_time;
+        agent.order_answer = case.answer;
+        agent.accepts_silently = true;
+        agent.load_check = case.found;
+        agent.name_version(2);
+        agent.receive_all(2);
+        while agent.loads.is_empty() {
+            agent.advance(ms(50));
+        }
+        let mut was_used_unchecked = false;
+        for _ in 0..400 {
+            agent.advance(ms(50));
+            let status = agent.controller.status();
+            let is_used = status.version == Some(2) && !status.is_switching;
+            was_used_unchecked |= is_used && agent.load_checks < case.checks;
+        }
+        let layers: Vec<Option<u32>> = agent.loads.iter().map(|load| load.layer).collect();
+        assert_eq!(layers, case.layers, "{}", case.name);
+        assert_eq!(agent.load_checks, case.checks, "{}", case.name);
+        assert!(!was_used_unchecked, "{}", case.name);
+        let status = agent.controller.status();
+        assert_eq!(status.version, Some(2), "{}", case.name);
+        assert!(!status.is_switching, "{}", case.name);
+    }
+}
+
 /// Guards against requests that are on their way when the time of their version ends, and begin on it.
 #[test]
 fn engine_runs_nothing_on_a_version_whose_time_is_over() {
--- a/components/proxy/src/controller/backends.rs
+++ b/components/proxy/src/controller/backends.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use control::controller::EngineReport;
+use control::controller::{
+    EngineReport,
+    Load, //
+};
 use displaydoc::Display;
 use futures_util::future::BoxFuture;
 use record::OrderAnswer;
@@ -44,9 +47,9 @@
     pub write_piece: Box<dyn Fn(Name, Piece, Bytes) -> CallFuture<()> + Send + Sync>,
     /// Reads a piece from the engine.
     pub read_piece: Box<dyn Fn(Name, Piece) -> CallFuture<Bytes> + Send + Sync>,
-    /// Orders the engine to load a version of a model, or only one layer of it. Fails with
+    /// Orders the engine to load, if it has accepted as many orders as given. Fails with
     /// [`BackendError::Unreadable`] only if nothing was sent.
-    pub order_load: Box<dyn Fn(Name, u64, Option<u32>) -> CallFuture<OrderAnswer> + Send + Sync>,
+    pub order_load: Box<dyn Fn(Load, Option<u64>) -> CallFuture<OrderAnswer> + Send + Sync>,
     /// Downloads the manifest of a version from the origin.
     pub download_manifest: Box<dyn Fn(SocketAddr, Name, u64) -> CallFuture<Manifest> + Send + Sync>,
     /// Downloads a piece of a version from the origin.
--- a/components/proxy/src/controller/mod.rs
+++ b/components/proxy/src/controller/mod.rs
@@ -295,11 +295,13 @@
                 self.spawn(move |agent| agent.check_engine(model_version))
             }
             Effect::Stage(load) => self.spawn(move |agent| agent.stage(load)),
+            Effect::CheckLoaded(load) => self.spawn(move |agent| agent.check_loaded(load)),
             Effect::OrderLoad {
                 number,
                 load,
+                sequence,
                 valid_until,
-            } => self.spawn(move |agent| agent.order_load(number, load, valid_until)),
+            } => self.spawn(move |agent| agent.order_load(number, load, sequence, valid_until)),
             Effect::ReadEngine => self.spawn(Self::read_engine),
             Effect::ReadMembers => self.spawn(Self::read_members),
             Effect::Record(decision) => self.record(decision),
--- a/components/proxy/src/controller/staging.rs
+++ b/components/proxy/src/controller/staging.rs
@@ -10,7 +10,10 @@
     ModelVersion, //
 };
 use control::PieceCheck;
-use record::OrderAnswer;
+use record::{
+    LoadCheck,
+    OrderAnswer, //
+};
 use utils::digest::Digest;
 use utils::millis::millis;
 use weights::{
@@ -63,23 +66,57 @@
 
     /// Makes the engine hold all pieces of a load, and reports whether that succeeded.
     pub(super) async fn stage(self: Arc<Self>, load: Load) {
-        let check = {
-            let _guard = self.staging.lock().await;
-            self.stage_all(&load).await
+        let _guard = self.staging.lock().await;
+        let mut written = 0;
+        let check = self.stage_all(&load, &mut written).await;
+        // Reported before a check of loaded weights can begin, which must know of written pieces.
+        self.handle_event(Event::Staged {
+            load,
+            check,
+            written,
+        });
+    }
+
+    /// Compares the pieces that the engine holds with the manifest, and reports the result.
+    pub(super) async fn check_loaded(self: Arc<Self>, load: Load) {
+        let _guard = self.staging.lock().await;
+        let started_at = self.clock.now().elapsed;
+        let result = self.compare_pieces(&load).await;
+        self.handle_event(Event::LoadChecked {
+            load,
+            started_at,
+            result,
+        });
+    }
+
+    async fn compare_pieces(&self, load: &Load) -> LoadCheck {
+        let model_version = &load.model_version;
+        let Some(manifest) = self.store.manifest(&model_version.key) else {
+            return LoadCheck::Unreadable;
         };
-        self.handle_event(Event::Staged(load, check));
+        for (piece, digest) in pieces_of(&manifest, load) {
+            match (self.backends.read_piece)(model_version.model.clone(), piece).await {
+                Ok(data) if Digest::of(&data) == *digest => {}
+                Ok(_) | Err(BackendError::Refused(404)) => {
+                    self.log_changed_piece(model_version, piece);
+                    return LoadCheck::Changed;
+                }
+                Err(_) => return LoadCheck::Unreadable,
+            }
+        }
+        LoadCheck::Intact
     }
 
-    /// Returns the check that found all pieces, or `None` if the engine does not hold all of them or is
-    /// updated to something else by now.
-    async fn stage_all(&self, load: &Load) -> Option<PieceCheck> {
+    /// Returns the check that found all pieces, or `None` if the engine does not hold all of them or need not
+    /// by now. Counts the pieces that are written.
+    async fn stage_all(&self, load: &Load, written: &mut u64) -> Option<PieceCheck> {
         let model_version = &load.model_version;
         let manifest = self.store.manifest(&model_version.key)?;
         for _ in 0..MAX_STAGING_ROUNDS {
             let started_at = self.clock.now().elapsed;
             let mut sent = 0;
             for (piece, digest) in pieces_of(&manifest, load) {
-                if !lock(&self.state).is_updating_to(load) {
+                if !lock(&self.state).is_staging(load) {
                     return None;
                 }
                 if self.read_back(model_version, piece, digest).await.is_some() {
@@ -88,9 +125,10 @@
                 sent += 1;
                 self.log_changed_piece(model_version, piece);
                 let data = self.store.get(&model_version.key, piece)?;
-                if !lock(&self.state).is_updating_to(load) {
+                if !lock(&self.state).is_staging(load) {
                     return None;
                 }
+                *written += 1;
                 if let Err(e) =
                     (self.backends.write_piece)(model_version.model.clone(), piece, data).await
                 {
@@ -155,10 +193,11 @@
         self: Arc<Self>,
         number: u64,
         load: Load,
+        sequence: Option<u64>,
         valid_until: Duration,
     ) {
         let answer = if self.clock.now().elapsed <= valid_until {
-            self.send_load_order(&load).await
+            self.send_load_order(&load, sequence).await
         } else {
             OrderAnswer::NotSent
         };
@@ -166,9 +205,9 @@
         self.read_engine().await;
     }
 
-    async fn send_load_order(&self, load: &Load) -> OrderAnswer {
-        let ModelVersion { model, version, .. } = &load.model_version;
-        let result = (self.backends.order_load)(model.clone(), *version, load.layer).await;
+    async fn send_load_order(&self, load: &Load, sequence: Option<u64>) -> OrderAnswer {
+        let version = load.model_version.version;
+        let result = (self.backends.order_load)(load.clone(), sequence).await;
         let e = match result {
             Ok(answer) => return answer,
             Err(e) => e,
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -63,6 +63,18 @@
     NotSent,
 }
 
+/// What a check of the pieces found that an engine may have loaded before they were verified.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadCheck {
+    /// All pieces are intact, and so they were when the engine took them.
+    Intact,
+    /// A piece is missing or corrupt, or pieces were written since.
+    Changed,
+    /// The pieces could not be compared.
+    Unreadable,
+}
+
 /// A decision, as written to the record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "decision")]
@@ -489,6 +501,20 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         check_took_ms: Option<u64>,
     },
+    /// The pieces were checked that an engine may have loaded on too old a check.
+    LoadChecked {
+        /// The model.
+        model: Name,
+        /// The version.
+        version: u64,
+        /// The only layer that was checked. `None` for all.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        layer: Option<u32>,
+        /// What was found.
+        result: LoadCheck,
+        /// Milliseconds that the check took.
+        took_ms: u64,
+    },
     /// An order to load was answered, or its answer is no longer waited for.
     OrderAnswered {
         /// The model.
@@ -585,6 +611,7 @@
             Self::Process { .. } => "process",
             Self::Staged { .. } => "staged",
             Self::Order { .. } => "order",
+            Self::LoadChecked { .. } => "load_checked",
             Self::OrderAnswered { .. } => "order_answered",
             Self::Silent { .. } => "silent",
             Self::Dropped { .. } => "dropped",
--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -20,6 +20,7 @@
 };
 pub use decision::{
     Decision,
+    LoadCheck,
     OrderAnswer,
     RouteRule,
     SwitchStep, //
--- a/tests/slow_engines.rs
+++ b/tests/slow_engines.rs
@@ -180,6 +180,7 @@
     let runs = Runs::default();
     let mut engines = Vec::new();
     let mut agents = Vec::new();
+    let mut addresses = Vec::new();
     for i in 0..ENGINES {
         let engine = Target::engine(&format!("e-{i}"), &runs);
         let address = serve_engine(&engine, &format!("{}:8001", ip(100 + i))).await;
@@ -187,6 +188,7 @@
         let agent = process("agent", format!("agent-{i}"), ip(100 + i), Some(address));
         agents.push(agent);
         engines.push(engine);
+        addresses.push(address);
     }
     let _entry = process("entry", "entry".into(), ip(10), None);
     sleep(STARTUP_TIME).await;
@@ -201,15 +203,21 @@
         tokio::spawn(inject(case.fault, engine.clone(), agent));
     }
     let updated = async {
-        let count = |id: &str| {
-            let runs = runs.all();
-            let on_new = runs
-                .iter()
-                .filter(|run| run.target == id && run.version == 2);
-            on_new.count()
-        };
-        while (0..ENGINES).any(|i| count(&format!("e-{i}")) < RUNS_ON_NEW_VERSION) {
+        let mut serving: Vec<usize> = (0..ENGINES).collect();
+        while !serving.is_empty() {
             sleep(Duration::from_millis(100)).await;
+            let all_runs = runs.all();
+            let has_served = |i: &usize| {
+                let id = format!("e-{i}");
+                let runs = all_runs.iter();
+                let runs = runs.filter(|run| run.target == id && run.version == 2);
+                runs.count() >= RUNS_ON_NEW_VERSION
+            };
+            if let Some(position) = serving.iter().position(has_served) {
+                // One engine could take all requests, so it leaves and the others must serve.
+                let i = serving.remove(position);
+                publish_target(&store, &format!("e-{i}"), "engines", addresses[i], true);
+            }
         }
     };
     let ended = timeout(UPDATE_TIME, updated).await;
