An event of a stream that never ends counts as silence

The limit on a target's silence began anew with each part of its answer, so a caller got no event until its deadline while the target went on with one event, or while this process was too busy to read 256 KiB of it.

Change: the limit holds until an event is complete, however many parts it has. As before, a target is left only if another one can go on.

--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -90,7 +90,7 @@
 
     /// Waits for a target's next message, `is_first` if the caller has received nothing yet. A target that
     /// falls silent is left only if another one can go on with the request.
-    async fn wait_for_target<F: Future>(
+    pub(super) async fn wait_for_target<F: Future>(
         &self,
         token: u64,
         forward_request: &ForwardRequest,
@@ -272,10 +272,7 @@
             ..
         } = response;
         let mut buffer = BodyBuffer::new(&self.inner.buffers);
-        while let Some(part) = self
-            .read_part(token, &mut body, forward_request, false)
-            .await?
-        {
+        while let Some(part) = self.read_part(token, &mut body, forward_request).await? {
             let is_too_long = buffer.len() + part.len() > MAX_RESPONSE_BYTES;
             if is_too_long || buffer.push(&part).is_err() {
                 return Err(Outcome::Broken {
@@ -287,23 +284,30 @@
         Ok((parts, buffer.into_bytes()))
     }
 
-    /// Reads the next part of the body of a response, or `None` at its end; `is_first` if none was
-    /// received yet.
-    pub(super) async fn read_part(
+    /// Reads the next part of the body of a response, or `None` at its end. A target that sends nothing is left.
+    async fn read_part(
         &self,
         token: u64,
         body: &mut Incoming,
         forward_request: &ForwardRequest,
-        is_first: bool,
+    ) -> Result<Option<Bytes>, Outcome> {
+        let part = self.next_part(body, forward_request.deadline);
+        self.wait_for_target(token, forward_request, false, part)
+            .await?
+    }
+
+    /// Waits for the next part of the body of a response, which is `None` at its end.
+    pub(super) async fn next_part(
+        &self,
+        body: &mut Incoming,
+        deadline: Duration,
     ) -> Result<Option<Bytes>, Outcome> {
         loop {
-            let time_left = self.time_left(forward_request.deadline);
-            // A target that always has bytes ready would never let the timeout below expire.
-            if time_left.is_zero() {
+            // While a target always has bytes ready, no timeout around this expires.
+            if self.time_left(deadline).is_zero() {
                 return Err(Outcome::DeadlineExceeded);
             }
-            let frame = self.wait_for_target(token, forward_request, is_first, body.frame());
-            let frame = match frame.await? {
+            let frame = match body.frame().await {
                 None => return Ok(None),
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => {
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -1,6 +1,8 @@
 //! Streams of server-sent events: forwards events as they are received, and resumes an interrupted
 //! stream at another target.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use control::router::{
     Event,
@@ -239,20 +241,30 @@
         metrics::counter!("medlarproxy_answers_total", "outcome" => "streamed").increment(1);
     }
 
-    /// Reads from the target until at least one event is complete.
+    /// Reads from the target until at least one event is complete. A target that does not complete one counts as
+    /// silent, also if it sends bytes.
     async fn read(
         &mut self,
         body: &mut Incoming,
         splitter: &mut EventSplitter,
         forward_request: &ForwardRequest,
+    ) -> ReadResult {
+        let is_first = self.last_part_at.is_none();
+        let (router, token) = (self.router.clone(), self.token);
+        let reading = self.read_events(body, splitter, forward_request.deadline);
+        let result = router.wait_for_target(token, forward_request, is_first, reading);
+        result.await.unwrap_or_else(ReadResult::Failed)
+    }
+
+    /// Reads parts until at least one event is complete, or until the deadline.
+    async fn read_events(
+        &mut self,
+        body: &mut Incoming,
+        splitter: &mut EventSplitter,
+        deadline: Duration,
     ) -> ReadResult {
         loop {
-            let is_first = self.last_part_at.is_none();
-            let part = self
-                .router
-                .read_part(self.token, body, forward_request, is_first)
-                .await;
-            let part = match part {
+            let part = match self.router.next_part(body, deadline).await {
                 Ok(Some(part)) => part,
                 Ok(None) if splitter.has_partial_event() => {
                     return ReadResult::Failed(Outcome::Broken {
