Check what a request relies on again when the connection is there

Cause: a target was chosen, then a connection to it was opened, and the request was sent without another look. Opening takes 0.4 s of the time in which the process runs, and any time if it stands still: the system sends a lost first packet again after a second.

Change: State::may_send checks all of it in one place right before the request is handed to a connection, idle or new: the target is listed with the same start, address and service, is not leaving or paused, its data centre is in service, its version is allowed and the one that is named, the path to its region is short enough, the configuration is young enough, the key is valid and the request is not quarantined. If not, nothing is sent, the connection is kept, and the exchange ends as 'withheld': a target is chosen again, without a retry, without an attempt and without blame for the target.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -351,9 +351,10 @@
         let first_event_deadline =
             model.and_then(|model| self.first_event_deadline(model, version));
         let requirements = self.requirements(now, pending);
-        let has_constraint = requirements.versions != VersionConstraint::Any;
         let cold_rate = selection::process_cold_rate(&requirements);
         let target = self.targets.get(id);
+        let required_version =
+            target.and_then(|target| selection::required_version(target, &requirements));
         let limited_rate =
             target.and_then(|target| selection::limited_rate(now, target, &requirements));
         let location = &self.options.location;
@@ -397,7 +398,7 @@
             address: target.entry.address,
             remote_region: remote_region(target, location).cloned(),
             team: pending.team.as_ref().map(|team| team.name.clone()),
-            version: target.entry.version.filter(|_| has_constraint),
+            version: required_version,
             attempt: pending.attempts(),
             priority: pending.target_priority(),
             deadline: pending.deadline,
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod crash_exchange;
 mod crashes;
 pub mod demand;
+mod departure;
 mod dispatch;
 pub mod distance;
 mod first_attempts;
@@ -113,6 +114,8 @@
     WrongVersion,
     /// No byte of the request reached the target.
     NotSent,
+    /// Nothing was sent, since [`State::may_send`] did not allow it any more.
+    Withheld,
     /// The answer was cut off, missing or malformed.
     Broken {
         /// Whether the connection broke, as it does when the target crashes.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -252,6 +252,7 @@
             Outcome::DeadlineExceeded => {
                 self.reject(now, token, RejectionReason::TimedOut, effects)
             }
+            Outcome::Withheld => self.dispatch_again(now, token, effects),
             _ => self.retry(now, token, effects),
         }
     }
@@ -293,6 +294,7 @@
                 target.health.record_failure(now);
             }
             Outcome::NotSent => target.health.record_unreachable(now),
+            Outcome::Withheld => {}
             Outcome::DeadlineExceeded | Outcome::IdleTimeout => {
                 target.health.record_failure(now);
             }
@@ -558,6 +560,7 @@
         Outcome::WrongInstance => "other_instance",
         Outcome::WrongVersion => "other_version",
         Outcome::NotSent => "not_sent",
+        Outcome::Withheld => "withheld",
         Outcome::Broken {
             connection_lost: true,
         } => "lost",
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -174,6 +174,13 @@
         MIN_CALLER_PATIENCE.max(for_latency).max(for_pause)
     }
 
+    /// Targets that it was sent to before the present one.
+    pub fn targets_tried_before(&self) -> &[Name] {
+        self.tried_targets
+            .split_last()
+            .map_or(&[], |(_present, before)| before)
+    }
+
     /// How many targets it was sent to.
     pub fn attempts(&self) -> u32 {
         u32::try_from(self.tried_targets.len()).unwrap_or(u32::MAX)
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -297,8 +297,19 @@
     out_data_centres: &BTreeSet<Name>,
     requirements: &Requirements<'_>,
 ) -> bool {
-    is_eligible(target, location, out_data_centres, requirements)
+    may_serve(now, target, location, out_data_centres, requirements)
         && !target.health.is_ejected(now)
+}
+
+/// Whether the target may serve the request and is not paused, regardless of its load and health.
+pub(super) fn may_serve(
+    now: Duration,
+    target: &Target,
+    location: &Location,
+    out_data_centres: &BTreeSet<Name>,
+    requirements: &Requirements<'_>,
+) -> bool {
+    is_eligible(target, location, out_data_centres, requirements)
         && !target.notice.is_paused(now)
         && requirements.access(now, target, location) != Access::TooLate
 }
@@ -482,6 +493,12 @@
     is_region_allowed(&entry.data_centre, location, requirements)
 }
 
+/// The version that the target must still run when it gets the request, if only some are allowed.
+pub(super) fn required_version(target: &Target, requirements: &Requirements<'_>) -> Option<u64> {
+    let has_constraint = requirements.versions != VersionConstraint::Any;
+    target.entry.version.filter(|_| has_constraint)
+}
+
 /// Whether the request may be served in the region of a data centre.
 fn is_region_allowed(
     data_centre: &str,
--- /dev/null
+++ b/components/control/tests/departures.rs
@@ -0,0 +1,166 @@
+//! Requests that may not be sent any more to the target that was chosen for them.
+
+mod routers;
+
+use std::time::Duration;
+
+use control::notice::Notice;
+use control::router::{
+    Effect,
+    Event,
+    ForwardRequest,
+    Outcome,
+    RetryLimit,
+    Sending,
+    State, //
+};
+use routers::{
+    clock,
+    config_of_both_services,
+    options,
+    request,
+    target, //
+};
+
+const START: Duration = Duration::from_secs(100);
+
+/// How long it takes until a connection is there.
+const WAIT: Duration = Duration::from_millis(1500);
+
+const NO_RETRIES: RetryLimit = RetryLimit {
+    retries_per_request: 0.0,
+    extra_retries: 0.0,
+    window: Duration::from_secs(10),
+};
+
+/// The instructions to send request 1.
+fn forwarded(effects: &[Effect]) -> Option<ForwardRequest> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Forward(1, request) => Some(request.clone()),
+        _ => None,
+    })
+}
+
+/// A router with one target, to which request 2 was sent and request 1 is to be sent.
+fn start() -> (State, ForwardRequest) {
+    let mut state = State::new(options(NO_RETRIES, 1));
+    for event in [
+        Event::ConfigRead(config_of_both_services()),
+        Event::TargetListed(target("d1", "desk", "a")),
+        Event::ConfigConfirmed(START),
+        Event::RequestReceived(request(2, "/look/")),
+    ] {
+        state.step(clock(START), event);
+    }
+    let effects = state.step(clock(START), Event::RequestReceived(request(1, "/look/")));
+    let forward_request = forwarded(&effects).unwrap();
+    (state, forward_request)
+}
+
+fn withheld() -> Event {
+    Event::ExchangeEnded {
+        token: 1,
+        outcome: Outcome::Withheld,
+        longest_pause: Duration::ZERO,
+        sending: Sending::default(),
+    }
+}
+
+fn answer_of_target(notice: Notice) -> Event {
+    Event::ResponseHead {
+        token: 2,
+        load: None,
+        cold_remaining: None,
+        version: None,
+        notice: Some(notice),
+    }
+}
+
+/// Guards against requests to a target that said in another answer, while a connection was opened, that it wants none.
+#[test]
+fn request_may_be_sent_only_as_long_as_its_target_wants_it() {
+    struct Case {
+        name: &'static str,
+        notice: Notice,
+        wait: Duration,
+        expected: bool,
+    }
+    let pause = |ms| Notice {
+        wants_nothing_for: Some(Duration::from_millis(ms)),
+        ..Notice::default()
+    };
+    let cases = [
+        Case {
+            name: "nothing said",
+            notice: Notice::default(),
+            wait: WAIT,
+            expected: true,
+        },
+        Case {
+            name: "leaves",
+            notice: Notice {
+                is_leaving: true,
+                ..Notice::default()
+            },
+            wait: WAIT,
+            expected: false,
+        },
+        Case {
+            name: "pause",
+            notice: pause(2000),
+            wait: WAIT,
+            expected: false,
+        },
+        Case {
+            name: "pause that is over",
+            notice: pause(1000),
+            wait: WAIT,
+            expected: true,
+        },
+    ];
+    for case in cases {
+        let (mut state, forward_request) = start();
+        assert!(state.may_send(START, 1, &forward_request), "{}", case.name);
+        state.step(clock(START), answer_of_target(case.notice));
+        let actual = state.may_send(START + case.wait, 1, &forward_request);
+        assert_eq!(actual, case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against rejections for want of retries, and against targets that are avoided, though nothing was sent.
+#[test]
+fn withheld_request_is_dispatched_again_without_a_retry() {
+    struct Case {
+        name: &'static str,
+        is_draining: bool,
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "the target may get it again",
+            is_draining: false,
+            expected: "d1",
+        },
+        Case {
+            name: "the target leaves",
+            is_draining: true,
+            expected: "d2",
+        },
+    ];
+    for case in cases {
+        let (mut state, _) = start();
+        let now = START + WAIT;
+        if case.is_draining {
+            let mut entry = target("d1", "desk", "a");
+            entry.is_draining = true;
+            state.step(clock(now), Event::TargetListed(entry));
+            let other = Event::TargetListed(target("d2", "desk", "a"));
+            state.step(clock(now), other);
+        }
+        let effects = state.step(clock(now), withheld());
+        let forward_request = forwarded(&effects).expect(case.name);
+        assert_eq!(&*forward_request.target, case.expected, "{}", case.name);
+        assert_eq!(forward_request.attempt, 1, "{}", case.name);
+        assert!(state.may_send(now, 1, &forward_request), "{}", case.name);
+    }
+}
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -136,11 +137,12 @@
         forward_request: &ForwardRequest,
         last_event_id: Option<u64>,
     ) -> Result<TargetResponse, Outcome> {
-        let sending = self.send_request(caller_request, forward_request, last_event_id);
+        let sending = self.send_request(token, caller_request, forward_request, last_event_id);
         let result = self.wait_for_target(token, forward_request, true, sending);
         let (response, connection) = match result.await? {
             Ok(received) => received,
             Err(ExchangeError::NotSent) => return Err(Outcome::NotSent),
+            Err(ExchangeError::Withheld) => return Err(Outcome::Withheld),
             Err(ExchangeError::ConnectionLost) => {
                 return Err(Outcome::Broken {
                     connection_lost: true,
@@ -187,42 +189,52 @@
         Ok(response)
     }
 
-    /// Sends a request on an idle connection, or on a new one if there is none.
+    /// Sends a request on an idle connection, or on a new one if there is none. It is withheld if its
+    /// target may not get it any more when the connection is there.
     async fn send_request(
         &self,
+        token: u64,
         caller_request: &CallerRequest,
         forward_request: &ForwardRequest,
         last_event_id: Option<u64>,
     ) -> Result<(http::Response<Incoming>, Connection), ExchangeError> {
         let sending = &caller_request.sending;
-        let build = |now| self.build_request(caller_request, forward_request, last_event_id, now);
         sending.take();
-        while let Some(mut connection) = self.inner.pool.reuse(forward_request.address).await {
+        loop {
+            let (mut connection, connected_in) = self.connect(forward_request.address).await?;
             let now = self.elapsed();
-            let request = build(now)?;
+            if !self.may_send(now, token, forward_request) {
+                self.inner.pool.release(connection, None);
+                return Err(ExchangeError::Withheld);
+            }
+            let request =
+                self.build_request(caller_request, forward_request, last_event_id, now)?;
             sending.set(Sending {
                 sent_at: Some(now),
-                connected_in: None,
+                connected_in,
             });
             match connection.send(request).await {
-                Ok(response) => return Ok((response, connection)),
                 // The target closed the connection while it was idle.
-                Err(ExchangeError::NotSent) => {
+                Err(ExchangeError::NotSent) if connected_in.is_none() => {
                     sending.take();
                 }
-                Err(e) => return Err(e),
+                result => return result.map(|response| (response, connection)),
             }
         }
+    }
+
+    /// Returns an idle connection, or else a new one and how long it took to open it.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(Connection, Option<Duration>), ExchangeError> {
+        if let Some(connection) = self.inner.pool.reuse(address).await {
+            return Ok((connection, None));
+        }
         let opened_at = self.elapsed();
-        let mut connection = self.inner.pool.open(forward_request.address).await?;
-        let now = self.elapsed();
-        let request = build(now)?;
-        sending.set(Sending {
-            sent_at: Some(now),
-            connected_in: Some(now.saturating_sub(opened_at)),
-        });
-        let response = connection.send(request).await?;
-        Ok((response, connection))
+        let connection = self.inner.pool.open(address).await?;
+        let connected_in = self.elapsed().saturating_sub(opened_at);
+        Ok((connection, Some(connected_in)))
     }
 
     fn build_request(
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Whether a request may still be sent to the target that was chosen for it.
+    fn may_send(&self, now: Duration, token: u64, request: &ForwardRequest) -> bool {
+        self.inner.state.borrow().may_send(now, token, request)
+    }
+
     /// Whether another target can go on with a request whose target has fallen silent.
     fn may_leave_silent_target(&self, token: u64) -> bool {
         let now = self.inner.clock.now().elapsed;
--- a/components/proxy/src/router/pool.rs
+++ b/components/proxy/src/router/pool.rs
@@ -42,6 +42,8 @@
 pub(super) enum ExchangeError {
     /// No byte of the request was sent.
     NotSent,
+    /// The request was not handed to a connection, since its target may not get it any more.
+    Withheld,
     /// The connection was lost; the target may have received the request.
     ConnectionLost,
 }
