No request is sent after its deadline

Cause: the deadline of a request was compared only when a target had failed. Otherwise timers end its waits, and after a standstill of the process what is ready goes before them: a free target for a queued request, the reply to a reservation, a connection.

Change: the deadline is one of the reasons not to send a request, which are checked at each choice, after a reservation and when the connection is there. Such a request has not run, and its caller is told so.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -258,11 +258,15 @@
         true
     }
 
-    /// Why a request must not be sent to any target, if so: it would not end before this process, the
-    /// configuration is too old, its key was revoked or the request was quarantined while it waited. Streams that are resumed began under a
-    /// configuration that was in force.
+    /// Why a request must not be sent to any target, if so: its time is over, it would not end before this
+    /// process, the configuration is too old, its key was revoked or the request was quarantined while it
+    /// waited. Streams that are resumed began under a configuration that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
+        // The timers for it may be late if the process stood still.
+        if now >= pending.deadline {
+            return Some(RejectionReason::TimedOut);
+        }
         let has_key = pending.team.is_some();
         if !pending.response_started && !self.ends_in_time(now, pending) {
             return Some(RejectionReason::Stopping);
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -10,10 +10,15 @@
     Event,
     ForwardRequest,
     Outcome,
+    ReservationReply,
     RetryLimit,
     Sending,
     State, //
 };
+use protocol::{
+    Backlog,
+    EngineCondition, //
+};
 use routers::{
     clock,
     config_of_both_services,
@@ -33,6 +38,21 @@
     window: Duration::from_secs(10),
 };
 
+/// The reply of an agent whose engine has no work.
+const ACCEPTED: ReservationReply = ReservationReply {
+    backlog: Backlog {
+        requests: 0,
+        unprefilled_tokens: 0,
+    },
+    accepts_requests: true,
+    limit: None,
+    condition: EngineCondition {
+        slowness_percent: None,
+        learned_limit: None,
+        waiting: 0,
+    },
+};
+
 /// The instructions to send request 1.
 fn forwarded(effects: &[Effect]) -> Option<ForwardRequest> {
     effects.iter().find_map(|effect| match effect {
@@ -57,10 +77,10 @@
     (state, forward_request)
 }
 
-fn withheld() -> Event {
+fn ended(token: u64, outcome: Outcome) -> Event {
     Event::ExchangeEnded {
-        token: 1,
-        outcome: Outcome::Withheld,
+        token,
+        outcome,
         longest_pause: Duration::ZERO,
         sending: Sending::default(),
     }
@@ -157,10 +177,77 @@
             let other = Event::TargetListed(target("d2", "desk", "a"));
             state.step(clock(now), other);
         }
-        let effects = state.step(clock(now), withheld());
+        let effects = state.step(clock(now), ended(1, Outcome::Withheld));
         let forward_request = forwarded(&effects).expect(case.name);
         assert_eq!(&*forward_request.target, case.expected, "{}", case.name);
         assert_eq!(forward_request.attempt, 1, "{}", case.name);
         assert!(state.may_send(now, 1, &forward_request), "{}", case.name);
     }
 }
+
+/// The time of the route of all requests here.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Guards against requests that are sent to targets when their time is over, since the process stood still when
+/// it should have given them up.
+#[test]
+fn request_is_not_sent_after_its_time() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        /// The requests that the target runs already.
+        running: u64,
+        /// What the process finds when it goes on.
+        event: Event,
+    }
+    let cases = [
+        Case {
+            name: "queue",
+            path: "/look/",
+            running: 8,
+            event: ended(100, Outcome::Answered { is_error: false }),
+        },
+        Case {
+            name: "reservation",
+            path: "/chat/",
+            running: 0,
+            event: Event::ReservationReply {
+                token: 1,
+                reply: Some(ACCEPTED),
+            },
+        },
+        Case {
+            name: "connection",
+            path: "/look/",
+            running: 0,
+            event: ended(1, Outcome::Withheld),
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        for (wait, expected) in [(Duration::from_millis(200), true), (ROUTE_TIMEOUT, false)] {
+            let mut state = State::new(options(NO_RETRIES, 1));
+            for event in [
+                Event::ConfigRead(config_of_both_services()),
+                Event::TargetListed(target("d1", "desk", "a")),
+                Event::TargetListed(target("e1", "engines", "a")),
+                Event::ConfigConfirmed(START),
+            ] {
+                state.step(clock(START), event);
+            }
+            for token in 100..100 + case.running {
+                let running = request(token, case.path);
+                state.step(clock(START), Event::RequestReceived(running));
+            }
+            let waiting = Event::RequestReceived(request(1, case.path));
+            state.step(clock(START), waiting);
+            let now = START + wait;
+            state.step(clock(now), Event::ConfigConfirmed(now));
+            let effects = state.step(clock(now), case.event.clone());
+            if forwarded(&effects).is_some() != expected {
+                wrong.push((case.name, wait));
+            }
+        }
+    }
+    assert_eq!(wrong, []);
+}
