No stream is resumed on a version whose time ended meanwhile

Cause: a stream goes on only at its own version. Whether that version may still begin answers was checked when the target before had failed, but not after the queue, a reservation or a connection, since the version that a resumed stream requires overrides the oldest one that is allowed.

Change: it is one of the reasons not to send a request, which are checked at each choice, after a reservation and when the connection is there.

Result: stream_is_resumed_only_as_long_as_its_version_may_begin_answers in departures.rs failed before and passes after.

--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -258,15 +258,19 @@
         true
     }
 
-    /// Why a request must not be sent to any target, if so: its time is over, it would not end before this
-    /// process, the configuration is too old, its key was revoked or the request was quarantined while it
-    /// waited. Streams that are resumed began under a configuration that was in force.
+    /// Why a request must not be sent to any target, if so: its time is over, or that of the version of its
+    /// answer, it would not end before this process, the configuration is too old, its key was revoked or
+    /// the request was quarantined while it waited. Streams that are resumed began under a configuration
+    /// that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
         // The timers for it may be late if the process stood still.
         if now >= pending.deadline {
             return Some(RejectionReason::TimedOut);
         }
+        if self.cannot_resume(now, pending) {
+            return Some(RejectionReason::MayHaveRun);
+        }
         let has_key = pending.team.is_some();
         if !pending.response_started && !self.ends_in_time(now, pending) {
             return Some(RejectionReason::Stopping);
@@ -280,6 +284,14 @@
         self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
     }
 
+    /// Whether no target may go on with the answer that the caller has a part of: its version is not known,
+    /// or may not begin answers any more.
+    pub(super) fn cannot_resume(&self, now: Duration, pending: &Pending) -> bool {
+        let engine = pending.service.engine_profile.as_ref();
+        let oldest = engine.and_then(|engine| self.oldest_version(now, &engine.model));
+        pending.response_started && (pending.version.is_none() || pending.version < oldest)
+    }
+
     /// Whether the key of a request was revoked after the request was admitted.
     fn is_key_revoked(&self, pending: &Pending) -> bool {
         let (Some(key), Some(table)) = (&pending.api_key, &self.table) else {
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -350,16 +350,7 @@
         let pending = self.pending.get(&token)?;
         let may_run_again = !may_have_run || pending.route.repeatability.may_run_again();
         let attempt_limit = pending.route.attempt_limit.max(1);
-        let model = pending
-            .service
-            .engine_profile
-            .as_ref()
-            .map(|engine| &engine.model);
-        let oldest = model.and_then(|model| self.oldest_version(now, model));
-        // No target may resume an answer whose version is no longer allowed.
-        let is_outdated = pending.version < oldest;
-        let cannot_resume = pending.response_started && (pending.version.is_none() || is_outdated);
-        if !may_run_again || cannot_resume {
+        if !may_run_again || self.cannot_resume(now, pending) {
             Some(RejectionReason::MayHaveRun)
         } else if pending.attempts() >= attempt_limit {
             Some(RejectionReason::OutOfAttempts)
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -9,6 +9,7 @@
     Effect,
     Event,
     ForwardRequest,
+    Options,
     Outcome,
     ReservationReply,
     RetryLimit,
@@ -24,7 +25,8 @@
     config_of_both_services,
     options,
     request,
-    target, //
+    target,
+    AMPLE_RETRIES, //
 };
 
 const START: Duration = Duration::from_secs(100);
@@ -251,3 +253,50 @@
     }
     assert_eq!(wrong, []);
 }
+
+/// Guards against streams that are resumed on an old version after its time, which ended while a connection was opened.
+#[test]
+fn stream_is_resumed_only_as_long_as_its_version_may_begin_answers() {
+    let mut state = State::new(Options {
+        version_grace: Duration::from_secs(2),
+        ..options(AMPLE_RETRIES, 1)
+    });
+    for event in [
+        Event::ConfigRead(config_of_both_services()),
+        Event::TargetListed(target("e1", "engines", "a")),
+        Event::TargetListed(target("e2", "engines", "a")),
+        Event::ConfigConfirmed(START),
+        Event::RequestReceived(request(1, "/chat/")),
+        Event::ReservationReply {
+            token: 1,
+            reply: Some(ACCEPTED),
+        },
+        Event::ResponseHead {
+            token: 1,
+            load: None,
+            cold_remaining: None,
+            version: Some(1),
+            notice: None,
+        },
+        Event::ResponseStarted(1),
+        Event::VersionNamed {
+            model: "m".into(),
+            version: 2,
+            age: Some(Duration::ZERO),
+            published_after: Some(START),
+        },
+    ] {
+        state.step(clock(START), event);
+    }
+    let now = START + Duration::from_millis(1900);
+    let broken = Outcome::Broken {
+        connection_lost: true,
+    };
+    let effects = state.step(clock(now), ended(1, broken));
+    let resumed = forwarded(&effects).unwrap();
+    assert!(state.may_send(now, 1, &resumed));
+    let late = START + Duration::from_millis(2100);
+    assert!(!state.may_send(late, 1, &resumed));
+    let effects = state.step(clock(late), ended(1, Outcome::Withheld));
+    assert!(forwarded(&effects).is_none(), "{effects:?}");
+}
