A limit that a target got meanwhile holds for requests that were not sent yet

Cause: requests take from the allowance of a cold target, or of one that limits its requests, when the target is chosen. One that turns cold or names a limit while connections to it are opened got all requests that were chosen for it before.

Change: a request remembers the limits in which it was counted. If the target has another one when the connection is there, a target is chosen again, which counts the request.

Result: departures.rs: of four requests for an engine that turns cold meanwhile four were sent at once before, and one, which the allowance holds, after. The case 'limit' failed before and passes after.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -13,6 +13,7 @@
     RejectionReason,
     RETRY_LATER_DELAY, //
 };
+use super::selection::RateLimits;
 use super::state::State;
 use super::table::choose_service;
 use super::{
@@ -166,6 +167,7 @@
             may_have_run: false,
             assignment: None,
             target_started_at_ms: 0,
+            counted_in: RateLimits::default(),
             is_reserving: false,
             reservation_attempts: 0,
             may_wait_at_agent: false,
--- a/components/control/src/router/departure.rs
+++ b/components/control/src/router/departure.rs
@@ -31,6 +31,7 @@
         let mut requirements = self.requirements(now, pending);
         requirements.tried_targets = pending.targets_tried_before();
         is_same_start
+            && selection::rate_limits(now, target, &requirements).are_counted_in(pending.counted_in)
             && selection::required_version(target, &requirements) == request.version
             && selection::may_serve(
                 now,
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -367,12 +367,11 @@
         let first_event_deadline =
             model.and_then(|model| self.first_event_deadline(model, version));
         let requirements = self.requirements(now, pending);
-        let cold_rate = selection::process_cold_rate(&requirements);
         let target = self.targets.get(id);
         let required_version =
             target.and_then(|target| selection::required_version(target, &requirements));
-        let limited_rate =
-            target.and_then(|target| selection::limited_rate(now, target, &requirements));
+        let limits = target.map(|target| selection::rate_limits(now, target, &requirements));
+        let limits = limits.unwrap_or_default();
         let location = &self.options.location;
         let path = target.and_then(|target| requirements.remote.known_path(now, target, location));
         let (Some(pending), Some(target)) =
@@ -380,10 +379,10 @@
         else {
             return;
         };
-        if let Some(rate) = cold_rate.filter(|_| target.is_cold(now)) {
+        if let Some(rate) = limits.cold {
             target.spend_cold_allowance(now, rate);
         }
-        if let Some(rate) = limited_rate {
+        if let Some(rate) = limits.own {
             target.spend_limit_allowance(now, rate);
         }
         let missing_since = target.missing.map(|period| period.began_at);
@@ -401,6 +400,7 @@
         ) {
             demand.record_served(now, level);
         }
+        pending.counted_in = limits;
         pending.tried_targets.push(id.clone());
         pending.sent_parts = sent_parts;
         pending.answering_since = None;
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -20,6 +20,7 @@
     WRITING_PROOF_TIME, //
 };
 use super::queue::QueueRank;
+use super::selection::RateLimits;
 
 /// How long a stream may stay silent at least before another target resumes it. Engines pause for up to half
 /// a second while they prefill long prompts of other requests, and sound ones fall silent for a second or so.
@@ -86,6 +87,8 @@
     pub assignment: Option<(Name, Duration)>,
     /// When the target of the last assignment started, in milliseconds since the Unix epoch.
     pub target_started_at_ms: u64,
+    /// The limits of the present target that it was counted in when that was chosen.
+    pub counted_in: RateLimits,
     /// Whether a reservation at the assigned target is in progress; nothing was sent yet.
     pub is_reserving: bool,
     /// The backlog with which the last requested reservation would be used.
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -557,6 +557,35 @@
     is_limited.then_some(service.cold_rate_per_second as u32)
 }
 
+/// The requests per second that this process may send to a target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RateLimits {
+    /// While it is cold, if it is.
+    pub cold: Option<f64>,
+    /// By its own word, if it limits them.
+    pub own: Option<f64>,
+}
+
+impl RateLimits {
+    /// Whether a request that was counted in `counted` limits is counted in all of these.
+    pub(super) fn are_counted_in(self, counted: Self) -> bool {
+        (self.cold.is_none() || counted.cold.is_some())
+            && (self.own.is_none() || counted.own.is_some())
+    }
+}
+
+/// The limits of a target now.
+pub(super) fn rate_limits(
+    now: Duration,
+    target: &Target,
+    requirements: &Requirements<'_>,
+) -> RateLimits {
+    RateLimits {
+        cold: process_cold_rate(requirements).filter(|_| target.is_cold(now)),
+        own: limited_rate(now, target, requirements),
+    }
+}
+
 /// Requests per second that this process may send a cold target, or `None` if unlimited.
 pub fn process_cold_rate(requirements: &Requirements<'_>) -> Option<f64> {
     let rate = requirements.service.cold_rate_per_second;
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -2,9 +2,15 @@
 
 mod routers;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use control::notice::Notice;
+use control::router::config::{
+    Config,
+    Service, //
+};
+use control::router::targets::TargetEntry;
 use control::router::{
     Effect,
     Event,
@@ -23,6 +29,7 @@
 use routers::{
     clock,
     config_of_both_services,
+    engine_service,
     options,
     request,
     target,
@@ -133,6 +140,15 @@
             wait: WAIT,
             expected: false,
         },
+        Case {
+            name: "limit",
+            notice: Notice {
+                requests_per_second: Some(1.0),
+                ..Notice::default()
+            },
+            wait: Duration::ZERO,
+            expected: false,
+        },
         Case {
             name: "pause that is over",
             notice: pause(1000),
@@ -300,3 +316,61 @@
     let effects = state.step(clock(late), ended(1, Outcome::Withheld));
     assert!(forwarded(&effects).is_none(), "{effects:?}");
 }
+
+/// Guards against more requests to a cold target than it can handle: those that were chosen for it before it
+/// turned cold.
+#[test]
+fn requests_for_a_target_that_turns_cold_are_counted_before_they_are_sent() {
+    let cold = |ms| TargetEntry {
+        cold_remaining: Duration::from_millis(ms),
+        ..target("e1", "engines", "a")
+    };
+    let mut state = State::new(Options {
+        uses_reservations: false,
+        ..options(NO_RETRIES, 1)
+    });
+    let config = Config {
+        services: [Service {
+            cold_rate_per_second: 30.0,
+            ..engine_service()
+        }]
+        .map(|service| (service.name.clone(), Arc::new(service)))
+        .into(),
+        ..(*config_of_both_services()).clone()
+    };
+    for event in [
+        Event::ConfigRead(Arc::new(config)),
+        Event::TargetListed(cold(0)),
+        Event::ConfigConfirmed(START),
+    ] {
+        state.step(clock(START), event);
+    }
+    let mut waiting = Vec::new();
+    for token in 1..=4 {
+        let effects = state.step(
+            clock(START),
+            Event::RequestReceived(request(token, "/chat/")),
+        );
+        waiting.extend(effects.into_iter().find_map(|effect| match effect {
+            Effect::Forward(token, request) => Some((token, request)),
+            _ => None,
+        }));
+    }
+    assert_eq!(waiting.len(), 4);
+    let now = START + Duration::from_millis(100);
+    state.step(clock(now), Event::TargetListed(cold(3000)));
+    let mut sent = 0;
+    for (token, forward_request) in waiting {
+        if state.may_send(now, token, &forward_request) {
+            sent += 1;
+            continue;
+        }
+        let effects = state.step(clock(now), ended(token, Outcome::Withheld));
+        sent += effects
+            .iter()
+            .filter(|effect| matches!(effect, Effect::Forward(..)))
+            .count();
+    }
+    // The allowance of this process holds one request.
+    assert_eq!(sent, 1);
+}
