--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -258,11 +258,19 @@
         true
     }
 
-    /// Why a request must not be sent to any target, if so: it would not end before this process, the
-    /// configuration is too old, its key was revoked or the request was quarantined while it waited. Streams that are resumed began under a
-    /// configuration that was in force.
+    /// Why a request must not be sent to any target, if so: its time is over, or that of the version of its
+    /// answer, it would not end before this process, the configuration is too old, its key was revoked or
+    /// the request was quarantined while it waited. Streams that are resumed began under a configuration
+    /// that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
+        // The timers for it may be late if the process stood still.
+        if now >= pending.deadline {
+            return Some(RejectionReason::TimedOut);
+        }
+        if self.cannot_resume(now, pending) {
+            return Some(RejectionReason::MayHaveRun);
+        }
         let has_key = pending.team.is_some();
         if !pending.response_started && !self.ends_in_time(now, pending) {
             return Some(RejectionReason::Stopping);
@@ -276,6 +284,14 @@
         self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
     }
 
+    /// Whether no target may go on with the answer that the caller has a part of: its version is not known,
+    /// or may not begin answers any more.
+    pub(super) fn cannot_resume(&self, now: Duration, pending: &Pending) -> bool {
+        let engine = pending.service.engine_profile.as_ref();
+        let oldest = engine.and_then(|engine| self.oldest_version(now, &engine.model));
+        pending.response_started && (pending.version.is_none() || pending.version < oldest)
+    }
+
     /// Whether the key of a request was revoked after the request was admitted.
     fn is_key_revoked(&self, pending: &Pending) -> bool {
         let (Some(key), Some(table)) = (&pending.api_key, &self.table) else {
@@ -351,11 +367,11 @@
         let first_event_deadline =
             model.and_then(|model| self.first_event_deadline(model, version));
         let requirements = self.requirements(now, pending);
-        let has_constraint = requirements.versions != VersionConstraint::Any;
-        let cold_rate = selection::process_cold_rate(&requirements);
         let target = self.targets.get(id);
-        let limited_rate =
-            target.and_then(|target| selection::limited_rate(now, target, &requirements));
+        let required_version =
+            target.and_then(|target| selection::required_version(target, &requirements));
+        let limits = target.map(|target| selection::rate_limits(now, target, &requirements));
+        let limits = limits.unwrap_or_default();
         let location = &self.options.location;
         let path = target.and_then(|target| requirements.remote.known_path(now, target, location));
         let (Some(pending), Some(target)) =
@@ -363,10 +379,10 @@
         else {
             return;
         };
-        if let Some(rate) = cold_rate.filter(|_| target.is_cold(now)) {
+        if let Some(rate) = limits.cold {
             target.spend_cold_allowance(now, rate);
         }
-        if let Some(rate) = limited_rate {
+        if let Some(rate) = limits.own {
             target.spend_limit_allowance(now, rate);
         }
         let missing_since = target.missing.map(|period| period.began_at);
@@ -384,6 +400,7 @@
         ) {
             demand.record_served(now, level);
         }
+        pending.counted_in = limits;
         pending.tried_targets.push(id.clone());
         pending.sent_parts = sent_parts;
         pending.answering_since = None;
@@ -397,7 +414,7 @@
             address: target.entry.address,
             remote_region: remote_region(target, location).cloned(),
             team: pending.team.as_ref().map(|team| team.name.clone()),
-            version: target.entry.version.filter(|_| has_constraint),
+            version: required_version,
             attempt: pending.attempts(),
             priority: pending.target_priority(),
             deadline: pending.deadline,
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -252,6 +252,7 @@
             Outcome::DeadlineExceeded => {
                 self.reject(now, token, RejectionReason::TimedOut, effects)
             }
+            Outcome::Withheld => self.dispatch_again(now, token, effects),
             _ => self.retry(now, token, effects),
         }
     }
@@ -293,6 +294,7 @@
                 target.health.record_failure(now);
             }
             Outcome::NotSent => target.health.record_unreachable(now),
+            Outcome::Withheld => {}
             Outcome::DeadlineExceeded | Outcome::IdleTimeout => {
                 target.health.record_failure(now);
             }
@@ -348,16 +350,7 @@
         let pending = self.pending.get(&token)?;
         let may_run_again = !may_have_run || pending.route.repeatability.may_run_again();
         let attempt_limit = pending.route.attempt_limit.max(1);
-        let model = pending
-            .service
-            .engine_profile
-            .as_ref()
-            .map(|engine| &engine.model);
-        let oldest = model.and_then(|model| self.oldest_version(now, model));
-        // No target may resume an answer whose version is no longer allowed.
-        let is_outdated = pending.version < oldest;
-        let cannot_resume = pending.response_started && (pending.version.is_none() || is_outdated);
-        if !may_run_again || cannot_resume {
+        if !may_run_again || self.cannot_resume(now, pending) {
             Some(RejectionReason::MayHaveRun)
         } else if pending.attempts() >= attempt_limit {
             Some(RejectionReason::OutOfAttempts)
@@ -558,6 +551,7 @@
         Outcome::WrongInstance => "other_instance",
         Outcome::WrongVersion => "other_version",
         Outcome::NotSent => "not_sent",
+        Outcome::Withheld => "withheld",
         Outcome::Broken {
             connection_lost: true,
         } => "lost",
