Failing tests of own engines that take pieces long after the check

An agent verifies the pieces at its engine and orders it to load them. Nothing bounds the time between a reading and the moment at which the engine accepts the order.

Change: the stand-in engine takes the pieces when it accepts an order, not when the load ends, and keeps those of the version that it loads, as real engines do. It delays readings, the acceptance of orders and their answers, falls silent, closes the connection of an order that it accepts later, and counts loads and requests with a piece that had been wrong for more than 3 s. It refuses an order after the time that the order names. A table of cases drives the reducer, another one real agents over sockets.

--- a/components/control/tests/waves.rs
+++ b/components/control/tests/waves.rs
@@ -367,3 +367,346 @@
         }
     }
 }
+
+/// How long a piece may have been corrupt when the engine takes it, according to the operators' rule.
+const MAX_CORRUPT_TIME: Duration = Duration::from_secs(3);
+
+/// A target whose checks, orders and answers take time, and whose first piece becomes corrupt right after it
+/// was read.
+struct SlowTarget {
+    rollout: Rollout,
+    delays: Delays,
+    now: Duration,
+    version: Name,
+    start_count: u64,
+    corruptions: u32,
+    corrupt_since: Option<Duration>,
+    loads_until: Option<Duration>,
+    /// Whether the weights that the engine runs, and those that it loads, were corrupt for too long.
+    is_spoilt: bool,
+    is_load_spoilt: bool,
+    pending: Vec<(Duration, PendingEvent)>,
+    orders: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Delays {
+    check: Duration,
+    /// Until the engine decides on an order, until it answers, and for how many orders.
+    acceptance: Duration,
+    answer: Duration,
+    orders: u32,
+    /// After which time the agent gives up an order.
+    give_up: Duration,
+    enforces_bound: bool,
+    load: Duration,
+    /// The engine starts anew so long after an order was sent.
+    restart_after_order: Option<Duration>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum PendingEvent {
+    /// The first piece is read, in a check that follows one that sent it.
+    Read {
+        sent: bool,
+    },
+    StagingEnds {
+        check: PieceCheck,
+        sent: bool,
+    },
+    OrderDecided {
+        accept_until: Duration,
+        answer_at: Option<Duration>,
+    },
+    Answer {
+        is_accepted: bool,
+    },
+    GivenUp,
+    Restart,
+}
+
+const STEP: Duration = Duration::from_millis(50);
+
+impl SlowTarget {
+    fn new(delays: Delays, corruptions: u32) -> Self {
+        let mut rollout = Rollout::new(RolloutOptions::default());
+        rollout.set_desired_version(Some(desired_version()), Vec::new(), 7);
+        Self {
+            rollout,
+            delays,
+            now: Duration::from_secs(1),
+            version: "v1".into(),
+            start_count: 1,
+            corruptions,
+            corrupt_since: None,
+            loads_until: None,
+            is_spoilt: false,
+            is_load_spoilt: false,
+            pending: Vec::new(),
+            orders: 0,
+        }
+    }
+
+    /// Returns whether the target serves the desired version.
+    fn step(&mut self) -> bool {
+        self.now += STEP;
+        let now = self.now;
+        if self.loads_until.is_some_and(|until| until <= now) {
+            self.loads_until = None;
+            self.version = "v2".into();
+            self.is_spoilt = self.is_load_spoilt;
+        }
+        let (due, pending) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.pending = pending;
+        let due: Vec<(Duration, PendingEvent)> = due;
+        for (_, event) in due {
+            self.handle(event);
+        }
+        let mut effects = self.rollout.engine_reported(Some(EngineState {
+            version: Some(self.version.clone()),
+            is_loading: self.loads_until.is_some(),
+            start_count: self.start_count,
+        }));
+        effects.extend(self.rollout.transfer_finished(now));
+        effects.extend(self.rollout.tick(now, 0, true, |_| false));
+        effects.extend(self.rollout.set_warm(true));
+        for effect in effects {
+            match effect {
+                RolloutEffect::Stage(_) => self.read_first_piece(false),
+                RolloutEffect::Order { decided_at, .. } => self.send_order(decided_at),
+                _ => {}
+            }
+        }
+        self.rollout.serving_version().is_some_and(|v| &**v == "v2")
+    }
+
+    fn read_first_piece(&mut self, sent: bool) {
+        let now = self.now;
+        let ends_at = now + self.delays.check;
+        if self.corrupt_since.take().is_some() {
+            self.pending
+                .push((ends_at, PendingEvent::Read { sent: true }));
+            return;
+        }
+        if self.corruptions > 0 {
+            self.corruptions -= 1;
+            self.corrupt_since = Some(now);
+        }
+        let check = PieceCheck {
+            started_at: now,
+            ended_at: ends_at,
+        };
+        self.pending
+            .push((ends_at, PendingEvent::StagingEnds { check, sent }));
+    }
+
+    fn send_order(&mut self, decided_at: Duration) {
+        let now = self.now;
+        self.orders += 1;
+        let is_delayed = self.orders <= self.delays.orders;
+        let delay = |delay| if is_delayed { delay } else { STEP };
+        let decided_in = delay(self.delays.acceptance);
+        let answered_in = decided_in + delay(self.delays.answer);
+        let is_given_up = answered_in > self.delays.give_up;
+        let accept_until = decided_at + Duration::from_secs(1);
+        let decision = PendingEvent::OrderDecided {
+            accept_until,
+            answer_at: (!is_given_up).then_some(now + answered_in),
+        };
+        self.pending.push((now + decided_in, decision));
+        if is_given_up {
+            let given_up_at = now + self.delays.give_up;
+            self.pending.push((given_up_at, PendingEvent::GivenUp));
+        }
+        if let Some(after) = self.delays.restart_after_order.take() {
+            self.pending.push((now + after, PendingEvent::Restart));
+        }
+    }
+
+    fn handle(&mut self, event: PendingEvent) {
+        let now = self.now;
+        match event {
+            PendingEvent::Read { sent } => self.read_first_piece(sent),
+            PendingEvent::StagingEnds { check, sent: _ } => {
+                self.rollout
+                    .staging_finished(now, &desired_version(), Some(check));
+            }
+            PendingEvent::OrderDecided {
+                accept_until,
+                answer_at,
+            } => {
+                let is_accepted = !self.delays.enforces_bound || now <= accept_until;
+                if is_accepted {
+                    let corrupt_for = self.corrupt_since.map(|since| now - since);
+                    self.is_load_spoilt = corrupt_for.is_some_and(|t| t > MAX_CORRUPT_TIME);
+                    self.loads_until = Some(now + self.delays.load);
+                }
+                if let Some(answer_at) = answer_at {
+                    self.pending
+                        .push((answer_at, PendingEvent::Answer { is_accepted }));
+                }
+            }
+            PendingEvent::Answer { is_accepted } => self.rollout.order_finished(now, is_accepted),
+            PendingEvent::GivenUp => self.rollout.order_finished(now, false),
+            PendingEvent::Restart => {
+                self.start_count += 1;
+                self.loads_until = None;
+            }
+        }
+    }
+}
+
+/// Guards against tokens of weights of which a piece had been corrupt for more than 3 s when the engine took it.
+/// Nobody else bounds the time between the reading of a piece and the acceptance of the order.
+#[test]
+fn no_target_serves_weights_that_were_corrupt_long_before_the_order_was_accepted() {
+    struct Case {
+        name: &'static str,
+        delays: Delays,
+        corruptions: u32,
+    }
+    let ms = Duration::from_millis;
+    let prompt = Delays {
+        check: ms(100),
+        acceptance: STEP,
+        answer: STEP,
+        orders: 0,
+        give_up: ms(30_000),
+        enforces_bound: false,
+        load: ms(1000),
+        restart_after_order: None,
+    };
+    let delayed = Delays {
+        acceptance: ms(4000),
+        orders: 1,
+        ..prompt
+    };
+    let given_up = Delays {
+        give_up: ms(1500),
+        ..delayed
+    };
+    let case = |name, delays| Case {
+        name,
+        delays,
+        corruptions: 1,
+    };
+    let cases = [
+        case("prompt", prompt),
+        case(
+            "a check of 4 s",
+            Delays {
+                check: ms(4000),
+                ..prompt
+            },
+        ),
+        Case {
+            corruptions: 4,
+            ..case(
+                "checks of 4 s, and the piece changes in each of the first",
+                Delays {
+                    check: ms(4000),
+                    ..prompt
+                },
+            )
+        },
+        case("accepted late", delayed),
+        case(
+            "accepted late, the load takes no time",
+            Delays {
+                load: STEP,
+                ..delayed
+            },
+        ),
+        case(
+            "accepted late, with the bound",
+            Delays {
+                enforces_bound: true,
+                ..delayed
+            },
+        ),
+        case("given up, accepted later", given_up),
+        Case {
+            corruptions: 2,
+            ..case("given up, accepted later, two changes", given_up)
+        },
+        case(
+            "given up, accepted at once",
+            Delays {
+                acceptance: ms(50),
+                answer: ms(4000),
+                ..given_up
+            },
+        ),
+        case(
+            "given up, accepted long after a second order",
+            Delays {
+                acceptance: ms(20_000),
+                ..given_up
+            },
+        ),
+        case(
+            "given up, accepted after a check that sent the piece",
+            Delays {
+                acceptance: ms(2700),
+                ..given_up
+            },
+        ),
+        case(
+            "answered late",
+            Delays {
+                acceptance: ms(50),
+                answer: ms(4000),
+                ..delayed
+            },
+        ),
+        case(
+            "every order is accepted late",
+            Delays {
+                orders: u32::MAX,
+                ..delayed
+            },
+        ),
+        case(
+            "every order is accepted late, with the bound",
+            Delays {
+                orders: u32::MAX,
+                enforces_bound: true,
+                ..delayed
+            },
+        ),
+        case(
+            "the engine starts anew before it decides",
+            Delays {
+                restart_after_order: Some(ms(2000)),
+                ..delayed
+            },
+        ),
+        case(
+            "the engine starts anew while it loads",
+            Delays {
+                restart_after_order: Some(ms(500)),
+                ..prompt
+            },
+        ),
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        let mut target = SlowTarget::new(case.delays, case.corruptions);
+        let mut spoilt_steps = 0;
+        let mut serves = false;
+        while target.now < Duration::from_secs(120) {
+            serves = target.step();
+            let is_running_spoilt = target.is_spoilt && target.loads_until.is_none();
+            spoilt_steps += u32::from(serves && is_running_spoilt);
+        }
+        if spoilt_steps > 0 || !serves {
+            failures.push(format!(
+                "{}: served spoilt weights in {spoilt_steps} steps, serves at last: {serves}, {} orders",
+                case.name, target.orders
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
--- a/components/fleet/tests/promises.rs
+++ b/components/fleet/tests/promises.rs
@@ -21,6 +21,7 @@
 use sheet::DataCentreState;
 use standins::{
     EngineFaults,
+    OrderDelay,
     ResumeResponse,
     ServiceFaults, //
 };
@@ -502,6 +503,112 @@
     }
 }
 
+/// Guards against tokens of weights of which a piece had been corrupt for more than 3 s when the engine took it:
+/// the check of the pieces takes long, or the engine accepts the order long after the check.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_runs_on_weights_that_changed_long_before_their_order_was_accepted() {
+    struct Case {
+        name: &'static str,
+        faults: EngineFaults,
+        checks_acceptance_time: bool,
+    }
+    /// With 17 pieces the first one is read 3.5 s before the check ends.
+    const SLOW_READ: Duration = Duration::from_millis(220);
+    let order_delay = OrderDelay {
+        orders: 1,
+        before_acceptance: Duration::from_secs(4),
+        before_answer: Duration::ZERO,
+        is_silent: false,
+        closes_connection: false,
+    };
+    let faults = |order_delay, piece_read_delay| EngineFaults {
+        corruptions_after_read: 1,
+        order_delay,
+        piece_read_delay,
+        ..EngineFaults::default()
+    };
+    let delayed = |order_delay| faults(Some(order_delay), Duration::ZERO);
+    let silent = OrderDelay {
+        is_silent: true,
+        ..order_delay
+    };
+    let unanswered = OrderDelay {
+        closes_connection: true,
+        ..order_delay
+    };
+    let all_late = OrderDelay {
+        orders: u32::MAX,
+        ..order_delay
+    };
+    let answered_late = OrderDelay {
+        before_acceptance: Duration::ZERO,
+        before_answer: Duration::from_secs(4),
+        ..order_delay
+    };
+    let case = |name, faults, checks_acceptance_time| Case {
+        name,
+        faults,
+        checks_acceptance_time,
+    };
+    let cases = [
+        case("a slow check", faults(None, SLOW_READ), true),
+        case("accepted late", delayed(order_delay), true),
+        case(
+            "accepted late by an engine without the bound",
+            delayed(order_delay),
+            false,
+        ),
+        case("a silent engine", delayed(silent), true),
+        case("a silent engine without the bound", delayed(silent), false),
+        case("no answer", delayed(unanswered), true),
+        case(
+            "no answer of an engine without the bound",
+            delayed(unanswered),
+            false,
+        ),
+        case("every order is accepted late", delayed(all_late), true),
+        case("answered late", delayed(answered_late), true),
+    ];
+    let run = |case: Case| async move {
+        let mut layout = Layout::small(3);
+        layout.links = None;
+        layout.weight_bytes = 1 << 20;
+        layout.engine.checks_acceptance_time = case.checks_acceptance_time;
+        let fleet = Fleet::start(layout, Arc::new(|_| ())).await.unwrap();
+        assert!(fleet.wait_ready("v1", TIMEOUT).await, "{}", case.name);
+        for target in fleet.targets().values() {
+            target.engine.set_faults(case.faults);
+        }
+        let load = Load::start(
+            &LoadOptions::with_callers(3),
+            fleet.caller_addresses(),
+            fleet.clock().clone(),
+        );
+        fleet.roll_out("v2", 2);
+        let is_ready = fleet.wait_ready("v2", TIMEOUT).await;
+        // An order that got no answer is accepted in this time.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        drop(load.finish().await);
+        let counters = fleet.targets().into_values().map(|t| t.engine.counters());
+        let counters: Vec<_> = counters.collect();
+        let spoilt: u64 = counters.iter().map(|c| c.spoilt_requests).sum();
+        (case.name, is_ready, spoilt, counters)
+    };
+    let mut runs = JoinSet::new();
+    for case in cases {
+        runs.spawn(run(case));
+    }
+    let mut failures = Vec::new();
+    for (name, is_ready, spoilt, counters) in runs.join_all().await {
+        if !is_ready || spoilt > 0 {
+            failures.push(format!(
+                "{name}: ready {is_ready}, {spoilt} requests on spoilt weights, {counters:?}"
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
 /// Guards against answers that are cut off by a planned stop while their callers still read them.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_entry_delivers_its_answers_to_slow_callers() {
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -62,6 +62,8 @@
     pub time_between_tokens: Duration,
     /// Whether the engine rejects a load order whose fencing number is lower than an earlier one.
     pub checks_fence: bool,
+    /// Whether the engine rejects a load order after the time until which it may be accepted.
+    pub checks_acceptance_time: bool,
 }
 
 impl Default for EngineOptions {
@@ -74,6 +76,7 @@
             time_to_first_token: Duration::from_millis(10),
             time_between_tokens: Duration::from_millis(5),
             checks_fence: true,
+            checks_acceptance_time: true,
         }
     }
 }
@@ -81,6 +84,12 @@
 /// The size of the parts in which an engine sends bytes without end.
 const ENDLESS_PART_BYTES: usize = 16 << 10;
 
+/// How long a piece may have been wrong when an engine takes it, according to the operators' rule.
+const MAX_WRONG_TIME: Duration = Duration::from_secs(3);
+
+/// The number of the first chunk; piece 0 is the manifest.
+const FIRST_CHUNK: u32 = 1;
+
 /// Faults that an engine injects.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EngineFaults {
@@ -96,6 +105,27 @@
     pub repeat_refusals: bool,
     /// What the engine answers to requests that resume a stream.
     pub resume_response: Option<ResumeResponse>,
+    /// How long the engine takes to return a piece.
+    pub piece_read_delay: Duration,
+    /// How often the first chunk of a version becomes corrupt right after the engine returned it.
+    pub corruptions_after_read: u32,
+    /// What happens to the next load orders.
+    pub order_delay: Option<OrderDelay>,
+}
+
+/// A delay between the receipt of a load order and its acceptance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderDelay {
+    /// Number of orders that are delayed.
+    pub orders: u32,
+    /// How long after its receipt the engine decides on the order. It does so even if the sender has given up.
+    pub before_acceptance: Duration,
+    /// How long after its decision the engine answers.
+    pub before_answer: Duration,
+    /// Whether the engine answers no other request until it decides.
+    pub is_silent: bool,
+    /// Whether the connection is closed at once, so that the sender gets no answer.
+    pub closes_connection: bool,
 }
 
 /// A response that does not continue a stream.
@@ -124,8 +154,14 @@
     pub load_orders: u64,
     /// Load orders that were rejected because of an old fencing number.
     pub stale_load_orders: u64,
-    /// Loads of weights with missing or corrupt chunks.
+    /// Load orders that were rejected because the time until which they could be accepted had passed.
+    pub late_load_orders: u64,
+    /// Loads of weights with chunks that were missing or corrupt when the order was accepted.
     pub incomplete_loads: u64,
+    /// Loads of weights with a chunk that had been wrong for more than 3 s when the order was accepted.
+    pub spoilt_loads: u64,
+    /// Requests that started to run on such weights.
+    pub spoilt_requests: u64,
 }
 
 #[derive(Debug, Default)]
@@ -133,7 +169,15 @@
     version: Option<Name>,
     /// Whether the loaded weights are complete; each token shows it.
     is_complete: bool,
+    /// Whether a chunk of the loaded weights had been wrong for too long when it was taken.
+    is_spoilt: bool,
     is_loading: bool,
+    /// Number of the load that the engine carries out. An order that is accepted replaces an earlier load.
+    load_number: u64,
+    /// Until when the engine answers nothing.
+    silent_until: Duration,
+    /// Since when staged pieces have been corrupt.
+    corrupt_since: BTreeMap<(Digest, u32), Duration>,
     /// Staged pieces by the digest of their manifest and their number. Piece 0 is the manifest.
     staged_pieces: BTreeMap<(Digest, u32), Bytes>,
     running: u32,
@@ -185,6 +229,16 @@
     version: Name,
     manifest: Digest,
     fence: u64,
+    /// The time until which the order may be accepted, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    accept_until_ms: Option<u64>,
+}
+
+/// The weights of an order, as they were when it was accepted.
+#[derive(Clone, Copy)]
+struct TakenWeights {
+    is_complete: bool,
+    is_spoilt: bool,
 }
 
 #[derive(Deserialize)]
@@ -268,11 +322,11 @@
 
     /// Replaces the first staged piece of every version by other bytes.
     pub fn corrupt_staged_pieces(&self) {
+        let now = self.shared.clock.now().elapsed;
         let mut state = self.shared.lock();
-        for ((_, number), data) in &mut state.staged_pieces {
-            if *number == 1 {
-                *data = Bytes::from_static(b"corrupt");
-            }
+        let keys: Vec<_> = state.staged_pieces.keys().copied().collect();
+        for key in keys.into_iter().filter(|(_, piece)| *piece == FIRST_CHUNK) {
+            state.corrupt(key, now);
         }
     }
 
@@ -289,6 +343,27 @@
     }
 }
 
+impl State {
+    fn corrupt(&mut self, key: (Digest, u32), now: Duration) {
+        self.staged_pieces
+            .insert(key, Bytes::from_static(b"corrupt"));
+        self.corrupt_since.entry(key).or_insert(now);
+    }
+
+    /// Takes the staged pieces of an order as they are.
+    fn take_weights(&mut self, manifest: &Digest, now: Duration) -> TakenWeights {
+        let was_corrupt = self.corrupt_since.iter().any(|((digest, _), since)| {
+            digest == manifest && now.saturating_sub(*since) > MAX_WRONG_TIME
+        });
+        // Pieces are never removed one by one, so those that are missing were never there.
+        let is_spoilt = was_corrupt || !has_every_piece(&self.staged_pieces, manifest);
+        TakenWeights {
+            is_complete: has_all_chunks(&self.staged_pieces, manifest),
+            is_spoilt,
+        }
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -312,19 +387,25 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let path = request.uri().path().to_owned();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        self.wait_while_silent().await;
         match (request.method(), parts.as_slice()) {
             (&Method::GET, ["engine", "state"]) => self.report_state(),
             (&Method::PUT, ["engine", "weights", manifest, piece]) => {
                 let key = manifest.parse().ok().zip(piece.parse().ok());
                 let data = read_body(request).await?;
                 if let Some(key) = key {
-                    self.lock().staged_pieces.insert(key, data);
+                    let mut state = self.lock();
+                    state.staged_pieces.insert(key, data);
+                    state.corrupt_since.remove(&key);
                 }
                 Ok(response(StatusCode::OK, ""))
             }
             (&Method::GET, ["engine", "weights", manifest, piece]) => {
                 let key = manifest.parse().ok().zip(piece.parse().ok());
-                let data = key.and_then(|key| self.lock().staged_pieces.get(&key).cloned());
+                let data = match key {
+                    Some(key) => self.read_piece(key).await,
+                    None => None,
+                };
                 Ok(match data {
                     Some(data) => response(StatusCode::OK, data),
                     None => response(StatusCode::NOT_FOUND, "no such piece"),
@@ -332,7 +413,7 @@
             }
             (&Method::POST, ["engine", "load"]) => {
                 let text = read_body(request).await?;
-                Ok(self.load(&text))
+                self.receive_order(text).await
             }
             (&Method::POST, ["v1", "completions"] | ["v1", "chat", "completions"]) => {
                 self.complete(request).await
@@ -355,34 +436,105 @@
         Ok(response(StatusCode::OK, json))
     }
 
-    fn load(self: Arc<Self>, text: &[u8]) -> Response<Body> {
+    async fn wait_while_silent(&self) {
+        loop {
+            let silent_until = self.lock().silent_until;
+            let remaining = silent_until.saturating_sub(self.clock.now().elapsed);
+            if remaining.is_zero() {
+                return;
+            }
+            tokio::time::sleep(remaining).await;
+        }
+    }
+
+    async fn read_piece(&self, key: (Digest, u32)) -> Option<Bytes> {
+        let delay = self.lock().faults.piece_read_delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        let now = self.clock.now().elapsed;
+        let mut state = self.lock();
+        let data = state.staged_pieces.get(&key).cloned()?;
+        let is_corrupt = state.corrupt_since.contains_key(&key);
+        if key.1 == FIRST_CHUNK && !is_corrupt && state.faults.corruptions_after_read > 0 {
+            state.faults.corruptions_after_read -= 1;
+            state.corrupt(key, now);
+        }
+        Some(data)
+    }
+
+    async fn receive_order(self: Arc<Self>, text: Bytes) -> io::Result<Response<Body>> {
+        let Some(delay) = self.next_order_delay() else {
+            return Ok(self.load(&text));
+        };
+        // A task of its own, since the engine has read the order and goes on without its sender.
+        let decision = tokio::spawn(async move {
+            tokio::time::sleep(delay.before_acceptance).await;
+            self.load(&text)
+        });
+        if delay.closes_connection {
+            return Err(io::Error::other("injected fault: no answer to an order"));
+        }
+        let response = decision.await.map_err(io::Error::other)?;
+        tokio::time::sleep(delay.before_answer).await;
+        Ok(response)
+    }
+
+    /// Returns the delay of an order that was received now.
+    fn next_order_delay(&self) -> Option<OrderDelay> {
+        let now = self.clock.now().elapsed;
+        let mut state = self.lock();
+        let delay = state.faults.order_delay.as_mut()?;
+        delay.orders = delay.orders.checked_sub(1)?;
+        let delay = *delay;
+        if delay.is_silent {
+            state.silent_until = now + delay.before_acceptance;
+        }
+        Some(delay)
+    }
+
+    fn load(self: &Arc<Self>, text: &[u8]) -> Response<Body> {
         let Ok(order) = serde_json::from_slice::<LoadOrder>(text) else {
             return response(StatusCode::BAD_REQUEST, "not an order");
         };
+        let now = self.clock.now();
         let mut state = self.lock();
         if self.options.checks_fence && order.fence < state.highest_fence {
             state.counters.stale_load_orders += 1;
             return response(StatusCode::CONFLICT, "old fencing number");
         }
+        let is_late = order.accept_until_ms.is_some_and(|t| now.unix_ms() > t);
+        if self.options.checks_acceptance_time && is_late {
+            state.counters.late_load_orders += 1;
+            return response(StatusCode::PRECONDITION_FAILED, "the order is too old");
+        }
         state.highest_fence = state.highest_fence.max(order.fence);
         state.is_loading = true;
+        state.load_number += 1;
+        let load_number = state.load_number;
+        let taken = state.take_weights(&order.manifest, now.elapsed);
         state.counters.load_orders += 1;
+        state.counters.incomplete_loads += u64::from(!taken.is_complete);
+        state.counters.spoilt_loads += u64::from(taken.is_spoilt);
+        // Only the pieces of the version that is loaded are kept.
+        let manifest = order.manifest;
+        state.staged_pieces.retain(|(d, _), _| *d == manifest);
+        state.corrupt_since.retain(|(d, _), _| *d == manifest);
         drop(state);
-        tokio::spawn(self.finish_load(order));
+        tokio::spawn(self.clone().finish_load(order, load_number, taken));
         response(StatusCode::ACCEPTED, "")
     }
 
-    async fn finish_load(self: Arc<Self>, order: LoadOrder) {
+    async fn finish_load(self: Arc<Self>, order: LoadOrder, load_number: u64, taken: TakenWeights) {
         tokio::time::sleep(self.options.load_time).await;
         let mut state = self.lock();
-        let is_complete = has_all_chunks(&state.staged_pieces, &order.manifest);
-        state.is_complete = is_complete;
-        state.counters.incomplete_loads += u64::from(!is_complete);
+        if state.load_number != load_number {
+            return;
+        }
+        state.is_complete = taken.is_complete;
+        state.is_spoilt = taken.is_spoilt;
         state.version = Some(order.version);
         state.is_loading = false;
-        state
-            .staged_pieces
-            .retain(|(digest, _), _| *digest != order.manifest);
         state.cold_until = self.clock.now().elapsed + self.options.cold_time;
     }
 
@@ -445,6 +597,7 @@
         let is_cold = self.is_cold(&state);
         state.running += 1;
         state.counters.started_requests += 1;
+        state.counters.spoilt_requests += u64::from(state.is_spoilt);
         state.counters.peak_running = state.counters.peak_running.max(state.running);
         let over_cold_limit = is_cold && state.running > self.options.cold_limit;
         state.counters.over_cold_limit += u64::from(over_cold_limit);
@@ -577,6 +730,16 @@
     }
 }
 
+/// Whether the manifest with `digest` and all its chunks are staged, corrupt or not.
+fn has_every_piece(staged_pieces: &BTreeMap<(Digest, u32), Bytes>, digest: &Digest) -> bool {
+    let manifest = staged_pieces.get(&(*digest, 0));
+    let Some(manifest) = manifest.and_then(|text| Manifest::parse(text, digest).ok()) else {
+        return false;
+    };
+    let count = u32::try_from(manifest.piece_count()).unwrap_or(u32::MAX);
+    (1..count).all(|piece| staged_pieces.contains_key(&(*digest, piece)))
+}
+
 /// Whether the manifest with `digest` and all its chunks are staged and match their digests.
 fn has_all_chunks(staged_pieces: &BTreeMap<(Digest, u32), Bytes>, digest: &Digest) -> bool {
     let Some(text) = staged_pieces.get(&(*digest, 0)) else {
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -14,6 +14,7 @@
     EngineCounters,
     EngineFaults,
     EngineOptions,
+    OrderDelay,
     ResumeResponse, //
 };
 pub use origin::{
