An own engine's weights are served only if they were taken soon after a check, or checked again

The agent cannot bound when an engine accepts an order: a check may take any time, a silent engine accepts an order that was given up, and either may stand still in between.

Change: the bound stands where the weights are used. A load counts if the engine's answer arrived while the oldest reading was younger than 2.5 s, or if a check that began after the acceptance finds every piece unchanged and none was sent in between. Until then the target serves nothing; if a piece has changed, it is sent and the load is ordered again. A load that the agent did not order is not served either: one that is seen at the start of the agent, or later. An order names the time until which the engine may accept it, 2.5 s from the oldest reading and at least 1 s, doubled up to 30 s with each order that is refused as too late; the engine refuses a later one with 412. An engine that restarts while it loads is ordered again without waiting for the order's time-out. Pieces that an engine does not return count as read when they were sent. The record has a line `load` for each order: answered in time or late, refused, too late, unanswered, verified, or repeated, with the duration of the check and the age of its oldest reading.

only_the_initial_and_the_desired_version_are_served asserted that the desired version is served when the engine reports it without an order. Its load is not known to be sound, so the test now asserts that it is not served before it was ordered and accepted, which is stricter.

--- a/components/control/src/agent/mod.rs
+++ b/components/control/src/agent/mod.rs
@@ -28,8 +28,10 @@
     Effect as RolloutEffect,
     EngineState,
     ModelVersion,
+    OrderOutcome,
     Rollout,
-    RolloutOptions, //
+    RolloutOptions,
+    StagedPieces, //
 };
 pub use state::{
     Options,
@@ -49,7 +51,6 @@
 use utils::Name;
 
 use crate::follower;
-use crate::PieceCheck;
 
 /// An input of the agent's reducer.
 #[derive(Clone, Debug)]
@@ -79,11 +80,11 @@
     TicketRequested(u64),
     /// The engine reported its state, or `None` if it did not respond.
     EngineStateRead(Option<EngineState>),
-    /// Staging ended: the check that found every piece of the version at the engine, or `None` if the
-    /// engine does not hold all of them.
-    StagingFinished(ModelVersion, Option<PieceCheck>),
-    /// Whether the engine accepted the load order. False if it refused or did not respond.
-    OrderFinished(bool),
+    /// Staging ended with every piece of the version at the engine, or `None` if the engine does not hold all
+    /// of them.
+    StagingFinished(ModelVersion, Option<StagedPieces>),
+    /// The load order that was decided at this time ended.
+    OrderFinished(Duration, OrderOutcome),
     /// Another target reported its status, or `None` if it did not respond.
     StatusReceived(Name, Option<TargetStatus>),
     /// The process is asked to shut down.
@@ -128,6 +129,8 @@
         fencing_number: u64,
         /// When the order was decided. A much later order is stale and must not be sent.
         decided_at: Duration,
+        /// Until when the engine may accept the order.
+        accept_until: Duration,
     },
     /// Request the status of another target.
     RequestStatus(Name),
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -174,10 +174,14 @@
             Event::EngineStateRead(engine) => {
                 self.handle_engine_state(elapsed, engine, &mut effects)
             }
-            Event::StagingFinished(version, check) => {
-                self.rollout.staging_finished(elapsed, &version, check)
+            Event::StagingFinished(version, staged) => {
+                let rollout_effects = self.rollout.staging_finished(elapsed, &version, staged);
+                self.apply_rollout_effects(elapsed, rollout_effects, &mut effects);
+            }
+            Event::OrderFinished(decided_at, outcome) => {
+                let rollout_effects = self.rollout.order_finished(elapsed, decided_at, outcome);
+                self.apply_rollout_effects(elapsed, rollout_effects, &mut effects);
             }
-            Event::OrderFinished(success) => self.rollout.order_finished(elapsed, success),
             Event::StatusReceived(name, status) => {
                 self.rollout.predecessor_status(elapsed, &name, status)
             }
@@ -507,7 +511,7 @@
         if engine.as_ref().is_some_and(|e| !e.is_loading) {
             self.admission.record_report(elapsed);
         }
-        let rollout_effects = self.rollout.engine_reported(engine);
+        let rollout_effects = self.rollout.engine_reported(elapsed, engine);
         self.apply_rollout_effects(elapsed, rollout_effects, effects);
     }
 
@@ -524,11 +528,25 @@
                     version,
                     fencing_number,
                     decided_at,
+                    accept_until,
                 } => effects.push(Effect::Order {
                     version,
                     fencing_number,
                     decided_at,
+                    accept_until,
                 }),
+                rollout::Effect::RecordLoad {
+                    version,
+                    event,
+                    check_duration,
+                    reading_age,
+                } => effects.push(Effect::Record(Decision::Load {
+                    model: version.model,
+                    version: version.version,
+                    event,
+                    check_ms: millis(check_duration),
+                    reading_age_ms: millis(reading_age),
+                })),
                 rollout::Effect::RequestStatus(name) => effects.push(Effect::RequestStatus(name)),
                 rollout::Effect::EnterColdStart => self.admission.enter_cold_start(elapsed),
                 rollout::Effect::RecordStep(step, version) => {
--- a/components/control/tests/waves.rs
+++ b/components/control/tests/waves.rs
@@ -6,9 +6,11 @@
 use control::agent::{
     EngineState,
     ModelVersion,
+    OrderOutcome,
     Rollout,
     RolloutEffect,
-    RolloutOptions, //
+    RolloutOptions,
+    StagedPieces, //
 };
 use control::PieceCheck;
 use proptest::prelude::*;
@@ -59,10 +61,13 @@
 }
 
 /// A check of the pieces that takes no time.
-fn check_at(now: Duration) -> PieceCheck {
-    PieceCheck {
-        started_at: now,
-        ended_at: now,
+fn check_at(now: Duration) -> StagedPieces {
+    StagedPieces {
+        check: PieceCheck {
+            started_at: now,
+            ended_at: now,
+        },
+        sent_pieces: 0,
     }
 }
 
@@ -147,7 +152,7 @@
             is_loading: target.loads_until.is_some(),
             start_count: 1,
         };
-        let mut effects = target.rollout.engine_reported(Some(engine));
+        let mut effects = target.rollout.engine_reported(now, Some(engine));
         if target.pieces_complete_at <= now {
             effects.extend(target.rollout.transfer_finished(now));
         }
@@ -181,7 +186,9 @@
                 let status = (!is_lost).then(|| self.targets[sender].status(now));
                 self.replies.push((now + delay, index, sender, status));
             }
-            RolloutEffect::EnterColdStart | RolloutEffect::RecordStep(..) => {}
+            RolloutEffect::EnterColdStart
+            | RolloutEffect::RecordStep(..)
+            | RolloutEffect::RecordLoad { .. } => {}
         }
     }
 
@@ -249,15 +256,26 @@
             start_count: 1,
         })
     };
-    rollout.engine_reported(reports("v1"));
+    let now = Duration::from_secs(1);
+    rollout.engine_reported(now, reports("v1"));
     assert_eq!(rollout.serving_version().map(|v| &**v), Some("v1"));
-    rollout.engine_reported(reports("v9"));
+    rollout.engine_reported(now, reports("v9"));
+    assert_eq!(rollout.serving_version(), None);
+    // The desired version is not served either if it was not ordered and verified.
+    rollout.engine_reported(now, reports("v2"));
+    assert_eq!(rollout.serving_version(), None);
+    rollout.transfer_finished(now);
+    rollout.staging_finished(now, &desired_version(), Some(check_at(now)));
+    rollout.tick(now, 0, true, |_| false);
+    let accepted = OrderOutcome::Accepted(now);
+    rollout.order_finished(now, now, accepted);
     assert_eq!(rollout.serving_version(), None);
-    rollout.engine_reported(reports("v2"));
+    let later = now + Duration::from_secs(3);
+    rollout.engine_reported(later, reports("v2"));
     assert_eq!(rollout.serving_version().map(|v| &**v), Some("v2"));
-    rollout.engine_reported(reports("v9"));
+    rollout.engine_reported(later, reports("v9"));
     assert_eq!(rollout.serving_version(), None);
-    rollout.engine_reported(reports("v1"));
+    rollout.engine_reported(later, reports("v1"));
     assert_eq!(rollout.serving_version(), None);
 }
 
@@ -308,11 +326,12 @@
                 start_count += 1;
                 restarted_at = now;
             }
-            let mut effects = rollout.engine_reported(Some(EngineState {
+            let engine = EngineState {
                 version: Some("v1".into()),
                 is_loading: false,
                 start_count,
-            }));
+            };
+            let mut effects = rollout.engine_reported(now, Some(engine));
             effects.extend(rollout.transfer_finished(now));
             let phase = if since_start >= case.waits {
                 Phase::Warm
@@ -340,7 +359,7 @@
                     RolloutEffect::Order { .. } => {
                         orders.push((now, *checked_at.last().unwrap()));
                         if case.is_order_refused && orders.len() == 1 {
-                            rollout.order_finished(now, false);
+                            rollout.order_finished(now, now, OrderOutcome::Refused);
                         }
                     }
                     _ => {}
@@ -415,13 +434,17 @@
         sent: bool,
     },
     OrderDecided {
+        decided_at: Duration,
         accept_until: Duration,
         answer_at: Option<Duration>,
     },
     Answer {
+        decided_at: Duration,
         is_accepted: bool,
     },
-    GivenUp,
+    GivenUp {
+        decided_at: Duration,
+    },
     Restart,
 }
 
@@ -464,18 +487,23 @@
         for (_, event) in due {
             self.handle(event);
         }
-        let mut effects = self.rollout.engine_reported(Some(EngineState {
+        let engine = EngineState {
             version: Some(self.version.clone()),
             is_loading: self.loads_until.is_some(),
             start_count: self.start_count,
-        }));
+        };
+        let mut effects = self.rollout.engine_reported(now, Some(engine));
         effects.extend(self.rollout.transfer_finished(now));
         effects.extend(self.rollout.tick(now, 0, true, |_| false));
         effects.extend(self.rollout.set_warm(true));
         for effect in effects {
             match effect {
                 RolloutEffect::Stage(_) => self.read_first_piece(false),
-                RolloutEffect::Order { decided_at, .. } => self.send_order(decided_at),
+                RolloutEffect::Order {
+                    decided_at,
+                    accept_until,
+                    ..
+                } => self.send_order(decided_at, accept_until),
                 _ => {}
             }
         }
@@ -502,7 +530,7 @@
             .push((ends_at, PendingEvent::StagingEnds { check, sent }));
     }
 
-    fn send_order(&mut self, decided_at: Duration) {
+    fn send_order(&mut self, decided_at: Duration, accept_until: Duration) {
         let now = self.now;
         self.orders += 1;
         let is_delayed = self.orders <= self.delays.orders;
@@ -510,15 +538,16 @@
         let decided_in = delay(self.delays.acceptance);
         let answered_in = decided_in + delay(self.delays.answer);
         let is_given_up = answered_in > self.delays.give_up;
-        let accept_until = decided_at + Duration::from_secs(1);
         let decision = PendingEvent::OrderDecided {
+            decided_at,
             accept_until,
             answer_at: (!is_given_up).then_some(now + answered_in),
         };
         self.pending.push((now + decided_in, decision));
         if is_given_up {
             let given_up_at = now + self.delays.give_up;
-            self.pending.push((given_up_at, PendingEvent::GivenUp));
+            self.pending
+                .push((given_up_at, PendingEvent::GivenUp { decided_at }));
         }
         if let Some(after) = self.delays.restart_after_order.take() {
             self.pending.push((now + after, PendingEvent::Restart));
@@ -529,11 +558,16 @@
         let now = self.now;
         match event {
             PendingEvent::Read { sent } => self.read_first_piece(sent),
-            PendingEvent::StagingEnds { check, sent: _ } => {
+            PendingEvent::StagingEnds { check, sent } => {
+                let staged = StagedPieces {
+                    check,
+                    sent_pieces: u32::from(sent),
+                };
                 self.rollout
-                    .staging_finished(now, &desired_version(), Some(check));
+                    .staging_finished(now, &desired_version(), Some(staged));
             }
             PendingEvent::OrderDecided {
+                decided_at,
                 accept_until,
                 answer_at,
             } => {
@@ -544,12 +578,30 @@
                     self.loads_until = Some(now + self.delays.load);
                 }
                 if let Some(answer_at) = answer_at {
-                    self.pending
-                        .push((answer_at, PendingEvent::Answer { is_accepted }));
+                    self.pending.push((
+                        answer_at,
+                        PendingEvent::Answer {
+                            decided_at,
+                            is_accepted,
+                        },
+                    ));
                 }
             }
-            PendingEvent::Answer { is_accepted } => self.rollout.order_finished(now, is_accepted),
-            PendingEvent::GivenUp => self.rollout.order_finished(now, false),
+            PendingEvent::Answer {
+                decided_at,
+                is_accepted,
+            } => {
+                let outcome = if is_accepted {
+                    OrderOutcome::Accepted(now)
+                } else {
+                    OrderOutcome::TooLate
+                };
+                self.rollout.order_finished(now, decided_at, outcome);
+            }
+            PendingEvent::GivenUp { decided_at } => {
+                self.rollout
+                    .order_finished(now, decided_at, OrderOutcome::NoAnswer);
+            }
             PendingEvent::Restart => {
                 self.start_count += 1;
                 self.loads_until = None;
--- a/components/proxy/src/agent/effects.rs
+++ b/components/proxy/src/agent/effects.rs
@@ -7,17 +7,22 @@
     Effect,
     Event,
     ModelVersion,
+    OrderOutcome,
+    StagedPieces,
     State, //
 };
 use control::PieceCheck;
+use http::StatusCode;
 use protocol::{
     Reply,
     Request, //
 };
 use utils::clock::ClockReading;
+use utils::millis::millis;
 use utils::Name;
 use weights::MANIFEST_PIECE;
 
+use crate::error::ProxyError;
 use crate::target::StagedPiece;
 
 use super::{
@@ -30,6 +35,9 @@
 /// paused after the decision, which may be outdated.
 const MAX_ORDER_AGE: Duration = Duration::from_secs(1);
 
+/// The status of an engine's answer to an order after the time until which it could be accepted.
+const LATE_ORDER_STATUS: u16 = StatusCode::PRECONDITION_FAILED.as_u16();
+
 /// The maximum number of rounds that check all pieces and send the differing ones.
 const MAX_STAGING_ROUNDS: usize = 3;
 
@@ -70,7 +78,10 @@
                 version,
                 fencing_number,
                 decided_at,
-            } => self.spawn(move |inner| inner.order_load(version, fencing_number, decided_at)),
+                accept_until,
+            } => self.spawn(move |inner| {
+                inner.order_load(version, fencing_number, decided_at, accept_until)
+            }),
             Effect::RequestStatus(name) => self.spawn(|inner| inner.request_status(name)),
             Effect::DeletePiecesExcept(manifest) => self.store.keep_only(manifest.as_slice()),
             Effect::Record(decision) => {
@@ -105,26 +116,31 @@
     }
 
     async fn stage_version(self: Arc<Self>, version: ModelVersion) {
-        let check = self.stage_pieces(&version).await;
+        let staged = self.stage_pieces(&version).await;
         self.node
             .control
-            .send(Event::StagingFinished(version, check));
+            .send(Event::StagingFinished(version, staged));
     }
 
-    /// Makes the engine hold every piece. Returns the check that found all of them, or `None` if the engine
-    /// does not hold them.
-    async fn stage_pieces(&self, version: &ModelVersion) -> Option<PieceCheck> {
+    /// Makes the engine hold every piece. Returns `None` if the engine does not hold them.
+    async fn stage_pieces(&self, version: &ModelVersion) -> Option<StagedPieces> {
         let manifest = self.store.manifest(&version.manifest)?;
         let count = u32::try_from(manifest.piece_count()).unwrap_or(u32::MAX);
+        let mut sent_pieces = 0;
+        let mut round_before = None;
         for round in 0..MAX_STAGING_ROUNDS {
-            let started_at = self.node.clock.now().elapsed;
+            let round_started_at = self.node.clock.now().elapsed;
+            let mut started_at = round_started_at;
             let mut sent = 0;
             for piece in MANIFEST_PIECE..count {
                 let data = self.store.get(&version.manifest, piece)?;
                 match self.target.staged(&version.manifest, piece, &data).await {
                     StagedPiece::Same => continue,
                     // The engine accepted the piece in the last round, and cannot say more.
-                    StagedPiece::NotReadable if round > 0 => continue,
+                    StagedPiece::NotReadable if round > 0 => {
+                        started_at = round_before.unwrap_or(started_at);
+                        continue;
+                    }
                     StagedPiece::NotReadable | StagedPiece::Differs => {}
                 }
                 if let Err(e) = self.target.stage(&version.manifest, piece, data).await {
@@ -135,11 +151,16 @@
             }
             if sent == 0 {
                 let ended_at = self.node.clock.now().elapsed;
-                return Some(PieceCheck {
-                    started_at,
-                    ended_at,
+                return Some(StagedPieces {
+                    check: PieceCheck {
+                        started_at,
+                        ended_at,
+                    },
+                    sent_pieces,
                 });
             }
+            sent_pieces += sent;
+            round_before.get_or_insert(round_started_at);
             log::info!(
                 "{sent} pieces of {} were missing or corrupt at the engine and were sent",
                 version.version
@@ -159,24 +180,44 @@
         version: ModelVersion,
         fencing_number: u64,
         decided_at: Duration,
+        accept_until: Duration,
     ) {
-        let age = self.node.clock.now().elapsed.saturating_sub(decided_at);
+        let now = self.node.clock.now();
+        let age = now.elapsed.saturating_sub(decided_at);
         let is_current = fencing_number == self.node.shared.sheet_version() && age <= MAX_ORDER_AGE;
-        let is_accepted = is_current && self.send_load_order(&version, fencing_number).await;
-        self.node.control.send(Event::OrderFinished(is_accepted));
+        let outcome = if is_current {
+            let accept_until_ms = now.unix_ms() + millis(accept_until.saturating_sub(now.elapsed));
+            self.send_load_order(&version, fencing_number, accept_until_ms)
+                .await
+        } else {
+            OrderOutcome::NotSent
+        };
+        self.node
+            .control
+            .send(Event::OrderFinished(decided_at, outcome));
     }
 
-    /// Returns whether the engine accepted the order.
-    async fn send_load_order(&self, version: &ModelVersion, fencing_number: u64) -> bool {
-        match self.target.order_load(version, fencing_number).await {
-            Ok(()) => true,
-            Err(e) => {
-                log::warn!(
-                    "cannot send the order to load {} to the engine: {e}",
-                    version.version
-                );
-                false
-            }
+    async fn send_load_order(
+        &self,
+        version: &ModelVersion,
+        fencing_number: u64,
+        accept_until_ms: u64,
+    ) -> OrderOutcome {
+        let answer = self
+            .target
+            .order_load(version, fencing_number, accept_until_ms)
+            .await;
+        let Err(e) = answer else {
+            return OrderOutcome::Accepted(self.node.clock.now().elapsed);
+        };
+        log::warn!(
+            "the engine did not accept the order to load {}: {e}",
+            version.version
+        );
+        match e {
+            ProxyError::Status(LATE_ORDER_STATUS) => OrderOutcome::TooLate,
+            ProxyError::Status(400..=499) => OrderOutcome::Refused,
+            _ => OrderOutcome::NoAnswer,
         }
     }
 
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -69,6 +69,8 @@
     version: &'a Name,
     manifest: &'a Digest,
     fence: u64,
+    /// The time until which the engine may accept the order, in milliseconds since the Unix epoch.
+    accept_until_ms: u64,
 }
 
 /// What an engine holds of a piece.
@@ -140,17 +142,20 @@
         }
     }
 
-    /// Orders the engine to load a version.
+    /// Orders the engine to load a version, if it accepts the order until `accept_until_ms` of its instance's
+    /// wall clock, in milliseconds since the Unix epoch.
     pub async fn order_load(
         &self,
         version: &ModelVersion,
         fencing_number: u64,
+        accept_until_ms: u64,
     ) -> Result<(), ProxyError> {
         let order = LoadOrderBody {
             model: &version.model,
             version: &version.version,
             manifest: &version.manifest,
             fence: fencing_number,
+            accept_until_ms,
         };
         let text = serde_json::to_vec(&order).map_err(|e| ProxyError::Decode(e.to_string()))?;
         let request = request(Method::POST, self.address, "/engine/load", text.into())?;
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -47,6 +47,30 @@
     Differs,
 }
 
+/// What became of an order to load weights, or what shows whether its weights may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadEvent {
+    /// The engine accepted the order while the check of the pieces was young.
+    Accepted,
+    /// The engine accepted the order, but the check of the pieces was too old when the answer arrived.
+    AnsweredLate,
+    /// The engine refused the order, since the time until which it could be accepted had passed.
+    TooLate,
+    /// The engine refused the order for another reason.
+    Refused,
+    /// The engine did not answer, and may accept the order yet.
+    NoAnswer,
+    /// The order was outdated before it was sent.
+    NotSent,
+    /// The engine loads weights without an order, or after an order that got no answer.
+    NotOrdered,
+    /// A check that began after the acceptance found the pieces unchanged.
+    Verified,
+    /// Pieces were changed when they were checked after the order, so the engine is ordered to load again.
+    PiecesChanged,
+}
+
 /// A decision, as written to the record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "decision")]
@@ -155,6 +179,19 @@
         /// The fencing number of the order.
         fence: u64,
     },
+    /// Something about a load of weights by the target that the process does not control.
+    Load {
+        /// The model.
+        model: Name,
+        /// The version.
+        version: Name,
+        /// What happened.
+        event: LoadEvent,
+        /// Duration of the check of the pieces in milliseconds.
+        check_ms: u64,
+        /// Age of its oldest reading in milliseconds, for an answer when it arrived.
+        reading_age_ms: u64,
+    },
     /// A target crashed while running requests with this fingerprint.
     Suspect {
         /// The fingerprint of the requests.
@@ -523,6 +560,7 @@
             Self::Draw { .. } => "draw",
             Self::Corrupt { .. } => "corrupt",
             Self::Switch { .. } => "switch",
+            Self::Load { .. } => "load",
             Self::Suspect { .. } => "suspect",
             Self::SuspectCleared { .. } => "suspect_cleared",
             Self::PromptPart { .. } => "prompt_part",
--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -20,6 +20,7 @@
 };
 pub use decision::{
     Decision,
+    LoadEvent,
     RouteRule,
     SwitchStep, //
 };
