The agent's clock includes the time for which its instance was suspended

The age of a check of the pieces, and of an order, is measured with a monotonic clock that stands still while the instance is suspended. A check that was made before a suspension counts as young after it.

Change: the agent process reads CLOCK_BOOTTIME, as the roles on the platform do.

No instance was suspended for a test.

--- a/components/control/tests/admission.rs
+++ b/components/control/tests/admission.rs
@@ -25,6 +25,7 @@
 use protocol::{
     Guard,
     Outcome,
+    Phase,
     Refusal, //
 };
 
@@ -399,3 +400,21 @@
         }
     }
 }
+
+/// Guards against a target that counts as warm at once after its agent started, because the agent's clock starts
+/// at a time later than the cold time.
+#[test]
+fn a_target_is_cold_when_its_agent_starts_whatever_its_clock_shows() {
+    const COLD_TIME_MS: u64 = 1000;
+    for start in [0, 24 * 3_600_000] {
+        let now = at(start);
+        let mut state = State::new("m1".into(), "a".into(), 1, Options::default(), now);
+        for event in sheet_events(&sheet(1, "in")) {
+            state.step(now, Event::Follow(event));
+        }
+        state.step(now, Event::EngineStateRead(Some(engine("v1", 1))));
+        let phase = |after| state.status(at(start + after).elapsed).phase;
+        assert_eq!(phase(COLD_TIME_MS - 1), Phase::Cold, "{start}");
+        assert_eq!(phase(COLD_TIME_MS), Phase::Warm, "{start}");
+    }
+}
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -18,10 +18,8 @@
     Settings, //
 };
 use tokio::net::TcpListener;
-use utils::clock::{
-    Clock,
-    SystemClock, //
-};
+use utils::boot_clock::BootClock;
+use utils::clock::Clock;
 
 use super::{
     process,
@@ -41,7 +39,7 @@
 
 async fn serve(settings: &Settings, options: &AgentOptions) -> CommandResult {
     let metrics = PrometheusBuilder::new().install_recorder()?;
-    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let clock: Arc<dyn Clock> = Arc::new(BootClock::new()?);
     let listener = TcpListener::bind(settings.peer_address)
         .await
         .map_err(|e| ProxyError::Listen(settings.peer_address, e))?;
