--- a/components/control/tests/waves.rs
+++ b/components/control/tests/waves.rs
@@ -6,9 +6,11 @@
 use control::agent::{
     EngineState,
     ModelVersion,
+    OrderOutcome,
     Rollout,
     RolloutEffect,
-    RolloutOptions, //
+    RolloutOptions,
+    StagedPieces, //
 };
 use control::PieceCheck;
 use proptest::prelude::*;
@@ -59,10 +61,13 @@
 }
 
 /// A check of the pieces that takes no time.
-fn check_at(now: Duration) -> PieceCheck {
-    PieceCheck {
-        started_at: now,
-        ended_at: now,
+fn check_at(now: Duration) -> StagedPieces {
+    StagedPieces {
+        check: PieceCheck {
+            started_at: now,
+            ended_at: now,
+        },
+        sent_pieces: 0,
     }
 }
 
@@ -147,7 +152,7 @@
             is_loading: target.loads_until.is_some(),
             start_count: 1,
         };
-        let mut effects = target.rollout.engine_reported(Some(engine));
+        let mut effects = target.rollout.engine_reported(now, Some(engine));
         if target.pieces_complete_at <= now {
             effects.extend(target.rollout.transfer_finished(now));
         }
@@ -181,7 +186,9 @@
                 let status = (!is_lost).then(|| self.targets[sender].status(now));
                 self.replies.push((now + delay, index, sender, status));
             }
-            RolloutEffect::EnterColdStart | RolloutEffect::RecordStep(..) => {}
+            RolloutEffect::EnterColdStart
+            | RolloutEffect::RecordStep(..)
+            | RolloutEffect::RecordLoad { .. } => {}
         }
     }
 
@@ -249,15 +256,26 @@
             start_count: 1,
         })
     };
-    rollout.engine_reported(reports("v1"));
+    let now = Duration::from_secs(1);
+    rollout.engine_reported(now, reports("v1"));
     assert_eq!(rollout.serving_version().map(|v| &**v), Some("v1"));
-    rollout.engine_reported(reports("v9"));
+    rollout.engine_reported(now, reports("v9"));
+    assert_eq!(rollout.serving_version(), None);
+    // The desired version is not served either if it was not ordered and verified.
+    rollout.engine_reported(now, reports("v2"));
+    assert_eq!(rollout.serving_version(), None);
+    rollout.transfer_finished(now);
+    rollout.staging_finished(now, &desired_version(), Some(check_at(now)));
+    rollout.tick(now, 0, true, |_| false);
+    let accepted = OrderOutcome::Accepted(now);
+    rollout.order_finished(now, now, accepted);
     assert_eq!(rollout.serving_version(), None);
-    rollout.engine_reported(reports("v2"));
+    let later = now + Duration::from_secs(3);
+    rollout.engine_reported(later, reports("v2"));
     assert_eq!(rollout.serving_version().map(|v| &**v), Some("v2"));
-    rollout.engine_reported(reports("v9"));
+    rollout.engine_reported(later, reports("v9"));
     assert_eq!(rollout.serving_version(), None);
-    rollout.engine_reported(reports("v1"));
+    rollout.engine_reported(later, reports("v1"));
     assert_eq!(rollout.serving_version(), None);
 }
 
@@ -308,11 +326,12 @@
                 start_count += 1;
                 restarted_at = now;
             }
-            let mut effects = rollout.engine_reported(Some(EngineState {
+            let engine = EngineState {
                 version: Some("v1".into()),
                 is_loading: false,
                 start_count,
-            }));
+            };
+            let mut effects = rollout.engine_reported(now, Some(engine));
             effects.extend(rollout.transfer_finished(now));
             let phase = if since_start >= case.waits {
                 Phase::Warm
@@ -340,7 +359,7 @@
                     RolloutEffect::Order { .. } => {
                         orders.push((now, *checked_at.last().unwrap()));
                         if case.is_order_refused && orders.len() == 1 {
-                            rollout.order_finished(now, false);
+                            rollout.order_finished(now, now, OrderOutcome::Refused);
                         }
                     }
                     _ => {}
@@ -367,3 +386,379 @@
         }
     }
 }
+
+/// How long a piece may have been corrupt when the engine takes it, according to the operators' rule.
+const MAX_CORRUPT_TIME: Duration = Duration::from_secs(3);
+
+/// A target whose checks, orders and answers take time, and whose first piece becomes corrupt right after it
+/// was read.
+struct SlowTarget {
+    rollout: Rollout,
+    delays: Delays,
+    now: Duration,
+    version: Name,
+    start_count: u64,
+    corruptions: u32,
+    corrupt_since: Option<Duration>,
+    loads_until: Option<Duration>,
+    /// Whether the weights that the engine runs, and those that it loads, were corrupt for too long.
+    is_spoilt: bool,
+    is_load_spoilt: bool,
+    pending: Vec<(Duration, PendingEvent)>,
+    orders: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Delays {
+    check: Duration,
+    /// Until the engine decides on an order, until it answers, and for how many orders.
+    acceptance: Duration,
+    answer: Duration,
+    orders: u32,
+    /// After which time the agent gives up an order.
+    give_up: Duration,
+    enforces_bound: bool,
+    load: Duration,
+    /// The engine starts anew so long after an order was sent.
+    restart_after_order: Option<Duration>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum PendingEvent {
+    /// The first piece is read, in a check that follows one that sent it.
+    Read {
+        sent: bool,
+    },
+    StagingEnds {
+        check: PieceCheck,
+        sent: bool,
+    },
+    OrderDecided {
+        decided_at: Duration,
+        accept_until: Duration,
+        answer_at: Option<Duration>,
+    },
+    Answer {
+        decided_at: Duration,
+        is_accepted: bool,
+    },
+    GivenUp {
+        decided_at: Duration,
+    },
+    Restart,
+}
+
+const STEP: Duration = Duration::from_millis(50);
+
+impl SlowTarget {
+    fn new(delays: Delays, corruptions: u32) -> Self {
+        let mut rollout = Rollout::new(RolloutOptions::default());
+        rollout.set_desired_version(Some(desired_version()), Vec::new(), 7);
+        Self {
+            rollout,
+            delays,
+            now: Duration::from_secs(1),
+            version: "v1".into(),
+            start_count: 1,
+            corruptions,
+            corrupt_since: None,
+            loads_until: None,
+            is_spoilt: false,
+            is_load_spoilt: false,
+            pending: Vec::new(),
+            orders: 0,
+        }
+    }
+
+    /// Returns whether the target serves the desired version.
+    fn step(&mut self) -> bool {
+        self.now += STEP;
+        let now = self.now;
+        if self.loads_until.is_some_and(|until| until <= now) {
+            self.loads_until = None;
+            self.version = "v2".into();
+            self.is_spoilt = self.is_load_spoilt;
+        }
+        let (due, pending) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.pending = pending;
+        let due: Vec<(Duration, PendingEvent)> = due;
+        for (_, event) in due {
+            self.handle(event);
+        }
+        let engine = EngineState {
+            version: Some(self.version.clone()),
+            is_loading: self.loads_until.is_some(),
+            start_count: self.start_count,
+        };
+        let mut effects = self.rollout.engine_reported(now, Some(engine));
+        effects.extend(self.rollout.transfer_finished(now));
+        effects.extend(self.rollout.tick(now, 0, true, |_| false));
+        effects.extend(self.rollout.set_warm(true));
+        for effect in effects {
+            match effect {
+                RolloutEffect::Stage(_) => self.read_first_piece(false),
+                RolloutEffect::Order {
+                    decided_at,
+                    accept_until,
+                    ..
+                } => self.send_order(decided_at, accept_until),
+                _ => {}
+            }
+        }
+        self.rollout.serving_version().is_some_and(|v| &**v == "v2")
+    }
+
+    fn read_first_piece(&mut self, sent: bool) {
+        let now = self.now;
+        let ends_at = now + self.delays.check;
+        if self.corrupt_since.take().is_some() {
+            self.pending
+                .push((ends_at, PendingEvent::Read { sent: true }));
+            return;
+        }
+        if self.corruptions > 0 {
+            self.corruptions -= 1;
+            self.corrupt_since = Some(now);
+        }
+        let check = PieceCheck {
+            started_at: now,
+            ended_at: ends_at,
+        };
+        self.pending
+            .push((ends_at, PendingEvent::StagingEnds { check, sent }));
+    }
+
+    fn send_order(&mut self, decided_at: Duration, accept_until: Duration) {
+        let now = self.now;
+        self.orders += 1;
+        let is_delayed = self.orders <= self.delays.orders;
+        let delay = |delay| if is_delayed { delay } else { STEP };
+        let decided_in = delay(self.delays.acceptance);
+        let answered_in = decided_in + delay(self.delays.answer);
+        let is_given_up = answered_in > self.delays.give_up;
+        let decision = PendingEvent::OrderDecided {
+            decided_at,
+            accept_until,
+            answer_at: (!is_given_up).then_some(now + answered_in),
+        };
+        self.pending.push((now + decided_in, decision));
+        if is_given_up {
+            let given_up_at = now + self.delays.give_up;
+            self.pending
+                .push((given_up_at, PendingEvent::GivenUp { decided_at }));
+        }
+        if let Some(after) = self.delays.restart_after_order.take() {
+            self.pending.push((now + after, PendingEvent::Restart));
+        }
+    }
+
+    fn handle(&mut self, event: PendingEvent) {
+        let now = self.now;
+        match event {
+            PendingEvent::Read { sent } => self.read_first_piece(sent),
+            PendingEvent::StagingEnds { check, sent } => {
+                let staged = StagedPieces {
+                    check,
+                    sent_pieces: u32::from(sent),
+                };
+                self.rollout
+                    .staging_finished(now, &desired_version(), Some(staged));
+            }
+            PendingEvent::OrderDecided {
+                decided_at,
+                accept_until,
+                answer_at,
+            } => {
+                let is_accepted = !self.delays.enforces_bound || now <= accept_until;
+                if is_accepted {
+                    let corrupt_for = self.corrupt_since.map(|since| now - since);
+                    self.is_load_spoilt = corrupt_for.is_some_and(|t| t > MAX_CORRUPT_TIME);
+                    self.loads_until = Some(now + self.delays.load);
+                }
+                if let Some(answer_at) = answer_at {
+                    self.pending.push((
+                        answer_at,
+                        PendingEvent::Answer {
+                            decided_at,
+                            is_accepted,
+                        },
+                    ));
+                }
+            }
+            PendingEvent::Answer {
+                decided_at,
+                is_accepted,
+            } => {
+                let outcome = if is_accepted {
+                    OrderOutcome::Accepted(now)
+                } else {
+                    OrderOutcome::TooLate
+                };
+                self.rollout.order_finished(now, decided_at, outcome);
+            }
+            PendingEvent::GivenUp { decided_at } => {
+                self.rollout
+                    .order_finished(now, decided_at, OrderOutcome::NoAnswer);
+            }
+            PendingEvent::Restart => {
+                self.start_count += 1;
+                self.loads_until = None;
+            }
+        }
+    }
+}
+
+/// Guards against tokens of weights of which a piece had been corrupt for more than 3 s when the engine took it.
+/// Nobody else bounds the time between the reading of a piece and the acceptance of the order.
+#[test]
+fn no_target_serves_weights_that_were_corrupt_long_before_the_order_was_accepted() {
+    struct Case {
+        name: &'static str,
+        delays: Delays,
+        corruptions: u32,
+    }
+    let ms = Duration::from_millis;
+    let prompt = Delays {
+        check: ms(100),
+        acceptance: STEP,
+        answer: STEP,
+        orders: 0,
+        give_up: ms(30_000),
+        enforces_bound: false,
+        load: ms(1000),
+        restart_after_order: None,
+    };
+    let delayed = Delays {
+        acceptance: ms(4000),
+        orders: 1,
+        ..prompt
+    };
+    let given_up = Delays {
+        give_up: ms(1500),
+        ..delayed
+    };
+    let case = |name, delays| Case {
+        name,
+        delays,
+        corruptions: 1,
+    };
+    let cases = [
+        case("prompt", prompt),
+        case(
+            "a check of 4 s",
+            Delays {
+                check: ms(4000),
+                ..prompt
+            },
+        ),
+        Case {
+            corruptions: 4,
+            ..case(
+                "checks of 4 s, and the piece changes in each of the first",
+                Delays {
+                    check: ms(4000),
+                    ..prompt
+                },
+            )
+        },
+        case("accepted late", delayed),
+        case(
+            "accepted late, the load takes no time",
+            Delays {
+                load: STEP,
+                ..delayed
+            },
+        ),
+        case(
+            "accepted late, with the bound",
+            Delays {
+                enforces_bound: true,
+                ..delayed
+            },
+        ),
+        case("given up, accepted later", given_up),
+        Case {
+            corruptions: 2,
+            ..case("given up, accepted later, two changes", given_up)
+        },
+        case(
+            "given up, accepted at once",
+            Delays {
+                acceptance: ms(50),
+                answer: ms(4000),
+                ..given_up
+            },
+        ),
+        case(
+            "given up, accepted long after a second order",
+            Delays {
+                acceptance: ms(20_000),
+                ..given_up
+            },
+        ),
+        case(
+            "given up, accepted after a check that sent the piece",
+            Delays {
+                acceptance: ms(2700),
+                ..given_up
+            },
+        ),
+        case(
+            "answered late",
+            Delays {
+                acceptance: ms(50),
+                answer: ms(4000),
+                ..delayed
+            },
+        ),
+        case(
+            "every order is accepted late",
+            Delays {
+                orders: u32::MAX,
+                ..delayed
+            },
+        ),
+        case(
+            "every order is accepted late, with the bound",
+            Delays {
+                orders: u32::MAX,
+                enforces_bound: true,
+                ..delayed
+            },
+        ),
+        case(
+            "the engine starts anew before it decides",
+            Delays {
+                restart_after_order: Some(ms(2000)),
+                ..delayed
+            },
+        ),
+        case(
+            "the engine starts anew while it loads",
+            Delays {
+                restart_after_order: Some(ms(500)),
+                ..prompt
+            },
+        ),
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        let mut target = SlowTarget::new(case.delays, case.corruptions);
+        let mut spoilt_steps = 0;
+        let mut serves = false;
+        while target.now < Duration::from_secs(120) {
+            serves = target.step();
+            let is_running_spoilt = target.is_spoilt && target.loads_until.is_none();
+            spoilt_steps += u32::from(serves && is_running_spoilt);
+        }
+        if spoilt_steps > 0 || !serves {
+            failures.push(format!(
+                "{}: served spoilt weights in {spoilt_steps} steps, serves at last: {serves}, {} orders",
+                case.name, target.orders
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
--- a/components/record/src/lib.rs
+++ b/components/record/src/lib.rs
@@ -21,6 +21,7 @@
 pub use decision::{
     Decision,
     LoadCheck,
+    LoadEvent,
     OrderAnswer,
     RouteRule,
     SwitchStep, //
