Check weights that an engine loaded for an earlier process of its agent

Cause: an agent trusted every whole version that its engine held, unless an order of its own process said otherwise. An engine may accept the order of a process that has ended, or have carried it out before the new process asks, and then nobody compares its pieces.

Change: a whole version is used only if an order of this process loaded it from verified pieces, a check found its pieces intact, or it is the first version, with which engines start. Any other is checked like an order that was accepted late. If this process has written pieces, the check proves nothing, and the layers are loaded anew.

An agent that starts while its engine runs a later version reports the engine as switching until it has the manifest and has compared the pieces.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -790,6 +790,10 @@
         }
         if let Some(report) = report {
             let is_first = !std::mem::replace(&mut self.has_engine_reported, true);
+            if is_first {
+                self.orders
+                    .trust(report.version.filter(|v| *v == INITIAL_VERSION));
+            }
             if is_first && (report.is_busy || report.partial_version.is_some()) {
                 self.orders.add_unknown(now);
             }
@@ -897,6 +901,10 @@
         let Some(model) = self.model.clone() else {
             return;
         };
+        if let Some(version) = engine.version {
+            self.orders
+                .add_found(now, ModelVersion::new(&model, version));
+        }
         if let Some((version, layer)) = self.orders.start_check(now, engine) {
             effects.push(Effect::CheckLoaded(Load {
                 model_version: ModelVersion::new(&model, version),
--- a/components/control/src/controller/orders.rs
+++ b/components/control/src/controller/orders.rs
@@ -61,6 +61,10 @@
 pub(super) struct Orders {
     last_number: u64,
     orders: Vec<Order>,
+    /// The newest version that the engine loaded from verified pieces, or held before this process started.
+    verified_version: Option<u64>,
+    /// Whether pieces were written since this process started.
+    pieces_written: bool,
     /// The version of which the engine loaded pieces that had changed.
     changed_version: Option<u64>,
     /// The layer that the engine holds alone, with its version, if it was verified.
@@ -96,6 +100,35 @@
         });
     }
 
+    /// Takes a version that the engine holds when this process starts as verified.
+    pub fn trust(&mut self, version: Option<u64>) {
+        self.verified_version = version;
+    }
+
+    /// Adds the order of an earlier process that made the engine hold this whole version, unless it is known how
+    /// it was loaded.
+    pub fn add_found(&mut self, now: Duration, model_version: ModelVersion) {
+        let version = model_version.version;
+        if self.verified_version >= Some(version)
+            || self.has_changed(version)
+            || self.is_unverified(version, None)
+        {
+            return;
+        }
+        self.orders.push(Order {
+            number: 0,
+            load: Some(Load {
+                model_version,
+                layer: None,
+            }),
+            decided_at: now,
+            check: None,
+            state: OrderState::AcceptedLate,
+            // It may have been accepted before they were written.
+            pieces_written: self.pieces_written,
+        });
+    }
+
     /// Whether this is the newest order.
     pub fn is_newest(&self, number: u64) -> bool {
         number == self.last_number
@@ -119,8 +152,7 @@
                 // The engine accepts no earlier order after this one, as they name the same sequence number.
                 self.orders.retain(|other| other.state == OrderState::Sent);
                 self.changed_version = None;
-                let version = load.model_version.version;
-                self.verified_layer = load.layer.map(|layer| (version, layer));
+                self.set_verified(load.model_version.version, load.layer);
             }
             OrderAnswer::Begun | OrderAnswer::Missing if order.check.is_some() => {
                 order.state = match answer {
@@ -144,8 +176,16 @@
         })
     }
 
+    fn set_verified(&mut self, version: u64, layer: Option<u32>) {
+        self.verified_layer = layer.map(|layer| (version, layer));
+        if layer.is_none() {
+            self.verified_version = self.verified_version.max(Some(version));
+        }
+    }
+
     /// Records that pieces were written to the engine.
     pub fn record_written_pieces(&mut self) {
+        self.pieces_written = true;
         for order in &mut self.orders {
             order.pieces_written = true;
         }
@@ -238,7 +278,7 @@
         }
         if result == LoadCheck::Intact && !is_written {
             self.changed_version = None;
-            self.verified_layer = layer.map(|layer| (version, layer));
+            self.set_verified(version, layer);
             return LoadCheck::Intact;
         }
         if layer.is_none() {
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -700,6 +700,59 @@
     }
 }
 
+/// Guards against tokens of corrupt weights that an engine loaded for an earlier process of its agent: that process
+/// ended before it could check them.
+#[test]
+fn weights_that_an_earlier_process_had_loaded_are_checked() {
+    struct Case {
+        name: &'static str,
+        /// What the engine runs at the first report of the new process.
+        first: Option<u64>,
+        /// Whether the engine is seen to carry out an order later.
+        is_seen_busy: bool,
+    }
+    let cases = [
+        Case {
+            name: "the engine accepts the order later",
+            first: Some(1),
+            is_seen_busy: true,
+        },
+        Case {
+            name: "the engine accepts the order later and loads between two reports",
+            first: Some(1),
+            is_seen_busy: false,
+        },
+        Case {
+            name: "the engine has no weights, and accepts the order later",
+            first: None,
+            is_seen_busy: true,
+        },
+        Case {
+            name: "the engine has carried out the order",
+            first: Some(2),
+            is_seen_busy: false,
+        },
+    ];
+    let mut unchecked = Vec::new();
+    for case in cases {
+        let mut agent = Agent::new(1, case.first);
+        agent.origin_versions.clear();
+        agent.set_layers(4);
+        agent.name_version(2);
+        agent.advance(ms(100));
+        agent.engine.is_busy = case.is_seen_busy;
+        agent.advance(ms(50));
+        agent.engine.is_busy = false;
+        agent.engine.version = Some(2);
+        agent.advance(ms(50));
+        let status = agent.controller.status();
+        if agent.load_checks == 0 && !status.is_switching {
+            unchecked.push(case.name);
+        }
+    }
+    assert_eq!(unchecked, [""; 0]);
+}
+
 /// Guards against requests that are on their way when the time of their version ends, and begin on it.
 #[test]
 fn engine_runs_nothing_on_a_version_whose_time_is_over() {
--- a/tests/slow_engines.rs
+++ b/tests/slow_engines.rs
@@ -69,6 +69,12 @@
     AgentIsShortOfTime,
     /// The engine starts anew as soon as it holds all pieces.
     EngineRestarts,
+    /// The agent ends after its order, and starts again this much later.
+    AgentEnds(Duration),
+    /// The agent gives its order up, and then stands still.
+    AgentStopsLater(Duration),
+    /// The agent gives its order up, ends, and starts again this much later.
+    AgentEndsLater(Duration),
 }
 
 struct Case {
@@ -83,7 +89,15 @@
     silence_at_order: Duration::ZERO,
 };
 
-const CASES: [Case; 7] = [
+/// How long after its order an agent has certainly given it up, and the engine is silent still.
+const TIME_TO_GIVE_UP: Duration = Duration::from_millis(2500);
+
+const SILENCE_AT_ORDER: Delays = Delays {
+    silence_at_order: Duration::from_secs(5),
+    ..NO_DELAYS
+};
+
+const CASES: [Case; 13] = [
     Case {
         name: "pieces are returned slowly",
         delays: Delays {
@@ -143,6 +157,36 @@
         },
         fault: Fault::EngineRestarts,
     },
+    Case {
+        name: "the engine falls silent at the order, and the agent stands still for longer",
+        delays: SILENCE_AT_ORDER,
+        fault: Fault::AgentStops(Duration::from_secs(12)),
+    },
+    Case {
+        name: "the engine falls silent at the order, and the agent starts anew before it goes on",
+        delays: SILENCE_AT_ORDER,
+        fault: Fault::AgentEnds(Duration::ZERO),
+    },
+    Case {
+        name: "the engine falls silent at the order, and the agent starts anew after it has loaded",
+        delays: SILENCE_AT_ORDER,
+        fault: Fault::AgentEnds(Duration::from_secs(8)),
+    },
+    Case {
+        name: "the engine accepts an order that was given up while the agent stands still",
+        delays: SILENCE_AT_ORDER,
+        fault: Fault::AgentStopsLater(Duration::from_secs(12)),
+    },
+    Case {
+        name: "the engine accepts an order that was given up after the agent started anew",
+        delays: SILENCE_AT_ORDER,
+        fault: Fault::AgentEndsLater(Duration::ZERO),
+    },
+    Case {
+        name: "the engine accepts an order that was given up while the agent is down",
+        delays: SILENCE_AT_ORDER,
+        fault: Fault::AgentEndsLater(Duration::from_secs(8)),
+    },
 ];
 
 /// Guards against tokens of corrupt weights: an engine loads what it holds when it accepts the order, which may
@@ -264,6 +308,30 @@
             }
             engine.restart();
         }
+        Fault::AgentEnds(time) => {
+            while !engine.has_received_order() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            agent.signal(Signal::SIGKILL);
+            sleep(time).await;
+            agent.restart();
+        }
+        Fault::AgentStopsLater(time) => {
+            while !engine.has_received_order() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            sleep(TIME_TO_GIVE_UP).await;
+            stop_for(&mut agent, time).await;
+        }
+        Fault::AgentEndsLater(time) => {
+            while !engine.has_received_order() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            sleep(TIME_TO_GIVE_UP).await;
+            agent.signal(Signal::SIGKILL);
+            sleep(time).await;
+            agent.restart();
+        }
     }
     std::future::pending().await
 }
