Admit no request on weights before the agent can check them

Cause: an agent that has just started does not know the model of its engine, and begins no check of what the engine holds until an entry names it. Until then it took any version for verified.

Change: the status says that the engine is switching unless it is known how the version was loaded.

Evidence: the new test reports a later version before the model is known.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -392,15 +392,10 @@
             version: engine.version,
             is_switching: engine.is_busy
                 || self.is_admission_closed()
-                || engine.version.is_some_and(|v| !self.is_verified(v)),
+                || engine.version.is_some_and(|v| !self.orders.is_verified(v)),
         }
     }
 
-    /// Whether requests may run on this version of the weights, which the engine holds.
-    fn is_verified(&self, version: u64) -> bool {
-        !self.orders.is_unverified(version, None) && !self.orders.has_changed(version)
-    }
-
     /// Whether no reservation is accepted, since the engine is about to load.
     fn is_admission_closed(&self) -> bool {
         matches!(
--- a/components/control/src/controller/orders.rs
+++ b/components/control/src/controller/orders.rs
@@ -109,9 +109,7 @@
     /// it was loaded.
     pub fn add_found(&mut self, now: Duration, model_version: ModelVersion) {
         let version = model_version.version;
-        if self.verified_version >= Some(version)
-            || self.has_changed(version)
-            || self.is_unverified(version, None)
+        if self.is_known(version) || self.has_changed(version) || self.is_unverified(version, None)
         {
             return;
         }
@@ -202,6 +200,16 @@
         });
     }
 
+    /// Whether it is known of this version, or of a later one, how the engine loaded it.
+    fn is_known(&self, version: u64) -> bool {
+        self.verified_version >= Some(version)
+    }
+
+    /// Whether requests may run on this version, which the engine holds.
+    pub fn is_verified(&self, version: u64) -> bool {
+        self.is_known(version) && !self.has_changed(version) && !self.is_unverified(version, None)
+    }
+
     /// Whether pieces of this version that the engine loaded had changed before.
     pub fn has_changed(&self, version: u64) -> bool {
         self.changed_version == Some(version)
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -753,6 +753,19 @@
     assert_eq!(unchecked, [""; 0]);
 }
 
+/// Guards against requests that an agent admits before it can check what its engine loaded.
+#[test]
+fn weights_are_not_used_before_the_model_is_known_for_their_check() {
+    let mut controller =
+        Controller::new("10.0.0.0:1".into(), Limits::default(), UPDATE_LIMITS, false);
+    let report = EngineReport {
+        version: Some(2),
+        ..EngineReport::default()
+    };
+    controller.step(ms(1000), Event::Engine(Some(report)));
+    assert!(controller.status().is_switching);
+}
+
 /// Guards against requests that are on their way when the time of their version ends, and begin on it.
 #[test]
 fn engine_runs_nothing_on_a_version_whose_time_is_over() {
