A reducer test of an order that is accepted during the check that follows it

Cause: no test failed when a check that began before the acceptance of an order was taken as proof of its load. Change: a case of an order that got no answer and is accepted while the pieces are checked again, after the reading of a piece that changes then.

--- a/components/control/tests/waves.rs
+++ b/components/control/tests/waves.rs
@@ -398,6 +398,8 @@
     now: Duration,
     version: Name,
     start_count: u64,
+    /// Number of the first readings after which the piece stays sound.
+    clean_readings: u32,
     corruptions: u32,
     corrupt_since: Option<Duration>,
     loads_until: Option<Duration>,
@@ -451,7 +453,7 @@
 const STEP: Duration = Duration::from_millis(50);
 
 impl SlowTarget {
-    fn new(delays: Delays, corruptions: u32) -> Self {
+    fn new(delays: Delays, clean_readings: u32, corruptions: u32) -> Self {
         let mut rollout = Rollout::new(RolloutOptions::default());
         rollout.set_desired_version(Some(desired_version()), Vec::new(), 7);
         Self {
@@ -460,6 +462,7 @@
             now: Duration::from_secs(1),
             version: "v1".into(),
             start_count: 1,
+            clean_readings,
             corruptions,
             corrupt_since: None,
             loads_until: None,
@@ -518,7 +521,9 @@
                 .push((ends_at, PendingEvent::Read { sent: true }));
             return;
         }
-        if self.corruptions > 0 {
+        if self.clean_readings > 0 {
+            self.clean_readings -= 1;
+        } else if self.corruptions > 0 {
             self.corruptions -= 1;
             self.corrupt_since = Some(now);
         }
@@ -617,6 +622,7 @@
     struct Case {
         name: &'static str,
         delays: Delays,
+        clean_readings: u32,
         corruptions: u32,
     }
     let ms = Duration::from_millis;
@@ -642,6 +648,7 @@
     let case = |name, delays| Case {
         name,
         delays,
+        clean_readings: 0,
         corruptions: 1,
     };
     let cases = [
@@ -705,6 +712,17 @@
                 ..given_up
             },
         ),
+        Case {
+            clean_readings: 1,
+            ..case(
+                "given up, accepted during the next check after its first reading",
+                Delays {
+                    check: ms(6000),
+                    acceptance: ms(6500),
+                    ..given_up
+                },
+            )
+        },
         case(
             "answered late",
             Delays {
@@ -745,7 +763,7 @@
     ];
     let mut failures = Vec::new();
     for case in cases {
-        let mut target = SlowTarget::new(case.delays, case.corruptions);
+        let mut target = SlowTarget::new(case.delays, case.clean_readings, case.corruptions);
         let mut spoilt_steps = 0;
         let mut serves = false;
         while target.now < Duration::from_secs(120) {
