Failing tests of entries that trust the list, and of engines with few layers

An entry sends requests without an expected version until the grace period of the first named version ends, and uses the version in the list if it has not heard of the agent for 8 s, or never. So the engine runs weights that its agent has not verified or could not. And an engine with one or two layers cannot be made to give up layers that it loaded from changed pieces: it serves nothing until another version is named.

--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -766,6 +766,29 @@
     assert!(controller.status().is_switching);
 }
 
+/// Guards against engines that stay out of service after they loaded pieces that had changed.
+#[test]
+fn engine_with_few_layers_returns_after_it_loaded_changed_pieces() {
+    let mut out = Vec::new();
+    for layers in 1..5 {
+        let mut agent = Agent::new(1, Some(1));
+        agent.advance(ms(1000));
+        agent.set_layers(layers);
+        agent.answer_time = ms(1500);
+        agent.order_answer = OrderAnswer::Missing;
+        agent.accepts_silently = true;
+        agent.load_check = LoadCheck::Changed;
+        agent.name_version(2);
+        agent.receive_all(2);
+        agent.advance(Duration::from_secs(120));
+        let status = agent.controller.status();
+        if status.version != Some(2) || status.is_switching {
+            out.push((layers, status, agent.loads.len()));
+        }
+    }
+    assert!(out.is_empty(), "{out:?}");
+}
+
 /// Guards against requests that are on their way when the time of their version ends, and begin on it.
 #[test]
 fn engine_runs_nothing_on_a_version_whose_time_is_over() {
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -639,6 +639,72 @@
     }
 }
 
+/// Guards against tokens of weights that no agent has verified: the list shows what an engine loaded, also if its
+/// agent has ended or stands still, and an engine that is not told a version runs whatever it holds.
+#[test]
+fn requests_run_only_on_a_version_that_an_agent_confirmed() {
+    struct Case {
+        name: &'static str,
+        /// The version that the agent reported before it fell silent.
+        reported: Option<u64>,
+        /// How long ago that was.
+        age: Duration,
+        /// The version in the list.
+        listed: u64,
+        /// The version that a request must name. `None` if it must not be sent.
+        expected: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "the entry does not know yet that the engine loaded another version",
+            reported: Some(1),
+            age: ms(1000),
+            listed: 1,
+            expected: Some(1),
+        },
+        Case {
+            name: "the agent was silent while the engine loaded another version",
+            reported: Some(1),
+            age: ms(9000),
+            listed: 2,
+            expected: None,
+        },
+        Case {
+            name: "the entry started anew and has not heard of the agent",
+            reported: None,
+            age: ms(0),
+            listed: 2,
+            expected: None,
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut router = TestRouter::with_targets(&[("e1", "engines", "a")]);
+        if let Some(version) = case.reported {
+            router.step(Event::EngineReported {
+                id: "e1".into(),
+                version: Some(version),
+                is_switching: false,
+                process_count: 1,
+            });
+        }
+        router.now += case.age;
+        router.renew();
+        router.name_version(2, Some(router.now));
+        let mut listed = entry("e1", "engines", "a");
+        listed.version = Some(case.listed);
+        router.step(Event::TargetListed(listed));
+        let sent = match router.receive("chat").1 {
+            RequestResult::Sent(request) => Some(request.version),
+            _ => None,
+        };
+        if sent != case.expected.map(Some) {
+            wrong.push((case.name, sent));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 #[test]
 fn each_named_version_has_its_own_grace_period() {
     let mut router = TestRouter::with_targets(&[("e1", "engines", "a"), ("e2", "engines", "c")]);
