A change of all layers is forgotten only when all layers were loaded anew

Cause: found in the review. A verified load of one layer cleared the note that the engine's whole version came from changed pieces; the answer to an old order for a layer could come after such a load. And an engine that serves nothing since its weights are not verified waited for its turn to load a newer version. Change: only a whole version clears the note; an engine without verified weights loads at once.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -1109,7 +1109,7 @@
     /// `staged_at`.
     fn update_time(&self, staged_at: Duration) -> Duration {
         let running = self.engine.and_then(|engine| engine.version);
-        let Some(running) = running.filter(|running| !self.orders.has_changed(*running)) else {
+        let Some(running) = running.filter(|running| self.orders.is_verified(*running)) else {
             return staged_at;
         };
         let mut newer = self.versions.iter().filter(|known| known.version > running);
--- a/components/control/src/controller/orders.rs
+++ b/components/control/src/controller/orders.rs
@@ -149,7 +149,6 @@
             OrderAnswer::Begun if order.check.is_some_and(|check| check.covers(now)) => {
                 // The engine accepts no earlier order after this one, as they name the same sequence number.
                 self.orders.retain(|other| other.state == OrderState::Sent);
-                self.changed_version = None;
                 self.set_verified(load.model_version.version, load.layer);
             }
             OrderAnswer::Begun | OrderAnswer::Missing if order.check.is_some() => {
@@ -177,6 +176,7 @@
     fn set_verified(&mut self, version: u64, layer: Option<u32>) {
         self.verified_layer = layer.map(|layer| (version, layer));
         if layer.is_none() {
+            self.changed_version = None;
             self.verified_version = self.verified_version.max(Some(version));
         }
     }
@@ -285,7 +285,6 @@
             return result;
         }
         if result == LoadCheck::Intact && !is_written {
-            self.changed_version = None;
             self.set_verified(version, layer);
             return LoadCheck::Intact;
         }
