Requests name the version that the engine's agent reported, also before another is required

Until the time of the first named version was over, entries sent requests without a version, so an engine ran them on whatever it had loaded meanwhile, verified or not. After an engine had refused a request because of its version, the next one went out without a version as well. Change: a request always names the version that is known of its target. An engine that refused one because of it is not used until its agent says what it holds.

--- a/components/control/src/router/departure.rs
+++ b/components/control/src/router/departure.rs
@@ -32,7 +32,7 @@
         requirements.tried_targets = pending.targets_tried_before();
         is_same_start
             && selection::rate_limits(now, target, &requirements).are_counted_in(pending.counted_in)
-            && selection::required_version(target, &requirements) == request.version
+            && selection::required_version(target) == request.version
             && selection::may_serve(
                 now,
                 target,
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -368,8 +368,7 @@
             model.and_then(|model| self.first_event_deadline(model, version));
         let requirements = self.requirements(now, pending);
         let target = self.targets.get(id);
-        let required_version =
-            target.and_then(|target| selection::required_version(target, &requirements));
+        let required_version = target.and_then(selection::required_version);
         let limits = target.map(|target| selection::rate_limits(now, target, &requirements));
         let limits = limits.unwrap_or_default();
         let location = &self.options.location;
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -309,7 +309,10 @@
                 };
                 target.load.apply_report(now, report);
             }
-            Outcome::WrongVersion => target.entry.version = None,
+            Outcome::WrongVersion => {
+                // It is not used until its agent says what it holds. Plain services have no version.
+                target.entry.has_no_weights |= target.entry.version.take().is_some();
+            }
             Outcome::WrongInstance => {
                 target.set_missing(now, Grace::of(WRONG_INSTANCE_GRACE));
                 target.health.record_unreachable(now);
--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -493,10 +493,10 @@
     is_region_allowed(&entry.data_centre, location, requirements)
 }
 
-/// The version that the target must still run when it gets the request, if only some are allowed.
-pub(super) fn required_version(target: &Target, requirements: &Requirements<'_>) -> Option<u64> {
-    let has_constraint = requirements.versions != VersionConstraint::Any;
-    target.entry.version.filter(|_| has_constraint)
+/// The version that the target must still run when it gets the request. Its agent may not have verified another
+/// one yet.
+pub(super) fn required_version(target: &Target) -> Option<u64> {
+    target.entry.version
 }
 
 /// Whether the request may be served in the region of a data centre.
