--- a/tests/slow_engines.rs
+++ b/tests/slow_engines.rs
@@ -80,6 +80,8 @@
 const NO_DELAYS: Delays = Delays {
     reading: Duration::ZERO,
     order: Duration::ZERO,
+    report: Duration::ZERO,
+    answer: Duration::ZERO,
     silence_at_order: Duration::ZERO,
 };
 
