--- a/tests/soak/environment/mod.rs
+++ b/tests/soak/environment/mod.rs
@@ -302,10 +302,9 @@
             let key = API_KEYS[number % API_KEYS.len()];
             self.start_caller(number, key, &self.requests);
         }
-        // Each run has versions to load in the midst of the faults and shortly before their end.
-        let first = begin + time.mul_f64(self.rng.random_range(0.05..0.3));
-        let last = begin + time.mul_f64(self.rng.random_range(0.7..1.0));
-        self.namings = vec![first, last];
+        // Engines are ordered to load some seconds after a version was named, which the faults must outlast.
+        let second = begin + time.mul_f64(self.rng.random_range(0.1..1.0));
+        self.namings = vec![begin, second];
         self.engine_faults.schedule_delays(&mut self.rng, ENGINES);
         let factor = PAUSE_FACTORS[self.rng.random_range(0..PAUSE_FACTORS.len())];
         let mut next_fault = begin;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -27,7 +27,7 @@
 const REGRESSION_SEEDS: [(u64, &str); 0] = [];
 
 /// How long CI injects faults for each seed.
-const CI_FAULT_TIME: Duration = Duration::from_secs(6);
+const CI_FAULT_TIME: Duration = Duration::from_secs(10);
 
 /// The time after the last fault within which the system must work again.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
