--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -20,11 +20,14 @@
 
 use environment::Environment;
 
-/// The seeds that CI runs. They draw a slow store, all faults of engines, silences and late acceptance.
-const CI_SEEDS: [u64; 4] = [1, 2, 3, 18];
+/// The seeds that CI runs. They draw a slow store, all faults of engines and late acceptance.
+const CI_SEEDS: [u64; 3] = [1, 2, 18];
 
 /// Seeds that failed once, with the cause.
-const REGRESSION_SEEDS: [(u64, &str); 0] = [];
+const REGRESSION_SEEDS: [(u64, &str); 1] = [(
+    600,
+    "a silent engine accepted an order seconds after its pieces were checked, and one had become corrupt",
+)];
 
 /// How long CI injects faults for each seed.
 const CI_FAULT_TIME: Duration = Duration::from_secs(10);
