--- a/components/control/src/controller/orders.rs
+++ b/components/control/src/controller/orders.rs
@@ -228,16 +228,19 @@
         self.orders.iter().any(|order| order.loads(version, layer))
     }
 
-    /// Whether it is not known of any order whether it relies on a recent check.
+    /// Whether there are orders of which it is not known whether they relied on a recent check when the engine
+    /// accepted them.
     pub fn has_unverified(&self) -> bool {
         !self.orders.is_empty()
     }
 
     /// What to compare with the pieces that the engine holds: the version, and the layer unless all.
+    /// `has_manifest` says whether a version can be compared yet.
     pub fn start_check(
         &mut self,
         now: Duration,
         report: EngineReport,
+        has_manifest: impl FnOnce(u64) -> bool,
     ) -> Option<(u64, Option<u32>)> {
         if self.is_checking || now < self.check_at {
             return None;
@@ -258,6 +261,9 @@
                 held.filter(|(version, layer)| order.loads(*version, *layer))
             }
         })?;
+        if !has_manifest(checked.0) {
+            return None;
+        }
         self.is_checking = true;
         Some(checked)
     }
