An agent hashes a version only when it has to look into how it was loaded

Three places built the same kind of order, and a report was unwrapped twice. Change: the key is computed only for a version that no order of this process explains; one constructor for orders of earlier processes; the first report is handled where it is known to be there.

--- a/components/control/src/controller/loading.rs
+++ b/components/control/src/controller/loading.rs
@@ -58,7 +58,8 @@
         let Some(model) = self.model.clone() else {
             return;
         };
-        if let Some(version) = engine.version {
+        let found = engine.version.filter(|v| self.orders.is_unexplained(*v));
+        if let Some(version) = found {
             self.orders
                 .add_found(now, ModelVersion::new(&model, version));
         }
--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -781,17 +781,6 @@
         if report.is_none() || has_lost_weights {
             self.engine_lost_at = now;
         }
-        if let Some(report) = report {
-            let is_first = !std::mem::replace(&mut self.has_engine_reported, true);
-            if is_first {
-                self.orders
-                    .trust(report.version.filter(|v| *v == INITIAL_VERSION));
-            }
-            if is_first && (report.is_busy || report.partial_version.is_some()) {
-                self.orders.add_unknown(now);
-            }
-            self.orders.handle_report(report);
-        }
         let Some(report) = report else {
             // An engine that restarts has lost its order.
             if matches!(self.phase, UpdatePhase::Loading(_)) {
@@ -799,6 +788,15 @@
             }
             return;
         };
+        let is_first = !std::mem::replace(&mut self.has_engine_reported, true);
+        if is_first {
+            self.orders
+                .trust(report.version.filter(|v| *v == INITIAL_VERSION));
+        }
+        if is_first && (report.is_busy || report.partial_version.is_some()) {
+            self.orders.add_unknown(now);
+        }
+        self.orders.handle_report(report);
         if version_of(previous) != report.version {
             effects.push(Effect::Record(Decision::Engine {
                 target: self.name.clone(),
--- a/components/control/src/controller/orders.rs
+++ b/components/control/src/controller/orders.rs
@@ -48,6 +48,18 @@
 }
 
 impl Order {
+    /// An order of an earlier process, which the engine carries out or has carried out.
+    fn of_earlier_process(now: Duration, load: Option<Load>) -> Self {
+        Self {
+            number: 0,
+            load,
+            decided_at: now,
+            check: None,
+            state: OrderState::AcceptedLate,
+            pieces_written: false,
+        }
+    }
+
     /// Whether it makes the engine hold this version, and this layer alone unless `None`.
     fn loads(&self, version: u64, layer: Option<u32>) -> bool {
         self.load
@@ -88,16 +100,9 @@
         self.last_number
     }
 
-    /// Adds an order of an earlier process, which the engine carries out or has carried out.
+    /// Adds an order of an earlier process of which it is not known what it loads.
     pub fn add_unknown(&mut self, now: Duration) {
-        self.orders.push(Order {
-            number: 0,
-            load: None,
-            decided_at: now,
-            check: None,
-            state: OrderState::AcceptedLate,
-            pieces_written: false,
-        });
+        self.orders.push(Order::of_earlier_process(now, None));
     }
 
     /// Takes a version that the engine holds when this process starts as verified.
@@ -105,25 +110,21 @@
         self.verified_version = version;
     }
 
-    /// Adds the order of an earlier process that made the engine hold this whole version, unless it is known how
-    /// it was loaded.
+    /// Whether the engine holds this whole version without an order of this process that explains it.
+    pub fn is_unexplained(&self, version: u64) -> bool {
+        !self.is_known(version) && !self.has_changed(version) && !self.is_unverified(version, None)
+    }
+
+    /// Adds the order of an earlier process that made the engine hold this whole version.
     pub fn add_found(&mut self, now: Duration, model_version: ModelVersion) {
-        let version = model_version.version;
-        if self.is_known(version) || self.has_changed(version) || self.is_unverified(version, None)
-        {
-            return;
-        }
+        let load = Load {
+            model_version,
+            layer: None,
+        };
         self.orders.push(Order {
-            number: 0,
-            load: Some(Load {
-                model_version,
-                layer: None,
-            }),
-            decided_at: now,
-            check: None,
-            state: OrderState::AcceptedLate,
             // It may have been accepted before they were written.
             pieces_written: self.pieces_written,
+            ..Order::of_earlier_process(now, Some(load))
         });
     }
 
