One bound on the age of a check when the engine accepts the order

Cause: the 2.5 s stood in piece_check.rs and once more in the own interface's rollout.rs, with two ways to compare with them. Change: PieceCheck::covers_until, which both interfaces use.

--- a/components/control/src/agent/rollout.rs
+++ b/components/control/src/agent/rollout.rs
@@ -207,14 +207,11 @@
 /// The delay before a retry after the engine refused pieces or an order.
 const ENGINE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// How old a reading of a piece may be when the engine takes the piece. Operators allow for 3 s.
-const MAX_READING_AGE: Duration = Duration::from_millis(2500);
-
 /// How late a report of an engine may arrive. It is read again after this time.
 const MAX_REPORT_DELAY: Duration = Duration::from_secs(2);
 
-/// The time that an engine has at least to accept an order, even if the check took longer than
-/// [`MAX_READING_AGE`]. It doubles with each order that the engine refuses as too late.
+/// The time that an engine has at least to accept an order, even if the check took so long that it does not
+/// cover that time. It doubles with each order that the engine refuses as too late.
 const MIN_ACCEPTANCE_TIME: Duration = Duration::from_secs(1);
 
 /// The longest time that an engine gets to accept an order.
@@ -494,9 +491,7 @@
 
     fn order_accepted(&mut self, mut load: Load, answered_at: Duration) -> Vec<Effect> {
         load.accepted_by.get_or_insert(answered_at);
-        let is_young = load
-            .check
-            .is_some_and(|check| check.age(answered_at) <= MAX_READING_AGE);
+        let is_young = load.check.is_some_and(|check| check.covers(answered_at));
         if is_young && load.verdict == Verdict::Unknown {
             load.verdict = Verdict::Sound;
         }
@@ -608,8 +603,8 @@
         if !self.has_unanswered_order {
             self.sent_since_order = false;
         }
-        let read_at = self.check.map_or(now, |check| check.started_at);
-        (read_at + MAX_READING_AGE).max(now + self.acceptance_time)
+        let covered_until = self.check.map_or(now, |check| check.covers_until());
+        covered_until.max(now + self.acceptance_time)
     }
 
     /// Whether the engine carries out a load of which only another check can tell that it is sound.
--- a/components/control/src/piece_check.rs
+++ b/components/control/src/piece_check.rs
@@ -34,9 +34,14 @@
         now.saturating_sub(self.started_at)
     }
 
+    /// Until when the engine may accept an order so that the pieces that it takes then count as verified.
+    pub fn covers_until(&self) -> Duration {
+        self.started_at + MAX_AGE_AT_ACCEPTANCE
+    }
+
     /// Whether pieces that an engine took at `time` or earlier, but after the check, count as verified.
     pub fn covers(&self, time: Duration) -> bool {
-        self.age(time) <= MAX_AGE_AT_ACCEPTANCE
+        time <= self.covers_until()
     }
 
     /// Until when an order to load the pieces may be sent.
