One reading of pieces from the engine, and one look through the chunks of the stand-in

Cause: an agent read and compared a piece in two places, and only one of them noted when it was last intact. The stand-in engine went through the chunks of a manifest twice, and named the first chunk by a number of its own. Change: read_back tells a piece that differs from one that cannot be read, and both checks use it; holds_chunks; the first chunk follows from MANIFEST_PIECE. The log line of a changed piece also counts readings of a check after a load.

--- a/components/proxy/src/controller/staging.rs
+++ b/components/proxy/src/controller/staging.rs
@@ -51,11 +51,11 @@
                 continue;
             }
             match self.read_back(&model_version, piece, digest).await {
-                Some(data) => {
+                Ok(Some(data)) => {
                     self.store.insert(model_version.key, piece, data);
                     found.push(piece);
                 }
-                None => mismatches += 1,
+                Ok(None) | Err(_) => mismatches += 1,
             }
             if found.is_empty() && mismatches >= MAX_INITIAL_MISMATCHES {
                 break;
@@ -95,9 +95,9 @@
             return LoadCheck::Unreadable;
         };
         for (piece, digest) in pieces_of(&manifest, load) {
-            match (self.backends.read_piece)(model_version.model.clone(), piece).await {
-                Ok(data) if Digest::of(&data) == *digest => {}
-                Ok(_) | Err(BackendError::Refused(404)) => {
+            match self.read_back(model_version, piece, digest).await {
+                Ok(Some(_)) => {}
+                Ok(None) | Err(BackendError::Refused(404)) => {
                     self.log_changed_piece(model_version, piece);
                     return LoadCheck::Changed;
                 }
@@ -119,7 +119,7 @@
                 if !lock(&self.state).is_staging(load) {
                     return None;
                 }
-                if self.read_back(model_version, piece, digest).await.is_some() {
+                if let Ok(Some(_)) = self.read_back(model_version, piece, digest).await {
                     continue;
                 }
                 sent += 1;
@@ -153,22 +153,20 @@
         None
     }
 
-    /// Reads a piece from the engine. Returns `None` if it is missing or its digest differs.
+    /// Reads a piece from the engine. Returns `None` if its digest differs.
     async fn read_back(
         &self,
         model_version: &ModelVersion,
         piece: Piece,
         digest: &Digest,
-    ) -> Option<Bytes> {
-        let data = (self.backends.read_piece)(model_version.model.clone(), piece)
-            .await
-            .ok()?;
-        let is_intact = Digest::of(&data) == *digest;
-        if is_intact {
-            let now = self.clock.now().elapsed;
-            lock(&self.read_intact_at).insert((model_version.key, piece), now);
+    ) -> Result<Option<Bytes>, BackendError> {
+        let data = (self.backends.read_piece)(model_version.model.clone(), piece).await?;
+        if Digest::of(&data) != *digest {
+            return Ok(None);
         }
-        is_intact.then_some(data)
+        let now = self.clock.now().elapsed;
+        lock(&self.read_intact_at).insert((model_version.key, piece), now);
+        Ok(Some(data))
     }
 
     /// Logs that a piece is corrupt or missing which the engine held intact before.
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -33,7 +33,11 @@
 use utils::clock::Clock;
 use utils::digest::Digest;
 use utils::Name;
-use weights::Manifest;
+use weights::{
+    Manifest,
+    Piece,
+    MANIFEST_PIECE, //
+};
 
 use crate::server::{
     read_body,
@@ -87,8 +91,8 @@
 /// How long a piece may have been wrong when an engine takes it, according to the operators' rule.
 const MAX_WRONG_TIME: Duration = Duration::from_secs(3);
 
-/// The number of the first chunk; piece 0 is the manifest.
-const FIRST_CHUNK: u32 = 1;
+/// The number of the first chunk.
+const FIRST_CHUNK: Piece = MANIFEST_PIECE + 1;
 
 /// Faults that an engine injects.
 #[derive(Clone, Copy, Debug, Default)]
@@ -731,26 +735,31 @@
 }
 
 /// Whether the manifest with `digest` and all its chunks are staged, corrupt or not.
-fn has_every_piece(staged_pieces: &BTreeMap<(Digest, u32), Bytes>, digest: &Digest) -> bool {
-    let manifest = staged_pieces.get(&(*digest, 0));
-    let Some(manifest) = manifest.and_then(|text| Manifest::parse(text, digest).ok()) else {
-        return false;
-    };
-    let count = u32::try_from(manifest.piece_count()).unwrap_or(u32::MAX);
-    (1..count).all(|piece| staged_pieces.contains_key(&(*digest, piece)))
+fn has_every_piece(staged_pieces: &BTreeMap<(Digest, Piece), Bytes>, digest: &Digest) -> bool {
+    holds_chunks(staged_pieces, digest, |_, _| true)
 }
 
 /// Whether the manifest with `digest` and all its chunks are staged and match their digests.
-fn has_all_chunks(staged_pieces: &BTreeMap<(Digest, u32), Bytes>, digest: &Digest) -> bool {
-    let Some(text) = staged_pieces.get(&(*digest, 0)) else {
-        return false;
-    };
-    let Ok(manifest) = Manifest::parse(text, digest) else {
+fn has_all_chunks(staged_pieces: &BTreeMap<(Digest, Piece), Bytes>, digest: &Digest) -> bool {
+    holds_chunks(staged_pieces, digest, |data, expected| {
+        Digest::of(data) == *expected
+    })
+}
+
+/// Whether the manifest with `digest` and all its chunks are staged, and the chunks are accepted.
+fn holds_chunks(
+    staged_pieces: &BTreeMap<(Digest, Piece), Bytes>,
+    digest: &Digest,
+    is_accepted: impl Fn(&Bytes, &Digest) -> bool,
+) -> bool {
+    let text = staged_pieces.get(&(*digest, MANIFEST_PIECE));
+    let Some(manifest) = text.and_then(|text| Manifest::parse(text, digest).ok()) else {
         return false;
     };
-    let count = u32::try_from(manifest.piece_count()).unwrap_or(u32::MAX);
-    (1..count).all(|piece| {
-        let data = staged_pieces.get(&(*digest, piece));
-        data.map(|data| Digest::of(data)).as_ref() == manifest.chunk_digest(piece)
+    let count = Piece::try_from(manifest.piece_count()).unwrap_or(Piece::MAX);
+    (FIRST_CHUNK..count).all(|piece| {
+        let staged = staged_pieces.get(&(*digest, piece));
+        let staged = staged.zip(manifest.chunk_digest(piece));
+        staged.is_some_and(|(data, expected)| is_accepted(data, expected))
     })
 }
