--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -17,16 +17,12 @@
     ForwardRequest,
     Options,
     Outcome,
-    ReservationReply,
     RetryLimit,
     Sending,
     State, //
 };
-use protocol::{
-    Backlog,
-    EngineCondition, //
-};
 use routers::{
+    accepting_reply,
     clock,
     config_of_both_services,
     engine_service,
@@ -47,21 +43,6 @@
     window: Duration::from_secs(10),
 };
 
-/// The reply of an agent whose engine has no work.
-const ACCEPTED: ReservationReply = ReservationReply {
-    backlog: Backlog {
-        requests: 0,
-        unprefilled_tokens: 0,
-    },
-    accepts_requests: true,
-    limit: None,
-    condition: EngineCondition {
-        slowness_percent: None,
-        learned_limit: None,
-        waiting: 0,
-    },
-};
-
 /// The instructions to send request 1.
 fn forwarded(effects: &[Effect]) -> Option<ForwardRequest> {
     effects.iter().find_map(|effect| match effect {
@@ -231,7 +212,7 @@
             running: 0,
             event: Event::ReservationReply {
                 token: 1,
-                reply: Some(ACCEPTED),
+                reply: Some(accepting_reply()),
             },
         },
         Case {
@@ -285,7 +266,7 @@
         Event::RequestReceived(request(1, "/chat/")),
         Event::ReservationReply {
             token: 1,
-            reply: Some(ACCEPTED),
+            reply: Some(accepting_reply()),
         },
         Event::ResponseHead {
             token: 1,
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -31,16 +31,12 @@
     Outcome,
     Rejection,
     RejectionReason,
-    ReservationReply,
     RetryLimit,
     Sending,
     State, //
 };
-use protocol::{
-    Backlog,
-    EngineCondition, //
-};
 use routers::{
+    accepting_reply,
     clock,
     target, //
 };
@@ -796,12 +792,7 @@
     let mut router = TestRouter::with_reservations();
     router.step(Event::TargetListed(entry("e1", "engines", "a")));
     let mut dependency_changes = Vec::new();
-    let available = ReservationReply {
-        backlog: Backlog::default(),
-        accepts_requests: true,
-        limit: None,
-        condition: EngineCondition::default(),
-    };
+    let available = accepting_reply();
     for (attempt, reply) in [None, None, Some(available)].into_iter().enumerate() {
         // Longer than the backoff after an agent did not answer.
         router.now += ms(1500);
--- a/components/control/tests/routers/mod.rs
+++ b/components/control/tests/routers/mod.rs
@@ -29,9 +29,14 @@
     Event,
     IncomingRequest,
     Options,
+    ReservationReply,
     RetryLimit,
     State, //
 };
+use protocol::{
+    Backlog,
+    EngineCondition, //
+};
 use utils::clock::ClockReading;
 use weights::Limits;
 
@@ -42,6 +47,16 @@
     window: Duration::from_secs(10),
 };
 
+/// The reply of an agent whose engine has no work.
+pub fn accepting_reply() -> ReservationReply {
+    ReservationReply {
+        backlog: Backlog::default(),
+        accepts_requests: true,
+        limit: None,
+        condition: EngineCondition::default(),
+    }
+}
+
 /// The time `elapsed` after the start of the clock.
 pub fn clock(elapsed: Duration) -> ClockReading {
     ClockReading {
--- a/tests/slow_engines.rs
+++ b/tests/slow_engines.rs
@@ -3,34 +3,27 @@
 
 #[path = "soak/processes.rs"]
 mod processes;
+mod small_fleet;
 #[path = "../platform/tests/standin/mod.rs"]
 mod standin;
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use processes::Process;
+use small_fleet::{
+    id,
+    SmallFleet, //
+};
 use standin::engine::{
-    handle_origin_request,
     Delays,
-    Runs,
     Target, //
 };
 use standin::publish::{
     prompt_request_text,
-    publish_config,
     publish_target,
     publish_version,
-    ProcessAddresses,
-    API_KEYS,
-    CALLERS_PORT, //
-};
-use standin::{
-    listen,
-    listen_with_delay,
-    Store, //
+    API_KEYS, //
 };
 use tokio::io::{
     AsyncReadExt,
@@ -42,11 +35,6 @@
     timeout, //
 };
 
-const ENGINES: usize = 2;
-
-/// How long processes have to start, and agents to learn of each other.
-const STARTUP_TIME: Duration = Duration::from_secs(2);
-
 /// How long the engines of a case may take until each serves the new version: 8 s, and the time that slow
 /// calls, a silence and a second load take.
 const UPDATE_TIME: Duration = Duration::from_secs(90);
@@ -63,18 +51,20 @@
 #[derive(Clone, Copy)]
 enum Fault {
     None,
-    /// The agent stands still from the first order on.
-    AgentStops(Duration),
+    /// The agent stands still for a time, so long after the first order was received.
+    AgentStops {
+        after: Duration,
+        time: Duration,
+    },
+    /// The agent ends so long after the first order was received, and starts again a time later.
+    AgentEnds {
+        after: Duration,
+        time: Duration,
+    },
     /// The agent runs only in a part of the time.
     AgentIsShortOfTime,
-    /// The engine starts anew as soon as it holds all pieces.
+    /// The engine starts anew as soon as it received the first order.
     EngineRestarts,
-    /// The agent ends after its order, and starts again this much later.
-    AgentEnds(Duration),
-    /// The agent gives its order up, and then stands still.
-    AgentStopsLater(Duration),
-    /// The agent gives its order up, ends, and starts again this much later.
-    AgentEndsLater(Duration),
 }
 
 struct Case {
@@ -83,20 +73,12 @@
     fault: Fault,
 }
 
-const NO_DELAYS: Delays = Delays {
-    reading: Duration::ZERO,
-    order: Duration::ZERO,
-    report: Duration::ZERO,
-    answer: Duration::ZERO,
-    silence_at_order: Duration::ZERO,
-};
-
 /// How long after its order an agent has certainly given it up, and the engine is silent still.
 const TIME_TO_GIVE_UP: Duration = Duration::from_millis(2500);
 
 const SILENCE_AT_ORDER: Delays = Delays {
     silence_at_order: Duration::from_secs(5),
-    ..NO_DELAYS
+    ..Delays::NONE
 };
 
 const CASES: [Case; 13] = [
@@ -104,7 +86,7 @@
         name: "pieces are returned slowly",
         delays: Delays {
             reading: Duration::from_millis(450),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         fault: Fault::None,
     },
@@ -113,7 +95,7 @@
         delays: Delays {
             reading: Duration::from_millis(250),
             order: Duration::from_millis(1500),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         fault: Fault::None,
     },
@@ -122,7 +104,7 @@
         delays: Delays {
             reading: Duration::from_millis(300),
             order: Duration::from_millis(1900),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         fault: Fault::None,
     },
@@ -130,7 +112,7 @@
         name: "the engine falls silent at the order",
         delays: Delays {
             silence_at_order: Duration::from_secs(5),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         fault: Fault::None,
     },
@@ -138,15 +120,18 @@
         name: "the agent stands still at the order",
         delays: Delays {
             order: Duration::from_millis(300),
-            ..NO_DELAYS
+            ..Delays::NONE
+        },
+        fault: Fault::AgentStops {
+            after: Duration::ZERO,
+            time: Duration::from_secs(5),
         },
-        fault: Fault::AgentStops(Duration::from_secs(5)),
     },
     Case {
         name: "the agent is short of processor time",
         delays: Delays {
             reading: Duration::from_millis(40),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         fault: Fault::AgentIsShortOfTime,
     },
@@ -155,39 +140,57 @@
         delays: Delays {
             reading: Duration::from_millis(250),
             order: Duration::from_millis(1500),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         fault: Fault::EngineRestarts,
     },
     Case {
         name: "the engine falls silent at the order, and the agent stands still for longer",
         delays: SILENCE_AT_ORDER,
-        fault: Fault::AgentStops(Duration::from_secs(12)),
+        fault: Fault::AgentStops {
+            after: Duration::ZERO,
+            time: Duration::from_secs(12),
+        },
     },
     Case {
         name: "the engine falls silent at the order, and the agent starts anew before it goes on",
         delays: SILENCE_AT_ORDER,
-        fault: Fault::AgentEnds(Duration::ZERO),
+        fault: Fault::AgentEnds {
+            after: Duration::ZERO,
+            time: Duration::ZERO,
+        },
     },
     Case {
         name: "the engine falls silent at the order, and the agent starts anew after it has loaded",
         delays: SILENCE_AT_ORDER,
-        fault: Fault::AgentEnds(Duration::from_secs(8)),
+        fault: Fault::AgentEnds {
+            after: Duration::ZERO,
+            time: Duration::from_secs(8),
+        },
     },
     Case {
         name: "the engine accepts an order that was given up while the agent stands still",
         delays: SILENCE_AT_ORDER,
-        fault: Fault::AgentStopsLater(Duration::from_secs(12)),
+        fault: Fault::AgentStops {
+            after: TIME_TO_GIVE_UP,
+            time: Duration::from_secs(12),
+        },
     },
     Case {
         name: "the engine accepts an order that was given up after the agent started anew",
         delays: SILENCE_AT_ORDER,
-        fault: Fault::AgentEndsLater(Duration::ZERO),
+        fault: Fault::AgentEnds {
+            after: TIME_TO_GIVE_UP,
+            time: Duration::ZERO,
+        },
     },
     Case {
         name: "the engine accepts an order that was given up while the agent is down",
         delays: SILENCE_AT_ORDER,
-        fault: Fault::AgentEndsLater(Duration::from_secs(8)),
+        fault: Fault::AgentEnds {
+            after: TIME_TO_GIVE_UP,
+            time: Duration::from_secs(8),
+        },
     },
 ];
 
@@ -206,63 +209,39 @@
 
 #[tokio::main(flavor = "current_thread")]
 async fn run_case(number: usize, case: &'static Case) {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("slow-engines-{number}"));
-    std::fs::create_dir_all(&folder).unwrap();
-    let run = std::process::id() % 200 + 20;
-    let ip = |host: usize| format!("127.{run}.{}.{host}", 190 + number);
-    let store = Store::default();
-    publish_config(&store, 1, &API_KEYS, listen(handle_origin_request).await);
-    let store_address = store.start().await;
-    let process = |role, name: String, own_ip, engine| {
-        let addresses = ProcessAddresses {
-            name,
-            ip: own_ip,
-            store: store_address,
-            engine,
-            seeds: vec![ip(10)],
-        };
-        Process::start(&folder, role, addresses)
-    };
-    let runs = Runs::default();
-    let mut engines = Vec::new();
-    let mut agents = Vec::new();
-    let mut addresses = Vec::new();
-    for i in 0..ENGINES {
-        let engine = Target::engine(&format!("e-{i}"), &runs);
-        let address = serve_engine(&engine, &format!("{}:8001", ip(100 + i))).await;
-        publish_target(&store, &format!("e-{i}"), "engines", address, false);
-        let agent = process("agent", format!("agent-{i}"), ip(100 + i), Some(address));
-        agents.push(agent);
-        engines.push(engine);
-        addresses.push(address);
-    }
-    let _entry = process("entry", "entry".into(), ip(10), None);
-    sleep(STARTUP_TIME).await;
-
+    let fleet = SmallFleet::start(&format!("slow-engines-{number}"), 190 + number).await;
+    let SmallFleet {
+        store,
+        runs,
+        engines,
+        addresses,
+        agents,
+        callers_address,
+        entry: _entry,
+    } = fleet;
     for engine in &engines {
         engine.set_delays(case.delays);
         engine.corrupt_after_reading(0, CORRUPTIONS);
     }
-    tokio::spawn(send_requests(format!("{}:{CALLERS_PORT}", ip(10))));
+    tokio::spawn(send_requests(callers_address));
     publish_version(&store, 2);
     for (engine, agent) in engines.iter().zip(agents) {
         tokio::spawn(inject(case.fault, engine.clone(), agent));
     }
     let updated = async {
-        let mut serving: Vec<usize> = (0..ENGINES).collect();
+        let mut serving: Vec<usize> = (0..engines.len()).collect();
         while !serving.is_empty() {
             sleep(Duration::from_millis(100)).await;
             let all_runs = runs.all();
             let has_served = |i: &usize| {
-                let id = format!("e-{i}");
                 let runs = all_runs.iter();
-                let runs = runs.filter(|run| run.target == id && run.version == 2);
+                let runs = runs.filter(|run| run.target == id(*i) && run.version == 2);
                 runs.count() >= RUNS_ON_NEW_VERSION
             };
             if let Some(position) = serving.iter().position(has_served) {
                 // One engine could take all requests, so it leaves and the others must serve.
                 let i = serving.remove(position);
-                publish_target(&store, &format!("e-{i}"), "engines", addresses[i], true);
+                publish_target(&store, &id(i), "engines", addresses[i], true);
             }
         }
     };
@@ -278,26 +257,27 @@
     );
 }
 
-async fn serve_engine(engine: &Target, address: &str) -> SocketAddr {
-    let (delays, responder) = (engine.clone(), engine.clone());
-    listen_with_delay(
-        address,
-        move |request| delays.delay(request),
-        move |request| responder.respond(request),
-    )
-    .await
-}
-
 /// Injects the fault, and keeps the agent running until the case ends.
 async fn inject(fault: Fault, engine: Target, mut agent: Process) {
+    let has_received_order = async {
+        while !engine.has_received_order() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
     match fault {
         Fault::None => {}
-        Fault::AgentStops(time) => {
-            while !engine.has_received_order() {
-                sleep(Duration::from_millis(5)).await;
-            }
+        Fault::AgentStops { after, time } => {
+            has_received_order.await;
+            sleep(after).await;
             stop_for(&mut agent, time).await;
         }
+        Fault::AgentEnds { after, time } => {
+            has_received_order.await;
+            sleep(after).await;
+            agent.signal(Signal::SIGKILL);
+            sleep(time).await;
+            agent.restart();
+        }
         Fault::AgentIsShortOfTime => {
             for _ in 0..50 {
                 stop_for(&mut agent, Duration::from_millis(450)).await;
@@ -305,35 +285,9 @@
             }
         }
         Fault::EngineRestarts => {
-            while !engine.has_received_order() {
-                sleep(Duration::from_millis(5)).await;
-            }
+            has_received_order.await;
             engine.restart();
         }
-        Fault::AgentEnds(time) => {
-            while !engine.has_received_order() {
-                sleep(Duration::from_millis(5)).await;
-            }
-            agent.signal(Signal::SIGKILL);
-            sleep(time).await;
-            agent.restart();
-        }
-        Fault::AgentStopsLater(time) => {
-            while !engine.has_received_order() {
-                sleep(Duration::from_millis(5)).await;
-            }
-            sleep(TIME_TO_GIVE_UP).await;
-            stop_for(&mut agent, time).await;
-        }
-        Fault::AgentEndsLater(time) => {
-            while !engine.has_received_order() {
-                sleep(Duration::from_millis(5)).await;
-            }
-            sleep(TIME_TO_GIVE_UP).await;
-            agent.signal(Signal::SIGKILL);
-            sleep(time).await;
-            agent.restart();
-        }
     }
     std::future::pending().await
 }
--- a/tests/soak/engine_faults.rs
+++ b/tests/soak/engine_faults.rs
@@ -27,17 +27,9 @@
     pub store_time: Duration,
 }
 
-const NO_DELAYS: Delays = Delays {
-    reading: Duration::ZERO,
-    order: Duration::ZERO,
-    report: Duration::ZERO,
-    answer: Duration::ZERO,
-    silence_at_order: Duration::ZERO,
-};
-
 const SOUND_ENGINES: Case = Case {
     name: "sound engines",
-    delays: NO_DELAYS,
+    delays: Delays::NONE,
     silence: Duration::ZERO,
     restarts: false,
     corruption: false,
@@ -59,7 +51,7 @@
         name: "slowly returned pieces",
         delays: Delays {
             reading: Duration::from_millis(1200),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         ..CORRUPT_PIECES
     },
@@ -68,7 +60,7 @@
         delays: Delays {
             reading: Duration::from_millis(250),
             order: Duration::from_millis(6000),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         ..CORRUPT_PIECES
     },
@@ -76,7 +68,7 @@
         name: "late reports",
         delays: Delays {
             report: Duration::from_millis(2000),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         restarts: true,
         ..CORRUPT_PIECES
@@ -85,7 +77,7 @@
         name: "late answers",
         delays: Delays {
             answer: Duration::from_millis(2000),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         ..CORRUPT_PIECES
     },
@@ -93,7 +85,7 @@
         name: "silences",
         delays: Delays {
             silence_at_order: Duration::from_millis(8000),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         silence: Duration::from_millis(8000),
         ..CORRUPT_PIECES
@@ -103,7 +95,7 @@
         delays: Delays {
             reading: Duration::from_millis(250),
             order: Duration::from_millis(1500),
-            ..NO_DELAYS
+            ..Delays::NONE
         },
         restarts: true,
         ..CORRUPT_PIECES
--- a/tests/spoilt_pieces.rs
+++ b/tests/spoilt_pieces.rs
@@ -3,106 +3,38 @@
 
 #[path = "soak/processes.rs"]
 mod processes;
+mod small_fleet;
 #[path = "../platform/tests/standin/mod.rs"]
 mod standin;
 
-use std::path::PathBuf;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use processes::Process;
+use small_fleet::SmallFleet;
 use standin::engine::{
-    handle_origin_request,
     piece_bytes,
-    Runs,
     Target, //
 };
-use standin::publish::{
-    publish_config,
-    publish_target,
-    publish_version,
-    ProcessAddresses,
-    API_KEYS, //
-};
-use standin::{
-    listen,
-    listen_on,
-    Store, //
-};
+use standin::publish::publish_version;
 use tokio::time::{
     sleep,
     timeout, //
 };
 
-const ENGINES: usize = 2;
-
-/// How long processes have to start, and agents to learn of each other.
-const STARTUP_TIME: Duration = Duration::from_secs(2);
-
 /// How long an update of all engines may take: 8 s, and the time to start after a disruption.
 const UPDATE_TIME: Duration = Duration::from_secs(14);
 
 /// Two engines of one data centre, which load a version one after the other.
-struct Fleet {
-    store: Store,
-    engines: Vec<Target>,
-    agents: Vec<Process>,
-    _entry: Process,
-}
+struct Fleet(SmallFleet);
 
 impl Fleet {
-    async fn start(number: usize) -> Self {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("spoilt-{number}"));
-        std::fs::create_dir_all(&folder).unwrap();
-        let run = std::process::id() % 200 + 20;
-        let ip = |host: usize| format!("127.{run}.{}.{host}", 230 + number);
-        let store = Store::default();
-        publish_config(&store, 1, &API_KEYS, listen(handle_origin_request).await);
-        let store_address = store.start().await;
-        let process = |role, name: String, own_ip, engine| {
-            let addresses = ProcessAddresses {
-                name,
-                ip: own_ip,
-                store: store_address,
-                engine,
-                seeds: vec![ip(10)],
-            };
-            Process::start(&folder, role, addresses)
-        };
-        let mut engines = Vec::new();
-        let mut agents = Vec::new();
-        for i in 0..ENGINES {
-            let id = format!("e-{i}");
-            let engine = Target::engine(&id, &Runs::default());
-            let responder = engine.clone();
-            let address = format!("{}:8001", ip(100 + i));
-            let address = listen_on(&address, move |request| responder.respond(request)).await;
-            publish_target(&store, &id, "engines", address, false);
-            agents.push(process(
-                "agent",
-                format!("agent-{i}"),
-                ip(100 + i),
-                Some(address),
-            ));
-            engines.push(engine);
-        }
-        let entry = process("entry", "entry".into(), ip(10), None);
-        sleep(STARTUP_TIME).await;
-        Self {
-            store,
-            engines,
-            agents,
-            _entry: entry,
-        }
-    }
-
     /// Waits until one engine holds version 2 and waits for its turn, and returns its number.
     async fn wait_for_waiting_engine(&self) -> usize {
         let waiting = async {
             loop {
-                let is_any_loaded = self.engines.iter().any(|e| e.version() == Some(2));
+                let is_any_loaded = self.0.engines.iter().any(|e| e.version() == Some(2));
                 let waiting = |e: &Target| e.version() == Some(1) && e.holds(2);
-                if let Some(number) = self.engines.iter().position(waiting) {
+                if let Some(number) = self.0.engines.iter().position(waiting) {
                     if is_any_loaded {
                         return number;
                     }
@@ -117,7 +49,7 @@
 
     async fn wait_until_updated(&self) {
         let updated = async {
-            while self.engines.iter().any(|e| e.version() != Some(2)) {
+            while self.0.engines.iter().any(|e| e.version() != Some(2)) {
                 // A target finishes loading when it is called.
                 sleep(Duration::from_millis(50)).await;
             }
@@ -187,20 +119,21 @@
 
 #[tokio::main(flavor = "current_thread")]
 async fn run_case(number: usize, case: &Case) {
-    let mut fleet = Fleet::start(number).await;
-    publish_version(&fleet.store, 2);
+    let fleet = SmallFleet::start(&format!("spoilt-{number}"), 230 + number).await;
+    let mut fleet = Fleet(fleet);
+    publish_version(&fleet.0.store, 2);
     let waiting = fleet.wait_for_waiting_engine().await;
-    (case.change)(&fleet.engines[waiting]);
+    (case.change)(&fleet.0.engines[waiting]);
     if case.restarts_agent {
-        fleet.agents[waiting].restart();
+        fleet.0.agents[waiting].restart();
     }
     if !case.pause.is_zero() {
-        fleet.agents[waiting].signal(Signal::SIGSTOP);
+        fleet.0.agents[waiting].signal(Signal::SIGSTOP);
         sleep(case.pause).await;
-        fleet.agents[waiting].signal(Signal::SIGCONT);
+        fleet.0.agents[waiting].signal(Signal::SIGCONT);
     }
     fleet.wait_until_updated().await;
-    for engine in &fleet.engines {
+    for engine in &fleet.0.engines {
         assert_eq!(engine.incomplete_loads(), 0, "{}", case.name);
     }
 }
