--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -1,59 +1,36 @@
 //! Planned stops of an entry that is a real process on the real clock: targets fall silent, callers read
 //! slowly and use their connections until the process is gone, and the process is short of processor time.
 
+mod kept_connections;
 #[path = "soak/processes.rs"]
 mod processes;
 #[path = "../platform/tests/standin/mod.rs"]
 mod standin;
 
-use std::collections::BTreeMap;
 use std::path::PathBuf;
-use std::sync::{
-    Arc,
-    Mutex, //
-};
 use std::time::Duration;
 
+use kept_connections::{
+    Caller,
+    End,
+    Observed,
+    LOSS_SLACK,
+    TIMEOUT, //
+};
 use nix::sys::signal::Signal;
 use processes::Process;
 use standin::publish::{
     publish_config_for_long_requests,
-    publish_target,
-    request_id,
-    timed_request_text,
     ProcessAddresses,
     CALLERS_PORT, //
 };
-use standin::router::{
-    chunk,
-    event,
-    signed_response,
-    stream_head, //
-};
-use standin::{
-    listen,
-    ReceivedRequest,
-    ResponseStep,
-    Store, //
-};
-use tokio::io::{
-    AsyncReadExt,
-    AsyncWriteExt, //
-};
-use tokio::net::{
-    TcpSocket,
-    TcpStream, //
-};
+use standin::Store;
 use tokio::task::JoinSet;
 use tokio::time::{
     sleep,
-    timeout,
     Instant, //
 };
 
-/// The timeout of callers and of all routes, as on the users' small sites.
-const TIMEOUT: Duration = Duration::from_secs(6);
-
 /// How long a stopped process may run on. The settings of the process name it.
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -62,10 +39,6 @@
 const EXCUSED_WORK_TIME: Duration = Duration::from_millis(8000 * 5 / 6);
 const EXCUSED_SENDING_TIME: Duration = Duration::from_secs(3);
 
-/// A request that is not passed on and gets no answer must have been sent this shortly before the end of its
-/// connection.
-const LOSS_SLACK: Duration = Duration::from_millis(200);
-
 const STARTUP_TIME: Duration = Duration::from_secs(2);
 
 /// How long callers send requests before the stop.
@@ -73,176 +46,6 @@
 
 const CALLERS: usize = 24;
 
-/// Between two parts of an answer a slow caller pauses for this fraction of its first pause.
-const READING_PAUSE_DIVISOR: u32 = 64;
-
-const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
-
-/// What a target does with a request, as its path says: `/ROUTE/EVENTS-INTERVAL-SILENCE/` for streams and
-/// `/ROUTE/KILOBYTES-DELAY-0/` otherwise, times in milliseconds.
-fn respond(request: &ReceivedRequest) -> Vec<ResponseStep> {
-    let numbers: Vec<u64> = request
-        .path
-        .split('/')
-        .nth(2)
-        .unwrap()
-        .split('-')
-        .map(|number| number.parse().unwrap())
-        .collect();
-    let [count, time, silence] = numbers[..] else {
-        panic!("{}", request.path);
-    };
-    let wait = |millis| ResponseStep::Wait(Duration::from_millis(millis));
-    if request.path.starts_with("/order") {
-        let body = "x".repeat(count as usize * 1024);
-        return vec![
-            wait(time),
-            ResponseStep::Write(signed_response(request, "200 OK", &body)),
-        ];
-    }
-    let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
-    let mut steps = vec![ResponseStep::Write(stream_head(request))];
-    for number in after + 1..=count {
-        if number == 3 {
-            steps.push(wait(silence));
-        }
-        steps.push(ResponseStep::Write(chunk(&event(number))));
-        steps.push(wait(time));
-    }
-    steps.push(ResponseStep::Write(b"0\r\n\r\n".to_vec()));
-    steps
-}
-
-/// How a request of a caller ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum End {
-    Answer(u16),
-    /// The connection ended before the answer was complete, or before it began.
-    Cut {
-        has_begun: bool,
-    },
-    /// The caller's timeout passed.
-    TimedOut,
-}
-
-#[derive(Clone, Debug)]
-struct Request {
-    id: String,
-    path: String,
-    sent_at: Instant,
-    /// When the caller began to read the answer.
-    read_at: Instant,
-    ended_at: Instant,
-    end: End,
-}
-
-/// What callers and targets saw.
-#[derive(Clone, Default)]
-struct Observed {
-    requests: Arc<Mutex<Vec<Request>>>,
-    /// When each request reached a target for the first time.
-    passed_on: Arc<Mutex<BTreeMap<String, Instant>>>,
-}
-
-/// A caller's behaviour.
-#[derive(Clone, Copy)]
-struct Caller {
-    path: &'static str,
-    /// How long it waits before it reads an answer. Between two parts it waits for a fraction of this.
-    reading_pause: Duration,
-    /// How long sending the body of a request takes.
-    sending_time: Duration,
-}
-
-impl Caller {
-    const fn new(path: &'static str) -> Self {
-        Self {
-            path,
-            reading_pause: Duration::ZERO,
-            sending_time: Duration::ZERO,
-        }
-    }
-
-    /// Sends requests on kept connections until the process accepts none any more.
-    async fn run(self, number: usize, entry: String, observed: Observed) {
-        let mut connection = None;
-        for count in 0.. {
-            if connection.is_none() {
-                connection = connect(&entry).await.ok();
-            }
-            let Some(tcp) = &mut connection else {
-                return;
-            };
-            let id = format!("r-{number}-{count}");
-            let mut sent_at = Instant::now();
-            let exchange = self.exchange(tcp, &id, &mut sent_at);
-            let (end, keeps_open) = timeout(TIMEOUT + Duration::from_secs(1), exchange)
-                .await
-                .unwrap_or((End::TimedOut, false));
-            if !keeps_open {
-                connection = None;
-            }
-            observed.requests.lock().unwrap().push(Request {
-                id,
-                path: self.path.to_owned(),
-                sent_at,
-                read_at: sent_at + self.reading_pause,
-                ended_at: Instant::now(),
-                end,
-            });
-            sleep(Duration::from_millis(20 + number as u64)).await;
-        }
-    }
-
-    async fn exchange(self, tcp: &mut TcpStream, id: &str, sent_at: &mut Instant) -> (End, bool) {
-        let cut = |has_begun| (End::Cut { has_begun }, false);
-        let body = [b'x'; 100];
-        let head = timed_request_text(self.path, id, TIMEOUT, body.len());
-        if tcp.write_all(head.as_bytes()).await.is_err() {
-            return cut(false);
-        }
-        sleep(self.sending_time).await;
-        *sent_at = Instant::now();
-        if tcp.write_all(&body).await.is_err() {
-            return cut(false);
-        }
-        sleep(self.reading_pause).await;
-        let mut answer = Vec::new();
-        let mut buf = vec![0; 256 << 10];
-        loop {
-            match tcp.read(&mut buf).await {
-                Ok(0) | Err(_) => return cut(!answer.is_empty()),
-                Ok(count) => answer.extend_from_slice(&buf[..count]),
-            }
-            if let Some((status, keeps_open)) = parse_answer(&answer) {
-                return (End::Answer(status), keeps_open);
-            }
-            sleep(self.reading_pause / READING_PAUSE_DIVISOR).await;
-        }
-    }
-}
-
-/// Connects with a receive buffer so small that a caller that reads slowly holds up the process.
-async fn connect(entry: &str) -> std::io::Result<TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.connect(entry.parse().unwrap()).await
-}
-
-/// The status of a complete answer, and whether the connection stays open after it.
-fn parse_answer(answer: &[u8]) -> Option<(u16, bool)> {
-    let end = answer.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
-    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let keeps_open = !head.contains("connection: close");
-    let length = head.split("content-length: ").nth(1);
-    let is_complete = match length.and_then(|rest| rest.split("\r\n").next()) {
-        Some(length) => answer.len() - end >= length.parse::<usize>().ok()?,
-        None => answer.ends_with(b"0\r\n\r\n"),
-    };
-    is_complete.then_some((status, keeps_open))
-}
-
 /// What happens to the process from outside while it stops.
 #[derive(Clone, Copy)]
 enum Disturbance {
@@ -275,24 +78,20 @@
 const SLOW_ORDER: Caller = Caller::new("/order/1-2500-0/");
 /// It is complete shortly before the process closes its connections.
 const LONG_ORDER: Caller = Caller {
-    path: "/order/1-5900-0/",
-    reading_pause: Duration::ZERO,
     sending_time: Duration::from_millis(3400),
+    ..Caller::new("/order/1-5900-0/")
 };
 const SLOWLY_READ_ORDER: Caller = Caller {
-    path: "/order/6000-50-0/",
     reading_pause: Duration::from_millis(800),
-    sending_time: Duration::ZERO,
+    ..Caller::new("/order/6000-50-0/")
 };
 const SLOWLY_SENT_ORDER: Caller = Caller {
-    path: "/order/1-3500-0/",
-    reading_pause: Duration::ZERO,
     sending_time: Duration::from_millis(2900),
+    ..Caller::new("/order/1-3500-0/")
 };
 const SLOWLY_READ_STREAM: Caller = Caller {
-    path: "/talk/30-50-0/",
     reading_pause: Duration::from_millis(700),
-    sending_time: Duration::ZERO,
+    ..Caller::new("/talk/30-50-0/")
 };
 
 const CASES: [Case; 9] = [
@@ -394,19 +193,10 @@
     publish_config_for_long_requests(&store, 1, TIMEOUT);
     let observed = Observed::default();
     for i in 0..6 {
-        let passed_on = observed.passed_on.clone();
-        let address = listen(move |request| {
-            let id = request_id(request).to_owned();
-            passed_on
-                .lock()
-                .unwrap()
-                .entry(id)
-                .or_insert_with(Instant::now);
-            respond(request)
-        })
-        .await;
         let service = if i % 2 == 0 { "engines" } else { "desk" };
-        publish_target(&store, &format!("i-{i}"), service, address, false);
+        observed
+            .start_target(&store, &format!("i-{i}"), service)
+            .await;
     }
     let addresses = ProcessAddresses {
         name: "entry".into(),
