A caller's connection follows the limits in force

Cause: a connection kept the limits of its opening. One timer of the HTTP library had the longer of idle time and head time for the life of the connection. After a configuration with a longer idle time callers pause for up to four fifths of the new time, and their connection was closed after the old one; a head that began late in the idle time was cut as well. Change: the connection is watched by a loop of its own, which asks for the limits in force when a time ends (control::router::connection_limit). A shorter time counts from the moment it comes into force, and a head has its own time from its first byte. The end of a connection is counted by cause, has a line in the record if its caller does not expect it, and unread bytes are answered 408, 431 or 503, which say that nothing ran. One stream of the silent targets is still cut, which is another fault.

--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod answer_times;
 pub mod config;
+pub mod connection_limit;
 mod crash_exchange;
 mod crashes;
 pub mod demand;
--- /dev/null
+++ b/components/proxy/src/router/activity.rs
@@ -0,0 +1,256 @@
+//! What happens on a connection of a caller, as its stream, its requests and their answers show it.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{
+    ready,
+    Context,
+    Poll, //
+};
+
+use bytes::Bytes;
+use control::router::connection_limit::Stage;
+use hyper::body::{
+    Body as HttpBody,
+    Frame,
+    SizeHint, //
+};
+use tokio::io::{
+    AsyncRead,
+    AsyncWrite,
+    ReadBuf, //
+};
+use tokio::net::TcpStream;
+
+use super::answers::{
+    Body,
+    BodyError, //
+};
+
+/// What happens on one connection.
+#[derive(Debug, Default)]
+pub(super) struct Activity {
+    stage: Cell<Stage>,
+    /// Rises with each change of the stage, and with each part of an answer that is written after its end.
+    changes: Cell<u64>,
+    /// Bytes of the head that is being received.
+    head_bytes: Cell<usize>,
+    max_head_bytes: Cell<usize>,
+    requests: Cell<u64>,
+    /// Whether the caller has closed its side.
+    has_caller_closed: Cell<bool>,
+}
+
+impl Activity {
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    pub fn changes(&self) -> u64 {
+        self.changes.get()
+    }
+
+    /// The number of requests whose head was received.
+    pub fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+
+    pub fn has_caller_closed(&self) -> bool {
+        self.has_caller_closed.get()
+    }
+
+    /// Whether more bytes than allowed came without the end of a head.
+    pub fn is_head_too_long(&self) -> bool {
+        self.stage() == Stage::Head && self.head_bytes.get() > self.max_head_bytes.get()
+    }
+
+    pub fn set_max_head_bytes(&self, bytes: usize) {
+        self.max_head_bytes.set(bytes);
+    }
+
+    /// Begins a request whose head was received.
+    pub fn begin_request(self: &Rc<Self>) -> RequestInProgress {
+        self.requests.set(self.requests.get() + 1);
+        self.enter(Stage::Request);
+        RequestInProgress {
+            activity: self.clone(),
+            end: RequestEnd::ConnectionEnded,
+        }
+    }
+
+    fn enter(&self, stage: Stage) {
+        self.stage.set(stage);
+        self.head_bytes.set(0);
+        self.record_change();
+    }
+
+    fn record_change(&self) {
+        self.changes.set(self.changes.get() + 1);
+    }
+
+    fn record_read(&self, bytes: usize) {
+        if bytes == 0 {
+            self.has_caller_closed.set(true);
+            return;
+        }
+        match self.stage() {
+            Stage::Request => return,
+            Stage::Head => {}
+            Stage::Idle => self.enter(Stage::Head),
+        }
+        self.head_bytes.set(self.head_bytes.get() + bytes);
+    }
+
+    fn record_written(&self) {
+        // The end of an answer: the idle time counts from its last part.
+        if self.stage() == Stage::Idle {
+            self.record_change();
+        }
+    }
+}
+
+/// How a request ended on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestEnd {
+    Answered,
+    AnswerBrokenOff,
+    /// The caller closed the connection, or it failed.
+    ConnectionEnded,
+}
+
+/// A request from its head to the end of its answer. Dropping it ends it, and counts it if it got no whole
+/// answer.
+#[derive(Debug)]
+pub(super) struct RequestInProgress {
+    activity: Rc<Activity>,
+    end: RequestEnd,
+}
+
+impl Drop for RequestInProgress {
+    fn drop(&mut self) {
+        self.activity.enter(Stage::Idle);
+        let cause = match self.end {
+            RequestEnd::Answered => return,
+            RequestEnd::AnswerBrokenOff => "answer_broken_off",
+            RequestEnd::ConnectionEnded => "connection_ended",
+        };
+        metrics::counter!("medlarproxy_requests_unanswered_total", "cause" => cause).increment(1);
+    }
+}
+
+/// The body of an answer, which ends its request when it is dropped.
+pub(super) struct AnswerBody {
+    body: Body,
+    request: RequestInProgress,
+}
+
+impl AnswerBody {
+    pub fn new(body: Body, request: RequestInProgress) -> Self {
+        Self { body, request }
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        // The end of a body of known length is not read.
+        if self.body.is_end_stream() && self.request.end == RequestEnd::ConnectionEnded {
+            self.request.end = RequestEnd::Answered;
+        }
+    }
+}
+
+impl HttpBody for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.request.end = RequestEnd::AnswerBrokenOff,
+            None => self.request.end = RequestEnd::Answered,
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The stream of a connection, which records what is read and written.
+#[derive(Debug)]
+pub(super) struct ObservedStream {
+    tcp: TcpStream,
+    activity: Rc<Activity>,
+}
+
+impl ObservedStream {
+    pub fn new(tcp: TcpStream, activity: Rc<Activity>) -> Self {
+        Self { tcp, activity }
+    }
+
+    pub fn into_inner(self) -> TcpStream {
+        self.tcp
+    }
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // The connection is closed with what has arrived so far.
+        if self.activity.is_head_too_long() {
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
+        self.activity.record_read(buf.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.tcp).poll_write(cx, buf))?;
+        self.activity.record_written();
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs))?;
+        self.activity.record_written();
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -3,7 +3,9 @@
 //! The reducer and all I/O run on one thread: an instance of this role has a fifth of a core, and
 //! each message to another thread costs a wake-up.
 
+mod activity;
 mod answers;
+mod connection;
 mod crashes;
 mod engines;
 mod events;
@@ -124,6 +126,8 @@
     agent_client: AgentClient,
     /// The revision of the crashes that the reducer knows of.
     crash_revision: watch::Sender<u64>,
+    /// The limits of callers in force.
+    caller_limits: watch::Sender<CallerLimits>,
     /// Whether the time is over in which requests may end before a planned stop.
     has_ended: watch::Sender<bool>,
     /// The targets whose learned limits the gauges show.
@@ -158,6 +162,7 @@
             buffers: Buffers::new(max_buffer_bytes),
             agent_client,
             crash_revision: watch::Sender::new(0),
+            caller_limits: watch::Sender::new(CallerLimits::default()),
             has_ended: watch::Sender::new(false),
             reported_limits: RefCell::default(),
         };
@@ -169,12 +174,15 @@
     /// Passes an event to the reducer and executes the effects.
     pub fn handle_event(&self, event: Event) {
         let now = self.inner.clock.now();
-        let (effects, config_version, crash_revision) = {
+        let (effects, config_version, crash_revision, caller_limits) = {
             let mut state = self.inner.state.borrow_mut();
             let effects = state.step(now, event);
-            (effects, state.config_version(), state.crash_revision())
+            let version = state.config_version();
+            let limits = state.caller_limits();
+            (effects, version, state.crash_revision(), limits)
         };
         send_if_changed(&self.inner.crash_revision, crash_revision);
+        send_if_changed(&self.inner.caller_limits, caller_limits);
         for effect in effects {
             self.execute(config_version, effect);
         }
@@ -220,7 +228,7 @@
 
     /// The limits of requests and connections of callers.
     pub(crate) fn caller_limits(&self) -> CallerLimits {
-        self.inner.state.borrow().caller_limits()
+        *self.inner.caller_limits.borrow()
     }
 
     /// Sends ticks to the reducer while the future is polled.
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -26,7 +26,7 @@
     Incoming, //
 };
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use utils::run_time::timeout;
 use utils::{
     rank,
     Name, //
@@ -65,6 +65,12 @@
 /// How long a caller may take to send the body of a request.
 const BODY_RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes of a line end, of a header beside its name and value, and of the first line of a head beside method
+/// and target.
+const LINE_END_BYTES: usize = 2;
+const HEADER_EXTRA_BYTES: usize = 4;
+const FIRST_LINE_EXTRA_BYTES: usize = 12;
+
 /// A caller's request until its response is complete. Dropping it earlier reports to the reducer
 /// that the caller disconnected.
 pub(super) struct PendingRequest {
@@ -218,7 +224,11 @@
 
     async fn respond(self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
-        let limit = self.caller_limits().max_body_bytes;
+        let limits = self.caller_limits();
+        if head_bytes(&parts) > limits.max_head_bytes {
+            return empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        }
+        let limit = limits.max_body_bytes;
         // Reading a body that is declared as too long is useless: the bytes would be discarded.
         let declared_bytes = body.size_hint().lower();
         if usize::try_from(declared_bytes).map_or(true, |bytes| bytes > limit) {
@@ -228,13 +238,17 @@
             return out_of_memory_response();
         }
         let receiving = BodyBuffer::receive(&self.inner.buffers, body, limit);
-        let body = match timeout(BODY_RECEIVE_TIMEOUT, receiving).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(ReceiveError::TooLong)) => return empty_response(StatusCode::PAYLOAD_TOO_LARGE),
-            Ok(Err(ReceiveError::Incomplete)) => return empty_response(StatusCode::BAD_REQUEST),
-            Ok(Err(ReceiveError::OutOfMemory)) => return out_of_memory_response(),
-            Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT),
+        let response = match timeout(BODY_RECEIVE_TIMEOUT, receiving).await {
+            Ok(Ok(body)) => return self.handle_whole_request(parts, body).await,
+            Ok(Err(ReceiveError::TooLong)) => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
+            Ok(Err(ReceiveError::Incomplete)) => empty_response(StatusCode::BAD_REQUEST),
+            Ok(Err(ReceiveError::OutOfMemory)) => out_of_memory_response(),
+            Err(_) => empty_response(StatusCode::REQUEST_TIMEOUT),
         };
+        response
+    }
+
+    async fn handle_whole_request(&self, parts: Parts, body: Bytes) -> Response<Body> {
         match self.register(parts, body) {
             Ok(request) => request.run().await,
             Err(status) => empty_response(status),
@@ -367,6 +381,19 @@
     }
 }
 
+/// The length of the head of a request.
+fn head_bytes(parts: &Parts) -> usize {
+    let uri = &parts.uri;
+    let target = uri
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
+    let first_line = parts.method.as_str().len() + target + FIRST_LINE_EXTRA_BYTES;
+    let headers = parts.headers.iter();
+    let headers =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA_BYTES);
+    first_line + headers.sum::<usize>() + LINE_END_BYTES
+}
+
 /// Hashes the method, path, API key and body, to recognise repeated requests of a caller.
 fn fingerprint(parts: &Parts, key: Option<&str>, body: &Bytes) -> u64 {
     rank::hash_parts([
--- a/components/proxy/src/router/server.rs
+++ b/components/proxy/src/router/server.rs
@@ -2,10 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::{
-    poll_fn,
-    Future, //
-};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,18 +15,14 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{
-    TokioIo,
-    TokioTimer, //
-};
-use tokio::net::{
-    TcpListener,
-    TcpStream, //
-};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
 
-use super::Router;
+use super::{
+    connection,
+    Router, //
+};
 
 /// The `source` of the log lines: the former path of this module, which stays because operators'
 /// tools match it.
@@ -39,20 +31,9 @@
 /// The delay after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// The smallest buffer for the head of a request, even if operators allow less: the response to a
-/// head that is too long needs the first line of that head.
-const MIN_HEAD_BUFFER_BYTES: usize = 16 << 10;
-
-/// The longest time to wait until a caller has received the end of its last answer. A process that ends
-/// earlier may take unsent bytes with it.
-const MAX_LINGER_TIME: Duration = Duration::from_secs(5);
-
-/// How long after the signal idle connections are closed.
-const CLOSE_DELAY: Duration = Duration::from_millis(50);
-
 /// How far a shutdown has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Phase {
+pub(super) enum Phase {
     /// The process serves callers.
     Serving,
     /// Connections are closed after their current request.
@@ -112,7 +93,7 @@
         self.phase.send_replace(phase);
     }
 
-    async fn wait_for(&self, phase: Phase) {
+    pub(super) async fn wait_for(&self, phase: Phase) {
         let mut current = self.phase.subscribe();
         // Cannot fail: this value holds the sender.
         let _entered = current.wait_for(|current| *current >= phase).await;
@@ -142,7 +123,7 @@
         match accepted {
             Ok((tcp, _)) => {
                 let counted = shutdown.count_connection();
-                let connection = serve_connection(router.clone(), tcp, shutdown.clone());
+                let connection = connection::serve(router.clone(), tcp, shutdown.clone());
                 tokio::task::spawn_local(async move {
                     let _counted = counted;
                     connection.await;
@@ -156,56 +137,6 @@
     }
 }
 
-async fn serve_connection(router: Router, tcp: TcpStream, shutdown: ShutdownSignal) {
-    // Without this option the connection is only slower.
-    let _ignored = tcp.set_nodelay(true);
-    let limits = router.caller_limits();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let router = router.clone();
-        Box::pin(async move { Ok::<_, Infallible>(router.handle_request(request).await) })
-    });
-    let mut connection = Builder::new()
-        .timer(TokioTimer::new())
-        // This timeout covers both the idle time before a head and the time to receive it.
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-        .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(tcp), service);
-    let mut was_idle = false;
-    let result = tokio::select! {
-        // A request that has arrived is read before its connection is closed.
-        biased;
-        result = &mut connection => result,
-        () = close_after_reading(&shutdown) => {
-            let mut connection = Pin::new(&mut connection);
-            connection.as_mut().graceful_shutdown();
-            was_idle = true;
-            poll_fn(|cx| {
-                let result = connection.as_mut().poll(cx);
-                was_idle &= result.is_ready();
-                result
-            })
-            .await
-        }
-    };
-    if let Err(e) = result {
-        log::debug!(target: LOG_TARGET, "the connection of a caller failed: {e}");
-        return;
-    }
-    let tcp = connection.into_parts().io.into_inner();
-    if !was_idle {
-        // The caller has the whole answer when it closes the connection or sends another request, which
-        // is not read.
-        let _passed = timeout(MAX_LINGER_TIME, tcp.peek(&mut [0])).await;
-    }
-}
-
-/// Waits until the connections are to be closed, and until requests are read that had arrived before, also if
-/// the process stood still.
-async fn close_after_reading(shutdown: &ShutdownSignal) {
-    shutdown.wait_for(Phase::Closing).await;
-    tokio::time::sleep(CLOSE_DELAY).await;
-}
-
 /// Serves the readiness check at `path` while the future is polled: whether the process accepts new
 /// connections.
 pub async fn serve_readiness(router: Router, listener: TcpListener, path: &'static str) {
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -580,6 +580,23 @@
         /// Whether the caller has received a part of the answer.
         begun: bool,
     },
+    /// The connection of a caller ended in another way than callers expect.
+    ConnectionEnded {
+        /// Why it ended.
+        cause: Name,
+        /// What it was doing: `idle`, `head` or `request`.
+        stage: Name,
+        /// How long it was doing that, in milliseconds.
+        stage_ms: u64,
+        /// How long it was open, in milliseconds.
+        age_ms: u64,
+        /// The number of requests whose heads were received on it.
+        requests: u64,
+        /// The version of the configuration in force when it was opened.
+        opened_under: u64,
+        /// Whether the caller had sent bytes that were not read as a request.
+        unread: bool,
+    },
     /// Lines were dropped because the output was too slow.
     Dropped {
         /// Number of dropped lines.
@@ -604,6 +621,7 @@
             | Self::CallerLeft { request, .. }
             | Self::Rest { request, .. }
             | Self::NoPlace { request, .. }
+            | Self::Silent { request, .. }
             | Self::SuspectCleared { request, .. }
             | Self::TargetNotice { request, .. } => Some(request),
             Self::Suspect { request, .. } => request.as_deref(),
@@ -652,6 +670,7 @@
             Self::LoadChecked { .. } => "load_checked",
             Self::OrderAnswered { .. } => "order_answered",
             Self::Silent { .. } => "silent",
+            Self::ConnectionEnded { .. } => "connection_ended",
             Self::Dropped { .. } => "dropped",
             Self::Drain => "drain",
             Self::Resume { .. } => "resume",
