An answer before the body is read is the last one of its connection

An answer to a body that is too long, too slow or finds no memory did not say that its connection ends, although the library closes it, and the close with unread bytes could reset the connection and take the answer along.

--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -216,8 +216,7 @@
         let router = self.clone();
         let mut response = self.respond(request).await;
         if router.is_draining() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
+            response = last_response(response);
         }
         response
     }
@@ -232,10 +231,10 @@
         // Reading a body that is declared as too long is useless: the bytes would be discarded.
         let declared_bytes = body.size_hint().lower();
         if usize::try_from(declared_bytes).map_or(true, |bytes| bytes > limit) {
-            return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
+            return last_response(empty_response(StatusCode::PAYLOAD_TOO_LARGE));
         }
         if !self.inner.buffers.has_room_for(declared_bytes as usize) {
-            return out_of_memory_response();
+            return last_response(out_of_memory_response());
         }
         let receiving = BodyBuffer::receive(&self.inner.buffers, body, limit);
         let response = match timeout(BODY_RECEIVE_TIMEOUT, receiving).await {
@@ -245,7 +244,7 @@
             Ok(Err(ReceiveError::OutOfMemory)) => out_of_memory_response(),
             Err(_) => empty_response(StatusCode::REQUEST_TIMEOUT),
         };
-        response
+        last_response(response)
     }
 
     async fn handle_whole_request(&self, parts: Parts, body: Bytes) -> Response<Body> {
@@ -406,6 +405,13 @@
     ])
 }
 
+/// Marks a response to a request whose body was not read as the last one of its connection.
+fn last_response(mut response: Response<Body>) -> Response<Body> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// The response to a request for whose body there is no memory. It has not run.
 fn out_of_memory_response() -> Response<Body> {
     log::debug!("a request is rejected, since there is no memory for its body");
