A begun answer leaves its silent target only for one that has begun too

Cause: a silent target was given up because another one could go on, and only then the other one was reserved, connected and asked. It may refuse, load another version, break off or be silent as well, and nothing was left to return to. Change: while another target is asked, the request keeps its exchange with the silent one. The first that sends an event goes on, the other is left. If no other one goes on, the reducer returns to the silent one instead of rejecting the request, as long as its deadline allows (control::router::handover). A stream is complete only if its task says so: a task that ends early breaks it off.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -184,6 +184,7 @@
             requests_at_answer: None,
             slowness_percent: None,
             response_started: false,
+            silent: None,
         })
     }
 }
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod dispatch;
 pub mod distance;
 mod first_attempts;
+mod handover;
 pub mod health;
 pub mod latency;
 pub mod learned;
@@ -127,6 +128,8 @@
     IdleTimeout,
     /// The request's deadline passed.
     DeadlineExceeded,
+    /// The target that was silent went on before this one had begun.
+    Superseded,
 }
 
 /// When a request left this process for a target, for the record.
@@ -227,6 +230,27 @@
         /// When the request left this process.
         sending: Sending,
     },
+    /// The target of an answer that has begun is silent, and [`State::handle_silence`] allows another one to
+    /// go on with it.
+    AskAnotherTarget(u64),
+    /// The silent target sent something before another one had begun to go on with the answer.
+    SilentTargetSpoke {
+        /// The request.
+        token: u64,
+        /// When the request left this process for the other target, if it did.
+        sending: Sending,
+    },
+    /// The exchange with the silent target ended: another one has begun, or the silent one was lost.
+    SilentTargetEnded {
+        /// The request.
+        token: u64,
+        /// Its outcome.
+        outcome: Outcome,
+        /// The longest pause between two parts of the answer.
+        longest_pause: Duration,
+        /// When the request left this process for the silent target.
+        sending: Sending,
+    },
     /// An agent replied to a reservation request, or did not answer.
     ReservationReply {
         /// The request.
@@ -329,6 +353,8 @@
     ScheduleQueueTimeout(u64, Duration),
     /// Reject the request.
     Reject(u64, Rejection),
+    /// Go on waiting for the silent target, since no other one goes on with the answer.
+    KeepTarget(u64),
     /// Add the round trip of a reservation to the measurements of the path to this region.
     ObservePath(Name, Duration),
     /// Write a decision to the record.
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -194,14 +194,42 @@
         sending: Sending,
         effects: &mut Vec<Effect>,
     ) {
-        self.mark_prefilled(token);
-        let Some(pending) = self.pending.get_mut(&token) else {
+        let ended = self.end_exchange(now, token, outcome, longest_pause, sending, effects);
+        let Some(run) = ended else {
             return;
         };
+        match outcome {
+            Outcome::Answered { is_error } => {
+                self.record_answer_time(now, token);
+                // A failing target may answer with an error before it runs the request.
+                if !is_error {
+                    self.clear_suspects(now, run, outcome_name(outcome), effects);
+                }
+                self.pending.remove(&token);
+            }
+            Outcome::DeadlineExceeded => {
+                self.reject(now, token, RejectionReason::TimedOut, effects)
+            }
+            Outcome::Withheld => self.dispatch_again(now, token, effects),
+            _ => self.retry(now, token, effects),
+        }
+    }
+
+    /// Ends the exchange with the target of a request: updates what is known of the target. Returns the run,
+    /// or `None` if the request has no target.
+    pub(super) fn end_exchange(
+        &mut self,
+        now: Duration,
+        token: u64,
+        outcome: Outcome,
+        longest_pause: Duration,
+        sending: Sending,
+        effects: &mut Vec<Effect>,
+    ) -> Option<TargetRun> {
+        self.mark_prefilled(token);
+        let pending = self.pending.get_mut(&token)?;
         let answered = AnsweredRequest::new(now, pending, longest_pause);
-        let Some((id, since)) = pending.assignment.take() else {
-            return;
-        };
+        let (id, since) = pending.assignment.take()?;
         effects.push(Effect::Record(Decision::Exchange {
             request: pending.id.clone(),
             target: id.clone(),
@@ -240,21 +268,7 @@
             _ => {}
         }
         self.update_target_after_exchange(now, &run, outcome, effects);
-        match outcome {
-            Outcome::Answered { is_error } => {
-                self.record_answer_time(now, token);
-                // A failing target may answer with an error before it runs the request.
-                if !is_error {
-                    self.clear_suspects(now, run, outcome_name(outcome), effects);
-                }
-                self.pending.remove(&token);
-            }
-            Outcome::DeadlineExceeded => {
-                self.reject(now, token, RejectionReason::TimedOut, effects)
-            }
-            Outcome::Withheld => self.dispatch_again(now, token, effects),
-            _ => self.retry(now, token, effects),
-        }
+        Some(run)
     }
 
     fn record_answer_time(&mut self, now: Duration, token: u64) {
@@ -294,7 +308,7 @@
                 target.health.record_failure(now);
             }
             Outcome::NotSent => target.health.record_unreachable(now),
-            Outcome::Withheld => {}
+            Outcome::Withheld | Outcome::Superseded => {}
             Outcome::DeadlineExceeded | Outcome::IdleTimeout => {
                 target.health.record_failure(now);
             }
@@ -330,7 +344,7 @@
 
     /// Sends a request to another target if it may run again and attempts and budget are left, or
     /// rejects it.
-    fn retry(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
+    pub(super) fn retry(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
@@ -446,6 +460,8 @@
         let Some(pending) = self.pending.remove(&token) else {
             return;
         };
+        let silent = pending.silent.as_ref();
+        let silent_assignment = silent.and_then(|silent| silent.assignment.clone());
         if let Some(queue) = self.queues.get_mut(&pending.service.name) {
             queue.remove(token);
             if pending.assignment.is_some() {
@@ -455,9 +471,9 @@
         effects.push(Effect::Record(Decision::CallerLeft {
             request: pending.id.clone(),
             held_ms: millis(now.saturating_sub(pending.arrived)),
-            running: pending.assignment.is_some(),
+            running: pending.assignment.is_some() || silent_assignment.is_some(),
         }));
-        if let Some((id, _)) = pending.assignment {
+        for (id, _) in pending.assignment.into_iter().chain(silent_assignment) {
             self.account_share(now, &id, &pending.service);
             if let Some(target) = self.targets.get_mut(&id) {
                 target.load.remove_request();
@@ -465,7 +481,7 @@
         }
     }
 
-    /// Ends a request with a rejection.
+    /// Ends a request with a rejection, unless a silent target may still go on with its answer.
     pub(super) fn reject(
         &mut self,
         now: Duration,
@@ -473,6 +489,13 @@
         reason: RejectionReason,
         effects: &mut Vec<Effect>,
     ) {
+        if self.keep_silent_target(now, token, effects) {
+            return;
+        }
+        let pause = Duration::ZERO;
+        let sending = Sending::default();
+        let outcome = Outcome::DeadlineExceeded;
+        self.end_silent_exchange(now, token, outcome, pause, sending, effects);
         let pause = self.shortest_pause(now, token);
         let Some(pending) = self.pending.remove(&token) else {
             return;
@@ -563,5 +586,6 @@
         } => "broken",
         Outcome::IdleTimeout => "silent",
         Outcome::DeadlineExceeded => "timed_out",
+        Outcome::Superseded => "superseded",
     }
 }
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -121,6 +121,8 @@
     pub slowness_percent: Option<u16>,
     /// Whether the caller has received a part of the answer.
     pub response_started: bool,
+    /// The request as its silent target has it, while another target is asked to go on with the answer.
+    pub silent: Option<Box<Pending>>,
 }
 
 impl Pending {
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -268,6 +268,19 @@
                 let pause = longest_pause;
                 self.handle_exchange_ended(now, token, outcome, pause, sending, &mut effects)
             }
+            Event::AskAnotherTarget(token) => self.ask_another_target(now, token, &mut effects),
+            Event::SilentTargetSpoke { token, sending } => {
+                self.handle_silent_target_spoke(now, token, sending, &mut effects)
+            }
+            Event::SilentTargetEnded {
+                token,
+                outcome,
+                longest_pause,
+                sending,
+            } => {
+                let pause = longest_pause;
+                self.end_silent_exchange(now, token, outcome, pause, sending, &mut effects)
+            }
             Event::ReservationReply { token, reply } => {
                 if let Some(reply) = reply {
                     self.record_backlog_utilization(now, token, reply);
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -103,6 +103,8 @@
     WaitUntil(Duration),
     /// Answer the caller with a rejection.
     Reject(Rejection),
+    /// Go on waiting for the silent target.
+    KeepTarget,
 }
 
 /// A router, which forwards requests. Clones share its state.
@@ -318,6 +320,7 @@
             Effect::Reject(token, rejection) => {
                 self.send_command(token, Command::Reject(rejection));
             }
+            Effect::KeepTarget(token) => self.send_command(token, Command::KeepTarget),
             Effect::ObservePath(region, time) => {
                 let region = region.to_string();
                 metrics::histogram!("medlarproxy_path_seconds", "region" => region)
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -8,7 +8,8 @@
     Event,
     ForwardRequest,
     IncomingRequest,
-    Outcome, //
+    Outcome,
+    Sending, //
 };
 use http::header::{
     HeaderValue,
@@ -34,7 +35,6 @@
 
 use crate::buffers::{
     BodyBuffer,
-    Held,
     ReceiveError, //
 };
 use crate::region_bytes::{
@@ -83,8 +83,6 @@
     pub last_part_at: Option<Duration>,
     /// The longest time between two parts of the response.
     pub longest_pause: Duration,
-    /// The memory of the event that is being received.
-    pub partial_event: Held,
     /// Capacity that is reserved for the request at a model engine.
     pub reservation: Option<Reservation>,
     /// Bytes of the body of the present target's answer that were read.
@@ -112,6 +110,17 @@
 pub(super) enum NextStep {
     Forward(ForwardRequest),
     Respond(Response<Body>),
+    /// Goes on with the silent target.
+    KeepTarget,
+}
+
+/// What belongs to the exchange with a silent target, while another one is asked.
+pub(super) struct SilentExchange {
+    reservation: Option<Reservation>,
+    remote_region: Option<Name>,
+    request_bytes: u64,
+    answer_bytes: u64,
+    sending: Sending,
 }
 
 impl PendingRequest {
@@ -154,6 +163,10 @@
                     let response = self.add_response_headers(rejection_response(&rejection));
                     return NextStep::Respond(response);
                 }
+                Some(Command::KeepTarget) => {
+                    self.reservation = None;
+                    return NextStep::KeepTarget;
+                }
                 // Not reached: the router keeps the sender until this value is dropped.
                 None => {
                     self.is_ended = true;
@@ -178,18 +191,38 @@
         });
     }
 
+    /// Sets the exchange with the silent target aside.
+    pub fn set_exchange_aside(&mut self) -> SilentExchange {
+        SilentExchange {
+            reservation: self.reservation.take(),
+            remote_region: self.remote_region.take(),
+            request_bytes: self.request.body.len() as u64,
+            answer_bytes: std::mem::take(&mut self.answer_bytes),
+            sending: self.request.sending.take(),
+        }
+    }
+
+    /// Goes on with the exchange that was set aside. What the reducer had decided about another one does not
+    /// apply any more.
+    pub fn return_to_exchange(&mut self, exchange: SilentExchange) {
+        self.count_region_bytes();
+        while self.rx.try_recv().is_ok() {}
+        self.reservation = exchange.reservation;
+        self.remote_region = exchange.remote_region;
+        self.answer_bytes = exchange.answer_bytes;
+        self.request.sending.set(exchange.sending);
+    }
+
     /// Counts the bytes of the present exchange if its target is in another region.
     fn count_region_bytes(&mut self) {
         let answer_bytes = std::mem::take(&mut self.answer_bytes);
-        let Some(remote) = self.remote_region.take() else {
-            return;
-        };
-        let state = self.router.inner.state.borrow();
-        if self.request.sending.get().sent_at.is_some() {
-            let request_bytes = self.request.body.len() as u64;
-            region_bytes::count(Kind::Request, state.region(), &remote, request_bytes);
+        let request_bytes = self.request.body.len();
+        if let Some(remote) = self.remote_region.take() {
+            let sending = self.request.sending.get();
+            let request_bytes = sending.sent_at.map_or(0, |_| request_bytes as u64);
+            self.router
+                .count_bytes(&remote, request_bytes, answer_bytes);
         }
-        region_bytes::count(Kind::Answer, &remote, state.region(), answer_bytes);
     }
 
     /// Records the time from receiving the request to the first part of the response.
@@ -210,6 +243,34 @@
 }
 
 impl Router {
+    /// Ends the exchange with a silent target that was set aside.
+    pub(super) fn end_silent_exchange(
+        &self,
+        token: u64,
+        exchange: SilentExchange,
+        longest_pause: Duration,
+        outcome: Outcome,
+    ) {
+        if let Some(remote) = &exchange.remote_region {
+            self.count_bytes(remote, exchange.request_bytes, exchange.answer_bytes);
+        }
+        self.handle_event(Event::SilentTargetEnded {
+            token,
+            outcome,
+            longest_pause,
+            sending: exchange.sending,
+        });
+    }
+
+    /// Counts bytes of a request to another region and of its answer.
+    fn count_bytes(&self, remote: &Name, request_bytes: u64, answer_bytes: u64) {
+        let state = self.inner.state.borrow();
+        if request_bytes > 0 {
+            region_bytes::count(Kind::Request, state.region(), remote, request_bytes);
+        }
+        region_bytes::count(Kind::Answer, remote, state.region(), answer_bytes);
+    }
+
     /// Handles a request of a caller. A process that is about to stop lets its callers close their
     /// connections, so that none sends a request as the connection is closed.
     pub(super) async fn handle_request(self, request: Request<Incoming>) -> Response<Body> {
@@ -286,7 +347,6 @@
             received_at: self.elapsed(),
             last_part_at: None,
             longest_pause: Duration::ZERO,
-            partial_event: self.inner.buffers.hold(),
             reservation: None,
             answer_bytes: 0,
             remote_region: None,
@@ -316,6 +376,8 @@
             let forward_request = match self.next_step().await {
                 NextStep::Forward(forward_request) => forward_request,
                 NextStep::Respond(response) => return response,
+                // Not reached: no answer has begun.
+                NextStep::KeepTarget => continue,
             };
             if forward_request.attempt == 1 {
                 let waited = self.router.elapsed().saturating_sub(self.received_at);
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -1,6 +1,11 @@
 //! Streams of server-sent events: forwards events as they are received, and resumes an interrupted
 //! stream at another target.
 
+use std::pin::pin;
+use std::task::{
+    ready,
+    Poll, //
+};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,10 +25,7 @@
 };
 use http_body_util::combinators::BoxBody;
 use http_body_util::StreamBody;
-use hyper::body::{
-    Frame,
-    Incoming, //
-};
+use hyper::body::Frame;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::SendError;
 
@@ -41,7 +43,11 @@
     NextStep,
     PendingRequest, //
 };
-use crate::buffers::OutOfMemory;
+use super::Router;
+use crate::buffers::{
+    Held,
+    OutOfMemory, //
+};
 use crate::event_stream::may_continue_stream;
 
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
@@ -52,7 +58,12 @@
     connection_lost: false,
 };
 
-type BodyPart = Result<Frame<Bytes>, BodyError>;
+/// A part of the answer to the caller.
+enum StreamPart {
+    Events(Bytes),
+    /// The stream is complete. Without it the answer breaks off, whatever became of its task.
+    End,
+}
 
 /// The result of reading the next events of a stream.
 enum ReadResult {
@@ -61,20 +72,112 @@
     Failed(Outcome),
 }
 
+/// What became of asking another target to go on with the answer of a silent one.
+enum Handover {
+    /// The next events of one of them.
+    Read(ReadResult),
+    /// No other target goes on with it, and the silent one is waited for.
+    TargetKept,
+    /// The time of the request is over.
+    Rejected,
+}
+
+/// What another target did that was asked to go on with a stream.
+enum Resumed {
+    /// It began with these events.
+    Begun(StreamAnswer, EventBatch),
+    /// No target goes on with it, and the silent one is waited for.
+    TargetKept,
+    /// No target goes on with it.
+    Rejected,
+}
+
+/// The answer of one target.
+pub(super) struct StreamAnswer {
+    forward_request: ForwardRequest,
+    reader: EventReader,
+    /// Whether it has an event of the stream.
+    has_events: bool,
+}
+
+impl StreamAnswer {
+    fn new(router: &Router, response: TargetResponse, forward_request: ForwardRequest) -> Self {
+        Self {
+            forward_request,
+            reader: EventReader {
+                response,
+                splitter: EventSplitter::default(),
+                partial_event: router.inner.buffers.hold(),
+                bytes: 0,
+            },
+            has_events: false,
+        }
+    }
+
+    fn record_events(&mut self, batch: &EventBatch) {
+        self.has_events |= batch.count > 0;
+    }
+}
+
+/// Reads the events of one answer.
+struct EventReader {
+    response: TargetResponse,
+    splitter: EventSplitter,
+    /// The memory of the event that is being received.
+    partial_event: Held,
+    /// Bytes of the body that were read.
+    bytes: u64,
+}
+
+impl EventReader {
+    /// Reads parts until at least one event is complete, or until the deadline.
+    async fn read(
+        &mut self,
+        router: &Router,
+        last_event_id: Option<u64>,
+        deadline: Duration,
+    ) -> ReadResult {
+        loop {
+            let part = match router.next_part(&mut self.response.body, deadline).await {
+                Ok(Some(part)) => part,
+                Ok(None) if self.splitter.has_partial_event() => {
+                    return ReadResult::Failed(Outcome::Broken {
+                        connection_lost: true,
+                    })
+                }
+                Ok(None) => return ReadResult::End,
+                Err(outcome) => return ReadResult::Failed(outcome),
+            };
+            self.bytes += part.len() as u64;
+            let batch = self.splitter.push(&part);
+            let first_id = batch.as_ref().and_then(|batch| batch.first_id);
+            let repeats_events = first_id.is_some() && first_id <= last_event_id;
+            let partial_bytes = self.splitter.partial_bytes();
+            let has_memory = self.partial_event.resize(partial_bytes).is_ok();
+            if self.splitter.is_too_long() || repeats_events || !has_memory {
+                return ReadResult::Failed(Outcome::Broken {
+                    connection_lost: false,
+                });
+            }
+            if let Some(batch) = batch {
+                return ReadResult::Events(batch);
+            }
+        }
+    }
+}
+
 impl PendingRequest {
     /// Waits for the first events and returns the response. A separate task forwards the events.
     pub(super) async fn start_stream(
         mut self,
-        mut response: TargetResponse,
+        response: TargetResponse,
         forward_request: &ForwardRequest,
     ) -> Result<Response<Body>, (Self, Outcome)> {
-        let mut splitter = EventSplitter::default();
-        let first = match self
-            .read(&mut response.body, &mut splitter, forward_request)
-            .await
-        {
+        let mut parts = response.parts.clone();
+        let mut answer = StreamAnswer::new(&self.router, response, forward_request.clone());
+        let first = match self.read(&mut answer).await {
             ReadResult::Events(batch) => Some(batch),
-            ReadResult::End if self.may_be_empty(&response.parts) => None,
+            ReadResult::End if self.may_be_empty(&parts) => None,
             ReadResult::End => return Err((self, NO_EVENTS)),
             ReadResult::Failed(outcome) => return Err((self, outcome)),
         };
@@ -84,25 +187,20 @@
         }
         self.observe_first_part();
         let (tx, rx) = mpsc::channel(MAX_BUFFERED_BATCHES);
-        let mut parts = response.parts.clone();
         remove_hop_by_hop_headers(&mut parts.headers);
         parts.headers.remove(http::header::CONTENT_LENGTH);
+        // Sending cannot fail: the receiver exists and the channel is empty.
         match first {
             Some(batch) => {
-                let has_events = batch.count > 0;
+                answer.record_events(&batch);
                 self.record_events(&batch);
-                // Cannot fail: the receiver exists and the channel is empty.
-                let _sent = tx.try_send(Ok(Frame::data(batch.bytes)));
-                let forward_request = forward_request.clone();
-                tokio::task::spawn_local(self.forward_events(
-                    response,
-                    forward_request,
-                    splitter,
-                    tx,
-                    has_events,
-                ));
+                let _sent = tx.try_send(StreamPart::Events(batch.bytes));
+                tokio::task::spawn_local(self.forward_events(answer, tx));
+            }
+            None => {
+                self.complete(answer);
+                let _sent = tx.try_send(StreamPart::End);
             }
-            None => self.complete(response),
         }
         let body_parts = as_stream(rx);
         Ok(Response::from_parts(
@@ -112,86 +210,149 @@
     }
 
     /// Forwards a stream until it is complete, cannot be resumed, or the caller disconnects.
-    async fn forward_events(
-        mut self,
-        mut response: TargetResponse,
-        mut forward_request: ForwardRequest,
-        mut splitter: EventSplitter,
-        tx: mpsc::Sender<BodyPart>,
-        // Whether the present target has sent an event of the stream.
-        mut has_events: bool,
-    ) {
+    async fn forward_events(mut self, mut answer: StreamAnswer, tx: mpsc::Sender<StreamPart>) {
         loop {
             let result = tokio::select! {
-                result = self.read(&mut response.body, &mut splitter, &forward_request) => result,
+                result = self.read_from_any(&mut answer) => result,
                 () = tx.closed() => return,
             };
-            let outcome = match result {
-                ReadResult::Events(batch) => {
-                    has_events |= batch.count > 0;
+            match result {
+                Some(ReadResult::Events(batch)) => {
+                    answer.record_events(&batch);
                     self.record_events(&batch);
                     if self.send_events(&tx, batch.bytes).await.is_err() {
                         return;
                     }
-                    continue;
                 }
-                ReadResult::End if has_events => {
-                    self.complete(response);
-                    return;
-                }
-                // An empty rest does not show that the stream was complete when it broke off.
-                ReadResult::End => NO_EVENTS,
-                ReadResult::Failed(outcome) => outcome,
-            };
-            drop(response);
-            splitter.clear();
-            let resumed = tokio::select! {
-                biased;
-                () = tx.closed() => return,
-                resumed = self.resume(outcome) => resumed,
-            };
-            match resumed {
-                Some(resumed) => {
-                    (response, forward_request) = resumed;
-                    has_events = false;
-                }
-                None => {
+                Some(ReadResult::End) => {
+                    self.complete(answer);
                     // Fails only if the caller has disconnected.
-                    let _disconnected = tx.send(Err(BodyError::Incomplete)).await;
+                    let _disconnected = tx.send(StreamPart::End).await;
                     return;
                 }
+                // The answer breaks off, since its end is not sent.
+                Some(ReadResult::Failed(_)) | None => return,
             }
         }
     }
 
-    /// Requests the rest of the stream from other targets. Returns `None` if none can continue it.
-    async fn resume(&mut self, mut outcome: Outcome) -> Option<(TargetResponse, ForwardRequest)> {
+    /// Reads the next events, from the present target or from one that goes on with its answer. Returns `None`
+    /// if none does.
+    async fn read_from_any(&mut self, answer: &mut StreamAnswer) -> Option<ReadResult> {
         loop {
-            self.report_outcome(outcome);
-            let NextStep::Forward(forward_request) = self.next_step().await else {
-                return None;
+            let outcome = match self.read(answer).await {
+                ReadResult::Failed(Outcome::IdleTimeout) => {
+                    match self.read_from_first(answer).await {
+                        Handover::Read(ReadResult::Failed(outcome)) => outcome,
+                        Handover::Read(result) => return Some(result),
+                        Handover::TargetKept => continue,
+                        Handover::Rejected => return None,
+                    }
+                }
+                ReadResult::Failed(outcome) => outcome,
+                // An empty rest does not show that the stream was complete when it broke off.
+                ReadResult::End if !answer.has_events => NO_EVENTS,
+                result => return Some(result),
             };
-            let result = self
-                .router
-                .exchange(
-                    self.token,
-                    &self.request,
-                    &forward_request,
-                    self.last_event_id,
-                )
-                .await;
-            match result {
-                Ok(response)
-                    if may_continue_stream(response.parts.status, &response.parts.headers) =>
-                {
-                    return Some((response, forward_request))
+            self.report_outcome(outcome);
+            return match self.resume().await {
+                Resumed::Begun(other, batch) => {
+                    *answer = other;
+                    Some(ReadResult::Events(batch))
                 }
-                Ok(_) => {
-                    outcome = Outcome::Broken {
-                        connection_lost: false,
+                Resumed::TargetKept | Resumed::Rejected => None,
+            };
+        }
+    }
+
+    /// Asks another target to go on with the answer of a silent one, and reads from the first that sends
+    /// something.
+    async fn read_from_first(&mut self, answer: &mut StreamAnswer) -> Handover {
+        let (router, token) = (self.router.clone(), self.token);
+        let (last_event_id, longest_pause) = (self.last_event_id, self.longest_pause);
+        let deadline = answer.forward_request.deadline;
+        let mut aside = Some(self.set_exchange_aside());
+        let mut end_aside = |outcome| {
+            if let Some(exchange) = aside.take() {
+                router.end_silent_exchange(token, exchange, longest_pause, outcome);
+            }
+        };
+        router.handle_event(Event::AskAnotherTarget(token));
+        let first = {
+            let silent = answer.reader.read(&router, last_event_id, deadline);
+            let mut resuming = pin!(self.resume());
+            tokio::select! {
+                biased;
+                result = silent => match result {
+                    ReadResult::Failed(outcome) => {
+                        end_aside(outcome);
+                        Err(resuming.await)
                     }
-                }
-                Err(failure) => outcome = failure,
+                    result => Ok(result),
+                },
+                resumed = &mut resuming => Err(resumed),
+            }
+        };
+        match first {
+            Ok(result) => {
+                let sending = self.request.sending.take();
+                router.handle_event(Event::SilentTargetSpoke { token, sending });
+                aside.map_or(Handover::Rejected, |exchange| {
+                    self.return_to_exchange(exchange);
+                    Handover::Read(result)
+                })
+            }
+            Err(Resumed::Begun(other, batch)) => {
+                end_aside(Outcome::IdleTimeout);
+                *answer = other;
+                Handover::Read(ReadResult::Events(batch))
+            }
+            Err(Resumed::TargetKept) => aside.map_or(Handover::Rejected, |exchange| {
+                self.return_to_exchange(exchange);
+                Handover::TargetKept
+            }),
+            Err(Resumed::Rejected) => Handover::Rejected,
+        }
+    }
+
+    /// Requests the rest of the stream from other targets until one has begun.
+    async fn resume(&mut self) -> Resumed {
+        loop {
+            let forward_request = match self.next_step().await {
+                NextStep::Forward(forward_request) => forward_request,
+                NextStep::KeepTarget => return Resumed::TargetKept,
+                NextStep::Respond(_) => return Resumed::Rejected,
+            };
+            match self.begin_rest(forward_request).await {
+                Ok((answer, batch)) => return Resumed::Begun(answer, batch),
+                Err(outcome) => self.report_outcome(outcome),
+            }
+        }
+    }
+
+    /// Requests the rest of the stream from a target, and waits for its first events.
+    async fn begin_rest(
+        &mut self,
+        forward_request: ForwardRequest,
+    ) -> Result<(StreamAnswer, EventBatch), Outcome> {
+        let exchange = self.router.exchange(
+            self.token,
+            &self.request,
+            &forward_request,
+            self.last_event_id,
+        );
+        let response = exchange.await?;
+        if !may_continue_stream(response.parts.status, &response.parts.headers) {
+            return Err(NO_EVENTS);
+        }
+        let mut answer = StreamAnswer::new(&self.router, response, forward_request);
+        loop {
+            match self.read(&mut answer).await {
+                // Comments do not show that the target goes on.
+                ReadResult::Events(batch) if batch.count == 0 => {}
+                ReadResult::Events(batch) => return Ok((answer, batch)),
+                ReadResult::End => return Err(NO_EVENTS),
+                ReadResult::Failed(outcome) => return Err(outcome),
             }
         }
     }
@@ -211,15 +372,15 @@
     /// Returns an error if the caller has disconnected.
     async fn send_events(
         &self,
-        tx: &mpsc::Sender<BodyPart>,
+        tx: &mpsc::Sender<StreamPart>,
         events: Bytes,
     ) -> Result<(), SendError<()>> {
         match self.router.inner.buffers.hold_bytes(events.clone()) {
-            Ok(held) => tx.reserve().await?.send(Ok(Frame::data(held))),
+            Ok(held) => tx.reserve().await?.send(StreamPart::Events(held)),
             Err(OutOfMemory) => {
                 let mut permits = tx.reserve_many(tx.max_capacity()).await?;
                 if let Some(permit) = permits.next() {
-                    permit.send(Ok(Frame::data(events)));
+                    permit.send(StreamPart::Events(events));
                 }
             }
         }
@@ -235,7 +396,8 @@
     }
 
     /// Ends the request after a complete stream.
-    fn complete(mut self, response: TargetResponse) {
+    fn complete(mut self, answer: StreamAnswer) {
+        let response = answer.reader.response;
         self.router
             .release_connection(response.connection, &response.parts);
         self.report_outcome(Outcome::Answered { is_error: false });
@@ -244,57 +406,34 @@
 
     /// Reads from the target until at least one event is complete. A target that does not complete one counts as
     /// silent, also if it sends bytes.
-    async fn read(
-        &mut self,
-        body: &mut Incoming,
-        splitter: &mut EventSplitter,
-        forward_request: &ForwardRequest,
-    ) -> ReadResult {
+    async fn read(&mut self, answer: &mut StreamAnswer) -> ReadResult {
         let is_first = self.last_part_at.is_none();
         let (router, token) = (self.router.clone(), self.token);
-        let reading = self.read_events(body, splitter, forward_request.deadline);
+        let forward_request = &answer.forward_request;
+        let deadline = forward_request.deadline;
+        let reading = answer.reader.read(&router, self.last_event_id, deadline);
         let result = router.wait_for_target(token, forward_request, is_first, reading);
-        result.await.unwrap_or_else(ReadResult::Failed)
-    }
-
-    /// Reads parts until at least one event is complete, or until the deadline.
-    async fn read_events(
-        &mut self,
-        body: &mut Incoming,
-        splitter: &mut EventSplitter,
-        deadline: Duration,
-    ) -> ReadResult {
-        loop {
-            let part = match self.router.next_part(body, deadline).await {
-                Ok(Some(part)) => part,
-                Ok(None) if splitter.has_partial_event() => {
-                    return ReadResult::Failed(Outcome::Broken {
-                        connection_lost: true,
-                    })
-                }
-                Ok(None) => return ReadResult::End,
-                Err(outcome) => return ReadResult::Failed(outcome),
-            };
-            self.answer_bytes += part.len() as u64;
-            let batch = splitter.push(&part);
-            let first_id = batch.as_ref().and_then(|batch| batch.first_id);
-            let repeats_events = first_id.is_some() && first_id <= self.last_event_id;
-            let has_memory = self.partial_event.resize(splitter.partial_bytes()).is_ok();
-            if splitter.is_too_long() || repeats_events || !has_memory {
-                return ReadResult::Failed(Outcome::Broken {
-                    connection_lost: false,
-                });
-            }
-            if let Some(batch) = batch {
-                return ReadResult::Events(batch);
-            }
-        }
+        let result = result.await.unwrap_or_else(ReadResult::Failed);
+        self.answer_bytes = answer.reader.bytes;
+        result
     }
 }
 
-/// Turns the receiver into a stream of body parts.
+/// Turns the receiver into a stream of body parts, which fails if it ends before the stream is complete.
 fn as_stream(
-    mut rx: mpsc::Receiver<BodyPart>,
-) -> impl futures_util::Stream<Item = BodyPart> + Send + Sync {
-    futures_util::stream::poll_fn(move |cx| rx.poll_recv(cx))
+    mut rx: mpsc::Receiver<StreamPart>,
+) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, BodyError>> + Send + Sync {
+    let mut is_over = false;
+    futures_util::stream::poll_fn(move |cx| {
+        if is_over {
+            return Poll::Ready(None);
+        }
+        let part = match ready!(rx.poll_recv(cx)) {
+            Some(StreamPart::Events(events)) => return Poll::Ready(Some(Ok(Frame::data(events)))),
+            Some(StreamPart::End) => None,
+            None => Some(Err(BodyError::Incomplete)),
+        };
+        is_over = true;
+        Poll::Ready(part)
+    })
 }
