A body may grow to the limit that is in force as it is received

A configuration that allows longer bodies came into force while a body was received, and the request was still answered 413 under the limit of its beginning. The limit is now the larger one of both, so a body that was allowed stays allowed.

--- a/components/proxy/src/buffers.rs
+++ b/components/proxy/src/buffers.rs
@@ -157,13 +157,13 @@
         self.data.len()
     }
 
-    /// Receives a whole body of at most `max_bytes`.
+    /// Receives a whole body of at most `max_bytes`, which may change meanwhile.
     ///
     /// Returns an error if it is longer, breaks off or finds no memory.
     pub async fn receive<B>(
         buffers: &Buffers,
         mut body: B,
-        max_bytes: usize,
+        max_bytes: impl Fn() -> usize,
     ) -> Result<Bytes, ReceiveError>
     where
         B: Body<Data = Bytes> + Unpin,
@@ -173,7 +173,7 @@
             let Ok(part) = frame.map_err(|_| ReceiveError::Incomplete)?.into_data() else {
                 continue;
             };
-            if buffer.len() + part.len() > max_bytes {
+            if buffer.len() + part.len() > max_bytes() {
                 return Err(ReceiveError::TooLong);
             }
             buffer.push(&part).map_err(|_| ReceiveError::OutOfMemory)?;
--- a/components/proxy/src/entry/caller_server.rs
+++ b/components/proxy/src/entry/caller_server.rs
@@ -122,7 +122,7 @@
     let options = &inner.callers;
     let endpoint = parse_endpoint(Uri::borrow_from(state))?;
     let body = state.take::<Body>();
-    let receiving = BodyBuffer::receive(&inner.buffers, body, options.max_body_bytes);
+    let receiving = BodyBuffer::receive(&inner.buffers, body, || options.max_body_bytes);
     let received = tokio::time::timeout(options.receive_timeout, receiving).await;
     let body = received
         .map_err(|_| BadRequest::TooSlow(options.receive_timeout))?
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -297,7 +297,9 @@
         if !self.inner.buffers.has_room_for(declared_bytes as usize) {
             return last_response(out_of_memory_response());
         }
-        let receiving = BodyBuffer::receive(&self.inner.buffers, body, limit);
+        // A body that was allowed when it began stays allowed.
+        let limit_in_force = || limit.max(self.caller_limits().max_body_bytes);
+        let receiving = BodyBuffer::receive(&self.inner.buffers, body, limit_in_force);
         let response = match timeout(BODY_RECEIVE_TIMEOUT, receiving).await {
             Ok(Ok(body)) => return self.handle_whole_request(parts, body).await,
             Ok(Err(ReceiveError::TooLong)) => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
