--- a/components/control/src/router/handover.rs
+++ b/components/control/src/router/handover.rs
@@ -30,6 +30,7 @@
         pending.may_have_run = true;
         let silent = Box::new(pending.clone());
         pending.assignment = None;
+        pending.time_to_first_event = None;
         pending.silent = Some(silent);
         self.retry(now, token, effects);
     }
