--- a/components/control/tests/crashing_prompts.rs
+++ b/components/control/tests/crashing_prompts.rs
@@ -396,7 +396,10 @@
                     Effect::ScheduleQueueTimeout(token, until) => {
                         self.queue_timeouts.push((until, entry, token));
                     }
-                    Effect::Reserve(..) | Effect::ObservePath(..) | Effect::Record(_) => {}
+                    Effect::Reserve(..)
+                    | Effect::ObservePath(..)
+                    | Effect::KeepTarget(_)
+                    | Effect::Record(_) => {}
                 }
             }
         }
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -608,7 +608,7 @@
                     self.release(token);
                     self.handle_rejection(token, rejection.retry_after);
                 }
-                Effect::Record(_) | Effect::ObservePath(..) => {}
+                Effect::Record(_) | Effect::ObservePath(..) | Effect::KeepTarget(_) => {}
             }
         }
     }
--- a/components/control/tests/handover.rs
+++ b/components/control/tests/handover.rs
@@ -341,11 +341,11 @@
 }
 
 fn last_told(effects: &[Effect]) -> Told {
-    let told = effects.iter().filter_map(|effect| match effect {
+    let mut told = effects.iter().filter_map(|effect| match effect {
         Effect::Forward(TOKEN, _) => Some(Told::Forward),
         Effect::KeepTarget(TOKEN) => Some(Told::Keep),
         Effect::Reject(TOKEN, _) => Some(Told::Reject),
         _ => None,
     });
-    told.last().unwrap_or(Told::Nothing)
+    told.next_back().unwrap_or(Told::Nothing)
 }
--- a/components/control/tests/way.rs
+++ b/components/control/tests/way.rs
@@ -114,7 +114,7 @@
                 Effect::ObservePath(region, time) => {
                     self.round_trips.push((region, time.as_millis() as u64));
                 }
-                Effect::ScheduleQueueTimeout(..) => {}
+                Effect::ScheduleQueueTimeout(..) | Effect::KeepTarget(_) => {}
             }
         }
         result
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -85,7 +85,7 @@
 /// What another target did that was asked to go on with a stream.
 enum Resumed {
     /// It began with these events.
-    Begun(StreamAnswer, EventBatch),
+    Begun(Box<StreamAnswer>, EventBatch),
     /// No target goes on with it, and the silent one is waited for.
     TargetKept,
     /// No target goes on with it.
@@ -257,7 +257,7 @@
             self.report_outcome(outcome);
             return match self.resume().await {
                 Resumed::Begun(other, batch) => {
-                    *answer = other;
+                    *answer = *other;
                     Some(ReadResult::Events(batch))
                 }
                 Resumed::TargetKept | Resumed::Rejected => None,
@@ -304,7 +304,7 @@
             }
             Err(Resumed::Begun(other, batch)) => {
                 end_aside(Outcome::IdleTimeout);
-                *answer = other;
+                *answer = *other;
                 Handover::Read(ReadResult::Events(batch))
             }
             Err(Resumed::TargetKept) => aside.map_or(Handover::Rejected, |exchange| {
@@ -324,7 +324,7 @@
                 NextStep::Respond(_) => return Resumed::Rejected,
             };
             match self.begin_rest(forward_request).await {
-                Ok((answer, batch)) => return Resumed::Begun(answer, batch),
+                Ok((answer, batch)) => return Resumed::Begun(Box::new(answer), batch),
                 Err(outcome) => self.report_outcome(outcome),
             }
         }
