Postmortem of limits and targets that changed under an answer

A silent answer that ends without any event of its own is not complete, as before. A connection reads the limits in force only when they change.

--- a/components/proxy/src/router/connection.rs
+++ b/components/proxy/src/router/connection.rs
@@ -17,6 +17,7 @@
 };
 use std::time::Duration;
 
+use control::router::config::CallerLimits;
 use control::router::connection_limit::{
     Stage,
     StageLimit, //
@@ -175,6 +176,8 @@
 struct Watch<'a> {
     router: &'a Router,
     activity: &'a Activity,
+    /// The limits in force.
+    limits: CallerLimits,
     limit: StageLimit,
     seen_changes: u64,
     timer: LazyTimer,
@@ -184,10 +187,12 @@
 
 impl<'a> Watch<'a> {
     fn new(router: &'a Router, activity: &'a Activity) -> Self {
+        let limits = router.caller_limits();
         let mut watch = Self {
             router,
             activity,
-            limit: StageLimit::new(router.elapsed(), Stage::Idle, &router.caller_limits()),
+            limits,
+            limit: StageLimit::new(router.elapsed(), Stage::Idle, &limits),
             seen_changes: activity.changes(),
             timer: LazyTimer::new(),
             is_closing: false,
@@ -199,9 +204,9 @@
     /// Applies the limits in force.
     fn apply_limits(&mut self) {
         let now = self.router.elapsed();
-        let limits = self.router.caller_limits();
-        self.activity.set_max_head_bytes(limits.max_head_bytes);
-        self.limit.change(now, &limits);
+        self.limits = self.router.caller_limits();
+        self.activity.set_max_head_bytes(self.limits.max_head_bytes);
+        self.limit.change(now, &self.limits);
         self.set_timer(now);
     }
 
@@ -210,7 +215,7 @@
         if self.activity.changes() != self.seen_changes {
             self.seen_changes = self.activity.changes();
             let now = self.router.elapsed();
-            self.limit = StageLimit::new(now, self.activity.stage(), &self.router.caller_limits());
+            self.limit = StageLimit::new(now, self.activity.stage(), &self.limits);
             self.set_timer(now);
         }
     }
@@ -337,7 +342,7 @@
                 return Poll::Ready(Some(Cause::Stop));
             }
             // A connection that cannot follow the limits ends with its present answer.
-            let is_outgrown = watch.router.caller_limits().max_head_bytes > head_buffer_bytes;
+            let is_outgrown = watch.limits.max_head_bytes > head_buffer_bytes;
             let is_last = (is_stopping || is_outgrown) && watch.limit.stage() == Stage::Request;
             if is_last && !std::mem::replace(&mut is_last_request, true) {
                 Pin::new(&mut *connection).graceful_shutdown();
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -240,15 +240,15 @@
     /// if none does.
     async fn read_from_any(&mut self, answer: &mut StreamAnswer) -> Option<ReadResult> {
         loop {
-            let outcome = match self.read(answer).await {
-                ReadResult::Failed(Outcome::IdleTimeout) => {
-                    match self.read_from_first(answer).await {
-                        Handover::Read(ReadResult::Failed(outcome)) => outcome,
-                        Handover::Read(result) => return Some(result),
-                        Handover::TargetKept => continue,
-                        Handover::Rejected => return None,
-                    }
-                }
+            let mut result = self.read(answer).await;
+            if let ReadResult::Failed(Outcome::IdleTimeout) = result {
+                result = match self.read_from_first(answer).await {
+                    Handover::Read(result) => result,
+                    Handover::TargetKept => continue,
+                    Handover::Rejected => return None,
+                };
+            }
+            let outcome = match result {
                 ReadResult::Failed(outcome) => outcome,
                 // An empty rest does not show that the stream was complete when it broke off.
                 ReadResult::End if !answer.has_events => NO_EVENTS,
