Failing test of prompt tokens that stay at a target whose caller has left

A resumed stream whose second target is silent, a third one asked, and the caller leaves: only the load of the third one loses the prompt. The second gets 0 of 50 requests beside a fresh target; without the third one it gets some.

--- a/components/control/tests/silent_targets.rs
+++ b/components/control/tests/silent_targets.rs
@@ -10,9 +10,11 @@
     Repeatability,
     Route, //
 };
+use control::router::targets::TargetEntry;
 use control::router::{
     Effect,
     Event,
+    IncomingRequest,
     Options,
     Outcome,
     RetryLimit,
@@ -224,3 +226,76 @@
     };
     state.step(clock(now), event);
 }
+
+/// Guards against prompt tokens that count at a target for ever after a caller has left while another target was
+/// asked to go on with a resumed stream.
+#[test]
+fn caller_that_leaves_leaves_no_load_at_a_silent_target() {
+    const PROMPT_TOKENS: u32 = 7000;
+    for is_other_asked in [false, true] {
+        let mut state = router(&["e1", "e2", "e3"], AMPLE_RETRIES, 4);
+        let now = START;
+        let first = IncomingRequest {
+            prompt_and_max_answer_tokens: Some((PROMPT_TOKENS, 100)),
+            ..request(1, "/chat/")
+        };
+        state.step(clock(now), Event::RequestReceived(first));
+        let head = || Event::ResponseHead {
+            token: 1,
+            load: None,
+            cold_remaining: None,
+            version: Some(1),
+            notice: None,
+        };
+        state.step(clock(now), head());
+        state.step(clock(now), Event::ResponseStarted(1));
+        let broken = Event::ExchangeEnded {
+            token: 1,
+            outcome: Outcome::Broken {
+                connection_lost: false,
+            },
+            longest_pause: Duration::ZERO,
+            sending: Sending::default(),
+        };
+        let resumed = forwarded_to(&state.step(clock(now), broken)).unwrap();
+        state.step(clock(now), head());
+        // Its request earns another retry.
+        state.step(clock(now), Event::RequestReceived(request(2, "/chat/")));
+        state.step(clock(now), Event::CallerDisconnected(2));
+        let now = now + Duration::from_millis(1500);
+        state.step(clock(now), Event::ConfigConfirmed(now));
+        if is_other_asked {
+            assert!(state.handle_silence(now, 1).0);
+            let effects = state.step(clock(now), Event::AskAnotherTarget(1));
+            assert!(forwarded_to(&effects).is_some(), "{effects:?}");
+        }
+        state.step(clock(now), Event::CallerDisconnected(1));
+        for other in ["e1", "e2", "e3"].into_iter().filter(|id| *resumed != **id) {
+            let entry = TargetEntry {
+                is_draining: true,
+                ..target(other, "engines", "a")
+            };
+            state.step(clock(now), Event::TargetListed(entry));
+        }
+        let fresh = target("e9", "engines", "a");
+        state.step(clock(now), Event::TargetListed(fresh));
+        let mut count = 0;
+        for token in 10..60 {
+            let next = Event::RequestReceived(request(token, "/chat/"));
+            let target = forwarded_to(&state.step(clock(now), next)).unwrap();
+            count += usize::from(target == resumed);
+            state.step(clock(now), Event::CallerDisconnected(token));
+        }
+        assert!(
+            count > 0,
+            "asked: {is_other_asked}, {resumed}: {count} of 50"
+        );
+    }
+}
+
+fn forwarded_to(effects: &[Effect]) -> Option<Name> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Forward(_, forward) => Some(forward.target.clone()),
+        _ => None,
+    })
+}
