A connection is idle only when the whole answer is written

Cause: the library drops the body of an answer when its last part is buffered, and the connection counted as idle from then on. Its callers were still reading: a planned stop or the idle time cut the answer, and 408 could be written into it. Change: a stage of its own lasts until nothing is buffered. Further findings of the review are mended with it: the load and the crashes of a silent target whose caller left or that ended meanwhile, 431 as the last answer of its connection, and a reset where only that shows that an answer without chunks is not complete.

--- a/components/control/src/router/connection_limit.rs
+++ b/components/control/src/router/connection_limit.rs
@@ -14,8 +14,13 @@
     Head,
     /// A request is being received, handled or answered.
     Request,
+    /// The whole answer is ready, and its caller has not received all of it.
+    Delivery,
 }
 
+/// A caller that receives nothing of its answer for this time is given up, if the idle time is shorter.
+const MIN_DELIVERY_TIME: Duration = Duration::from_secs(10);
+
 impl Stage {
     /// The name in the record.
     pub fn as_str(self) -> &'static str {
@@ -23,6 +28,7 @@
             Self::Idle => "idle",
             Self::Head => "head",
             Self::Request => "request",
+            Self::Delivery => "delivery",
         }
     }
 
@@ -32,6 +38,7 @@
             Self::Idle => Some(limits.idle_timeout),
             Self::Head => Some(limits.head_timeout),
             Self::Request => None,
+            Self::Delivery => Some(limits.idle_timeout.max(MIN_DELIVERY_TIME)),
         }
     }
 }
--- a/components/control/src/router/crashes.rs
+++ b/components/control/src/router/crashes.rs
@@ -50,6 +50,27 @@
     pub started_at_ms: u64,
 }
 
+impl TargetRun {
+    /// The run of a request at its present target, if it has one.
+    pub fn of_pending(now: Duration, pending: &Pending) -> Option<Self> {
+        let (target, _) = pending.assignment.as_ref()?;
+        Some(Self {
+            fingerprint: pending.fingerprint,
+            shared_prompt_parts: pending.sent_parts.clone(),
+            are_parts_proven: pending.has_proven_parts(now),
+            request: pending.id.clone(),
+            target: target.clone(),
+            started_at_ms: pending.target_started_at_ms,
+        })
+    }
+
+    fn is_same_run(&self, other: &Self) -> bool {
+        self.request == other.request
+            && self.target == other.target
+            && self.started_at_ms == other.started_at_ms
+    }
+}
+
 /// The latest exchanges in which a target fell silent, with the time of their end.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SilentExchanges(VecDeque<(Duration, TargetRun)>);
@@ -57,6 +78,7 @@
 impl SilentExchanges {
     /// Adds an exchange that ended without an answer while the connection was still open.
     pub fn add(&mut self, now: Duration, run: TargetRun) {
+        self.0.retain(|(_, known)| !known.is_same_run(&run));
         if self.0.len() >= MAX_SILENT_EXCHANGES {
             self.0.pop_front();
         }
--- a/components/control/src/router/handover.rs
+++ b/components/control/src/router/handover.rs
@@ -5,6 +5,7 @@
 
 use record::Decision;
 
+use super::crashes::TargetRun;
 use super::pending::Pending;
 use super::state::State;
 use super::{
@@ -28,6 +29,10 @@
             return;
         }
         pending.may_have_run = true;
+        // If the target ends while it is silent, that counts as a crash.
+        if let Some(run) = TargetRun::of_pending(now, pending) {
+            self.silent_exchanges.add(now, run);
+        }
         let silent = Box::new(pending.clone());
         pending.assignment = None;
         pending.time_to_first_event = None;
@@ -43,11 +48,13 @@
         sending: Sending,
         effects: &mut Vec<Effect>,
     ) {
-        let is_sent = self
-            .pending
-            .get(&token)
-            .is_some_and(|pending| pending.assignment.is_some() && !pending.is_reserving);
-        if is_sent {
+        let Some(pending) = self.pending.get(&token) else {
+            return;
+        };
+        if pending.silent.is_none() {
+            return;
+        }
+        if pending.assignment.is_some() && !pending.is_reserving {
             let pause = Duration::ZERO;
             self.end_exchange(now, token, Outcome::Superseded, pause, sending, effects);
         }
@@ -69,9 +76,6 @@
         self.return_to_silent_target(token);
         if let Some(pending) = self.pending.get(&token) {
             if let Some((id, _)) = &pending.assignment {
-                if let Some(target) = self.targets.get_mut(id) {
-                    target.health.record_failure(now);
-                }
                 effects.push(Effect::Record(Decision::Silent {
                     request: pending.id.clone(),
                     target: id.clone(),
@@ -84,6 +88,23 @@
         true
     }
 
+    /// Releases the silent target of a request whose caller has left.
+    pub(super) fn release_silent_target(&mut self, now: Duration, token: u64) {
+        let pending = self.pending.get_mut(&token);
+        let Some(silent) = pending.and_then(|pending| pending.silent.take()) else {
+            return;
+        };
+        if let Some((id, _)) = &silent.assignment {
+            self.account_share(now, id, &silent.service);
+            if let Some(target) = self.targets.get_mut(id) {
+                target.load.remove_request();
+                if silent.is_prefill_pending {
+                    target.load.remove_prompt(silent.prompt_tokens);
+                }
+            }
+        }
+    }
+
     fn return_to_silent_target(&mut self, token: u64) {
         self.unassign(token);
         let Some(pending) = self.pending.get_mut(&token) else {
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -229,6 +229,8 @@
         self.mark_prefilled(token);
         let pending = self.pending.get_mut(&token)?;
         let answered = AnsweredRequest::new(now, pending, longest_pause);
+        let run = TargetRun::of_pending(now, pending)?;
+        pending.sent_parts.clear();
         let (id, since) = pending.assignment.take()?;
         effects.push(Effect::Record(Decision::Exchange {
             request: pending.id.clone(),
@@ -240,14 +242,6 @@
             first_ms: pending.time_to_first_event.take().map(millis),
             pause_ms: millis(longest_pause),
         }));
-        let run = TargetRun {
-            fingerprint: pending.fingerprint,
-            shared_prompt_parts: std::mem::take(&mut pending.sent_parts),
-            are_parts_proven: pending.has_proven_parts(now),
-            request: pending.id.clone(),
-            target: id.clone(),
-            started_at_ms: pending.target_started_at_ms,
-        };
         let service = pending.service.clone();
         let timed_out = Outcome::IdleTimeout == outcome || Outcome::DeadlineExceeded == outcome;
         if timed_out || matches!(outcome, Outcome::Broken { .. }) {
@@ -457,11 +451,12 @@
         effects: &mut Vec<Effect>,
     ) {
         self.mark_prefilled(token);
+        let pending = self.pending.get(&token);
+        let has_silent_target = pending.is_some_and(|pending| pending.silent.is_some());
+        self.release_silent_target(now, token);
         let Some(pending) = self.pending.remove(&token) else {
             return;
         };
-        let silent = pending.silent.as_ref();
-        let silent_assignment = silent.and_then(|silent| silent.assignment.clone());
         if let Some(queue) = self.queues.get_mut(&pending.service.name) {
             queue.remove(token);
             if pending.assignment.is_some() {
@@ -471,9 +466,9 @@
         effects.push(Effect::Record(Decision::CallerLeft {
             request: pending.id.clone(),
             held_ms: millis(now.saturating_sub(pending.arrived)),
-            running: pending.assignment.is_some() || silent_assignment.is_some(),
+            running: pending.assignment.is_some() || has_silent_target,
         }));
-        for (id, _) in pending.assignment.into_iter().chain(silent_assignment) {
+        if let Some((id, _)) = pending.assignment {
             self.account_share(now, &id, &pending.service);
             if let Some(target) = self.targets.get_mut(&id) {
                 target.load.remove_request();
--- a/components/control/tests/connection_limit.rs
+++ b/components/control/tests/connection_limit.rs
@@ -64,5 +64,8 @@
             limit.change(BEGAN_AT + Duration::from_secs(*after), &limits(*seconds));
         }
         assert_eq!(limit.ends_at(), None, "{}", case.name);
+        let limit = StageLimit::new(BEGAN_AT, Stage::Delivery, &limits(case.first));
+        let expected = BEGAN_AT + Duration::from_secs(case.first.max(10));
+        assert_eq!(limit.ends_at(), Some(expected), "{}", case.name);
     }
 }
--- a/components/proxy/src/router/activity.rs
+++ b/components/proxy/src/router/activity.rs
@@ -33,14 +33,17 @@
 #[derive(Debug, Default)]
 pub(super) struct Activity {
     stage: Cell<Stage>,
-    /// Rises with each change of the stage, and with each part of an answer that is written after its end.
+    /// Rises with each change of the stage, and with each part of an answer that is written after its last part
+    /// was buffered.
     changes: Cell<u64>,
-    /// Bytes of the head that is being received.
+    /// Bytes of the head that is being received, or of the next one while an answer is being delivered.
     head_bytes: Cell<usize>,
     max_head_bytes: Cell<usize>,
     requests: Cell<u64>,
     /// Whether the caller has closed its side.
     has_caller_closed: Cell<bool>,
+    /// Whether the caller knows the end of an answer without a length by the end of the connection.
+    is_end_by_close: Cell<bool>,
 }
 
 impl Activity {
@@ -61,9 +64,21 @@
         self.has_caller_closed.get()
     }
 
+    pub fn is_end_by_close(&self) -> bool {
+        self.is_end_by_close.get()
+    }
+
+    pub fn set_end_by_close(&self, is_end_by_close: bool) {
+        self.is_end_by_close.set(is_end_by_close);
+    }
+
     /// Whether more bytes than allowed came without the end of a head.
     pub fn is_head_too_long(&self) -> bool {
-        self.stage() == Stage::Head && self.head_bytes.get() > self.max_head_bytes.get()
+        self.stage() == Stage::Head && self.has_too_many_head_bytes()
+    }
+
+    fn has_too_many_head_bytes(&self) -> bool {
+        self.head_bytes.get() > self.max_head_bytes.get()
     }
 
     pub fn set_max_head_bytes(&self, bytes: usize) {
@@ -71,18 +86,19 @@
     }
 
     /// Begins a request whose head was received.
-    pub fn begin_request(self: &Rc<Self>) -> RequestInProgress {
+    pub fn begin_request(self: &Rc<Self>, is_head: bool) -> RequestInProgress {
         self.requests.set(self.requests.get() + 1);
+        self.head_bytes.set(0);
         self.enter(Stage::Request);
         RequestInProgress {
             activity: self.clone(),
+            is_head,
             end: RequestEnd::ConnectionEnded,
         }
     }
 
     fn enter(&self, stage: Stage) {
         self.stage.set(stage);
-        self.head_bytes.set(0);
         self.record_change();
     }
 
@@ -97,18 +113,29 @@
         }
         match self.stage() {
             Stage::Request => return,
-            Stage::Head => {}
+            Stage::Head | Stage::Delivery => {}
             Stage::Idle => self.enter(Stage::Head),
         }
         self.head_bytes.set(self.head_bytes.get() + bytes);
     }
 
     fn record_written(&self) {
-        // The end of an answer: the idle time counts from its last part.
-        if self.stage() == Stage::Idle {
+        if self.stage() == Stage::Delivery {
             self.record_change();
         }
     }
+
+    /// Records that nothing is buffered any more.
+    fn record_flushed(&self) {
+        if self.stage() == Stage::Delivery {
+            let has_next_head = self.head_bytes.get() > 0;
+            self.enter(if has_next_head {
+                Stage::Head
+            } else {
+                Stage::Idle
+            });
+        }
+    }
 }
 
 /// How a request ended on its connection.
@@ -125,12 +152,14 @@
 #[derive(Debug)]
 pub(super) struct RequestInProgress {
     activity: Rc<Activity>,
+    /// Whether its answer has no body, whatever the body says.
+    is_head: bool,
     end: RequestEnd,
 }
 
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
-        self.activity.enter(Stage::Idle);
+        self.activity.enter(Stage::Delivery);
         let cause = match self.end {
             RequestEnd::Answered => return,
             RequestEnd::AnswerBrokenOff => "answer_broken_off",
@@ -155,7 +184,8 @@
 impl Drop for AnswerBody {
     fn drop(&mut self) {
         // The end of a body of known length is not read.
-        if self.body.is_end_stream() && self.request.end == RequestEnd::ConnectionEnded {
+        let is_read = self.body.is_end_stream() || self.request.is_head;
+        if is_read && self.request.end == RequestEnd::ConnectionEnded {
             self.request.end = RequestEnd::Answered;
         }
     }
@@ -211,7 +241,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // The connection is closed with what has arrived so far.
-        if self.activity.is_head_too_long() {
+        if self.activity.stage() != Stage::Request && self.activity.has_too_many_head_bytes() {
             return Poll::Pending;
         }
         let before = buf.filled().len();
@@ -246,8 +276,11 @@
         self.tcp.is_write_vectored()
     }
 
+    /// Called when all that was buffered is written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(cx)
+        ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
+        self.activity.record_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/components/proxy/src/router/connection.rs
+++ b/components/proxy/src/router/connection.rs
@@ -24,9 +24,11 @@
 };
 use futures_util::FutureExt;
 use http::{
+    Method,
     Request,
     Response,
-    StatusCode, //
+    StatusCode,
+    Version, //
 };
 use hyper::body::Incoming;
 use hyper::server::conn::http1::{
@@ -70,8 +72,8 @@
 const LOG_TARGET: &str = "proxy::router::serving";
 
 /// The buffer for the head of a request is at least this large, so that a connection can follow a
-/// configuration that allows longer heads.
-const MIN_HEAD_BUFFER_BYTES: usize = 64 << 10;
+/// configuration that allows longer heads. The same bound holds for what is buffered of an answer.
+const MIN_HEAD_BUFFER_BYTES: usize = 32 << 10;
 
 /// The longest time to wait until a caller has received the end of its last answer. A process that ends
 /// earlier may take unsent bytes with it.
@@ -87,7 +89,7 @@
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cause {
-    /// The caller closed it.
+    /// The caller closed it, or cannot be reached any more.
     Caller,
     /// The last answer said that it is the last one.
     LastAnswer,
@@ -97,11 +99,13 @@
     SlowHead,
     /// The head of a request is longer than allowed.
     LongHead,
+    /// The caller received nothing of its answer for too long.
+    SlowReader,
     /// The process is about to stop.
     Stop,
     /// An answer could not be completed.
     AnswerBrokenOff,
-    /// The caller did not speak the protocol, or the connection failed.
+    /// The caller did not speak the protocol.
     Failed,
 }
 
@@ -114,6 +118,7 @@
             Self::Idle => "idle",
             Self::SlowHead => "slow_head",
             Self::LongHead => "long_head",
+            Self::SlowReader => "slow_reader",
             Self::Stop => "stop",
             Self::AnswerBrokenOff => "answer_broken_off",
             Self::Failed => "failed",
@@ -123,7 +128,9 @@
     fn of_expired(stage: Stage) -> Self {
         match stage {
             Stage::Idle => Self::Idle,
-            Stage::Head | Stage::Request => Self::SlowHead,
+            Stage::Head => Self::SlowHead,
+            // Requests have no limit here.
+            Stage::Request | Stage::Delivery => Self::SlowReader,
         }
     }
 
@@ -133,7 +140,11 @@
             Self::Idle | Self::SlowHead => Some(StatusCode::REQUEST_TIMEOUT),
             Self::LongHead => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
             Self::Stop => Some(StatusCode::SERVICE_UNAVAILABLE),
-            Self::Caller | Self::LastAnswer | Self::AnswerBrokenOff | Self::Failed => None,
+            Self::Caller
+            | Self::LastAnswer
+            | Self::SlowReader
+            | Self::AnswerBrokenOff
+            | Self::Failed => None,
         }
     }
 }
@@ -254,8 +265,11 @@
     let opened_at = router.elapsed();
     let opened_under = router.inner.state.borrow().config_version();
     let activity = Rc::new(Activity::default());
-    let service =
-        service_fn(|request| handle_request(router.clone(), activity.begin_request(), request));
+    let service = service_fn(|request: Request<Incoming>| {
+        activity.set_end_by_close(request.version() < Version::HTTP_11);
+        let in_progress = activity.begin_request(request.method() == Method::HEAD);
+        handle_request(router.clone(), in_progress, request)
+    });
     let head_buffer_bytes = router
         .caller_limits()
         .max_head_bytes
@@ -282,6 +296,7 @@
         requests: activity.requests(),
         opened_under,
         has_unread: !parts.read_buf.is_empty() || has_unread_bytes(&tcp),
+        is_end_by_close: activity.is_end_by_close(),
     };
     ended.report(&router);
     close(tcp, &ended).await;
@@ -343,9 +358,11 @@
             }
             // A connection that cannot follow the limits ends with its present answer.
             let is_outgrown = watch.limits.max_head_bytes > head_buffer_bytes;
-            let is_last = (is_stopping || is_outgrown) && watch.limit.stage() == Stage::Request;
+            let is_answering = matches!(watch.limit.stage(), Stage::Request | Stage::Delivery);
+            let is_last = (is_stopping || is_outgrown) && is_answering;
             if is_last && !std::mem::replace(&mut is_last_request, true) {
                 Pin::new(&mut *connection).graceful_shutdown();
+                cx.waker().wake_by_ref();
             }
             if watch.has_expired(cx) {
                 return Poll::Ready(Some(Cause::of_expired(watch.limit.stage())));
@@ -367,7 +384,11 @@
         Err(e) if e.is_user() => Cause::AnswerBrokenOff,
         Err(e) => {
             log::debug!(target: LOG_TARGET, "the connection of a caller failed: {e}");
-            Cause::Failed
+            if e.is_parse() {
+                Cause::Failed
+            } else {
+                Cause::Caller
+            }
         }
     }
 }
@@ -391,6 +412,8 @@
     opened_under: u64,
     /// Whether the caller had sent bytes that were not read as a request.
     has_unread: bool,
+    /// Whether the end of an answer without a length is shown by the end of the connection.
+    is_end_by_close: bool,
 }
 
 impl EndedConnection {
@@ -406,7 +429,11 @@
         let is_expected = match self.cause {
             Cause::Idle | Cause::Stop | Cause::LastAnswer => !self.has_unread,
             Cause::Caller => true,
-            Cause::SlowHead | Cause::LongHead | Cause::AnswerBrokenOff | Cause::Failed => false,
+            Cause::SlowHead
+            | Cause::LongHead
+            | Cause::SlowReader
+            | Cause::AnswerBrokenOff
+            | Cause::Failed => false,
         };
         if !is_expected {
             router.record(Decision::ConnectionEnded {
@@ -429,7 +456,14 @@
 /// Closes a connection so that its caller receives what was written to it.
 async fn close(mut tcp: TcpStream, ended: &EndedConnection) {
     let is_between_requests = matches!(ended.cause, Cause::Idle | Cause::Stop);
-    let is_lost = matches!(ended.cause, Cause::AnswerBrokenOff | Cause::Caller);
+    let is_lost = matches!(
+        ended.cause,
+        Cause::AnswerBrokenOff | Cause::Caller | Cause::SlowReader
+    );
+    if ended.cause == Cause::AnswerBrokenOff && ended.is_end_by_close {
+        // Without chunks, only a reset tells the caller that the answer is not complete.
+        let _best_effort = tcp.set_zero_linger();
+    }
     if is_lost || (is_between_requests && !ended.has_unread) {
         return;
     }
--- a/components/proxy/src/router/requests.rs
+++ b/components/proxy/src/router/requests.rs
@@ -286,7 +286,8 @@
         let (parts, body) = request.into_parts();
         let limits = self.caller_limits();
         if head_bytes(&parts) > limits.max_head_bytes {
-            return empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return last_response(empty_response(status));
         }
         let limit = limits.max_body_bytes;
         // Reading a body that is declared as too long is useless: the bytes would be discarded.
--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -278,6 +278,7 @@
             }
         };
         router.handle_event(Event::AskAnotherTarget(token));
+        let mut lost = None;
         let first = {
             let silent = answer.reader.read(&router, last_event_id, deadline);
             let mut resuming = pin!(self.resume());
@@ -286,6 +287,7 @@
                 result = silent => match result {
                     ReadResult::Failed(outcome) => {
                         end_aside(outcome);
+                        lost = Some(outcome);
                         Err(resuming.await)
                     }
                     result => Ok(result),
@@ -295,7 +297,7 @@
         };
         match first {
             Ok(result) => {
-                let sending = self.request.sending.take();
+                let sending = self.request.sending.get();
                 router.handle_event(Event::SilentTargetSpoke { token, sending });
                 aside.map_or(Handover::Rejected, |exchange| {
                     self.return_to_exchange(exchange);
@@ -307,10 +309,15 @@
                 *answer = *other;
                 Handover::Read(ReadResult::Events(batch))
             }
-            Err(Resumed::TargetKept) => aside.map_or(Handover::Rejected, |exchange| {
-                self.return_to_exchange(exchange);
-                Handover::TargetKept
-            }),
+            Err(Resumed::TargetKept) => match (aside, lost) {
+                (Some(exchange), _) => {
+                    self.return_to_exchange(exchange);
+                    Handover::TargetKept
+                }
+                // The reducer had returned to the silent target before it was lost.
+                (None, Some(outcome)) => Handover::Read(ReadResult::Failed(outcome)),
+                (None, None) => Handover::Rejected,
+            },
             Err(Resumed::Rejected) => Handover::Rejected,
         }
     }
