Engines with two layers return after a load of changed pieces

Callers lost the engine: after a load of pieces that had changed, one with two layers served nothing until another version was named or it started anew.

Cause: the agent has the engine keep one layer, then load another one in its place, then the rest. It never ordered the first layer alone, since an engine reports that like the whole model, so with two layers there was no other one. Now the reducer compares the number of layers in the report with that of the manifest. What holds fewer is a part, also if it begins with the first layer, and so the first layer may take the place of the second. Where no manifest is known, an engine that holds the first layer alone still looks whole; its agent has not verified it then and reports it as switching, and version 1 is refused by the engine itself.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -80,9 +80,9 @@
 /// The state that the engine reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
-    /// The version of its weights, if all layers are loaded.
+    /// The version of its weights, if all layers are loaded, or the first ones.
     pub version: Option<u64>,
-    /// The version of its weights, if only some layers are loaded.
+    /// The version of its weights, if only other layers are loaded.
     pub partial_version: Option<u64>,
     /// The number of layers that are loaded, if it says so.
     pub layers: Option<u32>,
@@ -98,6 +98,21 @@
     pub memory: Option<EngineMemory>,
 }
 
+impl EngineReport {
+    /// The report of an engine whose version has this many layers. If it holds the first ones alone, it
+    /// reports them as if they were all.
+    fn with_layer_count(self, layer_count: u32) -> Self {
+        if self.layers.is_none_or(|held| held >= layer_count) {
+            return self;
+        }
+        Self {
+            version: None,
+            partial_version: self.version.or(self.partial_version),
+            ..self
+        }
+    }
+}
+
 /// The use of an engine's memory, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineMemory {
@@ -771,6 +786,7 @@
                 detail: "asked for its report".into(),
             }));
         }
+        let report = report.map(|report| self.correct_report(report));
         let previous = std::mem::replace(&mut self.engine, report);
         self.engine_reported_at = now;
         self.reservations
@@ -822,6 +838,13 @@
         }
     }
 
+    /// The report, with the number of layers that the manifest of its version names, if that is known.
+    fn correct_report(&self, report: EngineReport) -> EngineReport {
+        let mut downloads = self.downloads.iter();
+        let download = downloads.find(|d| report.version == Some(d.model_version.version));
+        download.map_or(report, |d| report.with_layer_count(d.layers()))
+    }
+
     fn handle_staged(
         &mut self,
         now: Duration,
--- a/components/control/src/controller/retirement.rs
+++ b/components/control/src/controller/retirement.rs
@@ -17,7 +17,8 @@
 /// update in time is ordered before that, and staging one layer must end before the version's time does.
 const RETIREMENT_DELAY: Duration = MAX_DRAIN_TIME;
 
-/// A layer that is never the first one, so that its report cannot be taken for one of the whole model.
+/// A layer that is never the first one, so that its report cannot be taken for one of the whole model, also
+/// where it is not known how many layers there are.
 pub(super) const INNER_LAYER: u32 = 1;
 
 /// How long entries may take to tell the agent a closer bound on the publication of a version. An agent
@@ -86,16 +87,13 @@
             && !self.orders.is_unverified(version, None);
         let is_layer_changed = self.has_unverified_layer(engine, version)
             && !self.orders.is_unverified(version, engine.first_layer);
-        let layer = if is_whole {
-            INNER_LAYER
-        } else if is_layer_changed && engine.first_layer == Some(INNER_LAYER) {
-            INNER_LAYER + 1
-        } else if is_layer_changed {
-            INNER_LAYER
-        } else {
+        // The only layer of a model cannot be replaced by another one.
+        if !(is_whole || is_layer_changed) || newest.layers() == 1 {
             return None;
-        };
-        (layer < newest.layers()).then(|| Load {
+        }
+        let held = engine.first_layer.filter(|_| is_layer_changed);
+        let mut layers = (INNER_LAYER..newest.layers()).chain(0..INNER_LAYER);
+        layers.find(|layer| Some(*layer) != held).map(|layer| Load {
             model_version: newest.model_version.clone(),
             layer: Some(layer),
         })
