Engines with one layer return after a load of changed pieces

Callers lost the engine: after a load of pieces that had changed, one with a single layer served nothing until another version was named or it started anew.

Cause: an engine gives up a layer of a version only for another layer or another version, and an order for what it holds already has no effect. A model with one layer has no other one.

Now its agent goes back to the version before: it downloads that one alone from the origin, since its peers have dropped it, stages and checks it like any load, and then updates the engine again. Nothing unverified is reported on the way; while the version before runs it may be used as long as its time allows. A newer version on its way makes the detour unnecessary. Weighed: an order for a version that does not exist, or for the version before without its pieces. Both give up the layer sooner, but put weights under a wrong version into an engine that others may call.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -8,6 +8,7 @@
 mod learned;
 mod loading;
 mod orders;
+mod previous;
 mod reservations;
 mod retirement;
 mod schedule;
@@ -296,6 +297,8 @@
     origin_region: Name,
     /// The downloads in the order of their start, which is that of their versions.
     downloads: Vec<Download>,
+    /// The download of the version before the newest one, while the engine needs it to give up the newest.
+    previous: Option<Download>,
     /// The current update of the engine, or the last one.
     update: Option<Load>,
     phase: UpdatePhase,
@@ -373,6 +376,7 @@
             members: Vec::new(),
             origin_region: Name::default(),
             downloads: Vec::new(),
+            previous: None,
             update: None,
             phase: UpdatePhase::Idle,
             staged: None,
@@ -528,14 +532,13 @@
 
     /// Whether the version with this key is downloaded here.
     pub fn is_downloading(&self, key: &Digest) -> bool {
-        self.downloads
-            .iter()
+        self.all_downloads()
             .any(|download| download.model_version.key == *key)
     }
 
     /// The report for peers on the pieces of the version with this key.
     pub fn report(&self, key: &Digest) -> Option<weights::TransferReport> {
-        let mut downloads = self.downloads.iter();
+        let mut downloads = self.all_downloads();
         downloads.find(|d| d.model_version.key == *key)?.report()
     }
 
@@ -624,9 +627,16 @@
         effects
     }
 
+    fn all_downloads(&self) -> impl Iterator<Item = &Download> {
+        self.downloads.iter().chain(&self.previous)
+    }
+
+    fn all_downloads_mut(&mut self) -> impl Iterator<Item = &mut Download> {
+        self.downloads.iter_mut().chain(&mut self.previous)
+    }
+
     fn download_mut(&mut self, key: &Digest) -> Option<&mut Download> {
-        self.downloads
-            .iter_mut()
+        self.all_downloads_mut()
             .find(|d| d.model_version.key == *key)
     }
 
@@ -660,7 +670,7 @@
             self.members_read_at = Some(now);
             effects.push(Effect::ReadMembers);
         }
-        for download in &mut self.downloads {
+        for download in self.all_downloads_mut() {
             download.handle(now, weights::Event::Tick, effects);
         }
         if let UpdatePhase::Loading(ordered_at) = self.phase {
@@ -752,8 +762,7 @@
 
     fn retain_downloaded_versions(&self, effects: &mut Vec<Effect>) {
         let keys = self
-            .downloads
-            .iter()
+            .all_downloads()
             .map(|download| download.model_version.key);
         effects.push(Effect::RetainVersions(keys.collect()));
     }
@@ -890,12 +899,13 @@
     fn advance(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         self.drop_superseded(effects);
         let engine_is_up = self.engine.is_some();
-        for download in &mut self.downloads {
+        for download in self.all_downloads_mut() {
             download.check_engine(now, engine_is_up, effects);
         }
         let Some(engine) = self.engine else {
             return;
         };
+        self.update_previous(now, engine, effects);
         self.check_loaded(now, engine, effects);
         self.end_superfluous_update(engine);
         if let Some(load) = self.next_load(now, engine) {
@@ -969,7 +979,8 @@
             return None;
         }
         if self.phase == UpdatePhase::Idle && !engine.is_busy {
-            if let Some(load) = self.reload_layer(engine) {
+            let reload = self.reload_layer(engine);
+            if let Some(load) = reload.or_else(|| self.previous_load(engine)) {
                 return Some(load);
             }
         }
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -789,6 +789,76 @@
     assert!(out.is_empty(), "{out:?}");
 }
 
+/// Guards against a wait for peers or for a version that nobody holds: all agents but this one have dropped the version
+/// before, and the origin may have done so.
+#[test]
+fn engine_with_one_layer_goes_back_to_the_version_before() {
+    struct Case {
+        name: &'static str,
+        /// The agents of the data centre.
+        member_count: usize,
+        /// The versions that the origin serves after the load of version 2.
+        origin_versions: &'static [u64],
+        /// Whether version 3 is named a minute later.
+        is_newer_named: bool,
+        /// The versions that the engine is ordered to load.
+        orders: &'static [u64],
+    }
+    let case = Case {
+        name: "alone",
+        member_count: 1,
+        origin_versions: &[1],
+        is_newer_named: false,
+        orders: &[2, 1, 2],
+    };
+    let cases = [
+        Case {
+            name: "one of many agents",
+            member_count: 12,
+            ..case
+        },
+        Case {
+            name: "a newer version is named later",
+            origin_versions: &[1, 2, 3],
+            is_newer_named: true,
+            orders: &[2, 1, 2, 3],
+            ..case
+        },
+        Case {
+            name: "the origin has dropped the version before",
+            origin_versions: &[2, 3],
+            is_newer_named: true,
+            orders: &[2, 3],
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let mut agent = agent_of_rank(0, case.member_count, UPDATE_LIMITS);
+        agent.set_layers(1);
+        agent.advance(ms(1000));
+        agent.answer_time = ms(1500);
+        agent.order_answer = OrderAnswer::Missing;
+        agent.accepts_silently = true;
+        agent.load_check = LoadCheck::Changed;
+        agent.origin_versions = case.origin_versions.to_vec();
+        agent.name_version(2);
+        agent.receive_all(2);
+        agent.advance(ms(60_000));
+        if case.is_newer_named {
+            agent.name_version(3);
+            agent.receive_all(3);
+            agent.advance(ms(30_000));
+        }
+        assert_eq!(agent.ordered_versions(), case.orders, "{}", case.name);
+        assert!(agent.loads.iter().all(|load| load.layer.is_none()));
+        let status = agent.controller.status();
+        let newest = case.orders.last().copied();
+        assert_eq!(status.version, newest, "{}", case.name);
+        assert!(!status.is_switching, "{}", case.name);
+    }
+}
+
 /// Guards against requests that are on their way when the time of their version ends, and begin on it.
 #[test]
 fn engine_runs_nothing_on_a_version_whose_time_is_over() {
