--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -8,6 +8,7 @@
 mod learned;
 mod loading;
 mod orders;
+mod previous;
 mod reservations;
 mod retirement;
 mod schedule;
@@ -80,9 +81,9 @@
 /// The state that the engine reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
-    /// The version of its weights, if all layers are loaded.
+    /// The version of its weights, if all layers are loaded, or the first ones.
     pub version: Option<u64>,
-    /// The version of its weights, if only some layers are loaded.
+    /// The version of its weights, if only other layers are loaded.
     pub partial_version: Option<u64>,
     /// The number of layers that are loaded, if it says so.
     pub layers: Option<u32>,
@@ -98,6 +99,21 @@
     pub memory: Option<EngineMemory>,
 }
 
+impl EngineReport {
+    /// The report of an engine whose version has this many layers. If it holds the first ones alone, it
+    /// reports them as if they were all.
+    fn with_layer_count(self, layer_count: u32) -> Self {
+        if self.layers.is_none_or(|held| held >= layer_count) {
+            return self;
+        }
+        Self {
+            version: None,
+            partial_version: self.version.or(self.partial_version),
+            ..self
+        }
+    }
+}
+
 /// The use of an engine's memory, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineMemory {
@@ -281,6 +297,8 @@
     origin_region: Name,
     /// The downloads in the order of their start, which is that of their versions.
     downloads: Vec<Download>,
+    /// The download of the version before the newest one, while the engine needs it to give up the newest.
+    previous: Option<Download>,
     /// The current update of the engine, or the last one.
     update: Option<Load>,
     phase: UpdatePhase,
@@ -358,6 +376,7 @@
             members: Vec::new(),
             origin_region: Name::default(),
             downloads: Vec::new(),
+            previous: None,
             update: None,
             phase: UpdatePhase::Idle,
             staged: None,
@@ -513,14 +532,13 @@
 
     /// Whether the version with this key is downloaded here.
     pub fn is_downloading(&self, key: &Digest) -> bool {
-        self.downloads
-            .iter()
+        self.all_downloads()
             .any(|download| download.model_version.key == *key)
     }
 
     /// The report for peers on the pieces of the version with this key.
     pub fn report(&self, key: &Digest) -> Option<weights::TransferReport> {
-        let mut downloads = self.downloads.iter();
+        let mut downloads = self.all_downloads();
         downloads.find(|d| d.model_version.key == *key)?.report()
     }
 
@@ -609,9 +627,16 @@
         effects
     }
 
+    fn all_downloads(&self) -> impl Iterator<Item = &Download> {
+        self.downloads.iter().chain(&self.previous)
+    }
+
+    fn all_downloads_mut(&mut self) -> impl Iterator<Item = &mut Download> {
+        self.downloads.iter_mut().chain(&mut self.previous)
+    }
+
     fn download_mut(&mut self, key: &Digest) -> Option<&mut Download> {
-        self.downloads
-            .iter_mut()
+        self.all_downloads_mut()
             .find(|d| d.model_version.key == *key)
     }
 
@@ -645,7 +670,7 @@
             self.members_read_at = Some(now);
             effects.push(Effect::ReadMembers);
         }
-        for download in &mut self.downloads {
+        for download in self.all_downloads_mut() {
             download.handle(now, weights::Event::Tick, effects);
         }
         if let UpdatePhase::Loading(ordered_at) = self.phase {
@@ -737,8 +762,7 @@
 
     fn retain_downloaded_versions(&self, effects: &mut Vec<Effect>) {
         let keys = self
-            .downloads
-            .iter()
+            .all_downloads()
             .map(|download| download.model_version.key);
         effects.push(Effect::RetainVersions(keys.collect()));
     }
@@ -771,6 +795,7 @@
                 detail: "asked for its report".into(),
             }));
         }
+        let report = report.map(|report| self.correct_report(report));
         let previous = std::mem::replace(&mut self.engine, report);
         self.engine_reported_at = now;
         self.reservations
@@ -822,6 +847,13 @@
         }
     }
 
+    /// The report, with the number of layers that the manifest of its version names, if that is known.
+    fn correct_report(&self, report: EngineReport) -> EngineReport {
+        let mut downloads = self.downloads.iter();
+        let download = downloads.find(|d| report.version == Some(d.model_version.version));
+        download.map_or(report, |d| report.with_layer_count(d.layers()))
+    }
+
     fn handle_staged(
         &mut self,
         now: Duration,
@@ -867,12 +899,13 @@
     fn advance(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         self.drop_superseded(effects);
         let engine_is_up = self.engine.is_some();
-        for download in &mut self.downloads {
+        for download in self.all_downloads_mut() {
             download.check_engine(now, engine_is_up, effects);
         }
         let Some(engine) = self.engine else {
             return;
         };
+        self.update_previous(now, engine, effects);
         self.check_loaded(now, engine, effects);
         self.end_superfluous_update(engine);
         if let Some(load) = self.next_load(now, engine) {
@@ -946,7 +979,8 @@
             return None;
         }
         if self.phase == UpdatePhase::Idle && !engine.is_busy {
-            if let Some(load) = self.reload_layer(engine) {
+            let reload = self.reload_layer(engine);
+            if let Some(load) = reload.or_else(|| self.previous_load(engine)) {
                 return Some(load);
             }
         }
