--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -107,6 +107,8 @@
     pub sends_endless_event: bool,
     /// The engine runs requests, and writes an earlier refusal, which has no id, as their responses.
     pub repeat_refusals: bool,
+    /// How long the engine is silent after half of the tokens of a stream that it does not resume.
+    pub pause_in_stream: Duration,
     /// What the engine answers to requests that resume a stream.
     pub resume_response: Option<ResumeResponse>,
     /// How long the engine takes to return a piece.
@@ -141,8 +143,19 @@
     Document,
     /// A stream without any event, not even the last one.
     EmptyStream,
+    /// A refusal: no model is loaded.
+    Refusal,
+    /// A stream that breaks off in its first event.
+    BrokenStream,
+    /// No answer until the sender gives up.
+    Silence,
+    /// The head of a stream, and nothing after it until the sender gives up.
+    HeadOnly,
 }
 
+/// How long an engine is silent that does not resume a stream.
+const RESUME_SILENCE: Duration = Duration::from_secs(60);
+
 /// Counters of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineCounters {
@@ -562,6 +575,9 @@
             return Ok(refusal());
         }
         if let Some(resume_response) = faults.resume_response.filter(|_| resume_after.is_some()) {
+            if resume_response == ResumeResponse::Silence {
+                tokio::time::sleep(RESUME_SILENCE).await;
+            }
             return Ok(resume_response.to_response(id));
         }
         if completion.prompt.contains(CRASH_PROMPT) {
@@ -642,6 +658,7 @@
         running_request: RunningRequest,
     ) {
         let mut text = String::new();
+        let pause_at = Some(completion.max_tokens / 2).filter(|_| completion.resume_after == 0);
         let truncate_at = completion.max_tokens / 2;
         for number in completion.resume_after..completion.max_tokens {
             let (label, truncates, is_endless) = {
@@ -657,6 +674,10 @@
                 while tx.send_data(part.clone()).await.is_ok() {}
                 return;
             }
+            let pause = self.lock().faults.pause_in_stream;
+            if pause_at == Some(number) && !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
             if truncates && number == truncate_at {
                 return;
             }
@@ -704,15 +725,33 @@
                 "application/json",
                 "{\"choices\":[]}\n\ndata: [DONE]\n\n",
             ),
-            Self::EmptyStream => (StatusCode::OK, "text/event-stream", ""),
+            Self::EmptyStream | Self::Silence => (StatusCode::OK, "text/event-stream", ""),
+            Self::Refusal => return with_id(refusal(), id),
+            Self::BrokenStream | Self::HeadOnly => (StatusCode::OK, "text/event-stream", "data: {"),
         };
         let mut response = response(status, text);
+        match self {
+            Self::BrokenStream => *response.body_mut() = unfinished_body(text, Duration::ZERO),
+            Self::HeadOnly => *response.body_mut() = unfinished_body(text, RESUME_SILENCE),
+            _ => {}
+        }
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
         with_id(response, id)
     }
 }
 
+/// A body that breaks off after a while.
+fn unfinished_body(start: &'static str, time: Duration) -> Body {
+    let (mut tx, channel) = Channel::<Bytes, io::Error>::new(1);
+    tokio::spawn(async move {
+        let _disconnected = tx.send_data(start.into()).await;
+        tokio::time::sleep(time).await;
+        tx.abort(io::Error::other("injected fault: the stream breaks off"));
+    });
+    UnsyncBoxBody::new(channel)
+}
+
 /// The response to a request that the engine does not run.
 fn refusal() -> Response<Body> {
     response(StatusCode::SERVICE_UNAVAILABLE, "no model is loaded")
