A begun response leaves its silent agent only for one that has begun too, on the product's interface

Cause: the entry gave up an agent after two seconds without a frame and only then asked others. They may refuse, run another version, break off or be silent as well, and nothing was left to return to. Change: the exchange with the silent agent stays open while others are asked. The first that sends a part of the response goes on, the other is left. If no other one continues it, or none may, the entry waits for the silent one until the deadline (control::entry::handover).

--- a/components/control/src/entry/mod.rs
+++ b/components/control/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 mod choice;
 mod explanation;
+mod handover;
 mod hints;
 mod requests;
 mod ring;
@@ -72,6 +73,21 @@
         /// The target's start counter when the request ran.
         start_count: u64,
     },
+    /// The agent of a response that has started sends nothing. The exchange with it stays open.
+    AgentSilent(u64),
+    /// The silent agent continued the response before another target did, which is left.
+    SilentAgentSpoke(u64),
+    /// The exchange with the silent agent ended without the rest of the response.
+    SilentAgentEnded {
+        /// Identifies the request.
+        token: u64,
+        /// The outcome.
+        outcome: Outcome,
+        /// The target's start counter when the request ran.
+        start_count: u64,
+    },
+    /// Another target has begun to continue the response. The silent agent is left.
+    ResponseResumed(u64),
     /// The caller closed the connection.
     CallerDisconnected(u64),
     /// The status of a probed target, or `None` if the probe failed.
@@ -100,6 +116,9 @@
     Reject(u64, Rejection),
     /// The response is complete and was forwarded.
     CompleteResponse(u64),
+    /// Continue with the silent agent and wait for it. Ends each handover that no other target continues; the
+    /// effects of the request before it concern targets that are left.
+    KeepTarget(u64),
     /// Stop waiting for the agent's response.
     StopWaiting(u64),
     /// Ask an agent for the state of its target.
--- a/components/control/src/entry/requests.rs
+++ b/components/control/src/entry/requests.rs
@@ -61,19 +61,21 @@
 #[derive(Clone, Debug)]
 pub(super) struct PendingRequest {
     incoming: IncomingRequest,
-    deadline: Duration,
+    pub(super) deadline: Duration,
     /// The target of the attempt in progress.
-    target: Option<Name>,
+    pub(super) target: Option<Name>,
+    /// The silent target whose exchange stays open while another one is asked to continue its response.
+    pub(super) silent_target: Option<Name>,
     /// The targets that were tried in this round.
     tried: Vec<Name>,
     /// Whether the caller has received a part of the response.
-    has_response_started: bool,
-    is_resumable: bool,
+    pub(super) has_response_started: bool,
+    pub(super) is_resumable: bool,
     is_suspect: bool,
     /// Whether an attempt ended with an unknown outcome, so that it may have run.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// When the next round over the targets starts for an interrupted stream.
-    retry_at: Option<Duration>,
+    pub(super) retry_at: Option<Duration>,
     /// The number of rounds over the targets that were scheduled to resume an interrupted stream.
     resume_rounds: u32,
     /// The last refusal by an agent; [`Refusal::NoTarget`] before the first one.
@@ -104,6 +106,7 @@
         let pending = PendingRequest {
             deadline: now + incoming.timeout,
             target: None,
+            silent_target: None,
             tried: Vec::new(),
             has_response_started: false,
             is_resumable: false,
@@ -169,6 +172,7 @@
         match outcome {
             Outcome::Ran { .. } => {
                 self.hints.record_success(now, &target);
+                self.release_silent_target(now, token);
                 if let Some(pending) = self.pending.remove(&token) {
                     self.clear_suspect(now, pending.incoming.fingerprint, effects);
                 }
@@ -184,7 +188,7 @@
         }
     }
 
-    fn record_crash(
+    pub(super) fn record_crash(
         &mut self,
         now: Duration,
         token: u64,
@@ -209,7 +213,8 @@
         token: u64,
         effects: &mut Vec<Effect>,
     ) {
-        if self.release_target(now, token).is_some() {
+        let had_silent_target = self.release_silent_target(now, token).is_some();
+        if self.release_target(now, token).is_some() || had_silent_target {
             effects.push(Effect::StopWaiting(token));
         }
         self.pending.remove(&token);
@@ -263,8 +268,9 @@
             .collect();
         for token in expired {
             // The agent knows the deadline too and ends a running request itself.
+            let had_silent_target = self.release_silent_target(now, token).is_some();
             let was_sent = self.release_target(now, token).is_some();
-            if was_sent {
+            if was_sent || had_silent_target {
                 effects.push(Effect::StopWaiting(token));
                 self.reject(token, Outcome::Unknown { crashed: false }, false, effects);
             } else {
@@ -302,7 +308,7 @@
         } else if refusal.may_succeed_elsewhere() {
             self.retry(now, token, effects);
         } else {
-            self.reject_not_run(token, refusal, effects);
+            self.give_up(now, token, refusal, effects);
         }
     }
 
@@ -320,8 +326,7 @@
         };
         pending.is_suspect |= crashed;
         pending.may_have_run = true;
-        let is_repeatable = pending.incoming.guard == Guard::Repeatable;
-        if is_repeatable && (!pending.has_response_started || pending.is_resumable) {
+        if pending.may_be_sent_again() {
             self.retry(now, token, effects);
         } else {
             self.reject(token, Outcome::Unknown { crashed }, false, effects);
@@ -329,7 +334,7 @@
     }
 
     /// Sends a request that did not run, or that is repeatable, to another target.
-    fn retry(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
+    pub(super) fn retry(&mut self, now: Duration, token: u64, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&token) else {
             return;
         };
@@ -344,7 +349,7 @@
             } else {
                 last_refusal
             };
-            self.reject_not_run(token, refusal, effects);
+            self.give_up(now, token, refusal, effects);
             return;
         }
         self.send(now, token, effects);
@@ -355,18 +360,18 @@
             return;
         };
         if self.suspects.is_quarantined(pending.incoming.fingerprint) {
-            self.reject_not_run(token, Refusal::Quarantined, effects);
+            self.give_up(now, token, Refusal::Quarantined, effects);
             return;
         }
         if pending.deadline <= now {
-            self.reject_not_run(token, Refusal::Expired, effects);
+            self.give_up(now, token, Refusal::Expired, effects);
             return;
         }
         let choice = match self.choose_target(now, token) {
             Ok(choice) => choice,
             Err(refusal) => {
                 if !self.defer_resume(now, token) {
-                    self.reject_not_run(token, refusal, effects);
+                    self.give_up(now, token, refusal, effects);
                 }
                 return;
             }
@@ -466,12 +471,36 @@
     }
 
     /// Ends the attempt at the request's current target. Returns this target.
-    fn release_target(&mut self, now: Duration, token: u64) -> Option<Name> {
+    pub(super) fn release_target(&mut self, now: Duration, token: u64) -> Option<Name> {
         let target = self.pending.get_mut(&token)?.target.take()?;
         self.hints.record_ended(now, &target);
         Some(target)
     }
 
+    /// Rejects a request that no other target can be asked to run, or waits for its silent target.
+    fn give_up(&mut self, now: Duration, token: u64, refusal: Refusal, effects: &mut Vec<Effect>) {
+        if self.keep_silent_target(now, token, effects) {
+            self.record_kept_target(token, effects);
+        } else {
+            self.release_silent_target(now, token);
+            self.reject_not_run(token, refusal, effects);
+        }
+    }
+
+    fn record_kept_target(&self, token: u64, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&token) else {
+            return;
+        };
+        if let Some(target) = &pending.target {
+            effects.push(Effect::Record(Decision::Silent {
+                request: pending.request_name(),
+                target: target.clone(),
+                kept: true,
+                begun: pending.has_response_started,
+            }));
+        }
+    }
+
     /// Rejects a request that no target is running now. It is reported as not run unless an attempt
     /// may have run, or it has a ticket or key, with which another entry may have sent it.
     fn reject_not_run(&mut self, token: u64, refusal: Refusal, effects: &mut Vec<Effect>) {
@@ -503,6 +532,17 @@
 }
 
 impl PendingRequest {
+    /// The request's id as in the response header.
+    pub(super) fn request_name(&self) -> Name {
+        self.incoming.request.to_string().into()
+    }
+
+    /// Whether another target may be asked after an attempt that may have run.
+    pub(super) fn may_be_sent_again(&self) -> bool {
+        let may_be_replaced = !self.has_response_started || self.is_resumable;
+        self.incoming.guard == Guard::Repeatable && may_be_replaced
+    }
+
     fn has_home(&self) -> bool {
         matches!(self.incoming.guard, Guard::Ticket(_) | Guard::Key(_))
     }
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -131,6 +131,22 @@
                 outcome,
                 start_count,
             } => self.handle_outcome(elapsed, token, outcome, start_count, &mut effects),
+            Event::AgentSilent(token) => self.handle_silence(elapsed, token, &mut effects),
+            Event::SilentAgentSpoke(token) => {
+                self.handle_silent_target_spoke(elapsed, token, &mut effects)
+            }
+            Event::SilentAgentEnded {
+                token,
+                outcome,
+                start_count,
+            } => self.handle_silent_target_outcome(
+                elapsed,
+                token,
+                outcome,
+                start_count,
+                &mut effects,
+            ),
+            Event::ResponseResumed(token) => self.handle_resumed_response(elapsed, token),
             Event::CallerDisconnected(token) => {
                 self.handle_caller_disconnect(elapsed, token, &mut effects)
             }
--- a/components/control/tests/entry_requests.rs
+++ b/components/control/tests/entry_requests.rs
@@ -250,6 +250,179 @@
     assert!(resumed_at.is_some());
 }
 
+/// What becomes of a stream whose agent is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamState {
+    /// It is at a target other than the silent one, or will be.
+    AskingOthers,
+    /// It is at the silent target.
+    Kept,
+    Complete,
+    Rejected,
+}
+
+struct SilentCase {
+    name: &'static str,
+    guard: Guard,
+    resumable: bool,
+    /// What the other targets do, each of them in turn until the silent one is kept.
+    others: Option<Outcome>,
+    /// What happens then.
+    then: Vec<Event>,
+    expected: StreamState,
+}
+
+/// Guards against a begun stream that is cut off because its silent agent was left for others, which then
+/// refused it.
+#[test]
+fn a_silent_agent_is_left_only_for_one_that_has_begun() {
+    let refused = |refusal| Some(Outcome::NotRun(refusal));
+    let broken = Some(Outcome::Unknown { crashed: false });
+    let spoke = || Event::SilentAgentSpoke(1);
+    let silent_ended = || Event::SilentAgentEnded {
+        token: 1,
+        outcome: Outcome::Unknown { crashed: false },
+        start_count: 1,
+    };
+    let complete = || ended(Outcome::Ran { status: 200 });
+    let case = |name, others, then, expected| SilentCase {
+        name,
+        guard: Guard::Repeatable,
+        resumable: true,
+        others,
+        then,
+        expected,
+    };
+    use StreamState::{
+        AskingOthers,
+        Complete,
+        Kept,
+        Rejected, //
+    };
+    let cases = [
+        case(
+            "other version",
+            refused(Refusal::OtherVersion),
+            vec![],
+            Kept,
+        ),
+        case("not ready", refused(Refusal::NotReady), vec![], Kept),
+        case(
+            "full",
+            refused(Refusal::Busy { retry_after_ms: 5 }),
+            vec![],
+            Kept,
+        ),
+        case("quarantined", refused(Refusal::Quarantined), vec![], Kept),
+        case("others break off", broken, vec![], Kept),
+        case(
+            "others refuse, the silent one completes",
+            refused(Refusal::OtherVersion),
+            vec![complete()],
+            Complete,
+        ),
+        case(
+            "others refuse, the silent one ends",
+            refused(Refusal::OtherVersion),
+            vec![ended(Outcome::Unknown { crashed: false })],
+            Rejected,
+        ),
+        case(
+            "others refuse, the end of the silent one crosses the decision to keep it",
+            refused(Refusal::OtherVersion),
+            vec![silent_ended()],
+            Rejected,
+        ),
+        case(
+            "others refuse, the silent one speaks at the same time",
+            refused(Refusal::OtherVersion),
+            vec![spoke(), complete()],
+            Complete,
+        ),
+        case("another one is asked", None, vec![], AskingOthers),
+        case("the silent one speaks first", None, vec![spoke()], Kept),
+        case(
+            "the silent one completes first",
+            None,
+            vec![spoke(), complete()],
+            Complete,
+        ),
+        case(
+            "the silent one ends",
+            None,
+            vec![silent_ended()],
+            AskingOthers,
+        ),
+        case(
+            "another one begins and completes",
+            None,
+            vec![Event::ResponseResumed(1), complete()],
+            Complete,
+        ),
+        SilentCase {
+            name: "a response that no other target can continue",
+            guard: Guard::Repeatable,
+            resumable: false,
+            others: None,
+            then: vec![],
+            expected: Kept,
+        },
+        SilentCase {
+            name: "a call that may run once",
+            guard: Guard::Unmarked,
+            resumable: false,
+            others: None,
+            then: vec![complete()],
+            expected: Complete,
+        },
+    ];
+    for case in cases {
+        let mut state = entry();
+        let first = sent(&state.step(at(1), request_received(1, model(), case.guard)));
+        let response_started = Event::ResponseStarted {
+            token: 1,
+            resumable: case.resumable,
+        };
+        state.step(at(2), response_started);
+        let mut effects = state.step(at(2000), Event::AgentSilent(1));
+        let mut now = 2000;
+        // All rounds over the targets end long before the deadline.
+        while let Some(outcome) = case.others {
+            let is_kept = effects.contains(&Effect::KeepTarget(1));
+            if is_kept || rejected(&effects).is_some() || now > 9000 {
+                break;
+            }
+            now += 50;
+            effects = match sent(&effects) {
+                Some(_) => state.step(at(now), ended(outcome)),
+                None => state.step(at(now), Event::Tick),
+            };
+        }
+        let mut all = effects;
+        for event in case.then {
+            all.extend(state.step(at(now + 1), event));
+        }
+        let found = if rejected(&all).is_some() {
+            StreamState::Rejected
+        } else if all.contains(&Effect::CompleteResponse(1)) {
+            StreamState::Complete
+        } else if all.contains(&Effect::KeepTarget(1)) {
+            StreamState::Kept
+        } else {
+            assert_ne!(sent(&all), first, "{}", case.name);
+            StreamState::AskingOthers
+        };
+        assert_eq!(found, case.expected, "{}", case.name);
+        let is_open = matches!(found, StreamState::AskingOthers | StreamState::Kept);
+        let in_flight = usize::from(is_open);
+        assert_eq!(state.pending_requests(), in_flight, "{}", case.name);
+        if is_open {
+            let effects = state.step(at(10_001), Event::Tick);
+            assert!(rejected(&effects).is_some(), "{}: deadline", case.name);
+        }
+    }
+}
+
 #[test]
 fn retries_stop_when_the_budget_is_spent() {
     let mut options = Options::default();
@@ -288,6 +461,10 @@
     Disconnect,
     Wait(u64),
     Drain,
+    AgentSilent,
+    SilentAgentSpoke,
+    SilentAgentEnded,
+    Resumed,
 }
 
 fn step() -> impl Strategy<Value = (usize, Step)> {
@@ -299,6 +476,10 @@
         1 => Just(Step::Disconnect),
         2 => (1_u64..3000).prop_map(Step::Wait),
         1 => Just(Step::Drain),
+        3 => Just(Step::AgentSilent),
+        1 => Just(Step::SilentAgentSpoke),
+        1 => Just(Step::SilentAgentEnded),
+        1 => Just(Step::Resumed),
     ];
     (0_usize..8, step)
 }
@@ -312,6 +493,8 @@
         let (mut now, mut token) = (1, 0);
         // For each open request: whether it is at a target, and whether an attempt may have run.
         let mut open: std::collections::BTreeMap<u64, (bool, bool)> = Default::default();
+        // The open requests that are at a silent target as well.
+        let mut silent: std::collections::BTreeSet<u64> = Default::default();
         for (pick, step) in steps {
             let chosen = open.keys().copied().nth(pick);
             let is_at_target = chosen.is_some_and(|token| open[&token].0);
@@ -329,11 +512,29 @@
                 (Step::Drain, _) => Event::DrainRequested,
                 (Step::Disconnect, Some(token)) => {
                     open.remove(&token);
+                    silent.remove(&token);
                     Event::CallerDisconnected(token)
                 }
                 (Step::StartResponse, Some(token)) if is_at_target => {
                     Event::ResponseStarted { token, resumable: true }
                 }
+                (Step::AgentSilent, Some(token)) if is_at_target && !silent.contains(&token) => {
+                    open.insert(token, (false, true));
+                    silent.insert(token);
+                    Event::AgentSilent(token)
+                }
+                (Step::SilentAgentSpoke, Some(token)) if silent.contains(&token) => {
+                    Event::SilentAgentSpoke(token)
+                }
+                (Step::SilentAgentEnded, Some(token)) if silent.contains(&token) => {
+                    silent.remove(&token);
+                    let outcome = Outcome::Unknown { crashed: false };
+                    Event::SilentAgentEnded { token, outcome, start_count: now }
+                }
+                (Step::Resumed, Some(token)) if is_at_target && silent.contains(&token) => {
+                    silent.remove(&token);
+                    Event::ResponseResumed(token)
+                }
                 (Step::NotSent, Some(token)) if is_at_target => {
                     let (is_at_target, _) = open.get_mut(&token).unwrap();
                     *is_at_target = false;
@@ -362,17 +563,26 @@
                         prop_assert!(!*is_at_target, "{token} is at two targets");
                         *is_at_target = true;
                     }
+                    Effect::KeepTarget(token) => {
+                        prop_assert!(silent.remove(&token), "{token} is not at a silent target");
+                        open.insert(token, (true, true));
+                    }
                     Effect::StopWaiting(token) => {
+                        silent.remove(&token);
                         if let Some(request) = open.get_mut(&token) {
                             *request = (false, true);
                         }
                     }
                     Effect::Reject(token, rejection) => {
                         let (_, may_have_run) = open.remove(&token).unwrap();
+                        silent.remove(&token);
                         let is_false = rejection.not_run && may_have_run;
                         prop_assert!(!is_false, "{token}: {rejection:?}");
                     }
-                    Effect::CompleteResponse(token) => prop_assert!(open.remove(&token).is_some()),
+                    Effect::CompleteResponse(token) => {
+                        silent.remove(&token);
+                        prop_assert!(open.remove(&token).is_some());
+                    }
                     _ => {}
                 }
             }
--- a/components/proxy/src/entry/effects.rs
+++ b/components/proxy/src/entry/effects.rs
@@ -45,6 +45,7 @@
                 self.send_command(token, Command::Reject(rejection))
             }
             Effect::CompleteResponse(token) => self.send_command(token, Command::Complete),
+            Effect::KeepTarget(token) => self.send_command(token, Command::KeepTarget),
             Effect::StopWaiting(token) => self.send_command(token, Command::StopWaiting),
             Effect::Probe(name) => {
                 let inner = self.clone();
--- a/components/proxy/src/entry/mod.rs
+++ b/components/proxy/src/entry/mod.rs
@@ -78,6 +78,8 @@
     Reject(Rejection),
     /// End the response, which is complete.
     Complete,
+    /// Continue with the silent agent, which no other target replaces.
+    KeepTarget,
     /// Stop waiting for the agent.
     StopWaiting,
 }
