A stopping entry answers what it receives and closes callers' connections between requests

An answer before the body was read did not say that its connection ends. Nothing counted connections or requests that end without an answer. Cause: gotham's own loop served the connections, which cannot be told to end. Change: the entry drives each connection itself; gotham routes the requests as before. A drain (effect CloseConnections) makes the present response the last one and closes idle connections after what has arrived was read; a caller in the middle of a head has a second, and is then answered 503, not run. Unread bytes are discarded until the caller has closed. The process waits up to five seconds for callers that read slowly, 0.3 s before. A panic is answered 502 with the outcome unknown. The activity of a connection is shared with the platform's entry.

--- a/components/control/src/entry/mod.rs
+++ b/components/control/src/entry/mod.rs
@@ -125,6 +125,8 @@
     Probe(Name),
     /// Write a decision to the record.
     Record(Decision),
+    /// End the connections of callers between requests.
+    CloseConnections,
     /// No request is pending any more; the process may exit.
     Exit,
 }
--- a/components/control/src/entry/state.rs
+++ b/components/control/src/entry/state.rs
@@ -317,6 +317,7 @@
         if !self.is_draining {
             self.is_draining = true;
             effects.push(Effect::Record(Decision::Drain));
+            effects.push(Effect::CloseConnections);
         }
     }
 }
--- a/components/proxy/src/entry/caller_server.rs
+++ b/components/proxy/src/entry/caller_server.rs
@@ -1,10 +1,14 @@
 //! The HTTP server for callers.
 
-use std::panic::RefUnwindSafe;
+use std::panic::{
+    AssertUnwindSafe,
+    RefUnwindSafe, //
+};
 use std::sync::Arc;
+use std::time::Duration;
 
 use control::entry::Event;
-use futures_util::future;
+use futures_util::FutureExt;
 use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
 use gotham::middleware::state::StateMiddleware;
@@ -28,10 +32,7 @@
     Request, //
 };
 use sheet::Sheet;
-use tokio::net::{
-    TcpListener,
-    TcpStream, //
-};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use utils::clock::ClockReading;
 use utils::{
@@ -39,8 +40,10 @@
     Name, //
 };
 
+use super::caller_connection;
 use super::error_response::{
     bad_request_response,
+    failure_response,
     full_body, //
 };
 use super::forwarder::Forwarder;
@@ -65,6 +68,9 @@
 /// The maximum number of agents that are asked for a ticket.
 const MAX_TICKET_ATTEMPTS: usize = 3;
 
+/// The delay after a connection could not be accepted, for example for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// The state of this process, which Gotham adds to the state of each request.
 #[derive(Clone)]
 struct SharedEntry(Arc<Inner>);
@@ -77,13 +83,26 @@
 
 /// Serves callers while the future is polled.
 pub(super) async fn serve(listener: TcpListener, inner: Arc<Inner>) {
-    let accept = |tcp: TcpStream| {
+    let router = Arc::new(router(inner.clone()));
+    loop {
+        let (tcp, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                log::warn!("cannot accept a connection: {e}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
         // Streamed tokens are small and must not wait for the acknowledgement of the previous one.
         // Without this option the connection is only slower.
         let _ignored = tcp.set_nodelay(true);
-        future::ok(tcp)
-    };
-    gotham::bind_server(listener, router(inner), accept).await
+        let open = (!inner.is_closing()).then(|| inner.count_connection());
+        let connection = caller_connection::serve(inner.clone(), router.clone(), tcp, address);
+        tokio::spawn(async move {
+            let _open = open;
+            connection.await;
+        });
+    }
 }
 
 fn router(inner: Arc<Inner>) -> Router {
@@ -111,13 +130,41 @@
 
 async fn handle_request(mut state: GothamState) -> HandlerResult {
     let shared = SharedEntry::borrow_from(&state).clone();
-    let response = match receive_request(&shared.0, &mut state).await {
-        Ok(request) => shared.0.handle_caller_request(request).await,
-        Err(e) => bad_request_response(&e),
+    let handling = async {
+        match receive_request(&shared.0, &mut state).await {
+            Ok(request) => shared.0.handle_caller_request(request).await,
+            Err(e) => unread_request_response(&e),
+        }
     };
+    let response = AssertUnwindSafe(handling).catch_unwind().await;
+    let response = response.unwrap_or_else(|_| {
+        // The panic hook has written the message.
+        metrics::counter!("medlarproxy_handler_panics_total").increment(1);
+        failure_response()
+    });
     Ok((state, response))
 }
 
+/// The response to a request that could not be received. It is the last one of its connection if the rest of
+/// the body may still come.
+fn unread_request_response(e: &BadRequest) -> Response<Body> {
+    let mut response = bad_request_response(e);
+    let is_unread = matches!(
+        e,
+        BadRequest::TooLarge(_)
+            | BadRequest::TooSlow(_)
+            | BadRequest::Incomplete
+            | BadRequest::NoMemory
+    );
+    if is_unread {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
 async fn receive_request(inner: &Inner, state: &mut GothamState) -> Result<RawRequest, BadRequest> {
     let options = &inner.callers;
     let endpoint = parse_endpoint(Uri::borrow_from(state))?;
@@ -197,11 +244,18 @@
         self.node
             .control
             .send(Event::RequestReceived(parsed.incoming_request));
-        tokio::spawn(forwarder.run());
-        // The forwarder ends without a response only if the process is killed.
-        response
-            .await
-            .unwrap_or_else(|_| text_response(StatusCode::BAD_GATEWAY, "the process is ending"))
+        tokio::spawn(async move {
+            if AssertUnwindSafe(forwarder.run())
+                .catch_unwind()
+                .await
+                .is_err()
+            {
+                // The panic hook has written the message.
+                metrics::counter!("medlarproxy_handler_panics_total").increment(1);
+            }
+        });
+        // The forwarder ends without a response only if it panics or the process is killed.
+        response.await.unwrap_or_else(|_| failure_response())
     }
 
     async fn current_sheet(&self) -> Option<Arc<Sheet>> {
--- a/components/proxy/src/entry/effects.rs
+++ b/components/proxy/src/entry/effects.rs
@@ -55,7 +55,12 @@
                 self.node.publish(state);
                 self.node.record(now, decision);
             }
-            Effect::Exit => self.drained.notify_waiters(),
+            Effect::CloseConnections => {
+                self.closing.send_replace(true);
+            }
+            Effect::Exit => {
+                self.drained.send_replace(true);
+            }
         }
     }
 
--- a/components/proxy/src/entry/error_response.rs
+++ b/components/proxy/src/entry/error_response.rs
@@ -111,6 +111,29 @@
     }
 }
 
+/// The response to a request whose handling failed, after which it may have run.
+pub(super) fn failure_response() -> Response<Body> {
+    rejection_response(&Rejection {
+        outcome: Outcome::Unknown { crashed: false },
+        not_run: false,
+    })
+}
+
+/// The last response on a connection whose caller has sent only a part of its request, or did so too late.
+pub(super) fn raw_rejection(rejection: &Rejection) -> Vec<u8> {
+    let status = StatusCode::from_u16(rejection_status(rejection)).unwrap_or_default();
+    let body = ErrorBody {
+        error: rejection_text(rejection),
+    };
+    let json = serde_json::to_string(&body).unwrap_or_default();
+    let text = format!(
+        "HTTP/1.1 {status}\r\nconnection: close\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\n\r\n{json}",
+        json.len()
+    );
+    text.into_bytes()
+}
+
 fn rejection_status(rejection: &Rejection) -> u16 {
     match rejection.outcome {
         Outcome::NotRun(Refusal::Busy { .. }) => 429,
--- a/components/proxy/src/entry/mod.rs
+++ b/components/proxy/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: the process that accepts callers' HTTP requests and forwards them to agents.
 
+mod caller_connection;
 mod caller_server;
 mod effects;
 mod error_response;
@@ -9,6 +10,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{
     AtomicU64,
+    AtomicUsize,
     Ordering, //
 };
 use std::sync::{
@@ -34,8 +36,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{
     mpsc,
-    Notify, //
+    watch, //
 };
+use tokio::time::Instant;
 use utils::Name;
 use wire::Responder;
 
@@ -92,7 +95,21 @@
     buffers: Buffers,
     next_token: AtomicU64,
     command_senders: Mutex<HashMap<u64, mpsc::UnboundedSender<Command>>>,
-    drained: Notify,
+    /// Whether the connections of callers are to end.
+    closing: watch::Sender<bool>,
+    /// The connections of callers that were accepted before.
+    open_connections: AtomicUsize,
+    /// Whether all requests have ended after a drain.
+    drained: watch::Sender<bool>,
+}
+
+/// Counts as a connection until it is dropped.
+struct OpenConnection(Arc<Inner>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A running entry.
@@ -110,8 +127,14 @@
     }
 }
 
-/// How long a drained entry keeps its connections open to send the rest of the last responses.
-const DRAIN_FLUSH_TIME: Duration = Duration::from_millis(300);
+/// How long a drained entry runs at least, to answer callers that have just connected.
+const MIN_DRAINED_TIME: Duration = Duration::from_millis(300);
+
+/// How long a drained entry runs at most to send the rest of the last responses.
+const MAX_DRAINED_TIME: Duration = Duration::from_secs(5);
+
+/// How often a drained entry checks whether its connections have ended.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Entry {
     /// Starts an entry that serves other processes on `peer_listener` and callers on
@@ -145,7 +168,9 @@
             callers: setup.callers,
             next_token: AtomicU64::new(0),
             command_senders: Mutex::default(),
-            drained: Notify::new(),
+            closing: watch::Sender::new(false),
+            open_connections: AtomicUsize::new(0),
+            drained: watch::Sender::new(false),
             node,
         });
         let control_thread = ControlThread {
@@ -191,12 +216,22 @@
         self.inner.node.recent_lines()
     }
 
-    /// Stops accepting requests and waits until the active ones have ended.
+    /// Stops accepting requests and waits until the active ones have ended and their callers have the responses.
     pub async fn drain(&self) {
-        let drained = self.inner.drained.notified();
         self.control().send(Event::DrainRequested);
-        drained.await;
-        tokio::time::sleep(DRAIN_FLUSH_TIME).await;
+        self.wait_until_drained().await;
+    }
+
+    /// Waits until a drain, whoever asked for it, has ended.
+    pub async fn wait_until_drained(&self) {
+        let mut drained = self.inner.drained.subscribe();
+        // Cannot fail: `inner` holds the sender.
+        drop(drained.wait_for(|is_drained| *is_drained).await);
+        let latest = Instant::now() + MAX_DRAINED_TIME;
+        tokio::time::sleep(MIN_DRAINED_TIME).await;
+        while self.inner.open_connections.load(Ordering::Relaxed) > 0 && Instant::now() < latest {
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        }
     }
 
     /// Stops the entry immediately without draining, as a crash would.
@@ -244,6 +279,15 @@
         }
     }
 
+    fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
+    fn count_connection(self: &Arc<Self>) -> OpenConnection {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(self.clone())
+    }
+
     fn send_command(&self, token: u64, command: Command) {
         if let Some(sender) = lock(&self.command_senders).get(&token) {
             // A request that has ended reports so itself when it is dropped.
--- a/components/proxy/src/router/activity.rs
+++ b/components/proxy/src/router/activity.rs
@@ -1,9 +1,18 @@
 //! What happens on a connection of a caller, as its stream, its requests and their answers show it.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    AtomicUsize,
+    Ordering::Relaxed, //
+};
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError, //
+};
 use std::task::{
     ready,
     Context,
@@ -24,55 +33,59 @@
 };
 use tokio::net::TcpStream;
 
-use super::answers::{
-    Body,
-    BodyError, //
-};
-
 /// What happens on one connection.
 #[derive(Debug, Default)]
-pub(super) struct Activity {
-    stage: Cell<Stage>,
+pub(crate) struct Activity {
+    stage: Mutex<Stage>,
     /// Rises with each change of the stage, and with each part of an answer that is written after its end.
-    changes: Cell<u64>,
+    changes: AtomicU64,
     /// Bytes of the head that is being received.
-    head_bytes: Cell<usize>,
-    max_head_bytes: Cell<usize>,
-    requests: Cell<u64>,
+    head_bytes: AtomicUsize,
+    max_head_bytes: AtomicUsize,
+    requests: AtomicU64,
     /// Whether the caller has closed its side.
-    has_caller_closed: Cell<bool>,
+    has_caller_closed: AtomicBool,
+    /// Whether a part of an answer waits until the caller has received earlier ones. An answer has ended before
+    /// its last part is written.
+    has_unwritten: AtomicBool,
 }
 
 impl Activity {
     pub fn stage(&self) -> Stage {
-        self.stage.get()
+        *self.stage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub fn changes(&self) -> u64 {
-        self.changes.get()
+        self.changes.load(Relaxed)
     }
 
     /// The number of requests whose head was received.
     pub fn requests(&self) -> u64 {
-        self.requests.get()
+        self.requests.load(Relaxed)
     }
 
     pub fn has_caller_closed(&self) -> bool {
-        self.has_caller_closed.get()
+        self.has_caller_closed.load(Relaxed)
+    }
+
+    /// Whether a part of an answer has not been written yet.
+    pub fn has_unwritten(&self) -> bool {
+        self.has_unwritten.load(Relaxed)
     }
 
     /// Whether more bytes than allowed came without the end of a head.
     pub fn is_head_too_long(&self) -> bool {
-        self.stage() == Stage::Head && self.head_bytes.get() > self.max_head_bytes.get()
+        self.stage() == Stage::Head
+            && self.head_bytes.load(Relaxed) > self.max_head_bytes.load(Relaxed)
     }
 
     pub fn set_max_head_bytes(&self, bytes: usize) {
-        self.max_head_bytes.set(bytes);
+        self.max_head_bytes.store(bytes, Relaxed);
     }
 
     /// Begins a request whose head was received.
-    pub fn begin_request(self: &Rc<Self>) -> RequestInProgress {
-        self.requests.set(self.requests.get() + 1);
+    pub fn begin_request(self: &Arc<Self>) -> RequestInProgress {
+        self.requests.fetch_add(1, Relaxed);
         self.enter(Stage::Request);
         RequestInProgress {
             activity: self.clone(),
@@ -81,18 +94,18 @@
     }
 
     fn enter(&self, stage: Stage) {
-        self.stage.set(stage);
-        self.head_bytes.set(0);
+        *self.stage.lock().unwrap_or_else(PoisonError::into_inner) = stage;
+        self.head_bytes.store(0, Relaxed);
         self.record_change();
     }
 
     fn record_change(&self) {
-        self.changes.set(self.changes.get() + 1);
+        self.changes.fetch_add(1, Relaxed);
     }
 
     fn record_read(&self, bytes: usize) {
         if bytes == 0 {
-            self.has_caller_closed.set(true);
+            self.has_caller_closed.store(true, Relaxed);
             return;
         }
         match self.stage() {
@@ -100,10 +113,14 @@
             Stage::Head => {}
             Stage::Idle => self.enter(Stage::Head),
         }
-        self.head_bytes.set(self.head_bytes.get() + bytes);
+        self.head_bytes.fetch_add(bytes, Relaxed);
     }
 
-    fn record_written(&self) {
+    fn record_write<T>(&self, result: &Poll<io::Result<T>>) {
+        self.has_unwritten.store(result.is_pending(), Relaxed);
+        if !matches!(result, Poll::Ready(Ok(_))) {
+            return;
+        }
         // The end of an answer: the idle time counts from its last part.
         if self.stage() == Stage::Idle {
             self.record_change();
@@ -123,8 +140,8 @@
 /// A request from its head to the end of its answer. Dropping it ends it, and counts it if it got no whole
 /// answer.
 #[derive(Debug)]
-pub(super) struct RequestInProgress {
-    activity: Rc<Activity>,
+pub(crate) struct RequestInProgress {
+    activity: Arc<Activity>,
     end: RequestEnd,
 }
 
@@ -141,18 +158,18 @@
 }
 
 /// The body of an answer, which ends its request when it is dropped.
-pub(super) struct AnswerBody {
-    body: Body,
+pub(crate) struct AnswerBody<B: HttpBody> {
+    body: B,
     request: RequestInProgress,
 }
 
-impl AnswerBody {
-    pub fn new(body: Body, request: RequestInProgress) -> Self {
+impl<B: HttpBody> AnswerBody<B> {
+    pub fn new(body: B, request: RequestInProgress) -> Self {
         Self { body, request }
     }
 }
 
-impl Drop for AnswerBody {
+impl<B: HttpBody> Drop for AnswerBody<B> {
     fn drop(&mut self) {
         // The end of a body of known length is not read.
         if self.body.is_end_stream() && self.request.end == RequestEnd::ConnectionEnded {
@@ -161,14 +178,14 @@
     }
 }
 
-impl HttpBody for AnswerBody {
+impl<B: HttpBody<Data = Bytes> + Unpin> HttpBody for AnswerBody<B> {
     type Data = Bytes;
-    type Error = BodyError;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         match &frame {
             Some(Ok(_)) => {}
@@ -189,13 +206,13 @@
 
 /// The stream of a connection, which records what is read and written.
 #[derive(Debug)]
-pub(super) struct ObservedStream {
+pub(crate) struct ObservedStream {
     tcp: TcpStream,
-    activity: Rc<Activity>,
+    activity: Arc<Activity>,
 }
 
 impl ObservedStream {
-    pub fn new(tcp: TcpStream, activity: Rc<Activity>) -> Self {
+    pub fn new(tcp: TcpStream, activity: Arc<Activity>) -> Self {
         Self { tcp, activity }
     }
 
@@ -227,9 +244,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.tcp).poll_write(cx, buf))?;
-        self.activity.record_written();
-        Poll::Ready(Ok(written))
+        let result = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        self.activity.record_write(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -237,9 +254,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs))?;
-        self.activity.record_written();
-        Poll::Ready(Ok(written))
+        let result = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
+        self.activity.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/components/proxy/src/router/connection.rs
+++ b/components/proxy/src/router/connection.rs
@@ -10,7 +10,7 @@
     pin,
     Pin, //
 };
-use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{
     Context,
     Poll, //
@@ -57,7 +57,10 @@
     ObservedStream,
     RequestInProgress, //
 };
-use super::answers::empty_response;
+use super::answers::{
+    empty_response,
+    Body, //
+};
 use super::server::{
     Phase,
     ShutdownSignal, //
@@ -240,7 +243,7 @@
     }
 }
 
-type Handling = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
+type Handling = Pin<Box<dyn Future<Output = Result<Response<AnswerBody<Body>>, Infallible>>>>;
 
 /// Serves one connection until it ends.
 pub(super) async fn serve(router: Router, tcp: TcpStream, shutdown: ShutdownSignal) {
@@ -248,7 +251,7 @@
     let _ignored = tcp.set_nodelay(true);
     let opened_at = router.elapsed();
     let opened_under = router.inner.state.borrow().config_version();
-    let activity = Rc::new(Activity::default());
+    let activity = Arc::new(Activity::default());
     let service =
         service_fn(|request| handle_request(router.clone(), activity.begin_request(), request));
     let head_buffer_bytes = router
@@ -311,7 +314,7 @@
 where
     S: Service<
         Request<Incoming>,
-        Response = Response<AnswerBody>,
+        Response = Response<AnswerBody<Body>>,
         Error = Infallible,
         Future = Handling,
     >,
@@ -422,19 +425,23 @@
 }
 
 /// Closes a connection so that its caller receives what was written to it.
-async fn close(mut tcp: TcpStream, ended: &EndedConnection) {
+async fn close(tcp: TcpStream, ended: &EndedConnection) {
     let is_between_requests = matches!(ended.cause, Cause::Idle | Cause::Stop);
     let is_lost = matches!(ended.cause, Cause::AnswerBrokenOff | Cause::Caller);
     if is_lost || (is_between_requests && !ended.has_unread) {
         return;
     }
-    // A close with unread bytes resets the connection, which takes along what the caller has not received.
+    let rejection = ended.cause.rejection().map(|status| {
+        format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n")
+    });
+    deliver_rest(tcp, rejection.unwrap_or_default().as_bytes()).await;
+}
+
+/// Writes the last bytes of a connection and closes it. A close with unread bytes resets a connection, which
+/// takes along what the caller has not received, so they are discarded until the caller has closed.
+pub(crate) async fn deliver_rest(mut tcp: TcpStream, last_bytes: &[u8]) {
     let closing = async {
-        if let Some(status) = ended.cause.rejection() {
-            let text =
-                format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
-            tcp.write_all(text.as_bytes()).await?;
-        }
+        tcp.write_all(last_bytes).await?;
         tcp.shutdown().await?;
         let mut buf = [0; DISCARD_BUFFER_BYTES];
         while tcp.read(&mut buf).await? > 0 {}
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -3,9 +3,9 @@
 //! The reducer and all I/O run on one thread: an instance of this role has a fifth of a core, and
 //! each message to another thread costs a wake-up.
 
-mod activity;
+pub(crate) mod activity;
 mod answers;
-mod connection;
+pub(crate) mod connection;
 mod crashes;
 mod engines;
 mod events;
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -62,7 +62,11 @@
     let entry = Entry::start(setup, peers, callers, http_client())?;
     let admin_process = admin::Process::Entry(entry.clone());
     process::serve_admin(settings, admin_process, metrics).await?;
-    process::wait_for_stop_signal().await?;
+    tokio::select! {
+        signal = process::wait_for_stop_signal() => signal?,
+        // The administration interface has asked for a stop.
+        () = entry.wait_until_drained() => return Ok(()),
+    }
     entry.drain().await;
     Ok(())
 }
