A process that was drained over the administration interface ends

What operators saw: POST /v1/drain did not end the process, and a signal after it made the process wait for ever. Cause: the end of a drain was a notification to those who wait at that moment, and nobody did. That the processes themselves exit was not run.

--- a/components/proxy/src/agent/effects.rs
+++ b/components/proxy/src/agent/effects.rs
@@ -88,7 +88,9 @@
                 self.node.publish(state);
                 self.node.record(now, decision);
             }
-            Effect::Exit => self.drained.notify_waiters(),
+            Effect::Exit => {
+                self.drained.send_replace(true);
+            }
         }
     }
 
--- a/components/proxy/src/agent/mod.rs
+++ b/components/proxy/src/agent/mod.rs
@@ -35,6 +35,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{
     oneshot,
+    watch,
     Notify, //
 };
 use utils::Name;
@@ -101,7 +102,8 @@
     reply_senders: Mutex<HashMap<u64, oneshot::Sender<ControlReply>>>,
     cancel_signals: Mutex<HashMap<u64, Arc<Notify>>>,
     fetches: Mutex<HashMap<Piece, tokio::task::AbortHandle>>,
-    drained: Notify,
+    /// Whether all requests have ended after a drain.
+    drained: watch::Sender<bool>,
     /// Whether the target has returned the id of a request in a response.
     target_returns_ids: AtomicBool,
 }
@@ -160,7 +162,7 @@
             reply_senders: Mutex::default(),
             cancel_signals: Mutex::default(),
             fetches: Mutex::default(),
-            drained: Notify::new(),
+            drained: watch::Sender::new(false),
             target_returns_ids: AtomicBool::new(false),
             node,
         });
@@ -208,9 +210,15 @@
 
     /// Stops accepting requests and waits until the running ones have ended.
     pub async fn drain(&self) {
-        let drained = self.inner.drained.notified();
         self.control().send(Event::DrainRequested);
-        drained.await;
+        self.wait_until_drained().await;
+    }
+
+    /// Waits until a drain, whoever asked for it, has ended.
+    pub async fn wait_until_drained(&self) {
+        let mut drained = self.inner.drained.subscribe();
+        // Cannot fail: `inner` holds the sender.
+        drop(drained.wait_for(|is_drained| *is_drained).await);
     }
 
     /// Stops the agent immediately without draining, as a crash would.
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -53,7 +53,11 @@
     let agent = Agent::start(setup, listener, http_client())?;
     let admin_process = admin::Process::Agent(agent.clone());
     process::serve_admin(settings, admin_process, metrics).await?;
-    process::wait_for_stop_signal().await?;
+    tokio::select! {
+        signal = process::wait_for_stop_signal() => signal?,
+        // The administration interface has asked for a stop.
+        () = agent.wait_until_drained() => return Ok(()),
+    }
     agent.drain().await;
     Ok(())
 }
