--- a/components/proxy/src/entry/effects.rs
+++ b/components/proxy/src/entry/effects.rs
@@ -45,6 +45,7 @@
                 self.send_command(token, Command::Reject(rejection))
             }
             Effect::CompleteResponse(token) => self.send_command(token, Command::Complete),
+            Effect::KeepTarget(token) => self.send_command(token, Command::KeepTarget),
             Effect::StopWaiting(token) => self.send_command(token, Command::StopWaiting),
             Effect::Probe(name) => {
                 let inner = self.clone();
@@ -54,7 +55,12 @@
                 self.node.publish(state);
                 self.node.record(now, decision);
             }
-            Effect::Exit => self.drained.notify_waiters(),
+            Effect::CloseConnections => {
+                self.closing.send_replace(true);
+            }
+            Effect::Exit => {
+                self.drained.send_replace(true);
+            }
         }
     }
 
--- a/components/proxy/src/router/activity.rs
+++ b/components/proxy/src/router/activity.rs
@@ -1,9 +1,18 @@
 //! What happens on a connection of a caller, as its stream, its requests and their answers show it.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    AtomicUsize,
+    Ordering::Relaxed, //
+};
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError, //
+};
 use std::task::{
     ready,
     Context,
@@ -24,52 +33,47 @@
 };
 use tokio::net::TcpStream;
 
-use super::answers::{
-    Body,
-    BodyError, //
-};
-
 /// What happens on one connection.
 #[derive(Debug, Default)]
-pub(super) struct Activity {
-    stage: Cell<Stage>,
+pub(crate) struct Activity {
+    stage: Mutex<Stage>,
     /// Rises with each change of the stage, and with each part of an answer that is written after its last part
     /// was buffered.
-    changes: Cell<u64>,
+    changes: AtomicU64,
     /// Bytes of the head that is being received, or of the next one while an answer is being delivered.
-    head_bytes: Cell<usize>,
-    max_head_bytes: Cell<usize>,
-    requests: Cell<u64>,
+    head_bytes: AtomicUsize,
+    max_head_bytes: AtomicUsize,
+    requests: AtomicU64,
     /// Whether the caller has closed its side.
-    has_caller_closed: Cell<bool>,
+    has_caller_closed: AtomicBool,
     /// Whether the caller knows the end of an answer without a length by the end of the connection.
-    is_end_by_close: Cell<bool>,
+    is_end_by_close: AtomicBool,
 }
 
 impl Activity {
     pub fn stage(&self) -> Stage {
-        self.stage.get()
+        *self.stage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub fn changes(&self) -> u64 {
-        self.changes.get()
+        self.changes.load(Relaxed)
     }
 
     /// The number of requests whose head was received.
     pub fn requests(&self) -> u64 {
-        self.requests.get()
+        self.requests.load(Relaxed)
     }
 
     pub fn has_caller_closed(&self) -> bool {
-        self.has_caller_closed.get()
+        self.has_caller_closed.load(Relaxed)
     }
 
     pub fn is_end_by_close(&self) -> bool {
-        self.is_end_by_close.get()
+        self.is_end_by_close.load(Relaxed)
     }
 
     pub fn set_end_by_close(&self, is_end_by_close: bool) {
-        self.is_end_by_close.set(is_end_by_close);
+        self.is_end_by_close.store(is_end_by_close, Relaxed);
     }
 
     /// Whether more bytes than allowed came without the end of a head.
@@ -78,17 +82,17 @@
     }
 
     fn has_too_many_head_bytes(&self) -> bool {
-        self.head_bytes.get() > self.max_head_bytes.get()
+        self.head_bytes.load(Relaxed) > self.max_head_bytes.load(Relaxed)
     }
 
     pub fn set_max_head_bytes(&self, bytes: usize) {
-        self.max_head_bytes.set(bytes);
+        self.max_head_bytes.store(bytes, Relaxed);
     }
 
     /// Begins a request whose head was received.
-    pub fn begin_request(self: &Rc<Self>, is_head: bool) -> RequestInProgress {
-        self.requests.set(self.requests.get() + 1);
-        self.head_bytes.set(0);
+    pub fn begin_request(self: &Arc<Self>, is_head: bool) -> RequestInProgress {
+        self.requests.fetch_add(1, Relaxed);
+        self.head_bytes.store(0, Relaxed);
         self.enter(Stage::Request);
         RequestInProgress {
             activity: self.clone(),
@@ -98,17 +102,17 @@
     }
 
     fn enter(&self, stage: Stage) {
-        self.stage.set(stage);
+        *self.stage.lock().unwrap_or_else(PoisonError::into_inner) = stage;
         self.record_change();
     }
 
     fn record_change(&self) {
-        self.changes.set(self.changes.get() + 1);
+        self.changes.fetch_add(1, Relaxed);
     }
 
     fn record_read(&self, bytes: usize) {
         if bytes == 0 {
-            self.has_caller_closed.set(true);
+            self.has_caller_closed.store(true, Relaxed);
             return;
         }
         match self.stage() {
@@ -116,7 +120,7 @@
             Stage::Head | Stage::Delivery => {}
             Stage::Idle => self.enter(Stage::Head),
         }
-        self.head_bytes.set(self.head_bytes.get() + bytes);
+        self.head_bytes.fetch_add(bytes, Relaxed);
     }
 
     fn record_written(&self) {
@@ -128,7 +132,7 @@
     /// Records that nothing is buffered any more.
     fn record_flushed(&self) {
         if self.stage() == Stage::Delivery {
-            let has_next_head = self.head_bytes.get() > 0;
+            let has_next_head = self.head_bytes.load(Relaxed) > 0;
             self.enter(if has_next_head {
                 Stage::Head
             } else {
@@ -150,8 +154,8 @@
 /// A request from its head to the end of its answer. Dropping it ends it, and counts it if it got no whole
 /// answer.
 #[derive(Debug)]
-pub(super) struct RequestInProgress {
-    activity: Rc<Activity>,
+pub(crate) struct RequestInProgress {
+    activity: Arc<Activity>,
     /// Whether its answer has no body, whatever the body says.
     is_head: bool,
     end: RequestEnd,
@@ -170,18 +174,18 @@
 }
 
 /// The body of an answer, which ends its request when it is dropped.
-pub(super) struct AnswerBody {
-    body: Body,
+pub(crate) struct AnswerBody<B: HttpBody> {
+    body: B,
     request: RequestInProgress,
 }
 
-impl AnswerBody {
-    pub fn new(body: Body, request: RequestInProgress) -> Self {
+impl<B: HttpBody> AnswerBody<B> {
+    pub fn new(body: B, request: RequestInProgress) -> Self {
         Self { body, request }
     }
 }
 
-impl Drop for AnswerBody {
+impl<B: HttpBody> Drop for AnswerBody<B> {
     fn drop(&mut self) {
         // The end of a body of known length is not read.
         let is_read = self.body.is_end_stream() || self.request.is_head;
@@ -191,14 +195,14 @@
     }
 }
 
-impl HttpBody for AnswerBody {
+impl<B: HttpBody<Data = Bytes> + Unpin> HttpBody for AnswerBody<B> {
     type Data = Bytes;
-    type Error = BodyError;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         match &frame {
             Some(Ok(_)) => {}
@@ -219,13 +223,13 @@
 
 /// The stream of a connection, which records what is read and written.
 #[derive(Debug)]
-pub(super) struct ObservedStream {
+pub(crate) struct ObservedStream {
     tcp: TcpStream,
-    activity: Rc<Activity>,
+    activity: Arc<Activity>,
 }
 
 impl ObservedStream {
-    pub fn new(tcp: TcpStream, activity: Rc<Activity>) -> Self {
+    pub fn new(tcp: TcpStream, activity: Arc<Activity>) -> Self {
         Self { tcp, activity }
     }
 
