--- a/components/proxy/src/entry/caller_connection.rs
+++ b/components/proxy/src/entry/caller_connection.rs
@@ -22,8 +22,10 @@
 use gotham::service::call_handler;
 use gotham::state::State as GothamState;
 use http::{
+    Method,
     Request,
-    Response, //
+    Response,
+    Version, //
 };
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
@@ -108,7 +110,8 @@
 ) {
     let activity = Arc::new(Activity::default());
     let service = service_fn(|request: Request<Incoming>| {
-        let in_progress = activity.begin_request();
+        activity.set_end_by_close(request.version() < Version::HTTP_11);
+        let in_progress = activity.begin_request(request.method() == Method::HEAD);
         let router = router.clone();
         async move {
             let response = respond(router, request, address).await;
@@ -134,14 +137,15 @@
             is_stopping = is_stopping || stop.as_mut().poll(cx).is_ready();
             is_over = is_over || late.as_mut().poll(cx).is_ready();
             match activity.stage() {
-                Stage::Idle if activity.has_unwritten() => {}
                 Stage::Idle if is_over || (is_stopping && !is_late_connection) => {
                     return Poll::Ready(Cause::Stop);
                 }
                 Stage::Head if is_over => return Poll::Ready(Cause::Stop),
                 // The response says that it is the last one, if its head is not written yet.
-                Stage::Request if is_last_request => Pin::new(&mut connection).graceful_shutdown(),
-                Stage::Idle | Stage::Head | Stage::Request => {}
+                Stage::Request | Stage::Delivery if is_last_request => {
+                    Pin::new(&mut connection).graceful_shutdown()
+                }
+                Stage::Idle | Stage::Head | Stage::Request | Stage::Delivery => {}
             }
             Poll::Pending
         })
--- a/components/proxy/src/router/activity.rs
+++ b/components/proxy/src/router/activity.rs
@@ -37,17 +37,17 @@
 #[derive(Debug, Default)]
 pub(crate) struct Activity {
     stage: Mutex<Stage>,
-    /// Rises with each change of the stage, and with each part of an answer that is written after its end.
+    /// Rises with each change of the stage, and with each part of an answer that is written after its last part
+    /// was buffered.
     changes: AtomicU64,
-    /// Bytes of the head that is being received.
+    /// Bytes of the head that is being received, or of the next one while an answer is being delivered.
     head_bytes: AtomicUsize,
     max_head_bytes: AtomicUsize,
     requests: AtomicU64,
     /// Whether the caller has closed its side.
     has_caller_closed: AtomicBool,
-    /// Whether a part of an answer waits until the caller has received earlier ones. An answer has ended before
-    /// its last part is written.
-    has_unwritten: AtomicBool,
+    /// Whether the caller knows the end of an answer without a length by the end of the connection.
+    is_end_by_close: AtomicBool,
 }
 
 impl Activity {
@@ -68,15 +68,21 @@
         self.has_caller_closed.load(Relaxed)
     }
 
-    /// Whether a part of an answer has not been written yet.
-    pub fn has_unwritten(&self) -> bool {
-        self.has_unwritten.load(Relaxed)
+    pub fn is_end_by_close(&self) -> bool {
+        self.is_end_by_close.load(Relaxed)
+    }
+
+    pub fn set_end_by_close(&self, is_end_by_close: bool) {
+        self.is_end_by_close.store(is_end_by_close, Relaxed);
     }
 
     /// Whether more bytes than allowed came without the end of a head.
     pub fn is_head_too_long(&self) -> bool {
-        self.stage() == Stage::Head
-            && self.head_bytes.load(Relaxed) > self.max_head_bytes.load(Relaxed)
+        self.stage() == Stage::Head && self.has_too_many_head_bytes()
+    }
+
+    fn has_too_many_head_bytes(&self) -> bool {
+        self.head_bytes.load(Relaxed) > self.max_head_bytes.load(Relaxed)
     }
 
     pub fn set_max_head_bytes(&self, bytes: usize) {
@@ -84,18 +90,19 @@
     }
 
     /// Begins a request whose head was received.
-    pub fn begin_request(self: &Arc<Self>) -> RequestInProgress {
+    pub fn begin_request(self: &Arc<Self>, is_head: bool) -> RequestInProgress {
         self.requests.fetch_add(1, Relaxed);
+        self.head_bytes.store(0, Relaxed);
         self.enter(Stage::Request);
         RequestInProgress {
             activity: self.clone(),
+            is_head,
             end: RequestEnd::ConnectionEnded,
         }
     }
 
     fn enter(&self, stage: Stage) {
         *self.stage.lock().unwrap_or_else(PoisonError::into_inner) = stage;
-        self.head_bytes.store(0, Relaxed);
         self.record_change();
     }
 
@@ -110,22 +117,29 @@
         }
         match self.stage() {
             Stage::Request => return,
-            Stage::Head => {}
+            Stage::Head | Stage::Delivery => {}
             Stage::Idle => self.enter(Stage::Head),
         }
         self.head_bytes.fetch_add(bytes, Relaxed);
     }
 
-    fn record_write<T>(&self, result: &Poll<io::Result<T>>) {
-        self.has_unwritten.store(result.is_pending(), Relaxed);
-        if !matches!(result, Poll::Ready(Ok(_))) {
-            return;
-        }
-        // The end of an answer: the idle time counts from its last part.
-        if self.stage() == Stage::Idle {
+    fn record_written(&self) {
+        if self.stage() == Stage::Delivery {
             self.record_change();
         }
     }
+
+    /// Records that nothing is buffered any more.
+    fn record_flushed(&self) {
+        if self.stage() == Stage::Delivery {
+            let has_next_head = self.head_bytes.load(Relaxed) > 0;
+            self.enter(if has_next_head {
+                Stage::Head
+            } else {
+                Stage::Idle
+            });
+        }
+    }
 }
 
 /// How a request ended on its connection.
@@ -142,12 +156,14 @@
 #[derive(Debug)]
 pub(crate) struct RequestInProgress {
     activity: Arc<Activity>,
+    /// Whether its answer has no body, whatever the body says.
+    is_head: bool,
     end: RequestEnd,
 }
 
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
-        self.activity.enter(Stage::Idle);
+        self.activity.enter(Stage::Delivery);
         let cause = match self.end {
             RequestEnd::Answered => return,
             RequestEnd::AnswerBrokenOff => "answer_broken_off",
@@ -172,7 +188,8 @@
 impl<B: HttpBody> Drop for AnswerBody<B> {
     fn drop(&mut self) {
         // The end of a body of known length is not read.
-        if self.body.is_end_stream() && self.request.end == RequestEnd::ConnectionEnded {
+        let is_read = self.body.is_end_stream() || self.request.is_head;
+        if is_read && self.request.end == RequestEnd::ConnectionEnded {
             self.request.end = RequestEnd::Answered;
         }
     }
@@ -228,7 +245,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // The connection is closed with what has arrived so far.
-        if self.activity.is_head_too_long() {
+        if self.activity.stage() != Stage::Request && self.activity.has_too_many_head_bytes() {
             return Poll::Pending;
         }
         let before = buf.filled().len();
@@ -244,9 +261,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.tcp).poll_write(cx, buf);
-        self.activity.record_write(&result);
-        result
+        let written = ready!(Pin::new(&mut self.tcp).poll_write(cx, buf))?;
+        self.activity.record_written();
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -254,17 +271,20 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
-        self.activity.record_write(&result);
-        result
+        let written = ready!(Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs))?;
+        self.activity.record_written();
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
         self.tcp.is_write_vectored()
     }
 
+    /// Called when all that was buffered is written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(cx)
+        ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
+        self.activity.record_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
