Soak draws all kinds of change of the configuration

The soak changed keys only, so that no limit, timeout, route, split or priority ever changed beside a request. It now draws one of these, or a storm of several, with SIGHUP, SIGTERM and silent engines beside them.

A request that ends without an answer was no violation. Callers log how a connection ended and how long it was idle, the environment logs planned work and disturbances, and checks/lost.rs compares both.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks/mod.rs
@@ -1,5 +1,7 @@
 //! Checks the guarantees against the observations of callers and targets.
 
+mod lost;
+
 use std::collections::{
     BTreeMap,
     HashMap, //
@@ -49,6 +51,7 @@
         violations.extend(check_runs(request, own_runs));
         violations.extend(check_key(environment, request, own_runs));
     }
+    violations.extend(lost::check_lost(environment, &requests, &runs_by_id));
     violations.extend(check_leaving(environment, &requests, &runs_by_id));
     violations.extend(check_engines(environment, &runs));
     violations.extend(check_weights(environment, &runs));
@@ -70,7 +73,7 @@
 }
 
 fn check_runs(request: &LoggedRequest, runs: &[&Run]) -> Option<String> {
-    if request.kind != RequestKind::Order {
+    if !request.kind.runs_at_most_once() {
         return None;
     }
     if runs.len() > 1 {
@@ -194,7 +197,10 @@
     let newest = environment.newest_version();
     let limit = environment.update_limit();
     let is_late = |run: &&Run| {
-        run.path.starts_with("/chat") && run.version < newest && run.started_at > limit
+        let is_stream = ["/chat", "/talk"]
+            .iter()
+            .any(|path| run.path.starts_with(path));
+        is_stream && run.version < newest && run.started_at > limit
     };
     let late = runs.iter().filter(is_late);
     late.map(|run| {
@@ -247,11 +253,13 @@
         format!("{kind:?} {}/{}", served.count(), of_kind.count())
     };
     format!(
-        "{}; served {}, {}, {}; {} versions named, {} keys revoked",
+        "{}; served {}, {}, {}, {}; {}; {} versions named, {} keys revoked",
         environment.case_name(),
         served_of_kind(RequestKind::Stream),
         served_of_kind(RequestKind::Lookup),
         served_of_kind(RequestKind::Order),
+        served_of_kind(RequestKind::Talk),
+        lost::summary(environment, &requests),
         environment.named_versions.len(),
         environment.revoked_keys.len()
     )
--- a/tests/soak/environment/faults.rs
+++ b/tests/soak/environment/faults.rs
@@ -7,11 +7,11 @@
 use tokio::time::Instant;
 
 use crate::engine_faults::draw_time;
+use crate::history::EntryEvent;
 use crate::proxy::Link;
 use crate::standin::engine::MAX_VERSION;
 use crate::standin::publish::{
     delete_target,
-    publish_config,
     publish_target,
     publish_version, //
 };
@@ -20,12 +20,19 @@
 use super::{
     Environment,
     ENGINES,
+    ENTRIES,
     SERVICES, //
 };
 
 /// The longest pause between two versions that are named in quick succession.
 const VERSION_PAUSE_MS: u64 = 2500;
 
+/// The changes of a storm, and the pauses between them.
+const STORM_CHANGES: std::ops::Range<u64> = 3..9;
+const STORM_PAUSE_MS: std::ops::Range<u64> = 20..400;
+
+const ENGINE_SILENCE_MS: std::ops::Range<u64> = 0..1500;
+
 impl Environment {
     pub(super) fn inject_fault(&mut self) {
         match self.rng.random_range(0..20) {
@@ -68,7 +75,14 @@
     fn change_target_link(&mut self) {
         let link = self.random_link();
         let index = self.rng.random_range(0..SERVICES);
+        // A link that is only slow gives no reason to lose a request.
+        if matches!(link, Link::Healthy | Link::Delayed(_)) {
+            self.history.links.end(index);
+        } else {
+            self.history.links.begin(index);
+        }
         self.targets[index].proxy.set_link(link);
+        self.log(&format!("link to {}: {link:?}", self.targets[index].id));
     }
 
     /// Picks a process for a fault that excuses it from what it knew before.
@@ -89,7 +103,7 @@
             return;
         }
         self.store.restore();
-        publish_config(&self.store, self.config_version, &self.keys, self.origin);
+        self.publish_again();
         if let Some((version, _)) = self.named_versions.last() {
             publish_version(&self.store, *version);
         }
@@ -115,7 +129,7 @@
     /// Lets a target fall silent for a second or so in its answers, or no longer. That is no fault of a sound
     /// target.
     fn change_silence(&mut self) {
-        let index = self.rng.random_range(0..self.targets.len());
+        let index = self.rng.random_range(0..SERVICES + ENGINES);
         let silence = match self.rng.random_range(0..3) {
             0 => Duration::ZERO,
             _ => Duration::from_millis(self.rng.random_range(200..1500)),
@@ -158,14 +172,29 @@
         let index = self.disturb_process();
         self.asked_to_stop.remove(&index);
         self.paused.remove(&index);
+        // The kill is noted before it cuts requests.
+        if index >= ENGINES {
+            self.history.entries.begin(index - ENGINES);
+        }
         self.processes[index].restart();
+        if index >= ENGINES {
+            self.history.entries.end(index - ENGINES);
+            self.history.add_event(index - ENGINES, EntryEvent::Start);
+        }
         let name = &self.processes[index].addresses.name;
         self.log(&format!("{name} was killed and restarted"));
     }
 
     fn request_stop(&mut self) {
         let index = self.disturb_process();
+        self.stop_process(index);
+    }
+
+    fn stop_process(&mut self, index: usize) {
         self.asked_to_stop.insert(index);
+        if index >= ENGINES {
+            self.history.add_event(index - ENGINES, EntryEvent::Stop);
+        }
         self.processes[index].signal(Signal::SIGTERM);
         let name = &self.processes[index].addresses.name;
         self.log(&format!("{name} was asked to stop"));
@@ -173,7 +202,48 @@
 
     fn request_reload(&mut self) {
         let index = self.rng.random_range(0..self.processes.len());
+        self.reload_process(index);
+    }
+
+    fn reload_process(&mut self, index: usize) {
+        if index >= ENGINES {
+            self.history.add_event(index - ENGINES, EntryEvent::Reload);
+        }
         self.processes[index].signal(Signal::SIGHUP);
+        let name = &self.processes[index].addresses.name;
+        self.log(&format!("{name} was asked to reload"));
+    }
+
+    /// Starts planned work: changes of the configuration, SIGHUP or SIGTERM of an entry. Often an engine falls
+    /// silent beside it, which is no reason to lose a request.
+    pub(super) fn start_work(&mut self) {
+        let entry = self.work_rng.random_range(0..ENTRIES);
+        let engine = self.work_rng.random_range(0..ENGINES);
+        let silence = Duration::from_millis(self.work_rng.random_range(ENGINE_SILENCE_MS));
+        if self.work_rng.random_bool(0.5) {
+            self.targets[SERVICES + engine].target.set_silence(silence);
+            self.log(&format!(
+                "engine {engine} is silent for {silence:?} in its answers"
+            ));
+        }
+        match self.work_rng.random_range(0..12) {
+            0..7 => self.publications.push(Instant::now()),
+            7 | 8 => self.schedule_storm(),
+            9 | 10 => self.reload_process(ENGINES + entry),
+            _ => {
+                self.disturbed_entries.push((entry, Instant::now()));
+                self.stop_process(ENGINES + entry);
+            }
+        }
+    }
+
+    /// Schedules several changes of the configuration in quick succession.
+    fn schedule_storm(&mut self) {
+        let mut at = Instant::now();
+        for _ in 0..self.work_rng.random_range(STORM_CHANGES) {
+            self.publications.push(at);
+            at += Duration::from_millis(self.work_rng.random_range(STORM_PAUSE_MS));
+        }
     }
 
     fn change_store_fault(&mut self) {
@@ -212,8 +282,10 @@
     }
 
     fn change_configuration(&mut self) {
-        if self.keys.len() > 1 && self.rng.random_bool(0.3) {
-            let key = self.keys.remove(1);
+        let change = self.configuration.change(&mut self.work_rng);
+        self.log(&format!("change of the configuration: {change}"));
+        if self.configuration.keys.len() > 1 && self.rng.random_bool(0.3) {
+            let key = self.configuration.keys.remove(1);
             self.publish();
             self.revoked_keys.push((key, Instant::now()));
         } else {
--- a/tests/soak/environment/mod.rs
+++ b/tests/soak/environment/mod.rs
@@ -29,13 +29,22 @@
 use tokio::time::Instant;
 
 use crate::callers::{
-    self,
+    Caller,
+    IdleTime,
     RequestLog, //
 };
+use crate::configuration::{
+    Configuration,
+    DESKS, //
+};
 use crate::engine_faults::{
     Case,
     EngineFaults, //
 };
+use crate::history::{
+    EntryEvent,
+    History, //
+};
 use crate::processes::Process;
 use crate::proxy::{
     Link,
@@ -48,7 +57,6 @@
     Target, //
 };
 use crate::standin::publish::{
-    publish_config,
     publish_target,
     ProcessAddresses,
     API_KEYS, //
@@ -60,12 +68,15 @@
     StoreFault, //
 };
 
-const ENTRIES: usize = 3;
+pub const ENTRIES: usize = 3;
 const ENGINES: usize = 3;
 const SERVICES: usize = 3;
 
+/// The targets of the second service of requests without prompts.
+const OTHER_SERVICES: usize = 2;
+
 /// The number of callers of each entry.
-const CALLERS_PER_ENTRY: usize = 4;
+const CALLERS_PER_ENTRY: usize = 6;
 
 /// The number of callers that make sure that all engines get requests, at the end of a run.
 const ADDITIONAL_CALLERS: usize = 60;
@@ -82,6 +93,11 @@
 const FAULT_PAUSE_MS: std::ops::Range<u64> = 50..900;
 const ENGINE_SERIES_PAUSE_MS: std::ops::Range<u64> = 100..1500;
 
+/// The pauses between two series of planned work, which is a change of the configuration, several of them, SIGHUP
+/// or SIGTERM. Some pauses are longer than a configuration takes, as losses beside configurations are compared with
+/// those at other times.
+const WORK_PAUSE_MS: std::ops::Range<u64> = 300..7000;
+
 /// How long operators' bounds allow requests to begin on an older version.
 const VERSION_TIME: Duration = Duration::from_secs(8);
 
@@ -127,6 +143,9 @@
     pub named_versions: Vec<(u64, Instant)>,
     /// The target that says that it leaves, and since when.
     pub leaving: Option<(String, Instant)>,
+    /// When the callers began.
+    pub callers_began_at: Instant,
+    pub history: History,
     /// Entries that were stopped, paused or restarted, and when.
     pub disturbed_entries: Vec<(usize, Instant)>,
     /// When a process that had exited was last restarted.
@@ -155,7 +174,12 @@
     namings: Vec<Instant>,
     callers_stopped: Arc<AtomicBool>,
     config_version: u64,
-    keys: Vec<&'static str>,
+    configuration: Configuration,
+    /// Draws planned work, apart from the faults: these stay the same for a seed when the work changes.
+    work_rng: Pcg64Mcg,
+    /// When configurations are to be published.
+    publications: Vec<Instant>,
+    idle_time: IdleTime,
 }
 
 impl Environment {
@@ -173,6 +197,8 @@
             additional_requests: RequestLog::default(),
             revoked_keys: Vec::new(),
             faults_ended_at: Instant::now(),
+            callers_began_at: Instant::now(),
+            history: History::default(),
             full_load_at: Instant::now(),
             named_versions: Vec::new(),
             leaving: None,
@@ -195,7 +221,10 @@
             namings: Vec::new(),
             callers_stopped: Arc::default(),
             config_version: 0,
-            keys: API_KEYS.to_vec(),
+            configuration: Configuration::default(),
+            work_rng: Pcg64Mcg::seed_from_u64(!seed),
+            publications: Vec::new(),
+            idle_time: IdleTime::default(),
             store,
         };
         environment.publish();
@@ -214,6 +243,11 @@
                 .add_process("agent", format!("agent-{i}"), ip, store, Some(engine))
                 .await;
         }
+        for i in 0..OTHER_SERVICES {
+            environment
+                .add_target(format!("b-{i}"), DESKS[1], "127.0.0.1:0".into())
+                .await;
+        }
         for i in 0..ENTRIES {
             let ip = environment.ip(10 + i);
             environment
@@ -290,7 +324,17 @@
 
     fn publish(&mut self) {
         self.config_version += self.rng.random_range(1..4);
-        publish_config(&self.store, self.config_version, &self.keys, self.origin);
+        self.publish_again();
+    }
+
+    /// Publishes the current configuration.
+    fn publish_again(&mut self) {
+        self.configuration
+            .publish(&self.store, self.config_version, self.origin);
+        self.idle_time.set(self.configuration.idle_time);
+        let published = (Instant::now(), self.configuration.clone());
+        self.history.configurations.push(published);
+        self.log(&format!("configuration {}", self.config_version));
     }
 
     /// Runs the callers and injects random faults, which may overlap, for `time`. The callers run
@@ -298,6 +342,7 @@
     pub async fn run_with_faults(&mut self, time: Duration) {
         let begin = Instant::now();
         let until = begin + time;
+        self.callers_began_at = begin;
         for number in 0..ENTRIES * CALLERS_PER_ENTRY {
             let key = API_KEYS[number % API_KEYS.len()];
             self.start_caller(number, key, &self.requests);
@@ -309,6 +354,7 @@
         let factor = PAUSE_FACTORS[self.rng.random_range(0..PAUSE_FACTORS.len())];
         let mut next_fault = begin;
         let mut next_series = begin;
+        let mut next_work = begin;
         while Instant::now() < until {
             let now = Instant::now();
             if now >= next_fault {
@@ -322,6 +368,11 @@
                 let pause = self.rng.random_range(ENGINE_SERIES_PAUSE_MS);
                 next_series = now + Duration::from_millis(pause * factor);
             }
+            if now >= next_work {
+                self.start_work();
+                let pause = self.work_rng.random_range(WORK_PAUSE_MS);
+                next_work = now + Duration::from_millis(pause);
+            }
             self.inject_scheduled(now);
             self.restart_exited();
             tokio::time::sleep(TICK).await;
@@ -330,12 +381,15 @@
 
     fn start_caller(&self, number: usize, key: &'static str, requests: &RequestLog) {
         let entry = number % ENTRIES;
-        let ip = self.ip(10 + entry);
-        let stopped = self.callers_stopped.clone();
-        let requests = requests.clone();
-        tokio::spawn(callers::run_caller(
-            requests, entry, number, ip, key, stopped,
-        ));
+        let caller = Caller {
+            number,
+            entry,
+            ip: self.ip(10 + entry),
+            key,
+            idle_time: self.idle_time.clone(),
+            requests: requests.clone(),
+        };
+        tokio::spawn(caller.run(self.callers_stopped.clone()));
     }
 
     /// Carries out what is due of series of faults.
@@ -344,6 +398,12 @@
         for description in self.engine_faults.inject_due(&engines) {
             self.log(&description);
         }
+        let due = self.publications.extract_if(.., |at| *at <= now).count();
+        for _ in 0..due {
+            let change = self.configuration.change(&mut self.work_rng);
+            self.log(&format!("change of the configuration: {change}"));
+            self.publish();
+        }
         let due = self.namings.extract_if(.., |at| *at <= now).count();
         for _ in 0..due {
             self.name_next_version();
@@ -353,6 +413,11 @@
         for (i, process) in self.processes.iter_mut().enumerate() {
             let is_stopped = self.paused.contains(&i) || self.stalls.is_stopped(i, now);
             if is_stopped != process.is_paused {
+                if i >= ENGINES && is_stopped {
+                    self.history.entries.begin(i - ENGINES);
+                } else if i >= ENGINES {
+                    self.history.entries.end(i - ENGINES);
+                }
                 process.signal(if is_stopped {
                     Signal::SIGSTOP
                 } else {
@@ -369,11 +434,15 @@
         for proxy in &self.store_proxies {
             proxy.set_link(Link::Healthy);
         }
-        for listed in &self.targets {
+        for (number, listed) in self.targets.iter().enumerate() {
             listed.proxy.set_link(Link::Healthy);
+            self.history.links.end(number);
             listed.target.set_silence(Duration::ZERO);
         }
         self.list_all_targets();
+        self.publications.clear();
+        self.configuration.restore_routes();
+        self.publish();
         let engines = self.engine_targets();
         self.engine_faults.end(&engines);
         self.namings.clear();
@@ -382,6 +451,7 @@
         for process in &mut self.processes {
             process.signal(Signal::SIGCONT);
         }
+        (0..ENTRIES).for_each(|entry| self.history.entries.end(entry));
         self.faults_ended_at = Instant::now();
         self.log("the faults end");
         let until = self.faults_ended_at + time;
@@ -408,7 +478,7 @@
         self.full_load_at = Instant::now();
         let first = ENTRIES * CALLERS_PER_ENTRY;
         for number in first..first + ADDITIONAL_CALLERS {
-            self.start_caller(number, self.keys[0], &self.additional_requests);
+            self.start_caller(number, API_KEYS[0], &self.additional_requests);
         }
     }
 
@@ -484,6 +554,9 @@
                 self.unexpected_exits.push(process.addresses.name.clone());
             }
             process.restart();
+            if i >= ENGINES {
+                self.history.add_event(i - ENGINES, EntryEvent::Start);
+            }
             self.paused.remove(&i);
             self.restarted_at = Some(Instant::now());
         }
@@ -505,6 +578,12 @@
         engines.enumerate().map(observe).collect()
     }
 
+    /// The targets behind links that are disturbed, with their numbers.
+    pub fn targets_behind_links(&self) -> impl Iterator<Item = (usize, &str)> {
+        let targets = self.targets.iter().enumerate().take(SERVICES);
+        targets.map(|(number, listed)| (number, &*listed.id))
+    }
+
     /// The name of the case that the seed drew.
     pub fn case_name(&self) -> &'static str {
         self.engine_faults.case.name
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,8 +8,10 @@
 
 mod callers;
 mod checks;
+mod configuration;
 mod engine_faults;
 mod environment;
+mod history;
 mod processes;
 mod proxy;
 mod stalls;
