Soak engines fall silent while the others are full

A stream of a silent engine that no other engine can go on with was not drawn: silences were few, and the other engines always had room. The summary of a seed counts the requests that were cut without an excuse.

--- a/tests/soak/checks/lost.rs
+++ b/tests/soak/checks/lost.rs
@@ -175,16 +175,9 @@
     runs_by_id: &HashMap<&str, Vec<&Run>>,
 ) -> Vec<String> {
     let history = &environment.history;
-    let cuts = requests
-        .iter()
-        .filter_map(|request| cut(history, request, runs_by_id));
-    let cuts: Vec<Cut<'_>> = cuts.filter(Cut::was_read).collect();
+    let cuts = read_requests(environment, requests, runs_by_id);
     let mut violations = lost_at_any_time(environment, &cuts);
-    let counted: Vec<&Cut<'_>> = cuts
-        .iter()
-        .filter(|cut| !cut.is_late() && !cut.is_entry_disturbed(history))
-        .filter(|cut| !cut.has_disturbed_link(environment))
-        .collect();
+    let counted = without_excuse(environment, &cuts);
     let entries =
         (0..ENTRIES).filter(|entry| loses_beside_configurations(environment, *entry, &counted));
     let entries: Vec<usize> = entries.collect();
@@ -207,6 +200,28 @@
     violations
 }
 
+/// The requests that entries had read and that got no complete answer.
+fn read_requests<'a>(
+    environment: &Environment,
+    requests: &'a [LoggedRequest],
+    runs_by_id: &'a HashMap<&str, Vec<&'a Run>>,
+) -> Vec<Cut<'a>> {
+    let cuts = requests
+        .iter()
+        .filter_map(|request| cut(&environment.history, request, runs_by_id));
+    cuts.filter(Cut::was_read).collect()
+}
+
+/// Those that neither their time nor a disturbance of their entry or of a link excuses.
+fn without_excuse<'a>(environment: &Environment, cuts: &'a [Cut<'a>]) -> Vec<&'a Cut<'a>> {
+    let has_no_excuse = |cut: &&Cut<'_>| {
+        !cut.is_late()
+            && !cut.is_entry_disturbed(&environment.history)
+            && !cut.has_disturbed_link(environment)
+    };
+    cuts.iter().filter(has_no_excuse).collect()
+}
+
 fn cut<'a>(
     history: &History,
     request: &'a LoggedRequest,
@@ -274,7 +289,13 @@
 }
 
 /// Counts of the requests that ended without an answer, to notice a run in which little could be lost.
-pub fn summary(environment: &Environment, requests: &[LoggedRequest]) -> String {
+pub fn summary(
+    environment: &Environment,
+    requests: &[LoggedRequest],
+    runs_by_id: &HashMap<&str, Vec<&Run>>,
+) -> String {
+    let cuts = read_requests(environment, requests, runs_by_id);
+    let without_excuse = without_excuse(environment, &cuts).len();
     let count = |is_counted: fn(&LoggedRequest) -> bool| {
         requests
             .iter()
@@ -284,8 +305,9 @@
     let events = &environment.history.events;
     let count_of = |event| events.iter().filter(|(_, what, _)| *what == event).count();
     format!(
-        "{} cut, {} timed out, {} after a long pause; {} configurations, {} reloads, {} stops of entries",
+        "{} cut, {} of them read, {without_excuse} without an excuse, {} timed out, {} after a long pause; {} configurations, {} reloads, {} stops of entries",
         count(|request| matches!(request.result, RequestResult::Cut { .. })),
+        cuts.len(),
         count(|request| request.result == RequestResult::TimedOut),
         count(|request| request.idle.is_some_and(|idle| idle >= Duration::from_secs(1))),
         environment.history.configurations.len(),
--- a/tests/soak/checks/mod.rs
+++ b/tests/soak/checks/mod.rs
@@ -38,10 +38,7 @@
 pub fn find_violations(environment: &Environment) -> Vec<String> {
     let requests = environment.requests.all();
     let runs = environment.runs.all();
-    let mut runs_by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
-    for run in &runs {
-        runs_by_id.entry(&run.id).or_default().push(run);
-    }
+    let runs_by_id = by_id(&runs);
     let mut violations = Vec::new();
     for request in &requests {
         let own_runs = runs_by_id
@@ -63,6 +60,15 @@
     violations
 }
 
+/// The runs of each request.
+fn by_id(runs: &[Run]) -> HashMap<&str, Vec<&Run>> {
+    let mut runs_by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
+    for run in runs {
+        runs_by_id.entry(&run.id).or_default().push(run);
+    }
+    runs_by_id
+}
+
 fn check_response(request: &LoggedRequest) -> Option<String> {
     match &request.result {
         RequestResult::Response(200, body) if !is_complete(request, body) => Some(format!(
@@ -259,7 +265,7 @@
         served_of_kind(RequestKind::Lookup),
         served_of_kind(RequestKind::Order),
         served_of_kind(RequestKind::Talk),
-        lost::summary(environment, &requests),
+        lost::summary(environment, &requests, &by_id(&environment.runs.all())),
         environment.named_versions.len(),
         environment.revoked_keys.len()
     )
--- a/tests/soak/environment/faults.rs
+++ b/tests/soak/environment/faults.rs
@@ -218,13 +218,8 @@
     /// silent beside it, which is no reason to lose a request.
     pub(super) fn start_work(&mut self) {
         let entry = self.work_rng.random_range(0..ENTRIES);
-        let engine = self.work_rng.random_range(0..ENGINES);
-        let silence = Duration::from_millis(self.work_rng.random_range(ENGINE_SILENCE_MS));
         if self.work_rng.random_bool(0.5) {
-            self.targets[SERVICES + engine].target.set_silence(silence);
-            self.log(&format!(
-                "engine {engine} is silent for {silence:?} in its answers"
-            ));
+            self.change_engines();
         }
         match self.work_rng.random_range(0..12) {
             0..7 => self.publications.push(Instant::now()),
@@ -237,6 +232,21 @@
         }
     }
 
+    /// Lets an engine fall silent in its answers, and sometimes all others refuse requests as if they were full, so
+    /// that none goes on with these answers.
+    fn change_engines(&mut self) {
+        let silent = self.work_rng.random_range(0..ENGINES);
+        let silence = Duration::from_millis(self.work_rng.random_range(ENGINE_SILENCE_MS));
+        let are_full = self.work_rng.random_bool(0.5);
+        for (engine, target) in self.engine_targets().iter().enumerate() {
+            target.set_full(are_full && engine != silent);
+        }
+        self.targets[SERVICES + silent].target.set_silence(silence);
+        self.log(&format!(
+            "engine {silent} is silent for {silence:?} in its answers, the others are full: {are_full}"
+        ));
+    }
+
     /// Schedules several changes of the configuration in quick succession.
     fn schedule_storm(&mut self) {
         let mut at = Instant::now();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,6 +1,8 @@
 //! A randomized soak test of the real binary: separate processes with a stand-in store and targets.
 //! Faults are injected from outside, and the guarantees are checked against the observations of
 //! callers and targets. Each seed draws one of the cases in `engine_faults.rs` and how many faults there are.
+//! Beside the faults there is planned work: changes of the configuration, see `configuration.rs`, SIGHUP and
+//! SIGTERM.
 //!
 //! `SOAK_SEEDS=1..50 SOAK_SECONDS=30 cargo test --release --test soak -- --nocapture` runs more
 //! seeds for longer.
