--- a/tests/soak/configuration.rs
+++ b/tests/soak/configuration.rs
@@ -12,6 +12,7 @@
 
 use crate::standin::publish::{
     publish_changed_config,
+    split_traffic,
     API_KEYS, //
 };
 use crate::standin::Store;
@@ -193,8 +194,6 @@
         let Some(weights) = self.split else {
             return;
         };
-        let split = DESKS.iter().zip(weights);
-        let split = split.map(|(service, weight)| json!({ "service": service, "weight": weight }));
-        route["traffic_split"] = split.collect();
+        split_traffic(route, DESKS.into_iter().zip(weights));
     }
 }
