--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -90,8 +90,10 @@
         deadline.saturating_sub(self.elapsed())
     }
 
-    /// Waits for a target's next message, `is_first` if the caller has received nothing yet. A target that
-    /// falls silent is left only if another one can go on with the request.
+    /// Waits for a target's next message, `is_first` if the caller has received nothing yet.
+    ///
+    /// Returns [`Outcome::IdleTimeout`] if the target is silent and another one may be asked. A request whose answer
+    /// has not begun is then sent elsewhere; a begun answer keeps the silent target while the other one is asked.
     pub(super) async fn wait_for_target<F: Future>(
         &self,
         token: u64,
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -575,7 +575,7 @@
         request: Name,
         /// The target.
         target: Name,
-        /// Whether the request waits on, since no other target can go on with it.
+        /// Whether the request waits on, since no other target can go on with it, or none did.
         kept: bool,
         /// Whether the caller has received a part of the answer.
         begun: bool,
