One cause, one count and one release for connections and for silent targets

The own interface had a copy of the causes of an ended connection, whose caller that leaves counted as failed, and it noted that only a reset shows a broken answer without using that; both interfaces share this now. The load of a target is released by one function. Timers take the time that is passed in; a drained entry says if it ends while callers still receive.

--- a/components/control/src/router/handover.rs
+++ b/components/control/src/router/handover.rs
@@ -88,23 +88,6 @@
         true
     }
 
-    /// Releases the silent target of a request whose caller has left.
-    pub(super) fn release_silent_target(&mut self, now: Duration, token: u64) {
-        let pending = self.pending.get_mut(&token);
-        let Some(silent) = pending.and_then(|pending| pending.silent.take()) else {
-            return;
-        };
-        if let Some((id, _)) = &silent.assignment {
-            self.account_share(now, id, &silent.service);
-            if let Some(target) = self.targets.get_mut(id) {
-                target.load.remove_request();
-                if silent.is_prefill_pending {
-                    target.load.remove_prompt(silent.prompt_tokens);
-                }
-            }
-        }
-    }
-
     fn return_to_silent_target(&mut self, token: u64) {
         self.unassign(token);
         let Some(pending) = self.pending.get_mut(&token) else {
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -16,6 +16,7 @@
 use super::crashes::TargetRun;
 use super::learned::AnsweredRequest;
 use super::load::LoadReport;
+use super::pending::Pending;
 use super::rejection::RejectionReason;
 use super::retry_share::RetryShare;
 use super::selection::{
@@ -230,7 +231,6 @@
         let pending = self.pending.get_mut(&token)?;
         let answered = AnsweredRequest::new(now, pending, longest_pause);
         let run = TargetRun::of_pending(now, pending)?;
-        pending.sent_parts.clear();
         let (id, since) = pending.assignment.take()?;
         effects.push(Effect::Record(Decision::Exchange {
             request: pending.id.clone(),
@@ -450,10 +450,6 @@
         token: u64,
         effects: &mut Vec<Effect>,
     ) {
-        self.mark_prefilled(token);
-        let pending = self.pending.get(&token);
-        let has_silent_target = pending.is_some_and(|pending| pending.silent.is_some());
-        self.release_silent_target(now, token);
         let Some(pending) = self.pending.remove(&token) else {
             return;
         };
@@ -466,13 +462,29 @@
         effects.push(Effect::Record(Decision::CallerLeft {
             request: pending.id.clone(),
             held_ms: millis(now.saturating_sub(pending.arrived)),
-            running: pending.assignment.is_some() || has_silent_target,
+            running: pending.assignment.is_some() || pending.silent.is_some(),
         }));
-        if let Some((id, _)) = pending.assignment {
-            self.account_share(now, &id, &pending.service);
-            if let Some(target) = self.targets.get_mut(&id) {
-                target.load.remove_request();
-            }
+        self.release_load(now, &pending);
+        if let Some(silent) = &pending.silent {
+            self.release_load(now, silent);
+        }
+    }
+
+    /// Removes a request that has ended from the load of its target.
+    fn release_load(&mut self, now: Duration, pending: &Pending) {
+        let Some((id, _)) = &pending.assignment else {
+            return;
+        };
+        if let Some(target) = self
+            .targets
+            .get_mut(id)
+            .filter(|_| pending.is_prefill_pending)
+        {
+            target.load.remove_prompt(pending.prompt_tokens);
+        }
+        self.account_share(now, id, &pending.service);
+        if let Some(target) = self.targets.get_mut(id) {
+            target.load.remove_request();
         }
     }
 
--- a/components/proxy/src/entry/caller_connection.rs
+++ b/components/proxy/src/entry/caller_connection.rs
@@ -50,57 +50,20 @@
     AnswerBody,
     ObservedStream, //
 };
-use crate::router::connection::deliver_rest;
+use crate::router::connection::{
+    break_off,
+    deliver_rest,
+    has_unread_bytes,
+    Cause,
+    CLOSE_DELAY, //
+};
 
 /// The `source` of the log lines.
 const LOG_TARGET: &str = "proxy::entry::caller_server";
 
-/// What has arrived is read before a connection is closed, also if the process stood still.
-const CLOSE_DELAY: Duration = Duration::from_millis(50);
-
 /// How long a caller that connects to an entry that stops, or is in the middle of a head, has for its request.
 const LATE_REQUEST_TIME: Duration = Duration::from_secs(1);
 
-/// Why a connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cause {
-    /// The caller closed it.
-    Caller,
-    /// The last response said that it is the last one.
-    LastAnswer,
-    /// The entry is about to stop.
-    Stop,
-    /// A response could not be completed.
-    AnswerBrokenOff,
-    /// The caller did not speak the protocol, or the connection failed.
-    Failed,
-}
-
-impl Cause {
-    /// The name in metrics.
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Caller => "caller",
-            Self::LastAnswer => "last_answer",
-            Self::Stop => "stop",
-            Self::AnswerBrokenOff => "answer_broken_off",
-            Self::Failed => "failed",
-        }
-    }
-
-    fn of_result(result: hyper::Result<()>, activity: &Activity) -> Self {
-        match result {
-            Ok(()) if activity.has_caller_closed() => Self::Caller,
-            Ok(()) => Self::LastAnswer,
-            Err(e) if e.is_user() => Self::AnswerBrokenOff,
-            Err(e) => {
-                log::debug!(target: LOG_TARGET, "the connection of a caller failed: {e}");
-                Self::Failed
-            }
-        }
-    }
-}
-
 /// Serves one connection until it ends.
 pub(super) async fn serve(
     inner: Arc<Inner>,
@@ -151,11 +114,13 @@
         })
         .await
     };
-    metrics::counter!("medlarproxy_caller_connections_ended_total", "cause" => cause.as_str())
-        .increment(1);
+    cause.count();
     let parts = connection.into_parts();
     let tcp = parts.io.into_inner().into_inner();
     let has_unread = !parts.read_buf.is_empty() || activity.stage() == Stage::Head;
+    if cause == Cause::AnswerBrokenOff {
+        break_off(&tcp, activity.is_end_by_close());
+    }
     close(tcp, cause, has_unread).await;
 }
 
@@ -183,7 +148,7 @@
 /// Closes a connection so that its caller receives what was written to it. A request that has not been read as
 /// a whole is told that it has not run.
 async fn close(tcp: TcpStream, cause: Cause, has_unread: bool) {
-    let has_unread = has_unread || matches!(tcp.try_read(&mut [0]), Ok(count) if count > 0);
+    let has_unread = has_unread || has_unread_bytes(&tcp);
     match cause {
         Cause::Stop if has_unread => {
             let rejection = Rejection {
@@ -193,6 +158,8 @@
             deliver_rest(tcp, &raw_rejection(&rejection)).await;
         }
         Cause::LastAnswer | Cause::Failed => deliver_rest(tcp, &[]).await,
+        // Connections of this interface have no limits of their own.
+        Cause::Idle | Cause::SlowHead | Cause::LongHead | Cause::SlowReader => {}
         Cause::Stop | Cause::Caller | Cause::AnswerBrokenOff => {}
     }
 }
--- a/components/proxy/src/entry/mod.rs
+++ b/components/proxy/src/entry/mod.rs
@@ -38,7 +38,10 @@
     mpsc,
     watch, //
 };
-use tokio::time::Instant;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 use utils::Name;
 use wire::Responder;
 
@@ -227,10 +230,14 @@
         let mut drained = self.inner.drained.subscribe();
         // Cannot fail: `inner` holds the sender.
         drop(drained.wait_for(|is_drained| *is_drained).await);
-        let latest = Instant::now() + MAX_DRAINED_TIME;
-        tokio::time::sleep(MIN_DRAINED_TIME).await;
-        while self.inner.open_connections.load(Ordering::Relaxed) > 0 && Instant::now() < latest {
-            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        let delivered = async {
+            sleep(MIN_DRAINED_TIME).await;
+            while self.inner.open_connections.load(Ordering::Relaxed) > 0 {
+                sleep(DRAIN_CHECK_INTERVAL).await;
+            }
+        };
+        if timeout(MAX_DRAINED_TIME, delivered).await.is_err() {
+            log::warn!("the process ends while callers still receive responses");
         }
     }
 
--- a/components/proxy/src/router/connection.rs
+++ b/components/proxy/src/router/connection.rs
@@ -49,7 +49,6 @@
 use tokio::time::{
     sleep,
     timeout,
-    Instant,
     Sleep, //
 };
 use utils::millis::millis;
@@ -84,14 +83,14 @@
 
 /// How long after its time is over a connection is closed. What has arrived is read first, also if the process
 /// stood still.
-const CLOSE_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const CLOSE_DELAY: Duration = Duration::from_millis(50);
 
 /// How many bytes are discarded at once while a caller receives the end of its last answer.
 const DISCARD_BUFFER_BYTES: usize = 4 << 10;
 
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cause {
+pub(crate) enum Cause {
     /// The caller closed it, or cannot be reached any more.
     Caller,
     /// The last answer said that it is the last one.
@@ -128,6 +127,30 @@
         }
     }
 
+    /// Why a connection ended that the library has closed.
+    pub(crate) fn of_result(result: hyper::Result<()>, activity: &Activity) -> Self {
+        match result {
+            Ok(()) if activity.has_caller_closed() => Self::Caller,
+            Ok(()) => Self::LastAnswer,
+            Err(e) if e.is_user() => Self::AnswerBrokenOff,
+            Err(e) => {
+                log::debug!(target: LOG_TARGET, "the connection of a caller failed: {e}");
+                if e.is_parse() {
+                    Self::Failed
+                } else {
+                    Self::Caller
+                }
+            }
+        }
+    }
+
+    /// Counts a connection that ended for this cause.
+    pub(crate) fn count(self) {
+        let cause = self.as_str();
+        metrics::counter!("medlarproxy_caller_connections_ended_total", "cause" => cause)
+            .increment(1);
+    }
+
     fn of_expired(stage: Stage) -> Self {
         match stage {
             Stage::Idle => Self::Idle,
@@ -170,8 +193,7 @@
     /// Lets it expire at `at` at the latest.
     fn set(&mut self, now: Duration, at: Duration) {
         if self.at.is_none_or(|old| at < old) {
-            let time_left = at.saturating_sub(now);
-            self.sleep.as_mut().reset(Instant::now() + time_left);
+            self.sleep.set(sleep(at.saturating_sub(now)));
             self.at = Some(at);
         }
     }
@@ -349,7 +371,7 @@
         let ended = poll_fn(|cx| {
             // What has arrived is read before anything else is decided.
             if let Poll::Ready(result) = Pin::new(&mut *connection).poll(cx) {
-                return Poll::Ready(Some(cause_of(result, watch.activity)));
+                return Poll::Ready(Some(Cause::of_result(result, watch.activity)));
             }
             watch.update_stage();
             if watch.activity.is_head_too_long() {
@@ -380,22 +402,6 @@
     }
 }
 
-fn cause_of(result: hyper::Result<()>, activity: &Activity) -> Cause {
-    match result {
-        Ok(()) if activity.has_caller_closed() => Cause::Caller,
-        Ok(()) => Cause::LastAnswer,
-        Err(e) if e.is_user() => Cause::AnswerBrokenOff,
-        Err(e) => {
-            log::debug!(target: LOG_TARGET, "the connection of a caller failed: {e}");
-            if e.is_parse() {
-                Cause::Failed
-            } else {
-                Cause::Caller
-            }
-        }
-    }
-}
-
 /// Waits until the connections are to be closed, and until requests are read that had arrived before, also if
 /// the process stood still.
 async fn close_after_reading(shutdown: &ShutdownSignal) {
@@ -422,9 +428,7 @@
 impl EndedConnection {
     /// Counts the connection. It has a line in the record unless it ended as callers expect.
     fn report(&self, router: &Router) {
-        let cause = self.cause.as_str();
-        metrics::counter!("medlarproxy_caller_connections_ended_total", "cause" => cause)
-            .increment(1);
+        self.cause.count();
         if self.cause == Cause::Idle {
             metrics::histogram!("medlarproxy_caller_connection_idle_seconds")
                 .record(self.in_stage.as_secs_f64());
@@ -440,7 +444,7 @@
         };
         if !is_expected {
             router.record(Decision::ConnectionEnded {
-                cause: cause.into(),
+                cause: self.cause.as_str().into(),
                 stage: self.stage.as_str().into(),
                 stage_ms: millis(self.in_stage),
                 age_ms: millis(self.age),
@@ -452,7 +456,15 @@
     }
 }
 
-fn has_unread_bytes(tcp: &TcpStream) -> bool {
+/// Prepares the close of a connection whose answer breaks off. Without chunks, only a reset tells the caller that
+/// the answer is not complete.
+pub(crate) fn break_off(tcp: &TcpStream, is_end_by_close: bool) {
+    if is_end_by_close {
+        let _best_effort = tcp.set_zero_linger();
+    }
+}
+
+pub(crate) fn has_unread_bytes(tcp: &TcpStream) -> bool {
     matches!(tcp.try_read(&mut [0]), Ok(count) if count > 0)
 }
 
@@ -463,9 +475,8 @@
         ended.cause,
         Cause::AnswerBrokenOff | Cause::Caller | Cause::SlowReader
     );
-    if ended.cause == Cause::AnswerBrokenOff && ended.is_end_by_close {
-        // Without chunks, only a reset tells the caller that the answer is not complete.
-        let _best_effort = tcp.set_zero_linger();
+    if ended.cause == Cause::AnswerBrokenOff {
+        break_off(&tcp, ended.is_end_by_close);
     }
     if is_lost || (is_between_requests && !ended.has_unread) {
         return;
