--- a/review/rig/src/spoilt.rs
+++ b/review/rig/src/spoilt.rs
@@ -31,6 +31,7 @@
     listen,
     listen_with_delay,
     target_document,
+    ReceivedRequest,
     Store, //
 };
 use crate::system::{
@@ -41,7 +42,7 @@
 };
 
 pub const ENTRIES: [usize; 2] = [1, 2];
-pub const ENGINES: [usize; 2] = [11, 12];
+pub const ENGINES: [usize; 5] = [11, 12, 13, 14, 15];
 
 /// How long the engine that is updated first is silent from its order on.
 const SILENCE_MS: u64 = 3200;
@@ -76,7 +77,7 @@
         let address = site.address(host, 8001).to_string();
         let address = listen_with_delay(
             &address,
-            move |request| delays.delay(request),
+            move |request| delay_of_cut(&delays, request),
             move |request| {
                 if request.path == "/order" {
                     log.line(&format!("order reaches {name}"));
@@ -113,8 +114,6 @@
                 silence_at_order,
                 ..Delays::NONE
             });
-            // The piece turns bad right after it was read.
-            engine.corrupt_after_reading(0, 3);
         }
     }
     publish_version(&store, 2);
@@ -129,8 +128,15 @@
             None => {}
         }
     };
-    // The fault is that of the engine which is updated first.
-    engines[1 - first].end_delays();
+    // The faults are those of the engine which is updated first.
+    for (i, engine) in engines.iter().enumerate() {
+        if i != first {
+            engine.end_delays();
+        }
+    }
+    if has_trouble() {
+        engines[first].replace_staged_piece(0, b"corrupt".to_vec());
+    }
     let ordered = now_ms();
     record.line(&format!(
         "step the first order was received, by i-{}",
@@ -174,6 +180,15 @@
     i32::from(spoilt > 0)
 }
 
+/// How long an engine that is cut off from its agent and the store, but not from entries, takes to handle a call.
+pub fn delay_of_cut(engine: &Target, request: &ReceivedRequest) -> Duration {
+    if request.path.starts_with("/chat/") {
+        Duration::ZERO
+    } else {
+        engine.delay(request)
+    }
+}
+
 /// Writes the entry of an engine, at once when it changes and with each heartbeat.
 pub async fn write_entry(
     store: Store,
--- a/review/rig/src/trusted.rs
+++ b/review/rig/src/trusted.rs
@@ -13,6 +13,7 @@
     Record, //
 };
 use crate::spoilt::{
+    delay_of_cut,
     send_requests,
     write_entry,
     ENGINES,
@@ -41,7 +42,7 @@
 };
 
 /// The machine of the engine that is added.
-const ADDED: usize = 13;
+const ADDED: usize = 16;
 
 /// How long the engine is silent from its order on.
 const SILENCE: Duration = Duration::from_millis(3200);
@@ -76,7 +77,7 @@
             let (delays, responder) = (engine.clone(), engine.clone());
             let address = listen_with_delay(
                 &site.address(host, 8001).to_string(),
-                move |request| delays.delay(request),
+                move |request| delay_of_cut(&delays, request),
                 move |request| responder.respond(request),
             )
             .await;
