Record what speaks for and against a part of prompts when it is quarantined

The record named the part that was quarantined and no other, so it could not show whether the position in the prompt or missing evidence decided. prompt_part lines now name the parts that share three or more of its crashes, and say with which of these requests had been answered before. No decision depends on it yet.

--- a/components/control/src/crash_suspects/evidence.rs
+++ b/components/control/src/crash_suspects/evidence.rs
@@ -42,6 +42,8 @@
     by_id: BTreeMap<CrashId, CrashState>,
     pub position: u32,
     pub learned_at: Duration,
+    /// Whether a request with the suspect had run to completion before one of the crashes.
+    pub has_completed: bool,
     /// Whether this process sent a request that was running during one of the crashes, or one that
     /// cleared the suspect.
     pub is_first_hand: bool,
@@ -115,6 +117,11 @@
         all.filter(|(_, state)| !state.is_cleared).map(|(id, _)| id)
     }
 
+    /// Whether the suspect may have caused this crash.
+    pub fn is_uncleared(&self, id: &CrashId) -> bool {
+        self.by_id.get(id).is_some_and(|state| !state.is_cleared)
+    }
+
     /// The crashes that the suspect may have caused, without those that are `explained` by another.
     pub fn unexplained<'a>(
         &'a self,
--- a/components/control/src/crash_suspects/mod.rs
+++ b/components/control/src/crash_suspects/mod.rs
@@ -1,5 +1,6 @@
 //! Tracks requests, and parts of prompts, that are suspected of crashing the targets that run them.
 
+mod completions;
 mod evidence;
 mod prompt_parts;
 #[cfg(test)]
@@ -20,6 +21,7 @@
 use record::Decision;
 use utils::Name;
 
+use self::completions::Completions;
 use self::evidence::{
     CrashId,
     Evidence, //
@@ -63,6 +65,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashSuspects {
     by_suspect: BTreeMap<Suspect, Evidence>,
+    completions: Completions,
     /// The parts of prompts that are not sent to targets.
     quarantined_parts: BTreeSet<PromptPartId>,
     /// The crashes that quarantined parts caused.
@@ -82,7 +85,9 @@
             return false;
         }
         let revision = self.revision + 1;
+        let has_completed = self.completions.contains(now, crash.suspect);
         let evidence = self.by_suspect.entry(crash.suspect).or_default();
+        evidence.has_completed |= has_completed;
         if !evidence.add(now, crash, revision) {
             return false;
         }
--- a/components/control/src/crash_suspects/prompt_parts.rs
+++ b/components/control/src/crash_suspects/prompt_parts.rs
@@ -33,6 +33,9 @@
 /// The share of all targets whose crashes at the same time have a common cause: one in this number.
 const JOINT_CRASH_DIVISOR: usize = 2;
 
+/// The maximum number of other parts in one line of the record.
+const MAX_RECORDED_RIVALS: usize = 8;
+
 /// The minimum number of such targets.
 const MIN_JOINT_CRASHES: usize = 3;
 
@@ -58,6 +61,7 @@
         let mut is_changed = false;
         for part in parts {
             let suspect = Suspect::PromptPart(*part);
+            self.completions.add(now, suspect);
             let evidence = self.by_suspect.get_mut(&suspect);
             if let Some(evidence) = evidence.filter(|e| e.uncleared().next().is_some()) {
                 // After one crash others need not be told at once: they clear the part themselves.
@@ -105,13 +109,33 @@
 
     fn part_decision(&self, part: PromptPartId) -> Decision {
         let evidence = self.by_suspect.get(&Suspect::PromptPart(part));
+        let rivals = evidence.map_or_else(Vec::new, |evidence| self.rivals(part, evidence));
+        let completed_rivals = rivals.iter().filter(|(_, has_completed)| *has_completed);
         Decision::PromptPart {
             part,
             quarantined: self.is_part_quarantined(part),
             crashes: evidence.map_or(0, |evidence| evidence.uncleared().count()),
+            completed: evidence.is_some_and(|evidence| evidence.has_completed),
+            completed_rivals: completed_rivals.map(|(part, _)| *part).collect(),
+            rivals: rivals.into_iter().map(|(part, _)| part).collect(),
         }
     }
 
+    /// Other parts that have enough crashes in common with this one to have caused them, and whether
+    /// requests with them had run to completion before.
+    fn rivals(&self, part: PromptPartId, evidence: &Evidence) -> Vec<(PromptPartId, bool)> {
+        let candidates = self.candidates().into_iter();
+        let shares_crashes = |other: &Evidence| {
+            let shared = evidence.uncleared().filter(|id| other.is_uncleared(id));
+            shared.count() >= QUARANTINE_ROUNDS
+        };
+        let rivals = candidates.filter(|(other, e)| *other != part && shares_crashes(e));
+        rivals
+            .map(|(other, evidence)| (other, evidence.has_completed))
+            .take(MAX_RECORDED_RIVALS)
+            .collect()
+    }
+
     /// The parts under which enough targets crashed, whatever the cause.
     fn candidates(&self) -> Vec<(PromptPartId, &Evidence)> {
         let parts = self
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -256,6 +256,15 @@
         quarantined: bool,
         /// Number of crashes under the part that this process knows of and has not cleared.
         crashes: usize,
+        /// Whether requests with the part had run to completion before, as far as this process knows.
+        #[serde(default)]
+        completed: bool,
+        /// Other parts with enough crashes in common with this one to be quarantined in its place.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        rivals: Vec<PromptPartId>,
+        /// Those of the rivals with which requests had run to completion before.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        completed_rivals: Vec<PromptPartId>,
     },
     /// The process activated a configuration.
     Configure {
