Quarantine parts of prompts by what speaks for them as well as against them

What callers saw: while requests with a part that crashes engines came, all sound requests that share a part behind it were refused with 503, 0 of 23, for as long as these came.

Cause: every crash holds all parts of the crashing requests, so crashes alone cannot tell them apart. next_culprit took the last one by position; that requests with it had been answered was forgotten, and the quarantine refused the requests that would have refuted it.

Evidence: prompt_part line of the case without network: part 1100 quarantined, completed true, rivals 666 and 1000, completed_rivals 1000.

Change: entries remember answered parts and requests and tell each other from the third crash on. Suspects that completed come last; those with the same crashes form one quarantine, which refuses requests that have all of them. A request with some of them is sent as a test, one at a time at each entry and in turn over all; a doubtful quarantine is tested by the one entry that had the last crash, twice at most. Requests by fingerprint follow the same rule, so a sound one beside a crashing one is no longer refused for ten minutes, and a completed run ends it.

--- a/components/control/src/crash_suspects/evidence.rs
+++ b/components/control/src/crash_suspects/evidence.rs
@@ -1,9 +1,6 @@
 //! The crashes during the requests of one suspect.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use protocol::{
@@ -28,6 +25,8 @@
 #[derive(Clone, Copy, Debug)]
 struct CrashState {
     round: u32,
+    /// Whether this process sent a request with the suspect that was running then.
+    is_own: bool,
     /// Whether the suspect did not cause the crash, since it later ran to completion.
     is_cleared: bool,
     /// By [`time_of_crash`].
@@ -42,7 +41,8 @@
     by_id: BTreeMap<CrashId, CrashState>,
     pub position: u32,
     pub learned_at: Duration,
-    /// Whether a request with the suspect had run to completion before one of the crashes.
+    /// Whether a request with the suspect had run to completion before one of the crashes, here or at
+    /// another process.
     pub has_completed: bool,
     /// Whether this process sent a request that was running during one of the crashes, or one that
     /// cleared the suspect.
@@ -58,9 +58,12 @@
     /// it does.
     pub fn add(&mut self, now: Duration, crash: &Crash, revision: u64) -> bool {
         self.position = self.position.max(crash.position);
+        let is_completion_new = crash.has_completed && !self.has_completed;
+        self.has_completed |= crash.has_completed || crash.is_cleared;
         let id = (crash.target.clone(), crash.start_count);
         let added = CrashState {
             round: crash.round,
+            is_own: false,
             is_cleared: crash.is_cleared,
             ended_at: time_of_crash(now, crash),
             revision,
@@ -71,7 +74,8 @@
             self.revision = revision;
             return true;
         };
-        let is_new = (added.is_cleared && !known.is_cleared) || added.round > known.round;
+        let is_cleared_now = added.is_cleared && !known.is_cleared;
+        let is_new = is_cleared_now || added.round > known.round || is_completion_new;
         known.is_cleared |= added.is_cleared;
         known.round = known.round.max(added.round);
         known.ended_at = known.ended_at.min(added.ended_at);
@@ -83,6 +87,21 @@
         is_new
     }
 
+    /// Notes that this process sent a request that was running during a crash.
+    pub fn mark_own(&mut self, target: &Name, start_count: u64) {
+        self.is_first_hand = true;
+        if let Some(state) = self.by_id.get_mut(&(target.clone(), start_count)) {
+            state.is_own = true;
+        }
+    }
+
+    /// When the suspect's last crash happened, by [`time_of_crash`], and whether this process sent a
+    /// request that was running then.
+    pub fn last_crash(&self) -> Option<(Duration, bool)> {
+        let uncleared = self.by_id.values().filter(|state| !state.is_cleared);
+        uncleared.map(|state| (state.ended_at, state.is_own)).max()
+    }
+
     /// Removes the crashes that are not to be kept.
     pub fn retain_crashes(&mut self, is_kept: impl Fn(&CrashId) -> bool) {
         self.by_id.retain(|id, _| is_kept(id));
@@ -96,6 +115,7 @@
     /// Marks all crashes as not caused by the suspect.
     pub fn clear(&mut self, now: Duration, revision: u64) {
         self.learned_at = now;
+        self.has_completed = true;
         self.revision = revision;
         for state in self.by_id.values_mut().filter(|state| !state.is_cleared) {
             state.is_cleared = true;
@@ -122,14 +142,6 @@
         self.by_id.get(id).is_some_and(|state| !state.is_cleared)
     }
 
-    /// The crashes that the suspect may have caused, without those that are `explained` by another.
-    pub fn unexplained<'a>(
-        &'a self,
-        explained: &'a BTreeSet<CrashId>,
-    ) -> impl Iterator<Item = &'a CrashId> {
-        self.uncleared().filter(|id| !explained.contains(*id))
-    }
-
     /// The round of a crash under a request that is sent now, after this crash.
     pub fn round_after(&self, now: Duration, id: &CrashId) -> u32 {
         let Some(state) = self.by_id.get(id) else {
@@ -158,6 +170,7 @@
             target: id.0.clone(),
             start_count: id.1,
             is_cleared: state.is_cleared,
+            has_completed: self.has_completed,
             round: state.round,
             position: self.position,
             age_ms: millis(time_since(now, state.ended_at)),
--- a/components/control/src/crash_suspects/mod.rs
+++ b/components/control/src/crash_suspects/mod.rs
@@ -3,13 +3,11 @@
 mod completions;
 mod evidence;
 mod prompt_parts;
+mod quarantine;
 #[cfg(test)]
 mod tests;
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use protocol::{
@@ -26,9 +24,7 @@
     CrashId,
     Evidence, //
 };
-
-/// The number of crashes after which a request is quarantined, that is, no longer run.
-const QUARANTINE_CRASH_COUNT: usize = 2;
+pub use self::quarantine::Quarantine;
 
 /// The time in which a crash becomes known to all entries. Until then only the entry that already
 /// has the request retries it, so that two entries do not each cause a crash without knowing of
@@ -48,6 +44,9 @@
 /// forgotten, quarantined ones last.
 const MAX_SUSPECTS: usize = 4096;
 
+/// The number of crashes under a suspect that are usual after other trouble.
+const FEW_CRASHES: usize = 2;
+
 /// The time of a crash, which may be before the start of the clock, plus [`SUSPICION_TIME`].
 fn time_of_crash(now: Duration, crash: &Crash) -> Duration {
     (now + SUSPICION_TIME).saturating_sub(Duration::from_millis(crash.age_ms))
@@ -66,10 +65,7 @@
 pub struct CrashSuspects {
     by_suspect: BTreeMap<Suspect, Evidence>,
     completions: Completions,
-    /// The parts of prompts that are not sent to targets.
-    quarantined_parts: BTreeSet<PromptPartId>,
-    /// The crashes that quarantined parts caused.
-    explained: BTreeSet<CrashId>,
+    quarantines: Vec<Quarantine>,
     /// The time of each crash, by [`time_of_crash`].
     ended_at: BTreeMap<CrashId, Duration>,
     /// Number of targets that may crash.
@@ -80,27 +76,27 @@
 
 impl CrashSuspects {
     /// Adds a crash. Returns whether the report contains anything new.
-    pub fn record_crash(&mut self, now: Duration, crash: &Crash) -> bool {
+    fn record_crash(&mut self, now: Duration, crash: &Crash) -> bool {
         if Duration::from_millis(crash.age_ms) >= SUSPICION_TIME {
             return false;
         }
         let revision = self.revision + 1;
         let has_completed = self.completions.contains(now, crash.suspect);
         let evidence = self.by_suspect.entry(crash.suspect).or_default();
+        let is_new = evidence.add(now, crash, revision);
         evidence.has_completed |= has_completed;
-        if !evidence.add(now, crash, revision) {
+        if !is_new {
             return false;
         }
+        // Others may not know that it had completed.
+        evidence.is_first_hand |= has_completed
+            && !crash.has_completed
+            && evidence.uncleared().nth(FEW_CRASHES).is_some();
         self.revision = revision;
         let id = (crash.target.clone(), crash.start_count);
         let ended_at = time_of_crash(now, crash);
         let known = self.ended_at.entry(id).or_insert(ended_at);
         *known = ended_at.min(*known);
-        if let Suspect::Request(fingerprint) = crash.suspect {
-            if self.is_quarantined(fingerprint) {
-                self.report_again(crash.suspect);
-            }
-        }
         true
     }
 
@@ -110,31 +106,29 @@
         for crash in crashes {
             self.record_crash(now, crash);
             if let Some(evidence) = self.by_suspect.get_mut(&crash.suspect) {
-                evidence.is_first_hand = true;
+                evidence.mark_own(&crash.target, crash.start_count);
             }
         }
-        self.update_quarantined_parts()
+        self.update_quarantines(now)
     }
 
     /// Adds crashes that another process reported. Returns the decisions to write to the record.
     pub fn add_reported(&mut self, now: Duration, crashes: &[Crash]) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        let mut has_new_part = false;
-        for crash in crashes {
-            if !self.record_crash(now, crash) {
-                continue;
-            }
-            match crash.suspect {
-                Suspect::Request(fingerprint) => {
-                    decisions.push(self.decision(fingerprint, &crash.target, None, Vec::new()));
-                }
-                Suspect::PromptPart(_) => has_new_part = true,
-            }
-        }
-        if has_new_part {
-            decisions.extend(self.update_quarantined_parts());
+        let new: Vec<&Crash> = crashes
+            .iter()
+            .filter(|crash| self.record_crash(now, crash))
+            .collect();
+        if new.is_empty() {
+            return Vec::new();
         }
-        decisions
+        let part_decisions = self.update_quarantines(now);
+        let requests = new.into_iter().filter_map(|crash| match crash.suspect {
+            Suspect::Request(fingerprint) => {
+                Some(self.decision(fingerprint, &crash.target, None, Vec::new()))
+            }
+            Suspect::PromptPart(_) => None,
+        });
+        requests.chain(part_decisions).collect()
     }
 
     /// The line of the record for a crash, with the request and the shared parts of its prompt if
@@ -172,24 +166,28 @@
 
     /// Whether the request is quarantined.
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.uncleared_crashes(fingerprint) >= QUARANTINE_CRASH_COUNT
+        self.is_quarantined_alone(Suspect::Request(fingerprint))
     }
 
-    /// Clears a request that ran to completion. Returns whether it was suspected. A quarantined
-    /// request is not cleared.
+    /// Clears a request that ran to completion. Returns whether it was suspected.
     pub fn clear_request(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
-        if !self.is_suspect(fingerprint) || self.is_quarantined(fingerprint) {
+        let suspect = Suspect::Request(fingerprint);
+        self.completions.add(now, suspect);
+        if !self.is_suspect(fingerprint) {
             return false;
         }
-        self.clear(now, Suspect::Request(fingerprint));
+        self.clear(now, suspect);
+        self.update_quarantines(now);
         true
     }
 
     /// The number of crashes that a request may have caused.
     pub fn uncleared_crashes(&self, fingerprint: Fingerprint) -> usize {
-        self.by_suspect
-            .get(&Suspect::Request(fingerprint))
-            .map_or(0, |evidence| evidence.unexplained(&self.explained).count())
+        let suspect = Suspect::Request(fingerprint);
+        self.by_suspect.get(&suspect).map_or(0, |evidence| {
+            let crashes = evidence.uncleared();
+            crashes.filter(|id| !self.is_explained(suspect, id)).count()
+        })
     }
 
     /// Removes crashes of long ago, and suspects that are too many. Returns the decisions to write to
@@ -207,7 +205,7 @@
             });
         }
         if self.remove_excess() || has_expired {
-            self.update_quarantined_parts()
+            self.update_quarantines(now)
         } else {
             Vec::new()
         }
@@ -222,7 +220,7 @@
         let mut order: Vec<_> = self
             .by_suspect
             .iter()
-            .map(|(suspect, e)| (self.is_suspect_quarantined(suspect), e.learned_at, *suspect))
+            .map(|(suspect, e)| (self.is_in_quarantine(*suspect), e.learned_at, *suspect))
             .collect();
         order.sort_unstable();
         for (_, _, suspect) in order.into_iter().take(excess) {
@@ -257,7 +255,7 @@
     pub fn changes_to_report(&self, now: Duration, revision: u64) -> Vec<Crash> {
         let is_told = |suspect: &Suspect, evidence: &Evidence| {
             evidence.revision > revision
-                && (evidence.is_first_hand || self.is_suspect_quarantined(suspect))
+                && (evidence.is_first_hand || self.is_in_quarantine(*suspect))
         };
         let changed: Vec<_> = self
             .by_suspect
@@ -301,13 +299,6 @@
         requests.filter(|f| self.is_quarantined(*f)).collect()
     }
 
-    fn is_suspect_quarantined(&self, suspect: &Suspect) -> bool {
-        match suspect {
-            Suspect::Request(fingerprint) => self.is_quarantined(*fingerprint),
-            Suspect::PromptPart(part) => self.quarantined_parts.contains(part),
-        }
-    }
-
     /// Marks all crashes of a suspect as not caused by it.
     fn clear(&mut self, now: Duration, suspect: Suspect) {
         self.revision += 1;
--- a/components/control/src/crash_suspects/prompt_parts.rs
+++ b/components/control/src/crash_suspects/prompt_parts.rs
@@ -1,10 +1,9 @@
-//! Decides which parts of prompts are quarantined.
+//! Decides which crashes count against parts of prompts.
 //!
 //! An engine that crashes was running requests with many parts, most of them innocent, and several
 //! engines may crash together for another reason. So a part is quarantined only after crashes in a
 //! row: each under a request that was sent when the crash before it was known, without a request
-//! with the part that ran to completion in between. And a crash that a quarantined part explains
-//! is no evidence against the other parts of the requests that were running.
+//! with the part that ran to completion in between.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -20,6 +19,7 @@
     Evidence,
     SEPARATE_CRASH_TIME, //
 };
+use super::quarantine::Candidate;
 use super::CrashSuspects;
 
 /// The number of crashes in a row after which a part is quarantined.
@@ -33,24 +33,26 @@
 /// The share of all targets whose crashes at the same time have a common cause: one in this number.
 const JOINT_CRASH_DIVISOR: usize = 2;
 
-/// The maximum number of other parts in one line of the record.
-const MAX_RECORDED_RIVALS: usize = 8;
+/// The maximum number of other parts in a list of a line of the record.
+const MAX_RECORDED_PARTS: usize = 8;
 
 /// The minimum number of such targets.
 const MIN_JOINT_CRASHES: usize = 3;
 
 impl CrashSuspects {
-    /// Whether requests whose prompt has this part are not sent to targets.
+    /// Whether no request whose prompt has this part is sent to targets.
     pub fn is_part_quarantined(&self, part: PromptPartId) -> bool {
-        self.quarantined_parts.contains(&part)
+        self.is_quarantined_alone(Suspect::PromptPart(part))
     }
 
     /// The round of a crash under a request with this part that is sent now.
     pub fn next_round(&self, now: Duration, part: PromptPartId) -> u32 {
-        let Some(evidence) = self.by_suspect.get(&Suspect::PromptPart(part)) else {
+        let suspect = Suspect::PromptPart(part);
+        let Some(evidence) = self.by_suspect.get(&suspect) else {
             return 1;
         };
-        let crashes = evidence.unexplained(&self.explained);
+        let crashes = evidence.uncleared();
+        let crashes = crashes.filter(|id| !self.is_explained(suspect, id));
         let rounds = crashes.map(|id| evidence.round_after(now, id));
         rounds.max().unwrap_or(1)
     }
@@ -73,47 +75,21 @@
             }
         }
         if is_changed {
-            self.update_quarantined_parts()
+            self.update_quarantines(now)
         } else {
             Vec::new()
         }
     }
 
-    /// Determines the quarantined parts and the crashes that they explain. Returns the decisions to
-    /// write to the record.
-    pub(super) fn update_quarantined_parts(&mut self) -> Vec<Decision> {
-        let mut quarantined = BTreeSet::new();
-        let mut explained = BTreeSet::new();
-        let candidates = self.candidates();
-        if !candidates.is_empty() {
-            let joint = self.joint_crashes();
-            while let Some((part, crashes)) = self.next_culprit(&candidates, &explained, &joint) {
-                quarantined.insert(part);
-                explained.extend(crashes);
-            }
-        }
-        let before = std::mem::replace(&mut self.quarantined_parts, quarantined);
-        self.explained = explained;
-        let changed: Vec<_> = before
-            .symmetric_difference(&self.quarantined_parts)
-            .copied()
-            .collect();
-        for part in &changed {
-            self.report_again(Suspect::PromptPart(*part));
-        }
-        changed
-            .iter()
-            .map(|part| self.part_decision(*part))
-            .collect()
-    }
-
-    fn part_decision(&self, part: PromptPartId) -> Decision {
+    /// The line of the record for a part whose quarantine began, changed or ended.
+    pub(super) fn part_decision(&self, part: PromptPartId) -> Decision {
         let evidence = self.by_suspect.get(&Suspect::PromptPart(part));
         let rivals = evidence.map_or_else(Vec::new, |evidence| self.rivals(part, evidence));
         let completed_rivals = rivals.iter().filter(|(_, has_completed)| *has_completed);
         Decision::PromptPart {
             part,
-            quarantined: self.is_part_quarantined(part),
+            quarantined: self.is_in_quarantine(Suspect::PromptPart(part)),
+            together: self.quarantined_together(part),
             crashes: evidence.map_or(0, |evidence| evidence.uncleared().count()),
             completed: evidence.is_some_and(|evidence| evidence.has_completed),
             completed_rivals: completed_rivals.map(|(part, _)| *part).collect(),
@@ -124,52 +100,77 @@
     /// Other parts that have enough crashes in common with this one to have caused them, and whether
     /// requests with them had run to completion before.
     fn rivals(&self, part: PromptPartId, evidence: &Evidence) -> Vec<(PromptPartId, bool)> {
-        let candidates = self.candidates().into_iter();
+        let candidates = self.part_candidates().into_iter();
         let shares_crashes = |other: &Evidence| {
             let shared = evidence.uncleared().filter(|id| other.is_uncleared(id));
             shared.count() >= QUARANTINE_ROUNDS
         };
-        let rivals = candidates.filter(|(other, e)| *other != part && shares_crashes(e));
-        rivals
-            .map(|(other, evidence)| (other, evidence.has_completed))
-            .take(MAX_RECORDED_RIVALS)
-            .collect()
+        let rivals = candidates.filter_map(|candidate| match candidate.suspect {
+            Suspect::PromptPart(other) if other != part && shares_crashes(candidate.evidence) => {
+                Some((other, candidate.evidence.has_completed))
+            }
+            _ => None,
+        });
+        rivals.take(MAX_RECORDED_PARTS).collect()
+    }
+
+    /// The other parts that requests must have as well not to be sent.
+    fn quarantined_together(&self, part: PromptPartId) -> Vec<PromptPartId> {
+        let suspect = Suspect::PromptPart(part);
+        let mut all = self.quarantines.iter();
+        let Some(quarantine) = all.find(|quarantine| quarantine.suspects.contains(&suspect)) else {
+            return Vec::new();
+        };
+        let others = quarantine.suspects.iter().filter_map(|other| match other {
+            Suspect::PromptPart(other) if *other != part => Some(*other),
+            _ => None,
+        });
+        others.take(MAX_RECORDED_PARTS).collect()
     }
 
     /// The parts under which enough targets crashed, whatever the cause.
-    fn candidates(&self) -> Vec<(PromptPartId, &Evidence)> {
-        let parts = self
-            .by_suspect
-            .iter()
-            .filter_map(|(suspect, evidence)| match suspect {
-                Suspect::PromptPart(part) => Some((*part, evidence)),
-                Suspect::Request(_) => None,
-            });
+    pub(super) fn part_candidates(&self) -> Vec<Candidate<'_>> {
         let has_enough =
             |evidence: &Evidence| evidence.uncleared().nth(QUARANTINE_ROUNDS - 1).is_some();
-        parts.filter(|(_, evidence)| has_enough(evidence)).collect()
+        let all = self.by_suspect.iter().filter(|(suspect, evidence)| {
+            matches!(suspect, Suspect::PromptPart(_)) && has_enough(evidence)
+        });
+        all.map(|(suspect, evidence)| Candidate {
+            suspect: *suspect,
+            evidence,
+        })
+        .collect()
     }
 
-    /// A part that crashed enough targets in a row, and the crashes under it beyond those that are
-    /// `explained`. Of several parts it is the last in its prompt, which the fewest requests share.
-    fn next_culprit(
+    /// The crashes under candidates that never completed, which therefore do not count against parts that
+    /// did.
+    pub(super) fn charged_crashes<'a>(
         &self,
-        candidates: &[(PromptPartId, &Evidence)],
-        explained: &BTreeSet<CrashId>,
+        candidates: &[Candidate<'a>],
+    ) -> BTreeSet<&'a CrashId> {
+        let unproven = candidates.iter().filter(|c| !c.evidence.has_completed);
+        unproven
+            .flat_map(|candidate| candidate.evidence.uncleared())
+            .collect()
+    }
+
+    /// The number of crashes that count against a part, if they are enough.
+    pub(super) fn count_against_part(
+        &self,
+        evidence: &Evidence,
+        crashes: &BTreeSet<CrashId>,
         joint: &BTreeSet<&CrashId>,
-    ) -> Option<(PromptPartId, Vec<CrashId>)> {
-        let culprits = candidates.iter().filter_map(|(part, evidence)| {
-            let crashes: Vec<CrashId> = evidence.unexplained(explained).cloned().collect();
-            let counted: Vec<_> = crashes.iter().filter(|id| !joint.contains(id)).collect();
-            let rounds: BTreeSet<u32> = counted.iter().map(|id| evidence.round(id)).collect();
-            let is_culprit = rounds.len() >= QUARANTINE_ROUNDS
-                || (counted.len() >= QUARANTINE_CRASHES
-                    && self.count_times(&counted) >= QUARANTINE_ROUNDS);
-            is_culprit.then_some((evidence.position, counted.len(), *part, crashes))
-        });
-        let (.., part, crashes) =
-            culprits.max_by_key(|(position, count, part, _)| (*position, *count, *part))?;
-        Some((part, crashes))
+        charged: &BTreeSet<&CrashId>,
+    ) -> Option<usize> {
+        let has_completed = evidence.has_completed;
+        let is_charged = |id: &CrashId| has_completed && charged.contains(id);
+        let counts = |id: &&CrashId| !(joint.contains(id) || is_charged(id));
+        let counted: Vec<_> = crashes.iter().filter(counts).collect();
+        let rounds: BTreeSet<u32> = counted.iter().map(|id| evidence.round(id)).collect();
+        let is_in_a_row = !has_completed && rounds.len() >= QUARANTINE_ROUNDS;
+        let is_often =
+            counted.len() >= QUARANTINE_CRASHES && self.count_times(&counted) >= QUARANTINE_ROUNDS;
+        (is_in_a_row || is_often).then_some(counted.len())
     }
 
     /// The number of different times at which these crashes happened.
@@ -186,7 +187,7 @@
 
     /// The crashes at whose time a large share of all targets crashed. These have a common cause, for
     /// example a loss of power.
-    fn joint_crashes(&self) -> BTreeSet<&CrashId> {
+    pub(super) fn joint_crashes(&self) -> BTreeSet<&CrashId> {
         let joint_count = self
             .known_targets
             .div_ceil(JOINT_CRASH_DIVISOR)
--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -117,7 +117,7 @@
             return Err((RejectionReason::NoTarget, route_name));
         };
         let parts = &request.shared_prompt_parts;
-        if let Some(reason) = self.quarantine_reason(request.fingerprint, parts) {
+        if let Some(reason) = self.quarantine_reason(now, None, request.fingerprint, parts) {
             return Err((reason, route_name));
         }
         let caller_timeout = request.timeout.unwrap_or(route.timeout);
@@ -161,6 +161,7 @@
             fingerprint: request.fingerprint,
             shared_prompt_parts: parts.clone(),
             sent_parts: Vec::new(),
+            tests: Vec::new(),
             answering_since: None,
             was_silent: false,
             tried_targets: Vec::new(),
--- a/components/control/src/router/crashes.rs
+++ b/components/control/src/router/crashes.rs
@@ -11,12 +11,16 @@
     Suspect, //
 };
 use record::Decision;
-use utils::Name;
+use utils::{
+    rank,
+    Name, //
+};
 
 use super::pending::Pending;
 use super::rejection::RejectionReason;
 use super::state::State;
 use super::Effect;
+use crate::crash_suspects::Quarantine;
 
 /// How long after a target fell silent its end counts as a crash. The list drops a dead target after
 /// three heartbeats, and is read with a delay.
@@ -159,18 +163,80 @@
         sent.collect()
     }
 
-    /// Why a request is not sent to any target because it, or a part of its prompt, crashed several.
+    /// Why a request is not sent to any target now because it, or parts of its prompt, crashed several. A
+    /// request that may show which of them does is sent, one at a time. `token` is that of the request,
+    /// unless it is still to be admitted.
     pub(super) fn quarantine_reason(
         &self,
+        now: Duration,
+        token: Option<u64>,
         fingerprint: Fingerprint,
         parts: &[PromptPartId],
     ) -> Option<RejectionReason> {
-        let suspects = &self.suspects;
-        if suspects.is_quarantined(fingerprint) {
-            return Some(RejectionReason::Quarantined);
+        let pending = token.and_then(|token| self.pending.get(&token));
+        let sent = pending.filter(|pending| pending.assignment.is_some());
+        let may_send = |quarantine: &Quarantine| {
+            let turn = self.test_turn(quarantine);
+            let suspects = &self.suspects;
+            sent.is_some_and(|pending| pending.tests.contains(&quarantine.key()))
+                || (suspects.may_test(now, quarantine, fingerprint, parts, turn)
+                    && !self.is_under_test(quarantine, token))
+        };
+        let mut quarantines = self.suspects.quarantines_of(fingerprint, parts);
+        let quarantine = quarantines.find(|quarantine| !may_send(quarantine))?;
+        Some(if !quarantine.has_all(fingerprint, parts) {
+            RejectionReason::SuspectUnderTest
+        } else if quarantine.is_of_requests() {
+            RejectionReason::Quarantined
+        } else {
+            RejectionReason::PartQuarantined
+        })
+    }
+
+    /// The place of this process among those that share the tests of a quarantine, and their number.
+    fn test_turn(&self, quarantine: &Quarantine) -> (f64, u32) {
+        let hash = rank::hash_key(&(self.options.seed ^ quarantine.key()).to_le_bytes());
+        let turn = hash as f64 / u64::MAX as f64;
+        // If it is not known, the longest turn applies.
+        (turn, self.process_count.get().unwrap_or(u32::MAX))
+    }
+
+    /// Whether a target has another request that a quarantine concerns.
+    fn is_under_test(&self, quarantine: &Quarantine, token: Option<u64>) -> bool {
+        self.pending.iter().any(|(other, pending)| {
+            pending.assignment.is_some()
+                && Some(*other) != token
+                && quarantine.concerns(pending.fingerprint, &pending.shared_prompt_parts)
+        })
+    }
+
+    /// Records that a request is sent although a quarantine concerns it.
+    pub(super) fn record_test(
+        &mut self,
+        now: Duration,
+        token: u64,
+        target: &Name,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&token) else {
+            return;
+        };
+        let parts = &pending.shared_prompt_parts;
+        let quarantines = self.suspects.quarantines_of(pending.fingerprint, parts);
+        pending.tests = quarantines.map(Quarantine::key).collect();
+        let tested = self.suspects.note_test(now, pending.fingerprint, parts);
+        if tested.is_empty() {
+            return;
         }
-        let has_quarantined_part = parts.iter().any(|part| suspects.is_part_quarantined(*part));
-        has_quarantined_part.then_some(RejectionReason::PartQuarantined)
+        let parts = tested.into_iter().filter_map(|suspect| match suspect {
+            Suspect::PromptPart(part) => Some(part),
+            Suspect::Request(_) => None,
+        });
+        effects.push(Effect::Record(Decision::QuarantineTest {
+            request: pending.id.clone(),
+            target: target.clone(),
+            prompt_parts: parts.collect(),
+        }));
     }
 
     /// Handles the unplanned end of a target's start: it crashed during the exchanges in which it
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -281,7 +281,12 @@
         if !pending.response_started && self.is_key_revoked(pending) {
             return Some(RejectionReason::UnknownKey);
         }
-        self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
+        self.quarantine_reason(
+            now,
+            Some(token),
+            pending.fingerprint,
+            &pending.shared_prompt_parts,
+        )
     }
 
     /// Whether no target may go on with the answer that the caller has a part of: its version is not known,
@@ -358,6 +363,10 @@
             return;
         };
         let sent_parts = self.sent_parts(now, pending);
+        self.record_test(now, token, id, effects);
+        let Some(pending) = self.pending.get(&token) else {
+            return;
+        };
         let model = pending
             .service
             .engine_profile
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -365,9 +365,12 @@
             Some(RejectionReason::MayHaveRun)
         } else if pending.attempts() >= attempt_limit {
             Some(RejectionReason::OutOfAttempts)
-        } else if let Some(reason) =
-            self.quarantine_reason(pending.fingerprint, &pending.shared_prompt_parts)
-        {
+        } else if let Some(reason) = self.quarantine_reason(
+            now,
+            Some(token),
+            pending.fingerprint,
+            &pending.shared_prompt_parts,
+        ) {
             Some(reason)
         } else if now >= pending.deadline || self.arrives_after_caller_left(now, token) {
             Some(RejectionReason::TimedOut)
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -75,6 +75,8 @@
     pub shared_prompt_parts: Vec<PromptPartId>,
     /// These parts, as known when it was last sent to a target.
     pub sent_parts: Vec<SentPart>,
+    /// The quarantines that it was sent to the current target to test.
+    pub tests: Vec<u64>,
     /// When the head of the current target's answer arrived.
     pub answering_since: Option<Duration>,
     /// Whether the current target has been silent for as long as it may be.
--- a/components/control/src/router/rejection.rs
+++ b/components/control/src/router/rejection.rs
@@ -40,6 +40,8 @@
     Quarantined,
     /// Requests whose prompt has one of its parts crashed several targets.
     PartQuarantined,
+    /// It, or a part of its prompt, may have crashed several targets, and another request is testing that.
+    SuspectUnderTest,
     /// The process is about to stop.
     Stopping,
 }
@@ -61,6 +63,7 @@
             Self::MayHaveRun => "may_have_run",
             Self::Quarantined => "quarantined",
             Self::PartQuarantined => "part_quarantined",
+            Self::SuspectUnderTest => "suspect_under_test",
             Self::Stopping => "stopping",
         }
     }
@@ -84,6 +87,7 @@
             | RejectionReason::TimedOut
             | RejectionReason::OutOfAttempts
             | RejectionReason::OutOfRetries
+            | RejectionReason::SuspectUnderTest
             | RejectionReason::MayHaveRun => RETRY_LATER_DELAY,
         };
         Some(base.mul_f64(1.0 + self.random_fraction()))
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -154,6 +154,8 @@
     pub is_lease_valid: bool,
     /// Number of known targets.
     pub known_targets: usize,
+    /// Groups of requests, and of parts of prompts, that are not sent since they crashed targets.
+    pub quarantines: usize,
     /// Requests in progress.
     pub pending_requests: usize,
     /// Queued requests.
@@ -313,6 +315,7 @@
             lease_age: self.lease.age(now),
             is_lease_valid: self.lease.allows(now, true),
             known_targets: self.targets.iter().count(),
+            quarantines: self.suspects.quarantine_count(),
             pending_requests: self.pending.len(),
             queued_requests: self.queues.values().map(Queue::len).sum(),
             is_draining: self.is_draining(),
--- a/components/control/tests/crashing_prompts.rs
+++ b/components/control/tests/crashing_prompts.rs
@@ -54,9 +54,16 @@
 const SECOND_PARTS: u64 = 40;
 
 /// Until then all requests are sound, so that engines crash only by other trouble.
-const CRASHES_FROM: Duration = Duration::from_secs(15);
+const CRASHES_FROM: Duration = Duration::from_secs(60);
 
-const RUN_TIME: Duration = Duration::from_secs(45);
+/// How long the parts around the crashing one stay the same where they change with time.
+const COMPANION_TIME: Duration = Duration::from_secs(5);
+
+/// The number of parts that each place in the prompt may have where they change.
+const COMPANIONS: u64 = 4;
+
+/// The number of sound requests that the rule on them needs.
+const MIN_SOUND: usize = 20;
 
 /// How long a process must have run to count, and how long it may take to learn something.
 const TOUCH_TIME: Duration = Duration::from_secs(3);
@@ -94,11 +101,57 @@
     VariedParts,
     /// Another part always follows it.
     WithCompanion,
+    /// Sound requests have the same parts before it and behind it.
+    Between(Shared),
+}
+
+/// The parts that sound requests share with crashing ones.
+#[derive(Clone, Copy, Debug)]
+struct Shared {
+    before: u64,
+    behind: u64,
+    companions: Companions,
+}
+
+/// How the shared parts change.
+#[derive(Clone, Copy, Debug)]
+enum Companions {
+    /// They are always the same.
+    Fixed,
+    /// Each request has its own choice of them.
+    PerRequest,
+    /// They change from time to time, for all requests together.
+    Switching,
+}
+
+impl Shared {
+    /// The part at this place of a prompt.
+    fn part(self, place: u64, now: Duration, rng: &mut Pcg64Mcg) -> u64 {
+        let choice = match self.companions {
+            Companions::Fixed => 0,
+            Companions::PerRequest => rng.random_range(0..COMPANIONS),
+            Companions::Switching => now.as_secs() / COMPANION_TIME.as_secs() % COMPANIONS,
+        };
+        first_part(100 * place + choice)
+    }
+
+    fn parts(self, now: Duration, rng: &mut Pcg64Mcg) -> (Vec<u64>, Vec<u64>) {
+        let mut parts = |places: std::ops::Range<u64>| {
+            let parts = places.map(|place| self.part(place, now, rng));
+            parts.collect::<Vec<_>>()
+        };
+        let before = parts(0..self.before);
+        (before, parts(self.before..self.before + self.behind))
+    }
 }
 
 impl Crashing {
-    fn parts(self, rng: &mut Pcg64Mcg) -> Vec<u64> {
+    fn parts(self, now: Duration, rng: &mut Pcg64Mcg) -> Vec<u64> {
         match self {
+            Self::Between(shared) => {
+                let (before, behind) = shared.parts(now, rng);
+                [before, vec![CRASHING_PART], behind].concat()
+            }
             Self::SharedFirstPart => vec![first_part(0), CRASHING_PART],
             Self::PartFirst => vec![CRASHING_PART, second_part(rng)],
             Self::OnlyPart => vec![CRASHING_PART],
@@ -107,8 +160,12 @@
         }
     }
 
-    fn sound_parts(self, rng: &mut Pcg64Mcg) -> Vec<u64> {
+    fn sound_parts(self, now: Duration, rng: &mut Pcg64Mcg) -> Vec<u64> {
         match self {
+            Self::Between(shared) => {
+                let (before, behind) = shared.parts(now, rng);
+                [before, behind].concat()
+            }
             Self::OnlyPart => vec![second_part(rng)],
             _ => vec![any_first_part(rng), second_part(rng)],
         }
@@ -139,6 +196,12 @@
     EntryRestarts,
     /// Agents restart in turn.
     AgentRestarts,
+    /// All entries start anew, at once and so that they know nothing.
+    EntriesStart,
+    /// One entry starts anew, shortly before the first crash.
+    EntryStarts,
+    /// Requests with the part had been answered until then.
+    PartWasSound,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -150,6 +213,9 @@
     entries: usize,
     engines: usize,
     trouble: Trouble,
+    /// How long sound requests alone come before `CRASHES_FROM`, and the others with them after it.
+    calm_time: Duration,
+    crashing_time: Duration,
 }
 
 const CASE: Case = Case {
@@ -160,8 +226,29 @@
     entries: 4,
     engines: 12,
     trouble: Trouble::None,
+    calm_time: Duration::from_secs(5),
+    crashing_time: Duration::from_secs(40),
 };
 
+impl Case {
+    fn title(&self) -> String {
+        let Self {
+            name,
+            crashing,
+            crashing_per_second,
+            sound_per_second,
+            trouble,
+            ..
+        } = self;
+        if !name.is_empty() {
+            return (*name).to_owned();
+        }
+        format!(
+            "{crashing:?}, {sound_per_second} sound and {crashing_per_second} crashing requests a second, {trouble:?}"
+        )
+    }
+}
+
 struct Entry {
     state: State,
     exchanges: Vec<CrashExchange>,
@@ -218,7 +305,7 @@
 
 impl Fleet {
     fn new(case: Case, seed: u64) -> Self {
-        let now = Duration::from_secs(10);
+        let now = CRASHES_FROM - case.calm_time;
         let mut fleet = Self {
             case,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -292,7 +379,7 @@
     }
 
     fn run(&mut self) {
-        let end = self.now + RUN_TIME;
+        let end = CRASHES_FROM + self.case.crashing_time;
         while self.now < end {
             self.now += STEP;
             self.make_trouble();
@@ -323,12 +410,14 @@
                 }
             }
             Trouble::EntryRestarts if is_restart && turn > 0 => {
-                let entry = turn % self.entries.len();
-                self.entries[entry] = self.new_entry(entry);
-                for engine in &mut self.engines {
-                    engine.runs.retain(|run| run.entry != entry);
+                self.restart_entry(turn % self.entries.len());
+            }
+            Trouble::EntriesStart if since.is_zero() => {
+                for entry in 0..self.entries.len() {
+                    self.restart_entry(entry);
                 }
             }
+            Trouble::EntryStarts if since.is_zero() => self.restart_entry(0),
             Trouble::AgentRestarts if is_restart && turn > 0 => {
                 let agent = turn % self.agents.len();
                 self.agents[agent] = Agent::new(self.now, &engine_name(agent));
@@ -337,15 +426,23 @@
         }
     }
 
+    fn restart_entry(&mut self, entry: usize) {
+        self.entries[entry] = self.new_entry(entry);
+        for engine in &mut self.engines {
+            engine.runs.retain(|run| run.entry != entry);
+        }
+    }
+
     fn send_requests(&mut self) {
         let is_sound = self.case.sound_per_second * STEP.as_secs_f64();
         if self.rng.random_bool(is_sound.min(1.0)) {
-            let parts = self.case.crashing.sound_parts(&mut self.rng);
+            let parts = self.case.crashing.sound_parts(self.now, &mut self.rng);
             self.send(parts, true);
         }
         let is_crashing = self.case.crashing_per_second * STEP.as_secs_f64();
-        if self.now >= CRASHES_FROM && self.rng.random_bool(is_crashing) {
-            let parts = self.case.crashing.parts(&mut self.rng);
+        let comes = self.now >= CRASHES_FROM || self.case.trouble == Trouble::PartWasSound;
+        if comes && self.rng.random_bool(is_crashing) {
+            let parts = self.case.crashing.parts(self.now, &mut self.rng);
             self.send(parts, true);
         }
         let now = self.now;
@@ -412,7 +509,7 @@
         }
         let attempt = self.attempts.get_mut(&token).unwrap();
         attempt.sends += 1;
-        let is_crashing = attempt.parts.contains(&CRASHING_PART);
+        let is_crashing = attempt.parts.contains(&CRASHING_PART) && self.now >= CRASHES_FROM;
         if is_crashing {
             let is_in_touch = self.now >= self.entries[entry].in_touch_from;
             self.sends.push((self.now, is_in_touch));
@@ -612,11 +709,12 @@
 /// Runs a case with several seeds. Returns what went wrong.
 fn violations(case: Case) -> Vec<String> {
     let mut violations = Vec::new();
+    let title = case.title();
     for seed in 1..=4 {
         let mut fleet = Fleet::new(case, seed);
         let start = fleet.now;
         fleet.run();
-        let mut add = |text: String| violations.push(format!("{}, seed {seed}: {text}", case.name));
+        let mut add = |text: String| violations.push(format!("{title}, seed {seed}: {text}"));
         let late_sends = fleet.late_sends();
         if late_sends > ALLOWED_LATE_SENDS {
             let crashes = fleet.crashes.len();
@@ -628,8 +726,8 @@
         let is_sharing = matches!(case.crashing, Crashing::SharedFirstPart);
         for is_sharing in [false, is_sharing] {
             let (before, _) = fleet.begun_share(start, CRASHES_FROM, is_sharing);
-            let (after, count) = fleet.begun_share(judged_from, start + RUN_TIME, is_sharing);
-            if count >= 20 && after < before / 2.0 {
+            let (after, count) = fleet.begun_share(judged_from, fleet.now, is_sharing);
+            if count >= MIN_SOUND && after < before / 2.0 {
                 add(format!(
                     "{after:.2} of {count} sound requests begin, {before:.2} before"
                 ));
@@ -749,3 +847,114 @@
     ];
     assert_none_violated(cases);
 }
+
+/// Cases with each number of shared parts before and behind the crashing one, each way in which these
+/// change, and entries that know the parts or have just started.
+fn cases_of_shared_parts(crashing_per_second: f64, sound_per_second: f64) -> Vec<Case> {
+    // At low rates the rule's minimum number of sound requests takes longer.
+    let sound_time = Duration::from_secs_f64(1.2 * MIN_SOUND as f64 / sound_per_second);
+    let mut cases = Vec::new();
+    for (before, behind) in [(0, 1), (1, 0), (1, 1), (3, 1), (1, 3)] {
+        for companions in [
+            Companions::Fixed,
+            Companions::PerRequest,
+            Companions::Switching,
+        ] {
+            for trouble in [Trouble::None, Trouble::EntryStarts, Trouble::EntriesStart] {
+                cases.push(Case {
+                    crashing: Crashing::Between(Shared {
+                        before,
+                        behind,
+                        companions,
+                    }),
+                    crashing_per_second,
+                    sound_per_second,
+                    trouble,
+                    calm_time: sound_time.max(CASE.calm_time),
+                    crashing_time: sound_time + Duration::from_secs(15),
+                    ..CASE
+                });
+            }
+        }
+    }
+    cases
+}
+
+/// Guards against the quarantine of a sound part, whose requests are then all refused, where sound
+/// requests come so rarely that none is answered between the crashes.
+#[test]
+fn rare_sound_requests_are_served_whatever_parts_they_share_with_crashing_ones() {
+    assert_none_violated(cases_of_shared_parts(2.5, 0.5));
+}
+
+#[test]
+fn sound_requests_of_a_small_caller_are_served_whatever_parts_they_share_with_crashing_ones() {
+    assert_none_violated(cases_of_shared_parts(2.5, 3.0));
+}
+
+#[test]
+fn sound_requests_are_served_whatever_parts_they_share_with_rare_crashing_ones() {
+    assert_none_violated(cases_of_shared_parts(0.5, 1.0));
+}
+
+#[test]
+fn sound_requests_are_served_whatever_parts_they_share_with_frequent_crashing_ones() {
+    assert_none_violated(cases_of_shared_parts(8.0, 1.0));
+}
+
+#[test]
+fn frequent_sound_requests_are_served_whatever_parts_they_share_with_crashing_ones() {
+    assert_none_violated(cases_of_shared_parts(2.5, 90.0));
+}
+
+/// Cases with one shared part before and one behind the crashing one, for each way in which these change.
+fn cases_between_two_parts(case: Case) -> impl Iterator<Item = Case> {
+    let companions = [
+        Companions::Fixed,
+        Companions::PerRequest,
+        Companions::Switching,
+    ];
+    companions.into_iter().map(move |companions| Case {
+        crashing: Crashing::Between(Shared {
+            before: 1,
+            behind: 1,
+            companions,
+        }),
+        crashing_per_second: 2.5,
+        sound_per_second: 1.0,
+        calm_time: Duration::from_secs(24),
+        crashing_time: Duration::from_secs(40),
+        ..case
+    })
+}
+
+/// The same beside other trouble, and with many entries, each of which sees few sound requests.
+#[test]
+fn rare_sound_requests_are_served_beside_other_trouble() {
+    let troubles = [
+        (Trouble::AllEnginesCrash, 4),
+        (Trouble::BrokenAnswers(0.2), 4),
+        (Trouble::EntryRestarts, 4),
+        (Trouble::AgentRestarts, 4),
+        (Trouble::None, 12),
+        (Trouble::EntryStarts, 12),
+        (Trouble::EntriesStart, 12),
+    ];
+    let cases = troubles.into_iter().flat_map(|(trouble, entries)| {
+        cases_between_two_parts(Case {
+            trouble,
+            entries,
+            ..CASE
+        })
+    });
+    assert_none_violated(cases);
+}
+
+/// Guards against completed requests as proof for all time.
+#[test]
+fn part_that_had_been_sound_is_not_sent_on_once_it_crashes_engines() {
+    assert_none_violated(cases_between_two_parts(Case {
+        trouble: Trouble::PartWasSound,
+        ..CASE
+    }));
+}
--- a/components/protocol/src/suspects.rs
+++ b/components/protocol/src/suspects.rs
@@ -26,6 +26,9 @@
     /// Whether the request, or one with the part, has since completed elsewhere, which shows that it
     /// did not cause the crash.
     pub is_cleared: bool,
+    /// Whether the request, or one with the part, had completed before the crash, as far as the reporting
+    /// process knows. Then another suspect is the likelier cause.
+    pub has_completed: bool,
     /// The number of crashes in a row under the suspect, this one included: one more than were known
     /// when the request was sent. Targets that crash at the same time have the same number.
     pub round: u32,
@@ -44,6 +47,7 @@
             target,
             start_count,
             is_cleared: false,
+            has_completed: false,
             round: 1,
             position: 0,
             age_ms: 0,
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -288,6 +288,7 @@
         metrics::gauge!("medlarproxy_requests_waiting").set(summary.queued_requests as f64);
         metrics::gauge!("medlarproxy_buffer_bytes").set(self.inner.buffers.used_bytes() as f64);
         metrics::gauge!("medlarproxy_targets").set(summary.known_targets as f64);
+        metrics::gauge!("medlarproxy_quarantines").set(summary.quarantines as f64);
         let version = summary.config_version.unwrap_or_default();
         metrics::gauge!("medlarproxy_configuration_version").set(version as f64);
         let age = summary.lease_age.unwrap_or(Duration::MAX);
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -248,12 +248,16 @@
         /// How it ended.
         outcome: Name,
     },
-    /// Requests whose prompt has this part are no longer sent to targets, or are sent again.
+    /// Requests whose prompt has this part, and those that it is quarantined `together` with, are no longer
+    /// sent to targets, or are sent again.
     PromptPart {
         /// The part.
         part: PromptPartId,
         /// Whether they are not sent.
         quarantined: bool,
+        /// Parts that the same crashes speak against. A request without one of them is sent.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        together: Vec<PromptPartId>,
         /// Number of crashes under the part that this process knows of and has not cleared.
         crashes: usize,
         /// Whether requests with the part had run to completion before, as far as this process knows.
@@ -266,6 +270,16 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         completed_rivals: Vec<PromptPartId>,
     },
+    /// A request is sent although it, or a part of its prompt, may crash targets: its end shows whether it
+    /// does.
+    QuarantineTest {
+        /// The request.
+        request: Name,
+        /// The target.
+        target: Name,
+        /// The parts that are tested, or none if the request itself is.
+        prompt_parts: Vec<PromptPartId>,
+    },
     /// The process activated a configuration.
     Configure {
         /// Its version.
@@ -655,6 +669,7 @@
             Self::Suspect { .. } => "suspect",
             Self::SuspectCleared { .. } => "suspect_cleared",
             Self::PromptPart { .. } => "prompt_part",
+            Self::QuarantineTest { .. } => "quarantine_test",
             Self::Configure { .. } => "configure",
             Self::StoreAnswer { .. } => "store_answer",
             Self::Target { .. } => "target",
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -373,26 +373,42 @@
     assert!(!too_many, "late sends: {late_sends:?}");
 }
 
+/// The parts of prompts that crash engines, before the own part of each request.
+struct PartCase {
+    name: &'static str,
+    crashing: &'static [&'static str],
+    /// Whether a sound request is answered before.
+    is_sound_first: bool,
+    restarts_entries: bool,
+}
+
 /// Returns how many engines crashed after the time allowed for learning of the part, and how many of
 /// the sound requests, one to each entry, were answered.
-async fn run_crashing_part(restarts_entries: bool) -> (usize, usize) {
-    let mut fleet = Fleet::start(8 + u8::from(restarts_entries), true).await;
-    let own_part = |caller: usize| format!("a{caller}");
+async fn run_crashing_part(number: u8, case: &PartCase) -> (usize, usize) {
+    let mut fleet = Fleet::start(number, true).await;
+    let parts = |caller: usize| {
+        let own = format!("a{caller}");
+        let shared = case.crashing.iter().map(|part| (*part).to_owned());
+        shared.chain([own]).collect::<Vec<_>>()
+    };
+    if case.is_sound_first {
+        fleet.send_prompt(0, &SOUND_PARTS).await;
+    }
     for caller in 0..3 * ENTRIES {
-        let own = own_part(caller);
-        let parts = [SOUND_PARTS[0], CRASHING_PART, &own];
+        let parts = parts(caller);
+        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
         fleet.send_prompt(caller % ENTRIES, &parts).await;
         sleep(CALLER_INTERVAL).await;
     }
     sleep(TOUCH_TIME).await;
     let before = fleet.crash_count();
-    if restarts_entries {
+    if case.restarts_entries {
         fleet.restart_entries().await;
     }
     let mut answered = 0;
     for entry in 0..ENTRIES {
-        let own = own_part(100 + entry);
-        let parts = [SOUND_PARTS[0], CRASHING_PART, &own];
+        let parts = parts(100 + entry);
+        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
         fleet.send_prompt(entry, &parts).await;
         let answer = fleet.send_prompt(entry, &SOUND_PARTS).await;
         answered += usize::from(answer.contains("200 OK"));
@@ -402,18 +418,47 @@
 
 #[test]
 fn part_that_crashed_engines_is_sent_on_by_no_entry_while_sound_requests_are_served() {
-    let runs = [false, true].map(|restarts_entries| {
-        std::thread::spawn(move || {
-            let runtime = tokio::runtime::Runtime::new().unwrap();
-            runtime.block_on(run_crashing_part(restarts_entries))
-        })
+    const LAST: &[&str] = &[SOUND_PARTS[0], CRASHING_PART];
+    const BETWEEN: &[&str] = &[SOUND_PARTS[0], CRASHING_PART, SOUND_PARTS[1]];
+    let cases = [
+        PartCase {
+            name: "the last shared part",
+            crashing: LAST,
+            is_sound_first: false,
+            restarts_entries: false,
+        },
+        PartCase {
+            name: "the last shared part, entries restarted",
+            crashing: LAST,
+            is_sound_first: false,
+            restarts_entries: true,
+        },
+        PartCase {
+            name: "between parts of sound requests",
+            crashing: BETWEEN,
+            is_sound_first: false,
+            restarts_entries: false,
+        },
+        PartCase {
+            name: "between parts of sound requests that were answered, entries restarted",
+            crashing: BETWEEN,
+            is_sound_first: true,
+            restarts_entries: true,
+        },
+    ];
+    std::thread::scope(|scope| {
+        let runs = (8..).zip(&cases).map(|(number, case)| {
+            let run = scope.spawn(move || {
+                let runtime = tokio::runtime::Runtime::new().unwrap();
+                runtime.block_on(run_crashing_part(number, case))
+            });
+            (case.name, run)
+        });
+        let runs: Vec<_> = runs.collect();
+        for (name, run) in runs {
+            let (late_sends, answered) = run.join().unwrap();
+            assert!(late_sends <= ALLOWED_LATE_SENDS, "{late_sends}, {name}");
+            assert_eq!(answered, ENTRIES, "{name}");
+        }
     });
-    for (run, restarts_entries) in runs.into_iter().zip([false, true]) {
-        let (late_sends, answered) = run.join().unwrap();
-        assert!(
-            late_sends <= ALLOWED_LATE_SENDS,
-            "{late_sends}, {restarts_entries}"
-        );
-        assert_eq!(answered, ENTRIES, "entries restarted: {restarts_entries}");
-    }
 }
