Take only answers of the protocol from targets, and no others for crashes

What callers saw: an answer with the status 600 or 999, signed, as it was, and 101, which ends no request; and 503 "quarantined" for the repeat of a request whose targets had sent a status such as 000, which the library cannot read. Status 000 itself reached no caller.

Cause: whatever the library accepts was passed on, and whatever it does not accept counted as a lost connection, that is a crash of the target. The version of the target's first line was passed on too, so a stream from a target in HTTP/1.0 had no chunks and a broken one ended like a complete one.

Change: only 200 to 599 end a request; other statuses and unreadable bytes, also in place of the size of a chunk, are a failure of a target that lives. The connection is closed. Answers reach callers in HTTP/1.1. The same in the client of agents on the own interface.

--- a/components/control/src/agent/requests.rs
+++ b/components/control/src/agent/requests.rs
@@ -30,7 +30,7 @@
     NotSent,
     /// The target rejected the request before it started, since it cannot serve now.
     Declined,
-    /// The target sent the response of another request, or one that may be.
+    /// The target sent the response of another request, or one that may be, or no response at all.
     WrongResponse,
     /// The target answered a request to continue a stream with something else.
     NotContinued,
--- a/components/proxy/src/agent/serving.rs
+++ b/components/proxy/src/agent/serving.rs
@@ -42,6 +42,7 @@
     is_stream_type,
     may_continue_stream, //
 };
+use crate::final_answer::is_no_answer;
 use crate::target::REQUEST_ID;
 
 /// The last event of a streamed response of a model engine.
@@ -247,6 +248,10 @@
         let response = match response {
             Ok(response) => response,
             Err(ProxyError::Connect(_) | ProxyError::Decode(_)) => return RunResult::NotSent,
+            Err(e @ ProxyError::NoAnswer(_)) => {
+                log::warn!("request {}: the target sent no answer: {e}", request.id);
+                return RunResult::WrongResponse;
+            }
             Err(e) => {
                 log::warn!("request {}: connection to the target lost: {e}", request.id);
                 return RunResult::ConnectionLost;
@@ -330,7 +335,11 @@
                         "request {}: the response of the target was cut off: {e}",
                         request.id
                     );
-                    return RunResult::ConnectionLost;
+                    return if is_no_answer(&e) {
+                        RunResult::WrongResponse
+                    } else {
+                        RunResult::ConnectionLost
+                    };
                 }
             };
             if let Some(head) = head.take() {
--- a/components/proxy/src/error.rs
+++ b/components/proxy/src/error.rs
@@ -20,6 +20,8 @@
     Connect(String),
     /// the HTTP exchange failed: {0}
     CallFailed(String),
+    /// not an answer: {0}
+    NoAnswer(String),
     /// unexpected status {0}
     Status(u16),
     /// cannot be read: {0}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -16,7 +16,7 @@
 mod error;
 mod event_stream;
 pub mod feed;
-
+mod final_answer;
 mod links;
 mod node;
 mod platform_client;
--- a/components/proxy/src/platform_client.rs
+++ b/components/proxy/src/platform_client.rs
@@ -23,6 +23,10 @@
 use utils::digest::Digest;
 
 use crate::error::ProxyError;
+use crate::final_answer::{
+    is_final_status,
+    is_no_answer, //
+};
 
 /// An HTTP client with pooled connections.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -151,11 +155,19 @@
     http: &HttpClient,
     request: Request<Full<Bytes>>,
 ) -> Result<http::Response<Incoming>, ProxyError> {
-    http.request(request).await.map_err(|e| {
+    let response = http.request(request).await.map_err(|e| {
         if e.is_connect() {
             ProxyError::Connect(e.to_string())
+        } else if is_no_answer(&e) {
+            ProxyError::NoAnswer(e.to_string())
         } else {
             ProxyError::CallFailed(e.to_string())
         }
-    })
+    })?;
+    let status = response.status();
+    if is_final_status(status) {
+        Ok(response)
+    } else {
+        Err(ProxyError::NoAnswer(format!("status {}", status.as_u16())))
+    }
 }
--- a/components/proxy/src/router/exchange.rs
+++ b/components/proxy/src/router/exchange.rs
@@ -18,7 +18,8 @@
     HeaderMap,
     Method,
     Request,
-    Uri, //
+    Uri,
+    Version, //
 };
 use http_body_util::{
     BodyExt,
@@ -32,6 +33,10 @@
 use utils::Name;
 
 use crate::buffers::BodyBuffer;
+use crate::final_answer::{
+    is_final_status,
+    is_no_answer, //
+};
 
 use super::header_codec::{
     ExecutionStatus,
@@ -146,13 +151,30 @@
             Ok(received) => received,
             Err(ExchangeError::NotSent) => return Err(Outcome::NotSent),
             Err(ExchangeError::Withheld) => return Err(Outcome::Withheld),
+            Err(ExchangeError::NoAnswer) => {
+                return Err(Outcome::Broken {
+                    connection_lost: false,
+                })
+            }
             Err(ExchangeError::ConnectionLost) => {
                 return Err(Outcome::Broken {
                     connection_lost: true,
                 })
             }
         };
-        let (parts, body) = response.into_parts();
+        if !is_final_status(response.status()) {
+            log::warn!(
+                "target {} sent the status {}, which ends no request",
+                forward_request.target,
+                response.status().as_u16()
+            );
+            return Err(Outcome::Broken {
+                connection_lost: false,
+            });
+        }
+        let (mut parts, body) = response.into_parts();
+        // The version is that of each connection.
+        parts.version = Version::HTTP_11;
         let head = (self.inner.header_codec.read_response)(&parts, &forward_request.target);
         // Targets return the id of the request. A response without it may be one that was sent before.
         if head.id.as_ref() != Some(&caller_request.id) {
@@ -327,9 +349,9 @@
             let frame = match body.frame().await {
                 None => return Ok(None),
                 Some(Ok(frame)) => frame,
-                Some(Err(_)) => {
+                Some(Err(e)) => {
                     return Err(Outcome::Broken {
-                        connection_lost: true,
+                        connection_lost: !is_no_answer(&e),
                     })
                 }
             };
--- a/components/proxy/src/router/pool.rs
+++ b/components/proxy/src/router/pool.rs
@@ -23,6 +23,8 @@
 use utils::clock::Clock;
 use utils::run_time::timeout;
 
+use crate::final_answer::is_no_answer;
+
 /// How long opening a connection may take. Data centres are milliseconds apart, and a lost SYN
 /// packet is resent only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -44,6 +46,8 @@
     NotSent,
     /// The request was not handed to a connection, since its target may not get it any more.
     Withheld,
+    /// The target sent something that is no answer in the protocol. It may have received the request.
+    NoAnswer,
     /// The connection was lost; the target may have received the request.
     ConnectionLost,
 }
@@ -76,6 +80,8 @@
             // The error contains the request if none of it was sent.
             if e.take_message().is_some() {
                 ExchangeError::NotSent
+            } else if is_no_answer(e.error()) {
+                ExchangeError::NoAnswer
             } else {
                 ExchangeError::ConnectionLost
             }
