Check the first version of an engine that loaded it by an order

What callers saw: tokens of a spoilt layer, 125 or 126 requests in 4 s, from an engine that was added and loaded version 1 by a late order; its agent started after that.

Cause: the first report of a new agent process took version 1 as verified, whatever its engine had done. Engines hold it from their start, or load it by an order like any other.

Change: it is taken as verified only if the engine reports that it accepted no order since its start, which PROTOCOL.md has as sequence. Otherwise its pieces are compared first, as for all later versions, which takes the engine out of service until then.

--- a/components/control/src/controller/mod.rs
+++ b/components/control/src/controller/mod.rs
@@ -814,7 +814,8 @@
             return;
         };
         let is_first = !std::mem::replace(&mut self.has_engine_reported, true);
-        if is_first {
+        // Engines hold the first version from their start, or load it by an order like any other.
+        if is_first && report.sequence.is_none_or(|orders| orders == 0) {
             self.orders
                 .trust(report.version.filter(|v| *v == INITIAL_VERSION));
         }
--- a/components/control/tests/controller.rs
+++ b/components/control/tests/controller.rs
@@ -753,6 +753,79 @@
     assert_eq!(unchecked, [""; 0]);
 }
 
+/// Guards against tokens of a corrupt first version, which an engine that was added loaded by an order of an
+/// earlier process of its agent.
+#[test]
+fn first_version_is_checked_if_the_engine_loaded_it_by_an_order() {
+    struct Case {
+        name: &'static str,
+        /// The orders that the engine has accepted at the first report of the new process.
+        sequence: Option<u64>,
+        load_check: LoadCheck,
+        /// Whether the version is used at the first report, and after a while.
+        is_used_at_once: bool,
+        is_used_later: bool,
+        checks: u32,
+        is_reloaded: bool,
+    }
+    let cases = [
+        Case {
+            name: "held from the start of the engine",
+            sequence: Some(0),
+            load_check: LoadCheck::Changed,
+            is_used_at_once: true,
+            is_used_later: true,
+            checks: 0,
+            is_reloaded: false,
+        },
+        Case {
+            name: "held by an engine that counts no orders",
+            sequence: None,
+            load_check: LoadCheck::Changed,
+            is_used_at_once: true,
+            is_used_later: true,
+            checks: 0,
+            is_reloaded: false,
+        },
+        Case {
+            name: "loaded from intact pieces",
+            sequence: Some(1),
+            load_check: LoadCheck::Intact,
+            is_used_at_once: false,
+            is_used_later: true,
+            checks: 1,
+            is_reloaded: false,
+        },
+        Case {
+            name: "loaded from changed pieces",
+            sequence: Some(3),
+            load_check: LoadCheck::Changed,
+            is_used_at_once: false,
+            is_used_later: true,
+            checks: 1,
+            is_reloaded: true,
+        },
+    ];
+    for case in cases {
+        let mut agent = Agent::new(1, Some(1));
+        agent.set_layers(4);
+        agent.engine.sequence = case.sequence;
+        agent.load_check = case.load_check;
+        let first = agent.engine;
+        agent.handle(Event::Engine(Some(first)));
+        let is_used = !agent.controller.status().is_switching;
+        assert_eq!(is_used, case.is_used_at_once, "{}", case.name);
+        agent.receive_all(1);
+        agent.advance(ms(2000));
+        let is_used = !agent.controller.status().is_switching;
+        assert_eq!(is_used, case.is_used_later, "{}, later", case.name);
+        assert_eq!(agent.load_checks, case.checks, "{}", case.name);
+        let orders = agent.ordered_versions();
+        assert!(orders.iter().all(|version| *version == 1), "{}", case.name);
+        assert_eq!(!orders.is_empty(), case.is_reloaded, "{}", case.name);
+    }
+}
+
 /// Guards against requests that an agent admits before it can check what its engine loaded.
 #[test]
 fn weights_are_not_used_before_the_model_is_known_for_their_check() {
