Count a stream that ends with its connection before any event as a crash

What callers saw: with answers that end with their connection, a request that crashes engines was sent on as long as it came, 20 crashes in 20 s, and half of the sound requests got no whole answer.

Cause: such an answer without an event was a failure of a target that lives, whatever its framing, so neither the request nor the parts of its prompt became suspects.

Change: without a framing, and unless the target was asked to go on after events that the caller has, it may be a crash. With a framing the end shows that the target lives.

Evidence: stream_without_any_event_never_reaches_callers_as_complete sends the request again now; "ends with its connection" failed on the code before (502 instead of quarantined) and passes.

--- a/components/proxy/src/router/streams.rs
+++ b/components/proxy/src/router/streams.rs
@@ -53,10 +53,11 @@
 /// How many batches of events are buffered for a slow caller before reading from the target stops.
 const MAX_BUFFERED_BATCHES: usize = 16;
 
-/// The outcome of a stream that ends without any event, which sound targets do not send.
-const NO_EVENTS: Outcome = Outcome::Broken {
-    connection_lost: false,
-};
+/// Whether the end of the body is that of its connection only if it is cut off.
+fn is_framed(parts: &Parts) -> bool {
+    let headers = &parts.headers;
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
 
 /// A part of the answer to the caller.
 enum StreamPart {
@@ -178,7 +179,10 @@
         let first = match self.read(&mut answer).await {
             ReadResult::Events(batch) => Some(batch),
             ReadResult::End if self.may_be_empty(&parts) => None,
-            ReadResult::End => return Err((self, NO_EVENTS)),
+            ReadResult::End => {
+                let outcome = self.no_events(&parts);
+                return Err((self, outcome));
+            }
             ReadResult::Failed(outcome) => return Err((self, outcome)),
         };
         self.router.handle_event(Event::ResponseStarted(self.token));
@@ -251,7 +255,9 @@
             let outcome = match result {
                 ReadResult::Failed(outcome) => outcome,
                 // An empty rest does not show that the stream was complete when it broke off.
-                ReadResult::End if !answer.has_events => NO_EVENTS,
+                ReadResult::End if !answer.has_events => {
+                    self.no_events(&answer.reader.response.parts)
+                }
                 result => return Some(result),
             };
             self.report_outcome(outcome);
@@ -350,7 +356,9 @@
         );
         let response = exchange.await?;
         if !may_continue_stream(response.parts.status, &response.parts.headers) {
-            return Err(NO_EVENTS);
+            return Err(Outcome::Broken {
+                connection_lost: false,
+            });
         }
         let mut answer = StreamAnswer::new(&self.router, response, forward_request);
         loop {
@@ -358,19 +366,25 @@
                 // Comments do not show that the target goes on.
                 ReadResult::Events(batch) if batch.count == 0 => {}
                 ReadResult::Events(batch) => return Ok((answer, batch)),
-                ReadResult::End => return Err(NO_EVENTS),
+                ReadResult::End => return Err(self.no_events(&answer.reader.response.parts)),
                 ReadResult::Failed(outcome) => return Err(outcome),
             }
         }
     }
 
+    /// The outcome of a stream that ends without any event, which sound targets do not send unless there is
+    /// nothing to go on with. Without a framing it ended with its connection, as it does if the target
+    /// crashes.
+    fn no_events(&self, parts: &Parts) -> Outcome {
+        Outcome::Broken {
+            connection_lost: self.last_event_id.is_none() && !is_framed(parts),
+        }
+    }
+
     /// Whether a stream without any event is complete: only if its caller has events already and the answer
     /// says by its framing that it is whole, or if it says that it has no content.
     fn may_be_empty(&self, parts: &Parts) -> bool {
-        let headers = &parts.headers;
-        let is_framed =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        parts.status == StatusCode::NO_CONTENT || (self.last_event_id.is_some() && is_framed)
+        parts.status == StatusCode::NO_CONTENT || (self.last_event_id.is_some() && is_framed(parts))
     }
 
     /// Passes events on to the caller, which may read more slowly than the target writes. Without memory for
