Count crashes during requests whose callers have left

What callers saw: a request that crashes engines and whose caller leaves before that reached engines as often as it came, 5 late retries where 3 are allowed.

Cause: the run of a request whose caller leaves was forgotten, although its target may go on with it and crash. Runs that end by the target's silence were kept for that.

Change: both are kept, and count if the target's start ends without a plan within ten seconds. The names say so now (UnendedRuns).

Evidence: request_that_was_given_up_at_targets_that_ended_is_quarantined, the former table of silent targets, has three more cases; the two in which the target ends after its caller left cannot have passed before, since nothing was kept.

--- a/components/control/src/router/crashes.rs
+++ b/components/control/src/router/crashes.rs
@@ -22,12 +22,12 @@
 use super::Effect;
 use crate::crash_suspects::Quarantine;
 
-/// How long after a target fell silent its end counts as a crash. The list drops a dead target after
+/// How long after a run was given up the end of its target counts as a crash. The list drops a dead target after
 /// three heartbeats, and is read with a delay.
-const SILENCE_BEFORE_END: Duration = Duration::from_secs(10);
+const GIVEN_UP_BEFORE_END: Duration = Duration::from_secs(10);
 
-/// The maximum number of silent exchanges that are remembered.
-const MAX_SILENT_EXCHANGES: usize = 256;
+/// The maximum number of runs that were given up and are remembered.
+const MAX_UNENDED_RUNS: usize = 256;
 
 /// How long a request has been writing its answer when its prompt is known not to crash targets. Those
 /// that do crash a target do so when they begin to write.
@@ -75,15 +75,15 @@
     }
 }
 
-/// The latest exchanges in which a target fell silent, with the time of their end.
+/// The latest runs that were given up, since the target fell silent or the caller left, with the time.
 #[derive(Clone, Debug, Default)]
-pub(super) struct SilentExchanges(VecDeque<(Duration, TargetRun)>);
+pub(super) struct UnendedRuns(VecDeque<(Duration, TargetRun)>);
 
-impl SilentExchanges {
-    /// Adds an exchange that ended without an answer while the connection was still open.
+impl UnendedRuns {
+    /// Adds a run that was given up while its connection was still open.
     pub fn add(&mut self, now: Duration, run: TargetRun) {
         self.0.retain(|(_, known)| !known.is_same_run(&run));
-        if self.0.len() >= MAX_SILENT_EXCHANGES {
+        if self.0.len() >= MAX_UNENDED_RUNS {
             self.0.pop_front();
         }
         self.0.push_back((now, run));
@@ -91,7 +91,7 @@
 
     /// Removes and returns those of a start of a target that has now ended.
     fn take(&mut self, now: Duration, target: &Name, started_at_ms: u64) -> Vec<TargetRun> {
-        let is_recent = |at: Duration| now.saturating_sub(at) < SILENCE_BEFORE_END;
+        let is_recent = |at: Duration| now.saturating_sub(at) < GIVEN_UP_BEFORE_END;
         self.0.retain(|(at, _)| is_recent(*at));
         let is_of_target =
             |run: &TargetRun| run.target == *target && run.started_at_ms == started_at_ms;
@@ -239,8 +239,8 @@
         }));
     }
 
-    /// Handles the unplanned end of a target's start: it crashed during the exchanges in which it
-    /// fell silent before.
+    /// Handles the unplanned end of a target's start: it may have crashed during the runs that were given up
+    /// before.
     pub(super) fn handle_target_end(
         &mut self,
         now: Duration,
@@ -248,7 +248,7 @@
         started_at_ms: u64,
         effects: &mut Vec<Effect>,
     ) {
-        for run in self.silent_exchanges.take(now, target, started_at_ms) {
+        for run in self.unended_runs.take(now, target, started_at_ms) {
             self.observe_crash(now, run, effects);
         }
     }
--- a/components/control/src/router/handover.rs
+++ b/components/control/src/router/handover.rs
@@ -31,7 +31,7 @@
         pending.may_have_run = true;
         // If the target ends while it is silent, that counts as a crash.
         if let Some(run) = TargetRun::of_pending(now, pending) {
-            self.silent_exchanges.add(now, run);
+            self.unended_runs.add(now, run);
         }
         let silent = Box::new(pending.clone());
         pending.assignment = None;
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -286,7 +286,7 @@
                 connection_lost: true,
             } => self.observe_crash(now, run.clone(), effects),
             Outcome::DeadlineExceeded | Outcome::IdleTimeout => {
-                self.silent_exchanges.add(now, run.clone());
+                self.unended_runs.add(now, run.clone());
             }
             _ => {}
         }
@@ -468,8 +468,20 @@
             running: pending.assignment.is_some() || pending.silent.is_some(),
         }));
         self.release_load(now, &pending);
+        self.keep_unended_run(now, &pending);
         if let Some(silent) = &pending.silent {
             self.release_load(now, silent);
+            self.keep_unended_run(now, silent);
+        }
+    }
+
+    /// Remembers the run of a request that is given up, since its target may still run it and crash.
+    fn keep_unended_run(&mut self, now: Duration, pending: &Pending) {
+        if pending.is_reserving {
+            return;
+        }
+        if let Some(run) = TargetRun::of_pending(now, pending) {
+            self.unended_runs.add(now, run);
         }
     }
 
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -26,7 +26,7 @@
 
 use super::answer_times::AnswerTimes;
 use super::config::Config;
-use super::crashes::SilentExchanges;
+use super::crashes::UnendedRuns;
 use super::demand::Demand;
 use super::distance::{
     Location,
@@ -114,7 +114,7 @@
     pub(super) first_attempts: FirstAttempts,
     pub(super) pending: HashMap<u64, Pending>,
     pub(super) suspects: CrashSuspects,
-    pub(super) silent_exchanges: SilentExchanges,
+    pub(super) unended_runs: UnendedRuns,
     pub(super) standstill: Standstill,
     pub(super) answer_times: BTreeMap<Name, AnswerTimes>,
     /// When the process cuts off what is still in progress, if it drains before a planned stop.
@@ -190,7 +190,7 @@
             first_attempts: FirstAttempts::default(),
             pending: HashMap::new(),
             suspects: CrashSuspects::default(),
-            silent_exchanges: SilentExchanges::default(),
+            unended_runs: UnendedRuns::default(),
             standstill: Standstill::new(MAX_EVENT_GAP),
             answer_times: BTreeMap::new(),
             ends_at: None,
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -1024,12 +1024,13 @@
 }
 
 #[test]
-fn request_under_which_targets_fell_silent_and_ended_is_quarantined() {
+fn request_that_was_given_up_at_targets_that_ended_is_quarantined() {
     struct Case {
         name: &'static str,
         /// What happens to the target after the request ended.
         end: fn(&mut TestRouter, TargetEntry),
-        outcome: Outcome,
+        /// How the exchange ends, or `None` if the caller leaves.
+        outcome: Option<Outcome>,
         is_quarantined: bool,
     }
     let unlisted: fn(&mut TestRouter, TargetEntry) = |router, entry| {
@@ -1045,7 +1046,7 @@
         entry.started_at_ms = target.entry.started_at_ms + 5000;
         router.step(Event::TargetListed(entry));
     };
-    let case = |name, end, outcome, is_quarantined| Case {
+    let case = |name, end, outcome: Option<Outcome>, is_quarantined| Case {
         name,
         end,
         outcome,
@@ -1055,15 +1056,23 @@
         connection_lost: true,
     };
     let cases = [
-        case("unlisted", unlisted, Outcome::IdleTimeout, true),
-        case("restarted", restarted, Outcome::DeadlineExceeded, true),
+        case("unlisted", unlisted, Some(Outcome::IdleTimeout), true),
+        case(
+            "restarted",
+            restarted,
+            Some(Outcome::DeadlineExceeded),
+            true,
+        ),
+        case("unlisted after its caller left", unlisted, None, true),
+        case("restarted after its caller left", restarted, None, true),
+        case("still there after its caller left", |_, _| {}, None, false),
         case(
             "unlisted before the connection ended",
             |_, _| {},
-            lost,
+            Some(lost),
             true,
         ),
-        case("still there", |_, _| {}, Outcome::IdleTimeout, false),
+        case("still there", |_, _| {}, Some(Outcome::IdleTimeout), false),
         case(
             "unlisted long after",
             |router, entry| {
@@ -1074,7 +1083,7 @@
                     grace: Grace::NONE,
                 });
             },
-            Outcome::IdleTimeout,
+            Some(Outcome::IdleTimeout),
             false,
         ),
         case(
@@ -1099,7 +1108,7 @@
                     grace: Grace::NONE,
                 });
             },
-            Outcome::IdleTimeout,
+            Some(Outcome::IdleTimeout),
             false,
         ),
         case(
@@ -1113,7 +1122,7 @@
                     grace: Grace::NONE,
                 });
             },
-            Outcome::IdleTimeout,
+            Some(Outcome::IdleTimeout),
             false,
         ),
     ];
@@ -1125,13 +1134,20 @@
         for _ in 0..2 {
             let (token, result) = router.receive_with("order", |r| r.fingerprint = 666);
             let listed = entry(result.target(), "desk", "a");
-            if case.outcome == lost {
+            if case.outcome == Some(lost) {
                 router.step(Event::TargetUnlisted {
                     id: listed.id.clone(),
                     grace: Grace::NONE,
                 });
             }
-            router.end_exchange(token, case.outcome);
+            match case.outcome {
+                Some(outcome) => {
+                    router.end_exchange(token, outcome);
+                }
+                None => {
+                    router.step(Event::CallerDisconnected(token));
+                }
+            }
             (case.end)(&mut router, listed);
             router.now += ms(1000);
             router.renew();
