--- a/components/control/src/crash_suspects/prompt_parts.rs
+++ b/components/control/src/crash_suspects/prompt_parts.rs
@@ -33,12 +33,12 @@
 /// The share of all targets whose crashes at the same time have a common cause: one in this number.
 const JOINT_CRASH_DIVISOR: usize = 2;
 
-/// The maximum number of other parts in a list of a line of the record.
-const MAX_RECORDED_PARTS: usize = 8;
-
 /// The minimum number of such targets.
 const MIN_JOINT_CRASHES: usize = 3;
 
+/// The maximum number of other parts in a list of a line of the record.
+const MAX_RECORDED_PARTS: usize = 8;
+
 impl CrashSuspects {
     /// Whether no request whose prompt has this part is sent to targets.
     pub fn is_part_quarantined(&self, part: PromptPartId) -> bool {
