--- a/components/control/tests/crashing_prompts.rs
+++ b/components/control/tests/crashing_prompts.rs
@@ -9,6 +9,10 @@
     HashMap,
     VecDeque, //
 };
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -744,12 +748,21 @@
 }
 
 fn assert_none_violated(cases: impl IntoIterator<Item = Case>) {
-    let cases = cases.into_iter();
-    let runs: Vec<_> = cases
-        .map(|case| std::thread::spawn(move || violations(case)))
-        .collect();
-    let runs = runs.into_iter().map(|run| run.join().unwrap());
-    let violations: Vec<String> = runs.flatten().collect();
+    let cases: Vec<Case> = cases.into_iter().collect();
+    // Each test has its own threads, and several tests run at the same time.
+    let threads = std::thread::available_parallelism().map_or(1, usize::from) / 2;
+    let next = AtomicUsize::new(0);
+    let run = || {
+        let mut found = Vec::new();
+        while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
+            found.extend(violations(*case));
+        }
+        found
+    };
+    let violations: Vec<String> = std::thread::scope(|scope| {
+        let runs: Vec<_> = (0..threads.max(1)).map(|_| scope.spawn(run)).collect();
+        runs.into_iter().flat_map(|r| r.join().unwrap()).collect()
+    });
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
