Refuse each of the requests that the same crashes speak against

Cause: requests by fingerprint were tested like parts of prompts. Sound requests that had run beside the crashing one at both engines had the same two crashes, so it came again as a test and crashed a third engine, for each such request.

Completed ones still come last, and what the crashing one explains does not count against them.

--- a/components/control/src/crash_suspects/quarantine.rs
+++ b/components/control/src/crash_suspects/quarantine.rs
@@ -94,6 +94,17 @@
         matches!(self.suspects.first(), Some(Suspect::Request(_)))
     }
 
+    /// Quarantines each suspect alone. A request cannot have several fingerprints, and a test of each of
+    /// those that ran at the same targets costs more crashes than their refusal.
+    fn split(self) -> impl Iterator<Item = Quarantine> {
+        let suspects = self.suspects.clone().into_iter();
+        suspects.map(move |suspect| Quarantine {
+            suspects: BTreeSet::from([suspect]),
+            rivals: BTreeSet::new(),
+            ..self.clone()
+        })
+    }
+
     /// Keeps what is known of the tests of the same suspects.
     fn continue_tests(&mut self, before: &[Quarantine]) {
         if let Some(known) = before.iter().find(|known| known.suspects == self.suspects) {
@@ -199,7 +210,7 @@
         let explains = |quarantine: &Quarantine| {
             !quarantine.suspects.contains(&suspect) && quarantine.crashes.contains(id)
         };
-        self.quarantines.iter().any(explains)
+        !self.is_in_quarantine(suspect) && self.quarantines.iter().any(explains)
     }
 
     pub(super) fn is_in_quarantine(&self, suspect: Suspect) -> bool {
@@ -257,7 +268,7 @@
         };
         while let Some(quarantine) = next_quarantine(now, &requests, &explained, count) {
             explained.extend(quarantine.crashes.iter().cloned());
-            quarantines.push(quarantine);
+            quarantines.extend(quarantine.split());
         }
         quarantines
     }
