Select the candidates of a quarantine in one function

Parts of prompts and requests had a copy each that differed in the kind of suspect and the number of crashes. No change of behaviour. Clippy of control, format and the checks of names pass; so do the tests of crash_suspects, admission, router and crash_reports, but for the known one.

--- a/components/control/src/crash_suspects/prompt_parts.rs
+++ b/components/control/src/crash_suspects/prompt_parts.rs
@@ -130,16 +130,8 @@
 
     /// The parts under which enough targets crashed, whatever the cause.
     pub(super) fn part_candidates(&self) -> Vec<Candidate<'_>> {
-        let has_enough =
-            |evidence: &Evidence| evidence.uncleared().nth(QUARANTINE_ROUNDS - 1).is_some();
-        let all = self.by_suspect.iter().filter(|(suspect, evidence)| {
-            matches!(suspect, Suspect::PromptPart(_)) && has_enough(evidence)
-        });
-        all.map(|(suspect, evidence)| Candidate {
-            suspect: *suspect,
-            evidence,
-        })
-        .collect()
+        let is_part = |suspect: &Suspect| matches!(suspect, Suspect::PromptPart(_));
+        self.candidates(is_part, QUARANTINE_ROUNDS)
     }
 
     /// The crashes under candidates that never completed, which therefore do not count against parts that
--- a/components/control/src/crash_suspects/quarantine.rs
+++ b/components/control/src/crash_suspects/quarantine.rs
@@ -262,7 +262,8 @@
                 quarantines.push(quarantine);
             }
         }
-        let requests = self.request_candidates();
+        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
+        let requests = self.candidates(is_request, QUARANTINE_CRASH_COUNT);
         let count = |_: &Evidence, crashes: &BTreeSet<CrashId>| {
             (crashes.len() >= QUARANTINE_CRASH_COUNT).then_some(crashes.len())
         };
@@ -273,19 +274,20 @@
         quarantines
     }
 
-    fn request_candidates(&self) -> Vec<Candidate<'_>> {
-        let has_enough = |evidence: &Evidence| {
-            let mut crashes = evidence.uncleared();
-            crashes.nth(QUARANTINE_CRASH_COUNT - 1).is_some()
-        };
-        let all = self.by_suspect.iter().filter(|(suspect, evidence)| {
-            matches!(suspect, Suspect::Request(_)) && has_enough(evidence)
-        });
-        all.map(|(suspect, evidence)| Candidate {
-            suspect: *suspect,
-            evidence,
-        })
-        .collect()
+    /// The suspects of a kind under which at least this many targets crashed, whatever the cause.
+    pub(super) fn candidates(
+        &self,
+        is_of_kind: impl Fn(&Suspect) -> bool,
+        min_crashes: usize,
+    ) -> Vec<Candidate<'_>> {
+        let has_enough = |evidence: &Evidence| evidence.uncleared().count() >= min_crashes;
+        let all = self.by_suspect.iter();
+        all.filter(|(suspect, evidence)| is_of_kind(suspect) && has_enough(evidence))
+            .map(|(suspect, evidence)| Candidate {
+                suspect: *suspect,
+                evidence,
+            })
+            .collect()
     }
 }
 
