review: a key that was taken away runs again after a drill and a start

A store that comes back from a copy has the key, and an entry that starts before the operator has written again confirms the copy as current.

--- /dev/null
+++ b/review/rig3/src/callers.rs
@@ -0,0 +1,97 @@
+//! Clients that send one request on each connection.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::fleet::{Failure, Record};
+use crate::http::exchange;
+
+/// A request that was sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub id: String,
+    pub at: Instant,
+    /// `None` without an answer.
+    pub status: Option<u16>,
+}
+
+/// The clients of one key. Clones share their requests.
+#[derive(Clone)]
+pub struct Callers {
+    key: &'static str,
+    path: &'static str,
+    next: Arc<AtomicU64>,
+    sent: Arc<Mutex<Vec<Sent>>>,
+    record: Record,
+}
+
+impl Callers {
+    pub fn new(key: &'static str, path: &'static str, record: &Record) -> Self {
+        Self {
+            key,
+            path,
+            next: Arc::default(),
+            sent: Arc::default(),
+            record: record.clone(),
+        }
+    }
+
+    /// Sends one request that may run once.
+    pub fn order(&self, address: SocketAddr) {
+        let id = format!("{:016x}", self.next.fetch_add(1, Ordering::Relaxed));
+        let request = format!(
+            "POST {} HTTP/1.1\r\nHost: voka93.example\r\nX-Medlarproxy-Request-Id: {id}\r\n\
+             X-Medlarproxy-Deadline-Ms: 600\r\nAuthorization: Token {}\r\nContent-Length: 5\r\n\r\nhello",
+            self.path, self.key
+        );
+        let at = Instant::now();
+        self.record
+            .line(&format!("{id} sent with key {}", self.key));
+        let answer = exchange(address, request.as_bytes(), Duration::from_secs(2));
+        let status = answer.as_ref().ok().map(|answer| answer.status);
+        let shown = answer.map(|answer| answer.status.to_string());
+        let shown = shown.unwrap_or_else(|e| format!("with no answer: {e}"));
+        self.record.line(&format!("{id} answered {shown}"));
+        self.sent.lock().unwrap().push(Sent { id, at, status });
+    }
+
+    /// Sends requests one after the other for some time.
+    pub fn order_for(&self, address: SocketAddr, time: Duration, pause: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.order(address);
+            thread::sleep(pause);
+        }
+    }
+
+    /// Sends requests at the same moment.
+    pub fn order_at_once(&self, address: SocketAddr, count: usize) -> Result<(), Failure> {
+        let start = || {
+            let callers = self.clone();
+            thread::spawn(move || callers.order(address))
+        };
+        let started: Vec<_> = (0..count).map(|_| start()).collect();
+        for caller in started {
+            caller.join().map_err(|_| "a caller panicked")?;
+        }
+        Ok(())
+    }
+
+    pub fn sent(&self) -> Vec<Sent> {
+        self.sent.lock().unwrap().clone()
+    }
+}
+
+/// A configuration with one route for orders and one tenant with these keys.
+pub fn config(version: u64, keys: &[&str]) -> String {
+    let keys = keys.join("\",\"");
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"order","host":"voka93.example","prefix":"/order/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"allow_anonymous":false,"sticky_sessions":false,"resume_streams":false,"allowed_regions":[]}}],"services":[{{"name":"desk","health_path":"/health","connection_limit":96,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"bozi300","api_keys":["{keys}"],"priority":1,"allowed_regions":[]}}]}}"#
+    )
+}
+
+/// The keys of the tenant.
+pub const KEYS: [&str; 2] = ["jnbanfqasnmgkcuyj8pj", "bvk9m68k7b2ex5wa5xwy"];
