--- a/review/rig3/src/callers.rs
+++ b/review/rig3/src/callers.rs
@@ -18,7 +18,7 @@
     pub status: Option<u16>,
 }
 
-/// The clients of one key. Clones share their requests.
+/// The clients of a route with one key. Clones share their requests.
 #[derive(Clone)]
 pub struct Callers {
     key: &'static str,
@@ -41,7 +41,8 @@
 
     /// Sends one request that may run once.
     pub fn order(&self, address: SocketAddr) {
-        let id = format!("{:016x}", self.next.fetch_add(1, Ordering::Relaxed));
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{}{number:010x}", &self.key[..6]);
         let request = format!(
             "POST {} HTTP/1.1\r\nHost: voka93.example\r\nX-Medlarproxy-Request-Id: {id}\r\n\
              X-Medlarproxy-Deadline-Ms: 600\r\nAuthorization: Token {}\r\nContent-Length: 5\r\n\r\nhello",
@@ -49,7 +50,7 @@
         );
         let at = Instant::now();
         self.record
-            .line(&format!("{id} sent with key {}", self.key));
+            .line(&format!("{id} sent with the key {}", self.key));
         let answer = exchange(address, request.as_bytes(), Duration::from_secs(2));
         let status = answer.as_ref().ok().map(|answer| answer.status);
         let shown = answer.map(|answer| answer.status.to_string());
@@ -85,13 +86,15 @@
     }
 }
 
-/// A configuration with one route for orders and one tenant with these keys.
-pub fn config(version: u64, keys: &[&str]) -> String {
-    let keys = keys.join("\",\"");
+/// A configuration with one route for orders, and one tenant unless that was removed.
+pub fn config(version: u64, has_tenant: bool) -> String {
+    let tenant =
+        format!(r#"{{"name":"bozi300","api_keys":["{KEY}"],"priority":1,"allowed_regions":[]}}"#);
+    let tenants = if has_tenant { &tenant } else { "" };
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"order","host":"voka93.example","prefix":"/order/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"allow_anonymous":false,"sticky_sessions":false,"resume_streams":false,"allowed_regions":[]}}],"services":[{{"name":"desk","health_path":"/health","connection_limit":96,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"bozi300","api_keys":["{keys}"],"priority":1,"allowed_regions":[]}}]}}"#
+        r#"{{"version":{version},"routes":[{{"name":"order","host":"voka93.example","prefix":"/order/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"allow_anonymous":false,"sticky_sessions":false,"resume_streams":false,"allowed_regions":[]}}],"services":[{{"name":"desk","health_path":"/health","connection_limit":96,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{tenants}]}}"#
     )
 }
 
-/// The keys of the tenant.
-pub const KEYS: [&str; 2] = ["jnbanfqasnmgkcuyj8pj", "bvk9m68k7b2ex5wa5xwy"];
+/// The key of the tenant.
+pub const KEY: &str = "jnbanfqasnmgkcuyj8pj";
--- a/review/rig3/src/fleet.rs
+++ b/review/rig3/src/fleet.rs
@@ -117,8 +117,6 @@
     pub name: String,
     pub ip: IpAddr,
     ports: Ports,
-    settings: PathBuf,
-    log: PathBuf,
     child: Child,
 }
 
@@ -178,25 +176,10 @@
             name: name.to_owned(),
             ip,
             ports,
-            settings: file,
-            log,
             child,
         })
     }
 
-    /// Kills it.
-    pub fn kill(&mut self) -> Result<(), Failure> {
-        self.child.kill()?;
-        self.child.wait()?;
-        Ok(())
-    }
-
-    /// Starts it again with its settings.
-    pub fn start_again(&mut self) -> Result<(), Failure> {
-        self.child = spawn(&self.settings, &self.log)?;
-        Ok(())
-    }
-
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.ports.callers())
     }
--- a/review/rig3/src/main.rs
+++ b/review/rig3/src/main.rs
@@ -6,7 +6,9 @@
 mod fleet;
 mod http;
 mod service;
+mod site;
 mod store;
+mod tenant;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -28,8 +30,8 @@
     let record = Record::create(&folder)?;
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let verdict = match case.as_str() {
+        "last-tenant" => tenant::last_tenant(&record, has_trouble),
         "leaving-engine" => drill::leaving_engine(&record, has_trouble),
-        "revoked-key" => drill::revoked_key(&record, has_trouble),
         _ => Err(format!("no case has the name {case}").into()),
     };
     match &verdict {
--- a/review/rig3/src/service.rs
+++ b/review/rig3/src/service.rs
@@ -39,6 +39,8 @@
     is_leaving: AtomicBool,
     /// Whether it has an entry in the store and writes it.
     is_listed: AtomicBool,
+    /// Whether it has exited.
+    is_gone: AtomicBool,
     runs: Runs,
     record: Record,
 }
@@ -71,12 +73,21 @@
             sequence: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_listed: AtomicBool::new(true),
+            is_gone: AtomicBool::new(false),
             runs: common.runs.clone(),
             record: common.record.clone(),
         }));
         let serving = engine.clone();
         serve(listener, move |request, tcp| {
-            tcp.write_all(&serving.respond(request)).map(|()| true)
+            let is_gone = || serving.0.is_gone.load(Ordering::Relaxed);
+            if is_gone() {
+                return Ok(false);
+            }
+            let answer = serving.respond(request);
+            if is_gone() {
+                return Ok(false);
+            }
+            tcp.write_all(&answer).map(|()| true)
         });
         engine.write_entry(store);
         let (beating, store) = (engine.clone(), store.clone());
@@ -115,6 +126,11 @@
         store.delete(&self.key());
     }
 
+    /// Exits: what it still runs gets no answer.
+    pub fn exit(&self) {
+        self.0.is_gone.store(true, Ordering::Relaxed);
+    }
+
     /// Removes the entry again, which a restored store has back.
     pub fn remove_entry(&self, store: &Store) {
         store.delete(&self.key());
