--- a/review/rig3/src/callers.rs
+++ b/review/rig3/src/callers.rs
@@ -1,13 +1,26 @@
 //! Clients that send one request on each connection.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use crate::fleet::{Failure, Record};
+use crate::fleet::{
+    Failure,
+    Record, //
+};
 use crate::http::exchange;
+use crate::wire::fill;
 
 /// A request that was sent.
 #[derive(Clone, Debug)]
@@ -43,11 +56,8 @@
     pub fn order(&self, address: SocketAddr) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}{number:010x}", &self.key[..6]);
-        let request = format!(
-            "POST {} HTTP/1.1\r\nHost: voka93.example\r\nX-Medlarproxy-Request-Id: {id}\r\n\
-             X-Medlarproxy-Deadline-Ms: 600\r\nAuthorization: Token {}\r\nContent-Length: 5\r\n\r\nhello",
-            self.path, self.key
-        );
+        let values = [("path", self.path), ("id", &id), ("key", self.key)];
+        let request = fill(include_str!("../wire/order.txt"), &values).replace('\n', "\r\n");
         let at = Instant::now();
         self.record
             .line(&format!("{id} sent with the key {}", self.key));
@@ -88,12 +98,11 @@
 
 /// A configuration with one route for orders, and one tenant unless that was removed.
 pub fn config(version: u64, has_tenant: bool) -> String {
-    let tenant =
-        format!(r#"{{"name":"bozi300","api_keys":["{KEY}"],"priority":1,"allowed_regions":[]}}"#);
+    let tenant = fill(include_str!("../wire/tenant.json"), &[("key", KEY)]);
     let tenants = if has_tenant { &tenant } else { "" };
-    format!(
-        r#"{{"version":{version},"routes":[{{"name":"order","host":"voka93.example","prefix":"/order/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"allow_anonymous":false,"sticky_sessions":false,"resume_streams":false,"allowed_regions":[]}}],"services":[{{"name":"desk","health_path":"/health","connection_limit":96,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{tenants}]}}"#
-    )
+    let version = version.to_string();
+    let values = [("version", version.as_str()), ("tenants", tenants)];
+    fill(include_str!("../wire/config.json"), &values)
 }
 
 /// The key of the tenant.
--- a/review/rig3/src/drill.rs
+++ b/review/rig3/src/drill.rs
@@ -1,11 +1,23 @@
 //! The store comes back from a copy, which has what was taken away since.
 
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use crate::callers::{Callers, KEY};
-use crate::fleet::{Failure, Record};
-use crate::site::{sleep_until, Site};
+use crate::callers::{
+    Callers,
+    KEY, //
+};
+use crate::fleet::{
+    Failure,
+    Record, //
+};
+use crate::site::{
+    sleep_until,
+    Site, //
+};
 use crate::Verdict;
 
 /// `drain_timeout_ms` and `touch_ms`.
--- a/review/rig3/src/fleet.rs
+++ b/review/rig3/src/fleet.rs
@@ -1,16 +1,38 @@
 //! The programs of the deploy file as processes, with settings like those of a small site, and the record of a
 //! case.
 
-use std::fs::{self, File};
+use std::fs::{
+    self,
+    File, //
+};
 use std::io::Write;
-use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::net::{
+    IpAddr,
+    SocketAddr,
+    TcpListener, //
+};
+use std::path::{
+    Path,
+    PathBuf, //
+};
+use std::process::{
+    Child,
+    Command,
+    Stdio, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use crate::http::exchange;
+use crate::wire::fill;
+use crate::wire::name;
 
 /// Why a case could not run.
 pub type Failure = Box<dyn std::error::Error>;
@@ -126,7 +148,7 @@
     let mut command = Command::new("target/release/medlarproxy");
     command
         .args(["platform", "entry"])
-        .env("MEDLARPROXY_CONFIG", settings);
+        .env(name("settings-variable"), settings);
     let command = command
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
@@ -150,24 +172,22 @@
         ports: Ports,
         store: SocketAddr,
     ) -> Result<Self, Failure> {
-        let (callers, ready, entries) = (ports.callers(), ports.ready(), ports.entries());
-        let internal = ports.internal();
-        let settings = format!(
-            r#"{{"node_name":"{name}","role":"entry","machine_class":"frontend",
-"serves":["frontend","control_plane"],"ip_address":"{ip}","zone":"accra-a","region":"accra",
-"zones":{{"accra-a":"accra","kumasi-a":"kumasi","tamale-a":"tamale"}},
-"listen_addresses":{{"frontend":"{ip}:{callers}","ready":"{ip}:{ready}","control_plane":"{ip}:{entries}"}},
-"internal_ports":[{internal},{}],"seed_nodes":["{ip}:{entries}"],"bootstrap":true,
-"counts_toward_tolerance":false,
-"limits":{{"cpu_share":0.19,"cpu_cores":1,"memory_mb":260,"file_descriptors":4200,"link_mbps":1000.0,"disk_mb":0}},
-"data_directory":null,"discovery":"platform","entry_point":"virtual_ip","heartbeat_interval_ms":1200,
-"contracts":["base","drain","config","cost","retry","recover","engine","stream","tenants","places","platform","chunks"],
-"fault_tolerance":{{"machines":2,"zones":1,"regions":0}},
-"bounds":{BOUNDS},
-"platform":{{"address":"{store}","form":"read","writes_per_s":400,"reads_per_s":2000,"history_s":20,"value_bytes":1048576,"ttl_min_ms":1000}}}}
-"#,
-            internal + 15
-        );
+        let (ip_text, store) = (ip.to_string(), store.to_string());
+        let last_internal = (ports.internal() + 15).to_string();
+        let port = |port: u16| port.to_string();
+        let (callers, ready) = (port(ports.callers()), port(ports.ready()));
+        let (entries, first_internal) = (port(ports.entries()), port(ports.internal()));
+        let values = [
+            ("name", name),
+            ("ip", &ip_text),
+            ("callers", &callers),
+            ("ready", &ready),
+            ("entries", &entries),
+            ("first_internal", &first_internal),
+            ("last_internal", &last_internal),
+            ("store", &store),
+        ];
+        let settings = fill(include_str!("../wire/settings.json"), &values);
         let file = folder.join(format!("{name}.json"));
         fs::write(&file, settings)?;
         let log = folder.join(format!("{name}.log"));
@@ -199,6 +219,3 @@
         Err(format!("{} is not ready", self.name).into())
     }
 }
-
-/// The bounds of `adinkra-hq`.
-const BOUNDS: &str = r#"{"seed_lag_s":3,"reuse_after_s":2,"touch_ms":3000,"ack_timeout_ms":4000,"catch_up_s":4,"drain_timeout_ms":2000,"grace_period_s":8,"loss_slack_ms":200,"config_apply_ms":2000,"rollback_slack_ms":250,"max_stretch_ms":5000,"revoke_when_partitioned":true,"revoke_timeout_ms":5000,"retry_budget_ratio":0.2,"budget_window_s":10,"retry_budget_extra":100,"cold_overshoot":1.5,"cold_slack":5,"evacuation_ms":5000,"recovery_s":12,"pass_ms":120,"retry_after_s":0,"version_ms":8000,"version_all_ms":0}"#;
--- a/review/rig3/src/http.rs
+++ b/review/rig3/src/http.rs
@@ -1,8 +1,16 @@
 //! A small HTTP/1.1 server and client on blocking sockets.
 
 use std::collections::BTreeMap;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{
+    self,
+    Read,
+    Write, //
+};
+use std::net::{
+    SocketAddr,
+    TcpListener,
+    TcpStream, //
+};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -17,7 +25,9 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> &str {
-        self.headers.get(name).map_or("", String::as_str)
+        self.headers
+            .get(&name.to_lowercase())
+            .map_or("", String::as_str)
     }
 
     pub fn path(&self) -> &str {
--- a/review/rig3/src/main.rs
+++ b/review/rig3/src/main.rs
@@ -9,11 +9,15 @@
 mod site;
 mod store;
 mod tenant;
+mod wire;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use fleet::{Failure, Record};
+use fleet::{
+    Failure,
+    Record, //
+};
 
 /// What a case showed.
 pub enum Verdict {
--- a/review/rig3/src/service.rs
+++ b/review/rig3/src/service.rs
@@ -1,15 +1,40 @@
 //! A stand-in for the engines of a plain service.
 
 use std::io::Write;
-use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-
-use crate::fleet::{listen, Failure, Record};
-use crate::http::{answer, serve, Request};
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+use crate::fleet::{
+    listen,
+    Failure,
+    Record, //
+};
+use crate::http::{
+    answer,
+    serve,
+    Request, //
+};
 use crate::store::Store;
+use crate::wire::fill;
+use crate::wire::name;
 
 /// A request that an engine began to run.
 #[derive(Clone, Debug)]
@@ -111,10 +136,17 @@
     fn write_entry(&self, store: &Store) {
         let engine = &*self.0;
         let sequence = engine.sequence.fetch_add(1, Ordering::Relaxed);
-        let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","cold_remaining_ms":0,"sequence":{sequence},"born":{}}}"#,
-            engine.service, engine.address, engine.zone, engine.slots, engine.born
-        );
+        let (address, slots) = (engine.address.to_string(), engine.slots.to_string());
+        let (sequence, born) = (sequence.to_string(), engine.born.to_string());
+        let values = [
+            ("service", engine.service.as_str()),
+            ("address", &address),
+            ("zone", &engine.zone),
+            ("slots", &slots),
+            ("sequence", &sequence),
+            ("born", &born),
+        ];
+        let entry = fill(include_str!("../wire/entry.json"), &values);
         store.put(&self.key(), &entry);
     }
 
@@ -138,15 +170,15 @@
 
     fn respond(&self, request: &Request) -> Vec<u8> {
         let engine = &*self.0;
-        let id = request.header("x-medlarproxy-request-id");
-        let expected = request.header("x-medlarproxy-expected-instance");
+        let id = request.header(name("id-header"));
+        let expected = request.header(name("expected-header"));
         let mut headers = vec![
-            ("X-Medlarproxy-Instance-Id", engine.id.as_str()),
-            ("X-Medlarproxy-Request-Id", id),
+            (name("instance-header"), engine.id.as_str()),
+            (name("id-header"), id),
             ("Keep-Alive", "timeout=5"),
         ];
         if engine.is_leaving.load(Ordering::Relaxed) {
-            headers.push(("Server-Leaving", "1"));
+            headers.push((name("leaving-header"), "1"));
         }
         if request.path() == "/health" {
             return answer("200 OK", &headers, b"");
@@ -162,7 +194,7 @@
         });
         thread::sleep(engine.work);
         let signature = format!("sig.{id}");
-        headers.push(("X-Medlarproxy-Response-Signature", &signature));
+        headers.push((name("signature-header"), &signature));
         answer("200 OK", &headers, &[b'a'; 800])
     }
 }
--- a/review/rig3/src/site.rs
+++ b/review/rig3/src/site.rs
@@ -2,12 +2,28 @@
 
 use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use crate::callers::config;
-use crate::fleet::{listen, loopback, Failure, Folder, Ports, Process, Record};
-use crate::service::{Common, Engine, Runs};
+use crate::fleet::{
+    listen,
+    loopback,
+    Failure,
+    Folder,
+    Ports,
+    Process,
+    Record, //
+};
+use crate::service::{
+    Common,
+    Engine,
+    Runs, //
+};
 use crate::store::Store;
+use crate::wire::name;
 
 /// Three engines, an entry and a store.
 pub struct Site {
@@ -24,7 +40,7 @@
         let folder = Folder::create()?;
         let runs = Runs::default();
         let (store, store_address): (Store, SocketAddr) = Store::start(listen(loopback(1))?);
-        store.put("op/config", &config(3, true));
+        store.put(name("config-key"), &config(3, true));
         let common = Common {
             service: "desk",
             zone: "accra-a",
--- a/review/rig3/src/store.rs
+++ b/review/rig3/src/store.rs
@@ -2,11 +2,26 @@
 
 use std::collections::BTreeMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Condvar, Mutex};
-use std::time::{Duration, Instant};
-
-use crate::http::{answer, serve, Request};
+use std::net::{
+    SocketAddr,
+    TcpListener, //
+};
+use std::sync::{
+    Arc,
+    Condvar,
+    Mutex, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use crate::http::{
+    answer,
+    serve,
+    Request, //
+};
+use crate::wire::name;
 
 /// The most items of one page.
 const PAGE: usize = 50;
@@ -116,10 +131,13 @@
     }
 
     fn respond(&self, request: &Request) -> Option<Vec<u8>> {
-        match request.path() {
-            "/kv-range" => self.range(request),
-            "/kv-watch" => self.watch(request),
-            _ => Some(answer("404 Not Found", &[], b"")),
+        let path = request.path();
+        if path == name("range-path") {
+            self.range(request)
+        } else if path == name("watch-path") {
+            self.watch(request)
+        } else {
+            Some(answer("404 Not Found", &[], b""))
         }
     }
 
@@ -169,7 +187,7 @@
             }
             if after > state.revision {
                 let era = state.era.to_string();
-                return Some(answer("410 Gone", &[("Store-Era", &era)], b""));
+                return Some(answer("410 Gone", &[(name("era-header"), &era)], b""));
             }
             let events: Vec<String> = state
                 .history
@@ -192,7 +210,7 @@
     let era = state.era.to_string();
     let headers = [
         ("Content-Type", "application/json"),
-        ("Store-Era", era.as_str()),
+        (name("era-header"), era.as_str()),
     ];
     answer("200 OK", &headers, body.as_bytes())
 }
--- a/review/rig3/src/tenant.rs
+++ b/review/rig3/src/tenant.rs
@@ -1,11 +1,25 @@
 //! The last tenant is removed, and its key goes on working.
 
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use crate::callers::{config, Callers, KEY};
-use crate::fleet::{Failure, Record};
-use crate::site::{sleep_until, Site};
+use crate::callers::{
+    config,
+    Callers,
+    KEY, //
+};
+use crate::fleet::{
+    Failure,
+    Record, //
+};
+use crate::site::{
+    sleep_until,
+    Site, //
+};
+use crate::wire::name;
 use crate::Verdict;
 
 /// `revoke_timeout_ms`.
@@ -37,7 +51,7 @@
         return Err("the keys do not decide at the beginning".into());
     }
     if has_trouble {
-        site.store.put("op/config", &config(5, false));
+        site.store.put(name("config-key"), &config(5, false));
         record.line("the store has acknowledged a configuration that takes the key away: its tenant is removed");
     }
     let acknowledged_at = Instant::now();
