Record whether a configuration asks for keys, and why a request needed none

The record could not tell whether the list was taken for a missing one, the configuration was not in force, or a key was still known.

`configure` now says whether the configuration lists teams, how many keys callers may use and whether it asks for keys; `forward` says why a request was sent without the key of a team; three metrics show the same. The decoder tells a list that is empty from one that is missing; nothing is decided on it yet.

--- a/components/control/src/router/config.rs
+++ b/components/control/src/router/config.rs
@@ -16,8 +16,9 @@
     pub routes: Vec<Arc<Route>>,
     /// The services, by name.
     pub services: BTreeMap<Name, Arc<Service>>,
-    /// The teams and their keys.
-    pub teams: Vec<Arc<Team>>,
+    /// The teams and their keys. `None` if the configuration has no list of teams, which is not the same as
+    /// an empty one.
+    pub teams: Option<Vec<Arc<Team>>>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
     /// The address of the origin that stores the weights.
@@ -28,6 +29,13 @@
     pub origin_bytes_per_second: Option<u64>,
 }
 
+impl Config {
+    /// The teams, none if there is no list of them.
+    pub fn teams(&self) -> impl Iterator<Item = &Arc<Team>> {
+        self.teams.iter().flatten()
+    }
+}
+
 /// How often a route's requests may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeatability {
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -393,6 +393,13 @@
         if let Some(rate) = limits.own {
             target.spend_limit_allowance(now, rate);
         }
+        let reason_without_key = if pending.team.is_some() {
+            None
+        } else if pending.route.allows_anonymous {
+            Some("open_route".into())
+        } else {
+            Some("no_keys_asked".into())
+        };
         let missing_since = target.missing.map(|period| period.began_at);
         let load = target.load.total_requests(now);
         let notice_age = millis(target.notice.limit_age(now));
@@ -447,6 +454,7 @@
             path_age_ms: path.and_then(|path| path.age).map(millis),
             limit,
             version: request.version,
+            without_key: reason_without_key,
             missing_ms: missing_since.map(|since| millis(now.saturating_sub(since))),
         }));
         effects.push(Effect::Forward(token, request));
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -148,6 +148,10 @@
 pub struct Summary {
     /// The version of the current configuration.
     pub config_version: Option<u64>,
+    /// Number of the keys that callers may use.
+    pub config_keys: usize,
+    /// Whether requests need a key on routes that do not allow anonymous callers.
+    pub asks_for_keys: bool,
     /// Upper bound of the configuration's age.
     pub lease_age: Option<Duration>,
     /// Whether requests with a key are served.
@@ -312,6 +316,8 @@
     pub fn summary(&self, now: Duration) -> Summary {
         Summary {
             config_version: self.table.as_ref().map(|table| table.config().version),
+            config_keys: self.table.as_ref().map_or(0, RoutingTable::key_count),
+            asks_for_keys: self.table.as_ref().is_some_and(RoutingTable::has_teams),
             lease_age: self.lease.age(now),
             is_lease_valid: self.lease.allows(now, true),
             known_targets: self.targets.iter().count(),
--- a/components/control/src/router/table.rs
+++ b/components/control/src/router/table.rs
@@ -48,10 +48,10 @@
                 }
             }
         }
-        let team_priorities = config.teams.iter().filter_map(|team| team.priority);
+        let team_priorities = config.teams().filter_map(|team| team.priority);
         let last_team_priority = team_priorities.max().unwrap_or_default();
-        let teams = config.teams.iter();
-        let teams_by_key = teams
+        let teams_by_key = config
+            .teams()
             .flat_map(|team| team.api_keys.iter().map(|key| (key.clone(), team.clone())))
             .collect();
         Self {
@@ -100,7 +100,12 @@
     /// Whether there are teams. If so, requests need a key unless their route allows anonymous
     /// callers.
     pub fn has_teams(&self) -> bool {
-        !self.config.teams.is_empty()
+        self.config.teams().next().is_some()
+    }
+
+    /// The number of keys that callers may use.
+    pub fn key_count(&self) -> usize {
+        self.teams_by_key.len()
     }
 }
 
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -65,15 +65,19 @@
         if current.is_some_and(|current| current >= version) {
             return;
         }
+        let table = RoutingTable::new(config.clone());
         effects.push(Effect::Record(Decision::Configure {
             version,
             before: current,
             routes: config.routes.len(),
-            teams: config.teams.len(),
+            teams: config.teams().count(),
+            lists_teams: config.teams.is_some(),
+            keys: table.key_count(),
+            asks_for_keys: table.has_teams(),
             // It was published after the last confirmed call was sent.
             age_ms: current.and_then(|_| self.lease.age(now)).map(millis),
         }));
-        self.table = Some(RoutingTable::new(config));
+        self.table = Some(table);
         // Priorities and objectives may differ now.
         self.demand.clear();
     }
--- a/components/control/tests/config_age.rs
+++ b/components/control/tests/config_age.rs
@@ -63,11 +63,11 @@
         version,
         routes: vec![Arc::new(open), Arc::new(closed)],
         services: BTreeMap::from([("desk".into(), Arc::new(desk))]),
-        teams: vec![Arc::new(Team {
+        teams: Some(vec![Arc::new(Team {
             name: "studio".into(),
             api_keys: vec![key.into()],
             ..Team::default()
-        })],
+        })]),
         ..Config::default()
     })
 }
--- a/components/control/tests/engines/mod.rs
+++ b/components/control/tests/engines/mod.rs
@@ -1268,7 +1268,7 @@
     Config {
         version: 1,
         routes: scenario.kinds.iter().enumerate().map(route).collect(),
-        teams: (0..scenario.team_shares.len()).map(team).collect(),
+        teams: Some((0..scenario.team_shares.len()).map(team).collect()),
         services: BTreeMap::from([("engines".into(), Arc::new(service))]),
         ..Config::default()
     }
--- a/components/control/tests/router.rs
+++ b/components/control/tests/router.rs
@@ -99,11 +99,11 @@
             route("open", "desk", Repeatability::Idempotent),
         ],
         services: BTreeMap::from([service("engines", Some(engine())), service("desk", None)]),
-        teams: vec![Arc::new(Team {
+        teams: Some(vec![Arc::new(Team {
             name: "studio".into(),
             api_keys: vec!["key".into()],
             ..Team::default()
-        })],
+        })]),
         ..Config::default()
     }
 }
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -291,6 +291,9 @@
         metrics::gauge!("medlarproxy_quarantines").set(summary.quarantines as f64);
         let version = summary.config_version.unwrap_or_default();
         metrics::gauge!("medlarproxy_configuration_version").set(version as f64);
+        metrics::gauge!("medlarproxy_configuration_keys").set(summary.config_keys as f64);
+        let asks_for_keys = f64::from(u8::from(summary.asks_for_keys));
+        metrics::gauge!("medlarproxy_configuration_asks_for_keys").set(asks_for_keys);
         let age = summary.lease_age.unwrap_or(Duration::MAX);
         metrics::gauge!("medlarproxy_configuration_age_seconds").set(age.as_secs_f64());
         self.update_limit_gauges();
@@ -327,7 +330,10 @@
                 metrics::histogram!("medlarproxy_path_seconds", "region" => region)
                     .record(time.as_secs_f64());
             }
-            Effect::Record(decision) => self.inner.record_writer.record(config_version, decision),
+            Effect::Record(decision) => {
+                count_without_key(&decision);
+                self.inner.record_writer.record(config_version, decision);
+            }
         }
     }
 
@@ -339,6 +345,19 @@
     }
 }
 
+/// Counts a request that is sent without the key of a team.
+fn count_without_key(decision: &record::Decision) {
+    if let record::Decision::Forward {
+        without_key: Some(reason),
+        ..
+    } = decision
+    {
+        let reason = reason.to_string();
+        metrics::counter!("medlarproxy_requests_without_key_total", "reason" => reason)
+            .increment(1);
+    }
+}
+
 /// Counts the time in which this process should have run and did not, or was busy with something else.
 fn record_standstill(time: Duration) {
     if time >= MIN_STANDSTILL {
--- a/components/record/src/decision.rs
+++ b/components/record/src/decision.rs
@@ -290,6 +290,15 @@
         routes: usize,
         /// Number of its teams.
         teams: usize,
+        /// Whether it has a list of teams, be it an empty one.
+        #[serde(default)]
+        lists_teams: bool,
+        /// Number of the keys that callers may use.
+        #[serde(default)]
+        keys: usize,
+        /// Whether requests need a key on routes that do not allow anonymous callers.
+        #[serde(default)]
+        asks_for_keys: bool,
         /// Upper bound of the time since it was published, in milliseconds. `None` if the process
         /// already found it at its start.
         #[serde(default)]
@@ -445,6 +454,9 @@
         limit: Option<(f64, u64)>,
         /// The version of the weights that must serve the request.
         version: Option<u64>,
+        /// Why the request was let in without the key of a team, if it was: `open_route` or `no_keys_asked`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        without_key: Option<Name>,
         /// Milliseconds since the entry of the target was found to be missing from the list.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         missing_ms: Option<u64>,
--- a/components/record/tests/trace_and_line_writer.rs
+++ b/components/record/tests/trace_and_line_writer.rs
@@ -54,6 +54,7 @@
         path_age_ms,
         limit: None,
         version: None,
+        without_key: None,
         missing_ms: None,
     }
 }
