Ask once who may have a request run, and never take an empty list for permission

Cause: "has teams" stood for "needs keys". The decoder took an empty list for a missing one, and admission, the last check before sending and the lease each answered the question by other facts: a key was kept only if one was needed on arrival, so requests that waited while the list changed kept the old answer, and one whose key moved ran for its former team.

Change: `access.rs` gives the one answer (unrestricted, anonymous, team, denied), found on arrival and anew for each request in progress when a configuration comes into force. A list that was there once and is missing later holds no key. An empty key is none. A key that no team holds is rejected on open routes too ("A request with an unknown key receives 401"). Requests that no target has and that are denied are rejected at once; before a send the team is compared with the present holder. A configuration without a list, where there never was one, serves everybody as before.

--- a/components/control/src/router/admission.rs
+++ b/components/control/src/router/admission.rs
@@ -7,6 +7,7 @@
 use utils::millis::millis;
 use utils::Name;
 
+use super::access::Access;
 use super::config::Service;
 use super::pending::Pending;
 use super::rejection::{
@@ -103,12 +104,11 @@
             return Err((unless_stale(RejectionReason::NoRoute), None));
         };
         let route_name = Some(route.name.clone());
-        let needs_key = table.has_teams() && !route.allows_anonymous;
-        let team = request.api_key.as_deref().and_then(|key| table.team(key));
-        if !self.lease.allows(now, needs_key) {
+        let access = table.access(route, request.api_key.as_deref());
+        if !self.lease.allows(now, access.depends_on_keys()) {
             return Err((RejectionReason::StaleConfiguration, route_name));
         }
-        if needs_key && team.is_none() {
+        if access == Access::Denied {
             return Err((unless_stale(RejectionReason::UnknownKey), route_name));
         }
         let service = choose_service(route, &request.request_id)
@@ -123,6 +123,7 @@
         let caller_timeout = request.timeout.unwrap_or(route.timeout);
         let timeout = caller_timeout.min(route.timeout);
         let answer_time = answer_time(service, request);
+        let team = access.team();
         let team_priority = team.and_then(|team| team.priority);
         let level = table.priority_level(&service.name, route.priority, team_priority);
         let priority_level = level.filter(|_| service.engine_profile.is_some());
@@ -147,7 +148,6 @@
             id: request.request_id.clone(),
             route: route.clone(),
             service: service.clone(),
-            team: team.cloned(),
             priority_level,
             arrived: now,
             deadline: now + timeout,
@@ -173,7 +173,8 @@
             reservation_attempts: 0,
             may_wait_at_agent: false,
             reservation_round_trip: None,
-            api_key: request.api_key.clone().filter(|_| needs_key),
+            api_key: request.api_key.clone(),
+            access,
             full_targets: Vec::new(),
             acceptable_backlog: AcceptableBacklog::ANY,
             expected_response_time: Duration::ZERO,
--- a/components/control/src/router/departure.rs
+++ b/components/control/src/router/departure.rs
@@ -24,6 +24,10 @@
         if self.reason_not_to_send(now, token).is_some() {
             return false;
         }
+        // The key may have moved to another team, which the target must be told.
+        if pending.access.team().map(|team| &team.name) != request.team.as_ref() {
+            return false;
+        }
         let entry = &target.entry;
         let is_same_start = entry.started_at_ms == pending.target_started_at_ms
             && entry.address == request.address
--- a/components/control/src/router/dispatch.rs
+++ b/components/control/src/router/dispatch.rs
@@ -170,10 +170,8 @@
         now: Duration,
         pending: &'a Pending,
     ) -> Requirements<'a> {
-        let team_regions = pending
-            .team
-            .as_ref()
-            .map(|team| team.allowed_regions.as_slice());
+        let team = pending.access.team();
+        let team_regions = team.map(|team| team.allowed_regions.as_slice());
         let model = pending.service.engine_profile.as_ref().map(|e| &e.model);
         let oldest = model.and_then(|model| self.oldest_version(now, model));
         let versions = match (pending.version.filter(|_| pending.response_started), oldest) {
@@ -259,9 +257,9 @@
     }
 
     /// Why a request must not be sent to any target, if so: its time is over, or that of the version of its
-    /// answer, it would not end before this process, the configuration is too old, its key was revoked or
-    /// the request was quarantined while it waited. Streams that are resumed began under a configuration
-    /// that was in force.
+    /// answer, it would not end before this process, the configuration is too old, its caller may not have it
+    /// run any more or the request was quarantined while it waited. Streams that are resumed began under a
+    /// configuration that was in force.
     pub(super) fn reason_not_to_send(&self, now: Duration, token: u64) -> Option<RejectionReason> {
         let pending = self.pending.get(&token)?;
         // The timers for it may be late if the process stood still.
@@ -271,14 +269,13 @@
         if self.cannot_resume(now, pending) {
             return Some(RejectionReason::MayHaveRun);
         }
-        let has_key = pending.team.is_some();
         if !pending.response_started && !self.ends_in_time(now, pending) {
             return Some(RejectionReason::Stopping);
         }
-        if !pending.response_started && !self.lease.allows(now, has_key) {
+        if !pending.response_started && !self.lease.allows(now, pending.access.depends_on_keys()) {
             return Some(RejectionReason::StaleConfiguration);
         }
-        if !pending.response_started && self.is_key_revoked(pending) {
+        if pending.is_denied() {
             return Some(RejectionReason::UnknownKey);
         }
         self.quarantine_reason(
@@ -297,14 +294,6 @@
         pending.response_started && (pending.version.is_none() || pending.version < oldest)
     }
 
-    /// Whether the key of a request was revoked after the request was admitted.
-    fn is_key_revoked(&self, pending: &Pending) -> bool {
-        let (Some(key), Some(table)) = (&pending.api_key, &self.table) else {
-            return false;
-        };
-        table.has_teams() && table.team(key).is_none()
-    }
-
     /// Stores the expected response time of a request at the target that it will be sent to.
     pub(super) fn set_expected_response_time(&mut self, now: Duration, token: u64, id: &Name) {
         let (Some(pending), Some(target)) = (self.pending.get(&token), self.targets.get(id)) else {
@@ -393,13 +382,6 @@
         if let Some(rate) = limits.own {
             target.spend_limit_allowance(now, rate);
         }
-        let reason_without_key = if pending.team.is_some() {
-            None
-        } else if pending.route.allows_anonymous {
-            Some("open_route".into())
-        } else {
-            Some("no_keys_asked".into())
-        };
         let missing_since = target.missing.map(|period| period.began_at);
         let load = target.load.total_requests(now);
         let notice_age = millis(target.notice.limit_age(now));
@@ -428,7 +410,7 @@
             target: id.clone(),
             address: target.entry.address,
             remote_region: remote_region(target, location).cloned(),
-            team: pending.team.as_ref().map(|team| team.name.clone()),
+            team: pending.access.team().map(|team| team.name.clone()),
             version: required_version,
             attempt: pending.attempts(),
             priority: pending.target_priority(),
@@ -454,7 +436,7 @@
             path_age_ms: path.and_then(|path| path.age).map(millis),
             limit,
             version: request.version,
-            without_key: reason_without_key,
+            without_key: pending.access.reason_without_key(),
             missing_ms: missing_since.map(|since| millis(now.saturating_sub(since))),
         }));
         effects.push(Effect::Forward(token, request));
--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! requests are sent to which target, queued, retried or rejected. Targets check what only they
 //! know: that they are the expected instance and run the expected version.
 
+pub mod access;
 mod admission;
 mod answer_times;
 pub mod config;
--- a/components/control/src/router/outcomes.rs
+++ b/components/control/src/router/outcomes.rs
@@ -365,6 +365,8 @@
             Some(RejectionReason::MayHaveRun)
         } else if pending.attempts() >= attempt_limit {
             Some(RejectionReason::OutOfAttempts)
+        } else if pending.is_denied() {
+            Some(RejectionReason::UnknownKey)
         } else if let Some(reason) = self.quarantine_reason(
             now,
             Some(token),
--- a/components/control/src/router/pending.rs
+++ b/components/control/src/router/pending.rs
@@ -10,10 +10,10 @@
 };
 use utils::Name;
 
+use super::access::Access;
 use super::config::{
     Route,
-    Service,
-    Team, //
+    Service, //
 };
 use super::crashes::{
     SentPart,
@@ -54,7 +54,6 @@
     pub id: Name,
     pub route: Arc<Route>,
     pub service: Arc<Service>,
-    pub team: Option<Arc<Team>>,
     /// The number of more urgent priorities of its service, if it competes with requests of other
     /// priorities for model engines.
     pub priority_level: Option<u8>,
@@ -97,8 +96,10 @@
     pub acceptable_backlog: AcceptableBacklog,
     /// Number of reservations requested from agents.
     pub reservation_attempts: u32,
-    /// The caller's key, if the request needs one.
+    /// The caller's key, if the caller sent one.
     pub api_key: Option<Name>,
+    /// The right of the caller to have it run, by the configuration in force.
+    pub access: Access,
     /// Whether the last requested reservation may wait at its agent.
     pub may_wait_at_agent: bool,
     /// Time from requesting the reservation with which it is sent until the agent's reply.
@@ -130,8 +131,9 @@
 impl Pending {
     /// The team's priority, or else the route's; zero is the most urgent.
     pub fn priority(&self) -> u8 {
-        let team = self.team.as_ref().and_then(|team| team.priority);
-        team.unwrap_or(self.route.priority)
+        let team = self.access.team();
+        let priority = team.and_then(|team| team.priority);
+        priority.unwrap_or(self.route.priority)
     }
 
     /// Whether no answer can be on time any more. An answer that has begun must not pause, however
@@ -140,6 +142,11 @@
         self.has_returned && !self.response_started
     }
 
+    /// Whether its caller may not have it run. A stream that has begun goes on.
+    pub fn is_denied(&self) -> bool {
+        self.access == Access::Denied && !self.response_started
+    }
+
     /// Its place in the order in which queued requests are dispatched.
     pub fn queue_rank(&self) -> QueueRank {
         QueueRank {
--- a/components/control/src/router/reservation.rs
+++ b/components/control/src/router/reservation.rs
@@ -364,7 +364,7 @@
 
 /// How a request competes with others, if it does.
 fn claim(pending: &Pending, requirements: &Requirements<'_>, max_wait: Duration) -> Option<Claim> {
-    let team = pending.team.as_ref();
+    let team = pending.access.team();
     Some(Claim {
         rank: ClaimRank {
             level: requirements.claim_level?,
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -317,7 +317,7 @@
         Summary {
             config_version: self.table.as_ref().map(|table| table.config().version),
             config_keys: self.table.as_ref().map_or(0, RoutingTable::key_count),
-            asks_for_keys: self.table.as_ref().is_some_and(RoutingTable::has_teams),
+            asks_for_keys: self.table.as_ref().is_some_and(RoutingTable::asks_for_keys),
             lease_age: self.lease.age(now),
             is_lease_valid: self.lease.allows(now, true),
             known_targets: self.targets.iter().count(),
--- a/components/control/src/router/table.rs
+++ b/components/control/src/router/table.rs
@@ -20,6 +20,8 @@
     config: Arc<Config>,
     routes_by_host: HashMap<Name, Vec<Arc<Route>>>,
     teams_by_key: HashMap<Name, Arc<Team>>,
+    /// Whether this configuration or an earlier one of this process has a list of teams.
+    asks_for_keys: bool,
     /// The priorities of the routes of each service, the most urgent first.
     priorities: HashMap<Name, Vec<u8>>,
     /// The least urgent priority of a team.
@@ -27,8 +29,9 @@
 }
 
 impl RoutingTable {
-    /// Indexes a configuration.
-    pub fn new(config: Arc<Config>) -> Self {
+    /// Indexes a configuration. Once a process had a list of teams, one without a list holds no keys: it has
+    /// taken all of them away.
+    pub fn new(config: Arc<Config>, previous: Option<&Self>) -> Self {
         let mut routes_by_host: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
         for route in &config.routes {
             routes_by_host
@@ -53,11 +56,15 @@
         let teams_by_key = config
             .teams()
             .flat_map(|team| team.api_keys.iter().map(|key| (key.clone(), team.clone())))
+            // An empty key is none.
+            .filter(|(key, _)| !key.is_empty())
             .collect();
+        let asks_for_keys = config.teams.is_some() || previous.is_some_and(Self::asks_for_keys);
         Self {
             config,
             routes_by_host,
             teams_by_key,
+            asks_for_keys,
             priorities,
             last_team_priority,
         }
@@ -97,10 +104,14 @@
         self.teams_by_key.get(key)
     }
 
-    /// Whether there are teams. If so, requests need a key unless their route allows anonymous
-    /// callers.
-    pub fn has_teams(&self) -> bool {
-        self.config.teams().next().is_some()
+    /// Whether requests need a key unless their route allows anonymous callers.
+    pub fn asks_for_keys(&self) -> bool {
+        self.asks_for_keys
+    }
+
+    /// The route with this name.
+    pub fn route_named(&self, name: &str) -> Option<&Arc<Route>> {
+        self.config.routes.iter().find(|route| *route.name == *name)
     }
 
     /// The number of keys that callers may use.
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -65,7 +65,7 @@
         if current.is_some_and(|current| current >= version) {
             return;
         }
-        let table = RoutingTable::new(config.clone());
+        let table = RoutingTable::new(config.clone(), self.table.as_ref());
         effects.push(Effect::Record(Decision::Configure {
             version,
             before: current,
@@ -73,13 +73,14 @@
             teams: config.teams().count(),
             lists_teams: config.teams.is_some(),
             keys: table.key_count(),
-            asks_for_keys: table.has_teams(),
+            asks_for_keys: table.asks_for_keys(),
             // It was published after the last confirmed call was sent.
             age_ms: current.and_then(|_| self.lease.age(now)).map(millis),
         }));
         self.table = Some(table);
         // Priorities and objectives may differ now.
         self.demand.clear();
+        self.update_access(now, effects);
     }
 
     /// Adds or updates a target from its entry in the list.
