Reject a sheet whose token digest has no value

Such a sheet is now rejected with the place.

Two cases of invalid_documents_are_rejected_with_place_and_cause; on a scratch copy without the change the test fails.

--- a/components/sheet/src/document.rs
+++ b/components/sheet/src/document.rs
@@ -11,6 +11,7 @@
 
 use serde::{
     Deserialize,
+    Deserializer,
     Serialize, //
 };
 use utils::digest::Digest;
@@ -149,7 +150,20 @@
     /// The weight of the team when requests exceed the capacity of the targets.
     pub share: u32,
     /// The SHA-256 digest of the bearer token that the team's callers must present. Without it they
-    /// need no token.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    /// need no token. A field without a value is an error.
+    #[serde(
+        default,
+        skip_serializing_if = "Option::is_none",
+        deserialize_with = "deserialize_present"
+    )]
     pub token_digest: Option<Digest>,
 }
+
+/// Deserializes a field that is there.
+fn deserialize_present<'de, T, D>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    T: Deserialize<'de>,
+    D: Deserializer<'de>,
+{
+    T::deserialize(deserializer).map(Some)
+}
--- a/components/sheet/tests/documents.rs
+++ b/components/sheet/tests/documents.rs
@@ -152,6 +152,19 @@
             to: "share: 0",
             message_parts: &["teams.head-office.share", "0", "1 to 1000"],
         },
+        // It must not open the team to callers without a token.
+        Case {
+            name: "token digest without a value",
+            from: "share: 3",
+            to: "share: 3, token_digest: ",
+            message_parts: &["token_digest"],
+        },
+        Case {
+            name: "token digest that is null",
+            from: "share: 3",
+            to: "share: 3, token_digest: null",
+            message_parts: &["token_digest"],
+        },
     ];
     assert!(parse(VALID).is_ok(), "{:?}", parse(VALID));
     for case in cases {
