Never accept an empty bearer token

Two cases of requests_are_parsed_or_rejected_with_a_code; on a scratch copy without the change the test fails.

--- a/components/proxy/src/entry/request.rs
+++ b/components/proxy/src/entry/request.rs
@@ -274,7 +274,8 @@
     if let Some(expected) = &team.token_digest {
         let token = header(headers, "authorization")?.unwrap_or_default();
         let token = token.strip_prefix("Bearer ").unwrap_or_default();
-        if Digest::of(token.as_bytes()) != *expected {
+        // An empty token is none, also if the digest is that of an empty text.
+        if token.is_empty() || Digest::of(token.as_bytes()) != *expected {
             return Err(BadRequest::WrongToken);
         }
     }
@@ -358,6 +359,7 @@
 
     fn sheet() -> Sheet {
         let digest = Digest::of(b"secret");
+        let empty = Digest::of(b"");
         let text = format!(
             "{{version: 1, published: 2026-01-01T00:00:00Z, origin_region: r, \
              data_centres: {{a: {{region: r, state: in}}}}, \
@@ -365,7 +367,8 @@
              max_out_percent: 50, instances: {{a: [m1]}}}}}}, \
              services: {{s: {{limit: 2, instances: {{a: [s1]}}, \
              calls: [{{method: GET, path: /jobs, repeatable: true}}]}}}}, \
-             teams: {{open: {{share: 1}}, closed: {{share: 1, token_digest: {digest}}}}}}}"
+             teams: {{open: {{share: 1}}, closed: {{share: 1, token_digest: {digest}}}, \
+             unset: {{share: 1, token_digest: {empty}}}}}}}"
         );
         sheet::parse(&text).unwrap()
     }
@@ -413,6 +416,18 @@
                 BODY,
                 Err("wrong_token"),
             ),
+            case(
+                "no token, and the digest of an empty one",
+                &[("x-team", "unset")],
+                BODY,
+                Err("wrong_token"),
+            ),
+            case(
+                "empty token",
+                &[("x-team", "unset"), ("authorization", "Bearer ")],
+                BODY,
+                Err("wrong_token"),
+            ),
             case(
                 "token",
                 &[("x-team", "closed"), ("authorization", "Bearer secret")],
