Refuse requests of a team that a later sheet removed

A request that waited at an agent ran although its team had been removed.

An agent now remembers the teams that a sheet of its own life has removed. It refuses their waiting requests as it activates the sheet, and those that entries still offer, with `team_removed` (403, no retry). A team that no sheet of the agent named runs with a share of 1 as before, since the entry may have a later sheet.

Tests: waiting_requests_of_a_removed_team_are_refused_at_once and three cases of request_runs_or_is_refused_with_the_right_reason; on a scratch copy without the change both fail. The tests of fleet, admin and sheet pass.

--- a/components/control/src/agent/admission.rs
+++ b/components/control/src/agent/admission.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{
     BTreeMap,
+    BTreeSet,
     VecDeque, //
 };
 use std::time::Duration;
@@ -304,6 +305,14 @@
         all
     }
 
+    /// Removes and returns the waiting requests of these teams.
+    pub fn remove_teams(&mut self, teams: &BTreeSet<Name>) -> Vec<OfferedRequest> {
+        let removed = self.queue.remove_teams(teams);
+        let mut removed = self.remove_all_queued(removed);
+        removed.extend(self.remove_suspects(|offered, _| teams.contains(&offered.team)));
+        removed
+    }
+
     fn remove_suspects(
         &mut self,
         predicate: impl Fn(&OfferedRequest, Duration) -> bool,
--- a/components/control/src/agent/fair_queue.rs
+++ b/components/control/src/agent/fair_queue.rs
@@ -1,6 +1,9 @@
 //! Weighted fair queueing over teams and priorities, for requests that wait for a target.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::time::Duration;
 
 use utils::Name;
@@ -101,6 +104,11 @@
         self.remove_where(|r| r.expires_at <= now)
     }
 
+    /// Removes and returns the requests of these teams.
+    pub fn remove_teams(&mut self, teams: &BTreeSet<Name>) -> Vec<QueuedRequest> {
+        self.remove_where(|r| teams.contains(&r.team))
+    }
+
     /// Removes and returns all requests.
     pub fn clear(&mut self) -> Vec<QueuedRequest> {
         self.remove_where(|_| true)
--- a/components/control/src/agent/requests.rs
+++ b/components/control/src/agent/requests.rs
@@ -151,6 +151,9 @@
         if offered.deadline <= elapsed {
             return Err(Outcome::NotRun(Refusal::Expired));
         }
+        if self.is_team_removed(&offered.team) {
+            return Err(Outcome::NotRun(Refusal::TeamRemoved));
+        }
         if self.suspects.is_quarantined(offered.fingerprint) {
             return Err(Outcome::NotRun(Refusal::Quarantined));
         }
@@ -207,21 +210,27 @@
     pub(super) fn refuse_queued(&mut self, elapsed: Duration, effects: &mut Vec<Effect>) {
         let refusal = self.refusal(elapsed).unwrap_or(Refusal::NotReady);
         for queued in self.admission.clear_queue() {
-            let outcome = Outcome::NotRun(refusal);
-            self.at_most_once
-                .record_outcome(elapsed, &queued.guard, outcome);
-            refuse(&queued, outcome, effects);
+            self.refuse_queued_request(elapsed, &queued, refusal, effects);
         }
     }
 
+    /// Refuses a request that has left the queue.
+    pub(super) fn refuse_queued_request(
+        &mut self,
+        elapsed: Duration,
+        queued: &OfferedRequest,
+        refusal: Refusal,
+        effects: &mut Vec<Effect>,
+    ) {
+        let outcome = Outcome::NotRun(refusal);
+        self.at_most_once
+            .record_outcome(elapsed, &queued.guard, outcome);
+        refuse(queued, outcome, effects);
+    }
+
     pub(super) fn withdraw(&mut self, elapsed: Duration, token: u64, effects: &mut Vec<Effect>) {
         match self.admission.withdraw(token) {
-            Some(queued) => {
-                let outcome = Outcome::NotRun(Refusal::Expired);
-                self.at_most_once
-                    .record_outcome(elapsed, &queued.guard, outcome);
-                refuse(&queued, outcome, effects);
-            }
+            Some(queued) => self.refuse_queued_request(elapsed, &queued, Refusal::Expired, effects),
             // A request that may run at most once is not cancelled, so that its outcome is known.
             None if self.admission.running_guard(token) == Some(&Guard::Repeatable) => {
                 effects.push(Effect::Cancel(token));
@@ -295,10 +304,7 @@
         } else {
             self.admission.busy_refusal(elapsed)
         };
-        let outcome = Outcome::NotRun(refusal);
-        self.at_most_once
-            .record_outcome(elapsed, &queued.guard, outcome);
-        refuse(queued, outcome, effects);
+        self.refuse_queued_request(elapsed, queued, refusal, effects);
     }
 }
 
--- a/components/control/tests/admission.rs
+++ b/components/control/tests/admission.rs
@@ -60,6 +60,8 @@
 #[test]
 fn request_runs_or_is_refused_with_the_right_reason() {
     let model = |token| offered_request(token, "m", Guard::Repeatable);
+    let mut without_team = sheet(2, "in");
+    without_team.teams.remove("large");
     let mut leaving = sheet(2, "in");
     leaving.leaving.insert("m3".into());
     let follow = |sheet: &sheet::Sheet| {
@@ -83,6 +85,27 @@
             offered: model(1),
             refusal: Some(Refusal::DataCentreOut),
         },
+        Case {
+            name: "team that a later sheet removed",
+            before: follow(&without_team),
+            offered: model(1),
+            refusal: Some(Refusal::TeamRemoved),
+        },
+        Case {
+            name: "team that was removed and is back",
+            before: [follow(&without_team), follow(&sheet(3, "in"))].concat(),
+            offered: model(1),
+            refusal: None,
+        },
+        Case {
+            name: "team that only a later sheet names",
+            before: vec![],
+            offered: control::agent::OfferedRequest {
+                team: "new".into(),
+                ..model(1)
+            },
+            refusal: None,
+        },
         Case {
             name: "leaving",
             before: follow(&leaving),
@@ -418,3 +441,20 @@
         assert_eq!(phase(COLD_TIME_MS), Phase::Warm, "{start}");
     }
 }
+
+/// Guards against requests that wait in the queue and run although a sheet has removed their team meanwhile.
+#[test]
+fn waiting_requests_of_a_removed_team_are_refused_at_once() {
+    let mut state = agent("m3", 1, Options::default(), &sheet(1, "in"));
+    let effects: Vec<Effect> = (1..=8)
+        .flat_map(|token| offer(&mut state, 10, token))
+        .collect();
+    let waiting = 8 - runs(&effects).len() - refusals(&effects).len();
+    assert!(waiting > 0, "{effects:?}");
+    let mut without_team = sheet(2, "in");
+    without_team.teams.remove("large");
+    let events = sheet_events(&without_team).into_iter().map(Event::Follow);
+    let effects: Vec<Effect> = events.flat_map(|event| state.step(at(20), event)).collect();
+    assert_eq!(refusals(&effects), vec![Refusal::TeamRemoved; waiting]);
+    assert_eq!(runs(&effects), Vec::<u64>::new());
+}
--- a/components/protocol/src/outcome.rs
+++ b/components/protocol/src/outcome.rs
@@ -50,6 +50,8 @@
     HomeUnreachable,
     /// the budget for retries is spent
     RetryBudget,
+    /// the sheet no longer names the caller's team
+    TeamRemoved,
 }
 
 impl Refusal {
@@ -74,6 +76,7 @@
             Self::NoTarget => "no_target",
             Self::HomeUnreachable => "home_unreachable",
             Self::RetryBudget => "retry_budget",
+            Self::TeamRemoved => "team_removed",
         }
     }
 
@@ -88,6 +91,7 @@
                 | Self::NoTarget
                 | Self::HomeUnreachable
                 | Self::RetryBudget
+                | Self::TeamRemoved
         )
     }
 }
--- a/components/proxy/src/entry/error_response.rs
+++ b/components/proxy/src/entry/error_response.rs
@@ -137,6 +137,7 @@
 fn rejection_status(rejection: &Rejection) -> u16 {
     match rejection.outcome {
         Outcome::NotRun(Refusal::Busy { .. }) => 429,
+        Outcome::NotRun(Refusal::TeamRemoved) => 403,
         Outcome::NotRun(Refusal::Quarantined) => 422,
         Outcome::NotRun(Refusal::StampAhead | Refusal::NotHome) => 400,
         Outcome::NotRun(Refusal::Expired) => 504,
@@ -149,7 +150,9 @@
 fn retry_after_ms(rejection: &Rejection) -> Option<u64> {
     match rejection.outcome {
         Outcome::NotRun(Refusal::Busy { retry_after_ms }) => Some(retry_after_ms),
-        Outcome::NotRun(Refusal::Quarantined | Refusal::NotHome | Refusal::Expired) => None,
+        Outcome::NotRun(
+            Refusal::Quarantined | Refusal::NotHome | Refusal::Expired | Refusal::TeamRemoved,
+        ) => None,
         Outcome::NotRun(_) | Outcome::Before(KeyState::Running) => Some(DEFAULT_RETRY_AFTER_MS),
         _ => None,
     }
