--- a/components/control/tests/access.rs
+++ b/components/control/tests/access.rs
@@ -38,14 +38,13 @@
 
 const START: Duration = Duration::from_secs(100);
 
-/// The sentences of the users' pages that decide the rows below.
-const IF_IT_CONTAINS: &str = "If the configuration contains `tenants`, a request carries a key, unless the request's route is \
-                              `allow_anonymous`. A request with an unknown key receives 401.";
-const TOOK_AWAY: &str = "CONFIG. A request sent later than `revoke_timeout_ms` after the acknowledgement of a configuration that \
+/// The sentences of the users' pages that decide the rows below, with the words of this project in brackets.
+const IF_IT_CONTAINS: &str = "If the configuration contains [teams], a request carries a key, unless the request's route [allows \
+                              anonymous callers]. A request with an unknown key receives 401.";
+const TOOK_AWAY: &str = "CONFIG. A request sent later than [the bound on revoked keys] after the acknowledgement of a configuration that \
                          took its key away runs.";
 const NEVER_HELD: &str = "ROUTE. A request runs whose key no configuration ever held.";
-const HOLDS_THE_KEY: &str = "UNASKED. An engine runs a request whose `X-Medlarproxy-Tenant` isn't the tenant that holds the \
-                             client's key.";
+const HOLDS_THE_KEY: &str = "UNASKED. An engine runs a request whose [named team] isn't the [team] that holds the client's key.";
 
 /// The list of teams of a configuration: their names and keys. `None` if it has no list.
 type List = Option<&'static [(&'static str, &'static [&'static str])]>;
