Use a removed target again only once it writes its entry

Cause: a removed target was remembered only if it had said that it leaves, and an entry of the copy looked like one that its target has just written. To remember every removal would lock out engines whose entries had lapsed and that live on.

Change: who speaks decides. After a restore, the feed marks the entries of the first full read, and those that still have the same text and revision in a later one, as those of the copy, until silent entries have expired (four heartbeat intervals). A target that was removed stays gone for them, and one that is missing stays missing; an entry that was written since counts as before. Known targets that live are not affected: their entries in the copy change nothing.

--- a/components/control/src/router/mod.rs
+++ b/components/control/src/router/mod.rs
@@ -151,6 +151,8 @@
     ConfigRead(Arc<Config>),
     /// A target was listed, or its entry changed.
     TargetListed(TargetEntry),
+    /// A store that was restored from a copy lists a target, whose entry was not written since.
+    TargetRestored(TargetEntry),
     /// The entry of a target was removed from the list.
     TargetUnlisted {
         /// The target.
--- a/components/control/src/router/state.rs
+++ b/components/control/src/router/state.rs
@@ -48,6 +48,7 @@
 };
 use super::table::RoutingTable;
 use super::targets::{
+    EntrySource,
     Target,
     Targets, //
 };
@@ -212,7 +213,12 @@
         match event {
             Event::Tick => self.tick(now, &mut effects),
             Event::ConfigRead(config) => self.update_config(now, config, &mut effects),
-            Event::TargetListed(entry) => self.update_target_entry(now, entry, &mut effects),
+            Event::TargetListed(entry) => {
+                self.update_target_entry(now, entry, EntrySource::Target, &mut effects)
+            }
+            Event::TargetRestored(entry) => {
+                self.update_target_entry(now, entry, EntrySource::RestoredCopy, &mut effects)
+            }
             Event::TargetUnlisted { id, grace } => {
                 self.remove_target_entry(now, &id, grace, &mut effects)
             }
--- a/components/control/src/router/targets.rs
+++ b/components/control/src/router/targets.rs
@@ -236,35 +236,54 @@
     Updated,
     /// Nothing relevant changed.
     Unchanged,
+    /// The entry is that of a target which was removed, so it is not used.
+    Gone,
 }
 
-/// How long a target that left is remembered. The platform's store is restored from copies that are
+/// How long a target that was removed is remembered. The platform's store is restored from copies that are
 /// seconds old.
-const LEFT_MEMORY_TIME: Duration = Duration::from_secs(60);
+const REMOVED_MEMORY_TIME: Duration = Duration::from_secs(60);
 
-/// A target that said that it leaves, and was removed.
+/// A target that was removed.
 #[derive(Clone, Copy, Debug)]
-struct LeftTarget {
+struct RemovedTarget {
     started_at_ms: u64,
     removed_at: Duration,
+    /// Whether it had said that it leaves. Another one may live on, and be listed again once it writes its
+    /// entry.
+    has_left: bool,
+}
+
+/// Who has written an entry of the list, as far as known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntrySource {
+    /// The target.
+    Target,
+    /// The platform's store, which was restored from a copy. Whether the target still lives is not known.
+    RestoredCopy,
 }
 
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     by_id: BTreeMap<Name, Target>,
-    /// Targets that are not used again if a restored list names them.
-    left: BTreeMap<Name, LeftTarget>,
+    /// Targets that are not used again merely because a restored list names them.
+    removed: BTreeMap<Name, RemovedTarget>,
 }
 
 impl Targets {
     /// Adds or updates a target from its entry in the list.
-    pub fn update(&mut self, now: Duration, entry: TargetEntry) -> EntryChange {
+    pub fn update(
+        &mut self,
+        now: Duration,
+        entry: TargetEntry,
+        source: EntrySource,
+    ) -> EntryChange {
         let Some(target) = self.by_id.get_mut(&entry.id) else {
-            let left = self.left.get(&entry.id);
-            if left.is_some_and(|left| entry.started_at_ms <= left.started_at_ms) {
-                return EntryChange::Unchanged;
+            if self.is_gone(now, &entry, source) {
+                return EntryChange::Gone;
             }
+            self.removed.remove(&entry.id);
             let id = entry.id.clone();
             self.by_id.insert(id, Target::new(now, entry));
             return EntryChange::Added;
@@ -273,7 +292,10 @@
         if entry.started_at_ms < target.entry.started_at_ms {
             return EntryChange::Unchanged;
         }
-        target.missing = None;
+        // What a copy lists may be missing all the same.
+        if source == EntrySource::Target {
+            target.missing = None;
+        }
         if target.entry.started_at_ms != entry.started_at_ms
             || target.entry.address != entry.address
         {
@@ -316,24 +338,37 @@
     /// Removes a target and returns it, if it was known.
     pub fn remove(&mut self, now: Duration, id: &str) -> Option<Target> {
         let target = self.by_id.remove(id)?;
-        if target.is_leaving() {
-            self.remember_left(now, &target.entry.id, target.entry.started_at_ms);
-        }
+        let has_left = target.is_leaving();
+        self.remember_removed(now, id, target.entry.started_at_ms, has_left);
         Some(target)
     }
 
+    /// Whether an entry is that of a target which was removed and has not come back.
+    fn is_gone(&self, now: Duration, entry: &TargetEntry, source: EntrySource) -> bool {
+        let removed = self.removed.get(&entry.id);
+        removed.is_some_and(|removed| {
+            let is_same_start = entry.started_at_ms <= removed.started_at_ms;
+            let is_recent = now.saturating_sub(removed.removed_at) < REMOVED_MEMORY_TIME;
+            // Without a start time, a later start of the target could not be told from this one.
+            let has_left = removed.has_left && removed.started_at_ms > 0;
+            is_same_start && is_recent && (has_left || source == EntrySource::RestoredCopy)
+        })
+    }
+
     /// Remembers that a target which is not known any more has left.
     pub fn remember_left(&mut self, now: Duration, id: &Name, started_at_ms: u64) {
-        self.left
-            .retain(|_, left| now.saturating_sub(left.removed_at) < LEFT_MEMORY_TIME);
-        // Without a start time, a later start of the target could not be told from this one.
-        if started_at_ms > 0 {
-            let left = LeftTarget {
-                started_at_ms,
-                removed_at: now,
-            };
-            self.left.insert(id.clone(), left);
-        }
+        self.remember_removed(now, id, started_at_ms, true);
+    }
+
+    fn remember_removed(&mut self, now: Duration, id: &str, started_at_ms: u64, has_left: bool) {
+        self.removed
+            .retain(|_, target| now.saturating_sub(target.removed_at) < REMOVED_MEMORY_TIME);
+        let removed = RemovedTarget {
+            started_at_ms,
+            removed_at: now,
+            has_left,
+        };
+        self.removed.insert(id.into(), removed);
     }
 
     /// Removes the targets that have been missing for longer than their grace period, and returns
--- a/components/control/src/router/updates.rs
+++ b/components/control/src/router/updates.rs
@@ -18,6 +18,7 @@
 use super::table::RoutingTable;
 use super::targets::{
     EntryChange,
+    EntrySource,
     Target,
     TargetEntry, //
 };
@@ -83,19 +84,29 @@
         self.update_access(now, effects);
     }
 
-    /// Adds or updates a target from its entry in the list.
+    /// Adds or updates a target from its entry in the list. One that was removed is not used again until it
+    /// writes its entry.
     pub(super) fn update_target_entry(
         &mut self,
         now: Duration,
         entry: TargetEntry,
+        source: EntrySource,
         effects: &mut Vec<Effect>,
     ) {
         let id = entry.id.clone();
         let known = self.targets.get(&id);
         let old_start = known.map(|target| target.entry.started_at_ms);
-        let change = self.targets.update(now, entry);
-        if change == EntryChange::Unchanged {
-            return;
+        match self.targets.update(now, entry, source) {
+            EntryChange::Unchanged => return,
+            EntryChange::Gone if source == EntrySource::Target => return,
+            EntryChange::Gone => {
+                effects.push(Effect::Record(Decision::TargetGone {
+                    target: id,
+                    reason: "listed again, but removed before".into(),
+                }));
+                return;
+            }
+            EntryChange::Added | EntryChange::Updated => {}
         }
         let Some(target) = self.targets.get(&id) else {
             return;
@@ -108,7 +119,7 @@
             target: id,
             service: entry.service.clone(),
             address: entry.address.to_string().into(),
-            is_new: change == EntryChange::Added,
+            is_new: old_start.is_none(),
             draining: entry.is_draining,
             cold_ms: millis(entry.cold_remaining),
             version: entry.version,
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::grace::Grace;
 use control::notice::Notice;
 use control::router::config::{
     Config,
@@ -355,3 +356,98 @@
     // The allowance of this process holds one request.
     assert_eq!(sent, 1);
 }
+
+/// Guards against requests to a target that was known to be gone and that a restored store lists again
+/// (`review/11`), and against targets that live and are not used.
+#[test]
+fn target_that_was_removed_is_used_again_only_once_it_writes_its_entry() {
+    struct Case {
+        name: &'static str,
+        /// What happens after the target was listed.
+        events: Vec<Event>,
+        expected: bool,
+    }
+    let removed = || Event::TargetUnlisted {
+        id: "d1".into(),
+        grace: Grace::NONE,
+    };
+    let missing = || Event::TargetUnlisted {
+        id: "d1".into(),
+        grace: Grace::of(Duration::from_secs(2)),
+    };
+    let later_start = || TargetEntry {
+        started_at_ms: 2,
+        ..target("d1", "desk", "a")
+    };
+    let written = || Event::TargetListed(target("d1", "desk", "a"));
+    let restored = || Event::TargetRestored(target("d1", "desk", "a"));
+    let case = |name, events, expected| Case {
+        name,
+        events,
+        expected,
+    };
+    let cases = [
+        case("listed", vec![], true),
+        case("known when the store is restored", vec![restored()], true),
+        case("removed", vec![removed()], false),
+        case(
+            "removed, and listed by a restored store",
+            vec![removed(), restored()],
+            false,
+        ),
+        case(
+            "listed by a restored store more than once",
+            vec![removed(), restored(), restored()],
+            false,
+        ),
+        case(
+            "removed, restored, and written by the target",
+            vec![removed(), restored(), written()],
+            true,
+        ),
+        case(
+            "removed, and written by the target",
+            vec![removed(), written()],
+            true,
+        ),
+        case(
+            "written again, and restored by a second drill",
+            vec![removed(), restored(), written(), restored()],
+            true,
+        ),
+        case(
+            "a later start in the copy",
+            vec![removed(), Event::TargetRestored(later_start())],
+            true,
+        ),
+        case(
+            "missing for longer than its time of grace, though a restored store lists it",
+            vec![missing(), restored()],
+            false,
+        ),
+        case(
+            "missing, and written by the target",
+            vec![missing(), restored(), written()],
+            true,
+        ),
+    ];
+    for case in cases {
+        let mut state = State::new(options(NO_RETRIES, 1));
+        for event in [
+            Event::ConfigRead(config_of_both_services()),
+            Event::TargetListed(target("d1", "desk", "a")),
+            Event::ConfigConfirmed(START),
+        ]
+        .into_iter()
+        .chain(case.events)
+        {
+            state.step(clock(START), event);
+        }
+        let now = START + Duration::from_secs(3);
+        state.step(clock(now), Event::Tick);
+        state.step(clock(now), Event::ConfigConfirmed(now));
+        let effects = state.step(clock(now), Event::RequestReceived(request(1, "/look/")));
+        let is_used = forwarded(&effects).is_some();
+        assert_eq!(is_used, case.expected, "{}", case.name);
+    }
+}
--- a/components/control/tests/distance.rs
+++ b/components/control/tests/distance.rs
@@ -29,6 +29,7 @@
     VersionConstraint, //
 };
 use control::router::targets::{
+    EntrySource,
     Target,
     Targets, //
 };
@@ -82,7 +83,7 @@
         let id: Name = format!("e{index}").into();
         let mut entry = routers::target(&id, "engines", DATA_CENTRES[index % 3]);
         entry.slots = Some(SLOTS);
-        targets.update(now, entry);
+        targets.update(now, entry, EntrySource::Target);
         let target = targets.get_mut(&id).unwrap();
         let max = (utilization * f64::from(SLOTS)) as u32;
         let report = LoadReport {
--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -41,6 +41,10 @@
 /// In this time the removals of entries that expired together are counted together.
 const REMOVAL_BATCH_TIME: Duration = Duration::from_millis(200);
 
+/// How many heartbeat intervals a copy that the source was restored from may list targets that are gone:
+/// three until a silent entry expires, and one until that is read.
+const COPY_LIFETIME_HEARTBEATS: u32 = 4;
+
 /// The size from which an answer of the source is recorded as large.
 const LARGE_ANSWER_BYTES: usize = 128 << 10;
 
@@ -51,6 +55,8 @@
     Config(Arc<Config>),
     /// A target is listed.
     Target(TargetEntry),
+    /// A source that was restored from a copy lists a target, whose entry was not written since.
+    RestoredTarget(TargetEntry),
     /// The entry of a target was removed or cannot be read as a target.
     TargetRemoved(Name),
     /// A data centre must not get requests.
@@ -97,9 +103,8 @@
     /// Whether later changes may be missing, since the source limits its responses without saying
     /// what it left out. They are complete if they reach a revision that was read before.
     pub may_be_incomplete: bool,
-    /// The revision in which the entry of each target was created, if it expires when it is not written.
-    /// One that expired and was written again counts from then on.
-    pub entry_revisions: Vec<(Name, u64)>,
+    /// What the source says of the entries of targets beside their values.
+    pub entries: Vec<EntryState>,
     /// Bytes of large values in the responses that later ones of the same key replace.
     pub superseded_bytes: usize,
     /// Rises each time the source was restored from a copy. Revisions of two eras cannot be
@@ -107,6 +112,19 @@
     pub era: u64,
 }
 
+/// The state of a target's entry in the source.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryState {
+    /// The target.
+    pub target: Name,
+    /// The revision in which it was created, if it expires when it is not written. One that expired and
+    /// was written again counts from then on.
+    pub created: Option<u64>,
+    /// A hash of its text and the revision in which it was written. Another one shows that it was written
+    /// again, also if only a counter in it changed.
+    pub content: u64,
+}
+
 /// Why a call to the source failed.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum SourceError {
@@ -308,6 +326,8 @@
     recovery: Option<GracePeriod>,
     /// The revision in which the entry of each listed target was created.
     entry_revisions: BTreeMap<Name, u64>,
+    /// The entries of a restored copy, until all that nobody writes have expired.
+    copy: Option<RestoredCopy>,
     /// How the source was last reported to respond.
     status: SourceStatus,
     /// When the last response was complete, and its revision.
@@ -330,6 +350,22 @@
     must_read_all: bool,
 }
 
+/// The entries of targets in a copy that the source was restored from.
+struct RestoredCopy {
+    /// From then on, an entry that is listed was written since the restore.
+    ends_at: Duration,
+    /// The content of each entry as it was first read. `None` before that.
+    contents: Option<BTreeMap<Name, u64>>,
+}
+
+impl RestoredCopy {
+    /// Whether an entry may still be that of the copy.
+    fn holds(&self, entry: &EntryState) -> bool {
+        let contents = self.contents.as_ref();
+        contents.is_none_or(|contents| contents.get(&entry.target) == Some(&entry.content))
+    }
+}
+
 /// Follows the source while the future is polled, and calls `on_event` for each event.
 pub async fn follow_source(
     clock: Arc<dyn Clock>,
@@ -351,6 +387,7 @@
         is_history_dropped: false,
         recovery: None,
         entry_revisions: BTreeMap::new(),
+        copy: None,
         status: SourceStatus::Answering,
         answered_at: None,
         answered_revision: None,
@@ -380,6 +417,14 @@
             self.settles_at = None;
             self.revision = None;
         }
+        if self
+            .copy
+            .as_ref()
+            .is_some_and(|copy| sent_at >= copy.ends_at)
+        {
+            self.copy = None;
+            self.revision = None;
+        }
         let is_full_read = self.reads_all(sent_at);
         let (result, verified_revision) = self.call(is_full_read).await;
         self.has_slow_full_read = is_full_read && result == Err(SourceError::Timeout);
@@ -418,6 +463,12 @@
             self.revision = None;
         }
         let former_era = self.era.replace(changes.era);
+        if former_era.is_none() {
+            log::info!(
+                "the store answers for the first time, in era {}",
+                changes.era
+            );
+        }
         let is_restored = former_era.is_some_and(|era| era != changes.era);
         if is_restored {
             self.handle_restore(sent_at, changes.era);
@@ -470,7 +521,8 @@
         if is_full_read {
             self.entry_revisions.clear();
         }
-        let revisions = changes.entry_revisions.iter().cloned();
+        let entries = changes.entries.iter();
+        let revisions = entries.filter_map(|entry| Some((entry.target.clone(), entry.created?)));
         self.entry_revisions.extend(revisions);
         for value in &changes.values {
             if let PublishedValue::TargetRemoved(id) = value {
@@ -553,6 +605,11 @@
     /// are published again.
     fn handle_restore(&mut self, sent_at: Duration, era: u64) {
         self.settles_at = Some(self.elapsed() + self.options.settle_time);
+        // Only then are silent entries sure to have expired.
+        self.copy = Some(RestoredCopy {
+            ends_at: self.elapsed() + self.options.heartbeat_interval * COPY_LIFETIME_HEARTBEATS,
+            contents: None,
+        });
         // Targets that the copy lacks are kept as after an outage.
         self.failed_call_sent_at = Some(sent_at);
         self.answered_revision = None;
@@ -576,12 +633,21 @@
     }
 
     fn report_changes(&mut self, changes: PublishedChanges, is_full_read: bool, grace: Grace) {
+        let restored = self.restored_entries(&changes.entries, is_full_read);
         let mut listed: Vec<Name> = Vec::new();
         let mut disabled: BTreeSet<Name> = BTreeSet::new();
         let mut unreadable: BTreeSet<OperatorDocument> = BTreeSet::new();
         for value in changes.values {
+            let value = match value {
+                PublishedValue::Target(entry) if restored.contains(&entry.id) => {
+                    PublishedValue::RestoredTarget(entry)
+                }
+                value => value,
+            };
             match &value {
-                PublishedValue::Target(entry) => listed.push(entry.id.clone()),
+                PublishedValue::Target(entry) | PublishedValue::RestoredTarget(entry) => {
+                    listed.push(entry.id.clone());
+                }
                 PublishedValue::DataCentreDisabled(name) => {
                     disabled.insert(name.clone());
                 }
@@ -610,6 +676,22 @@
         self.revision = Some(changes.revision.max(self.revision.unwrap_or_default()));
     }
 
+    /// The targets whose entries may be those of the copy that the source was restored from. What changes
+    /// after the first full read was written since.
+    fn restored_entries(&mut self, entries: &[EntryState], is_full_read: bool) -> BTreeSet<Name> {
+        let Some(copy) = self.copy.as_mut().filter(|_| is_full_read) else {
+            return BTreeSet::new();
+        };
+        let restored = entries.iter().filter(|entry| copy.holds(entry));
+        let restored = restored.map(|entry| entry.target.clone()).collect();
+        if copy.contents.is_none() {
+            let contents = entries.iter();
+            let contents = contents.map(|entry| (entry.target.clone(), entry.content));
+            copy.contents = Some(contents.collect());
+        }
+        restored
+    }
+
     /// Whether a document that is in use cannot be read. Nothing is confirmed until it can. The version
     /// of a model that no service has may come from another writer.
     fn lacks_document(&self) -> bool {
@@ -700,7 +782,9 @@
             PublishedValue::DataCentreEnabled(name) => {
                 self.disabled_data_centres.remove(name);
             }
-            PublishedValue::Target(_) | PublishedValue::TargetRemoved(_) => {}
+            PublishedValue::Target(_)
+            | PublishedValue::RestoredTarget(_)
+            | PublishedValue::TargetRemoved(_) => {}
         }
         (self.on_event)(FeedEvent::Published {
             value,
--- a/components/proxy/src/router/mod.rs
+++ b/components/proxy/src/router/mod.rs
@@ -377,6 +377,7 @@
     let event = match value {
         PublishedValue::Config(config) => Event::ConfigRead(config),
         PublishedValue::Target(entry) => Event::TargetListed(entry),
+        PublishedValue::RestoredTarget(entry) => Event::TargetRestored(entry),
         PublishedValue::TargetRemoved(id) => Event::TargetUnlisted { id, grace },
         PublishedValue::DataCentreDisabled(name) => Event::DataCentreState { name, is_out: true },
         PublishedValue::DataCentreEnabled(name) => Event::DataCentreState {
