Confirm nothing at the start until a restored store can have been written again

Cause: a process recognises a restore by a change of the era in the store's answers, and one that starts has seen no other era.

Change: a first answer of any era but zero counts as that of a store that was restored just before: nothing is confirmed for 2.5 s, so no request with a key is served and the process is not ready, and the first read's targets count as those of a copy. A store that was never restored (era zero, or none) is confirmed at once, as before; the first answer's era is in the record.

--- a/components/proxy/src/feed.rs
+++ b/components/proxy/src/feed.rs
@@ -41,6 +41,9 @@
 /// In this time the removals of entries that expired together are counted together.
 const REMOVAL_BATCH_TIME: Duration = Duration::from_millis(200);
 
+/// The era of a source that was never restored.
+const FIRST_ERA: u64 = 0;
+
 /// How many heartbeat intervals a copy that the source was restored from may list targets that are gone:
 /// three until a silent entry expires, and one until that is read.
 const COPY_LIFETIME_HEARTBEATS: u32 = 4;
@@ -193,6 +196,9 @@
     /// How long a source that was restored from a copy may lack what was published before. Until
     /// then, what it lacks counts as lost, and nothing is confirmed as current.
     pub settle_time: Duration,
+    /// Whether a source that was restored at any time counts as restored just before when this process reads
+    /// it for the first time.
+    pub settles_at_start: bool,
     /// The time since the last response after which all current values are read instead of the
     /// changes since then, which may hold many versions of a large configuration.
     pub max_history_age: Duration,
@@ -208,6 +214,7 @@
             outage_grace: Duration::from_millis(2500),
             recovery_grace: Duration::from_millis(800),
             settle_time: Duration::from_millis(2500),
+            settles_at_start: false,
             max_history_age: Duration::from_millis(2000),
         }
     }
@@ -463,15 +470,18 @@
             self.revision = None;
         }
         let former_era = self.era.replace(changes.era);
-        if former_era.is_none() {
-            log::info!(
-                "the store answers for the first time, in era {}",
-                changes.era
-            );
-        }
-        let is_restored = former_era.is_some_and(|era| era != changes.era);
+        let is_restored = match former_era {
+            Some(era) => era != changes.era,
+            // This process cannot know for how long it has been restored.
+            None => self.options.settles_at_start && changes.era != FIRST_ERA,
+        };
         if is_restored {
-            self.handle_restore(sent_at, changes.era);
+            self.handle_restore(sent_at, changes.era, former_era.is_none());
+        } else if former_era.is_none() {
+            (self.on_event)(FeedEvent::SourceState {
+                is_up: true,
+                detail: format!("first answer, era {}", changes.era).into(),
+            });
         }
         if is_restored && !is_full_read {
             // Changes since an earlier era's revision are incomplete.
@@ -603,7 +613,7 @@
 
     /// Handles that the source was restored from a copy, which lacks the latest values until they
     /// are published again.
-    fn handle_restore(&mut self, sent_at: Duration, era: u64) {
+    fn handle_restore(&mut self, sent_at: Duration, era: u64, is_first_answer: bool) {
         self.settles_at = Some(self.elapsed() + self.options.settle_time);
         // Only then are silent entries sure to have expired.
         self.copy = Some(RestoredCopy {
@@ -615,7 +625,11 @@
         self.answered_revision = None;
         self.status = SourceStatus::Failing;
         metrics::counter!("medlarproxy_platform_restores_total").increment(1);
-        let detail = format!("restored from a copy, era {era}");
+        let detail = if is_first_answer {
+            format!("first answer, perhaps soon after it was restored from a copy, era {era}")
+        } else {
+            format!("restored from a copy, era {era}")
+        };
         (self.on_event)(FeedEvent::SourceState {
             is_up: true,
             detail: detail.into(),
--- a/src/cmd/platform/entry.rs
+++ b/src/cmd/platform/entry.rs
@@ -93,6 +93,7 @@
         heartbeat_interval: settings
             .heartbeat_interval
             .unwrap_or(default_options.heartbeat_interval),
+        settles_at_start: true,
         ..default_options
     };
     let follow_task = feed::follow_source(clock, source, feed_options, handle_event);
