Reject settings whose administration token has no file

The check of the settings now says so, and such a file is not accepted.

Two cases of invalid_settings_are_rejected_with_file_field_value_and_allowed_values; without the change the test fails.

--- a/components/settings/src/options.rs
+++ b/components/settings/src/options.rs
@@ -28,8 +28,12 @@
     #[serde(default = "default_admin_address")]
     pub admin_address: SocketAddr,
     /// The file with the bearer token for operators. Without it the administration API is open to
-    /// anyone who can reach its address.
-    #[serde(default)]
+    /// anyone who can reach its address. A field without a value is an error.
+    #[serde(
+        default,
+        skip_serializing_if = "Option::is_none",
+        deserialize_with = "utils::present::deserialize_present"
+    )]
     pub admin_token_file: Option<PathBuf>,
     /// The address of the platform's configuration service.
     pub configuration_service: SocketAddr,
--- a/components/settings/src/validation.rs
+++ b/components/settings/src/validation.rs
@@ -119,6 +119,18 @@
         "\"\"",
         name,
     )?;
+    // A forgotten value must not open the administration API; YAML reads it as one of these texts.
+    let is_named = |file: &PathBuf| {
+        !["", "~", "null"]
+            .iter()
+            .any(|text| file.as_os_str() == *text)
+    };
+    require(
+        settings.admin_token_file.as_ref().is_none_or(is_named),
+        "admin_token_file",
+        "nothing",
+        "the path of a file",
+    )?;
     let threads = settings.traffic_threads;
     require(
         (1..=256).contains(&threads),
--- a/components/settings/tests/documents.rs
+++ b/components/settings/tests/documents.rs
@@ -73,6 +73,21 @@
             to: "log: {level: loud}\nentry:",
             expected: &["log.level", "loud", "error, warn, info, debug or trace"],
         },
+        // It must not open the administration API to everybody.
+        Case {
+            name: "token file without a value",
+            document: ENTRY,
+            from: "entry:",
+            to: "admin_token_file:\nentry:",
+            expected: &["admin_token_file", "the path of a file"],
+        },
+        Case {
+            name: "token file that is null",
+            document: ENTRY,
+            from: "entry:",
+            to: "admin_token_file: null\nentry:",
+            expected: &["admin_token_file", "the path of a file"],
+        },
         Case {
             name: "zero threads",
             document: ENTRY,
--- a/components/sheet/src/document.rs
+++ b/components/sheet/src/document.rs
@@ -11,7 +11,6 @@
 
 use serde::{
     Deserialize,
-    Deserializer,
     Serialize, //
 };
 use utils::digest::Digest;
@@ -154,16 +153,7 @@
     #[serde(
         default,
         skip_serializing_if = "Option::is_none",
-        deserialize_with = "deserialize_present"
+        deserialize_with = "utils::present::deserialize_present"
     )]
     pub token_digest: Option<Digest>,
 }
-
-/// Deserializes a field that is there.
-fn deserialize_present<'de, T, D>(deserializer: D) -> Result<Option<T>, D::Error>
-where
-    T: Deserialize<'de>,
-    D: Deserializer<'de>,
-{
-    T::deserialize(deserializer).map(Some)
-}
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -1,9 +1,10 @@
-//! Clocks, digests, rendezvous hashing and the name type shared by all components.
+//! Clocks, digests, rendezvous hashing, fields of documents and the name type shared by all components.
 
 pub mod boot_clock;
 pub mod clock;
 pub mod digest;
 pub mod millis;
+pub mod present;
 pub mod rank;
 pub mod run_time;
 pub mod standstill;
