Use a model engine only if its entry says what it runs

A target of a service with model engines is used only with a version; plain services have none, as before. model_engine_is_used_only_if_it_says_what_it_runs fails without the change in its case "no field for the models".

--- a/components/control/src/router/selection.rs
+++ b/components/control/src/router/selection.rs
@@ -487,7 +487,9 @@
     {
         return false;
     }
-    if !requirements.versions.allows(entry.version) {
+    // The entry of a model engine that names no model may come from another writer.
+    let lacks_version = requirements.service.engine_profile.is_some() && entry.version.is_none();
+    if lacks_version || !requirements.versions.allows(entry.version) {
         return false;
     }
     is_region_allowed(&entry.data_centre, location, requirements)
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -451,3 +451,62 @@
         assert_eq!(is_used, case.expected, "{}", case.name);
     }
 }
+
+/// Guards against requests to a model engine whose entry does not say what it runs: they name no version, so the
+/// engine would run whatever it holds.
+#[test]
+fn model_engine_is_used_only_if_it_says_what_it_runs() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        entry: TargetEntry,
+        expected: bool,
+    }
+    let engine = || target("e1", "engines", "a");
+    let cases = [
+        Case {
+            name: "an engine and its version",
+            path: "/chat/",
+            entry: engine(),
+            expected: true,
+        },
+        Case {
+            name: "no field for the models",
+            path: "/chat/",
+            entry: TargetEntry {
+                version: None,
+                ..engine()
+            },
+            expected: false,
+        },
+        Case {
+            name: "an engine without weights",
+            path: "/chat/",
+            entry: TargetEntry {
+                version: None,
+                has_no_weights: true,
+                ..engine()
+            },
+            expected: false,
+        },
+        Case {
+            name: "a plain target, which has no version",
+            path: "/look/",
+            entry: target("d1", "desk", "a"),
+            expected: true,
+        },
+    ];
+    for case in cases {
+        let mut state = State::new(options(NO_RETRIES, 1));
+        for event in [
+            Event::ConfigRead(config_of_both_services()),
+            Event::TargetListed(case.entry),
+            Event::ConfigConfirmed(START),
+        ] {
+            state.step(clock(START), event);
+        }
+        let effects = state.step(clock(START), Event::RequestReceived(request(1, case.path)));
+        let is_rejected = effects.iter().any(|e| matches!(e, Effect::Reject(1, _)));
+        assert_eq!(!is_rejected, case.expected, "{}", case.name);
+    }
+}
