Count as told only entries that passed on an answer of the leaving target

The entries had sent idempotent requests there whose answers a link dropped, and passed on those of another target; check_leaving took any 200 to a request that had run at the leaving target for its answer.

Streams, which may go on at another target under the first one's signature, count as before, and so do all requests that ran there alone, so the check is as strict for what an entry has passed on.

entry_is_told_that_a_target_leaves_by_the_answer_that_it_passes_on has seven cases, among them the dropped answer. The soak itself was not run with this change yet.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -28,7 +28,10 @@
     Instant, //
 };
 
-use crate::standin::engine::EVENTS_PER_STREAM;
+use crate::standin::engine::{
+    EVENTS_PER_STREAM,
+    SIGNATURE, //
+};
 use crate::standin::publish::{
     timed_prompt_request_text,
     CALLERS_PORT, //
@@ -138,6 +141,8 @@
     pub entry: usize,
     /// How long its connection was idle before it, or `None` for the first request of a connection.
     pub idle: Option<Duration>,
+    /// The target that signed the head of the response, if a whole response was received.
+    pub signed_by: Option<String>,
     pub result: RequestResult,
 }
 
@@ -276,9 +281,13 @@
         let text = kind.text(path, &id, self.key, deadline);
         let mut sent = Instant::now();
         let exchange = exchange(&mut connection.tcp, &text, self.reading_pause(), &mut sent);
-        let (result, keeps_open) = timeout(deadline + RESPONSE_SLACK, exchange)
+        let Exchange {
+            result,
+            signed_by,
+            keeps_open,
+        } = timeout(deadline + RESPONSE_SLACK, exchange)
             .await
-            .unwrap_or((RequestResult::TimedOut, false));
+            .unwrap_or(Exchange::without_response(RequestResult::TimedOut));
         self.requests.0.lock().unwrap().push(LoggedRequest {
             id,
             kind,
@@ -289,25 +298,43 @@
             ended: Instant::now(),
             entry: self.entry,
             idle,
+            signed_by,
             result,
         });
         keeps_open
     }
 }
 
-/// Sends a request and reads the whole response. Returns the result and whether the connection stays open.
+/// What became of a request on a connection.
+struct Exchange {
+    result: RequestResult,
+    /// The target that signed the head of the response.
+    signed_by: Option<String>,
+    keeps_open: bool,
+}
+
+impl Exchange {
+    fn without_response(result: RequestResult) -> Self {
+        Self {
+            result,
+            signed_by: None,
+            keeps_open: false,
+        }
+    }
+}
+
+/// Sends a request and reads the whole response.
 async fn exchange(
     tcp: &mut TcpStream,
     text: &str,
     reading_pause: Duration,
     sent: &mut Instant,
-) -> (RequestResult, bool) {
+) -> Exchange {
     let cut = |has_begun, is_reset| {
-        let result = RequestResult::Cut {
+        Exchange::without_response(RequestResult::Cut {
             has_begun,
             is_reset,
-        };
-        (result, false)
+        })
     };
     let written = tcp.write_all(text.as_bytes()).await;
     *sent = Instant::now();
@@ -317,7 +344,11 @@
     let mut response = Vec::new();
     loop {
         if let Some((status, body, keeps_open)) = parse_response(&response) {
-            return (RequestResult::Response(status, body), keeps_open);
+            return Exchange {
+                result: RequestResult::Response(status, body),
+                signed_by: signer(&response),
+                keeps_open,
+            };
         }
         tokio::time::sleep(reading_pause).await;
         match tcp.read_buf(&mut response).await {
@@ -347,6 +378,15 @@
     is_complete.then_some((status, body, keeps_open))
 }
 
+/// The target that signed the head of a response.
+fn signer(response: &[u8]) -> Option<String> {
+    let end = find(response, b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&response[..end]).to_lowercase();
+    let lines = head.lines().filter_map(|line| line.split_once(": "));
+    let mut signatures = lines.filter(|(name, _)| *name == SIGNATURE);
+    Some(signatures.next()?.1.to_owned())
+}
+
 fn find(data: &[u8], pattern: &[u8]) -> Option<usize> {
     data.windows(pattern.len())
         .position(|window| window == pattern)
--- a/tests/soak/checks/mod.rs
+++ b/tests/soak/checks/mod.rs
@@ -107,6 +107,31 @@
     is_late.then(|| format!("{} ran with a key that was revoked long before", request.id))
 }
 
+/// When each entry first passed on an answer of the leaving target. A request that is not a stream may have run there
+/// and have been answered by another target; then the entry has not passed on what this one said.
+fn told_at(
+    requests: &[LoggedRequest],
+    target: &str,
+    leaving_since: Instant,
+    ran_there: impl Fn(&LoggedRequest) -> bool,
+) -> HashMap<usize, Instant> {
+    let is_from_target = |request: &&LoggedRequest| {
+        let is_stream = matches!(request.kind, RequestKind::Stream | RequestKind::Talk);
+        let is_answered = matches!(request.result, RequestResult::Response(200, _));
+        let is_signed = request.signed_by.as_deref() == Some(target);
+        is_answered
+            && request.sent > leaving_since
+            && ran_there(request)
+            && (is_stream || is_signed)
+    };
+    let mut told_at: HashMap<usize, Instant> = HashMap::new();
+    for request in requests.iter().filter(is_from_target) {
+        let first = told_at.entry(request.entry).or_insert(request.ended);
+        *first = request.ended.min(*first);
+    }
+    told_at
+}
+
 /// Finds requests that an entry sent to the leaving target long after it had passed on an answer that
 /// says so.
 fn check_leaving(
@@ -121,15 +146,7 @@
         let runs = runs_by_id.get(request.id.as_str());
         runs.is_some_and(|runs| runs.iter().any(|run| run.target == *target))
     };
-    // When each entry first passed on such an answer.
-    let mut told_at: HashMap<usize, Instant> = HashMap::new();
-    for request in requests {
-        let is_answered = matches!(request.result, RequestResult::Response(200, _));
-        if is_answered && request.sent > *leaving_since && ran_there(request) {
-            let first = told_at.entry(request.entry).or_insert(request.ended);
-            *first = request.ended.min(*first);
-        }
-    }
+    let told_at = told_at(requests, target, *leaving_since, ran_there);
     let is_late = |request: &&LoggedRequest| {
         let Some(told_at) = told_at.get(&request.entry) else {
             return false;
@@ -270,3 +287,85 @@
         environment.revoked_keys.len()
     )
 }
+
+/// Guards against alarms for entries that dropped the answer of a leaving target (seed 710021), and against entries
+/// that passed it on and are not told so.
+#[test]
+fn entry_is_told_that_a_target_leaves_by_the_answer_that_it_passes_on() {
+    struct Case {
+        name: &'static str,
+        kind: RequestKind,
+        status: u16,
+        signed_by: Option<&'static str>,
+        ran_there: bool,
+        expected: bool,
+    }
+    let case = |name, kind, status, signed_by, ran_there, expected| Case {
+        name,
+        kind,
+        status,
+        signed_by,
+        ran_there,
+        expected,
+    };
+    use RequestKind::{
+        Lookup,
+        Order,
+        Stream, //
+    };
+    let cases = [
+        case("its answer", Lookup, 200, Some("d-0"), true, true),
+        case(
+            "its answer to an order",
+            Order,
+            200,
+            Some("d-0"),
+            true,
+            true,
+        ),
+        case(
+            "its answer was dropped",
+            Lookup,
+            200,
+            Some("d-1"),
+            true,
+            false,
+        ),
+        case(
+            "an answer of another",
+            Lookup,
+            200,
+            Some("d-1"),
+            false,
+            false,
+        ),
+        case("a failure of the entry", Lookup, 502, None, true, false),
+        case(
+            "a stream that it went on with",
+            Stream,
+            200,
+            Some("d-1"),
+            true,
+            true,
+        ),
+        case("its stream", Stream, 200, Some("d-0"), true, true),
+    ];
+    let began = Instant::now();
+    for case in cases {
+        let request = LoggedRequest {
+            id: "c1-1".to_owned(),
+            kind: case.kind,
+            path: "/look/x",
+            key: "k1",
+            deadline: Duration::from_secs(3),
+            sent: began + Duration::from_secs(1),
+            ended: began + Duration::from_secs(2),
+            entry: 4,
+            idle: None,
+            signed_by: case.signed_by.map(str::to_owned),
+            result: RequestResult::Response(case.status, String::new()),
+        };
+        let told = told_at(&[request], "d-0", began, |_| case.ran_there);
+        assert_eq!(told.contains_key(&4), case.expected, "{}", case.name);
+    }
+}
