--- a/components/control/src/router/access.rs
+++ b/components/control/src/router/access.rs
@@ -1,5 +1,5 @@
-//! Who may run requests. The answer is found in one place: when a request arrives, and again for each request
-//! that no target has, whenever another configuration comes into force.
+//! Who may have requests run. The answer is found in one place: when a request arrives, and again for each
+//! request in progress when another configuration comes into force.
 
 use std::sync::Arc;
 use std::time::Duration;
