Keep one set of teams at agents, and read the head of an answer once

- Agents kept the teams of the present sheet and the removed ones, and had to keep the two in step.
What was removed follows from the teams that any sheet named and from the sheet itself, so one set is left; the check of an offer looks the team up once.
- Callers of the soak searched each answer's head twice, for its end and for its signature; parse_response returns the exchange.
- A comment in the tests of access named a test that does not exist, and two branches there did the same.
- The doc of deserialize_present said that a null is an error for every type; YAML reads one as text for those that take a text.

--- a/components/control/src/agent/admission.rs
+++ b/components/control/src/agent/admission.rs
@@ -8,7 +8,6 @@
 
 use std::collections::{
     BTreeMap,
-    BTreeSet,
     VecDeque, //
 };
 use std::time::Duration;
@@ -306,10 +305,10 @@
     }
 
     /// Removes and returns the waiting requests of these teams.
-    pub fn remove_teams(&mut self, teams: &BTreeSet<Name>) -> Vec<OfferedRequest> {
-        let removed = self.queue.remove_teams(teams);
+    pub fn remove_teams(&mut self, is_removed: impl Fn(&Name) -> bool) -> Vec<OfferedRequest> {
+        let removed = self.queue.remove_teams(&is_removed);
         let mut removed = self.remove_all_queued(removed);
-        removed.extend(self.remove_suspects(|offered, _| teams.contains(&offered.team)));
+        removed.extend(self.remove_suspects(|offered, _| is_removed(&offered.team)));
         removed
     }
 
--- a/components/control/src/agent/fair_queue.rs
+++ b/components/control/src/agent/fair_queue.rs
@@ -1,9 +1,6 @@
 //! Weighted fair queueing over teams and priorities, for requests that wait for a target.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use utils::Name;
@@ -105,8 +102,8 @@
     }
 
     /// Removes and returns the requests of these teams.
-    pub fn remove_teams(&mut self, teams: &BTreeSet<Name>) -> Vec<QueuedRequest> {
-        self.remove_where(|r| teams.contains(&r.team))
+    pub fn remove_teams(&mut self, is_removed: impl Fn(&Name) -> bool) -> Vec<QueuedRequest> {
+        self.remove_where(|r| is_removed(&r.team))
     }
 
     /// Removes and returns all requests.
--- a/components/control/src/agent/requests.rs
+++ b/components/control/src/agent/requests.rs
@@ -151,7 +151,8 @@
         if offered.deadline <= elapsed {
             return Err(Outcome::NotRun(Refusal::Expired));
         }
-        if self.is_team_removed(&offered.team) {
+        let team = sheet.teams.get(&offered.team);
+        if team.is_none() && self.known_teams.contains(&offered.team) {
             return Err(Outcome::NotRun(Refusal::TeamRemoved));
         }
         if self.suspects.is_quarantined(offered.fingerprint) {
@@ -160,8 +161,7 @@
         if self.is_suspect(offered) && self.admission.is_suspect_queue_full() {
             return Err(Outcome::NotRun(Refusal::SuspectRunning));
         }
-        let share = sheet.teams.get(&offered.team).map_or(1, |team| team.share);
-        Ok(share)
+        Ok(team.map_or(1, |team| team.share))
     }
 
     fn is_suspect(&self, offered: &OfferedRequest) -> bool {
--- a/components/control/src/agent/state.rs
+++ b/components/control/src/agent/state.rs
@@ -90,10 +90,8 @@
     pub(super) at_most_once: AtMostOnceTable,
     pub(super) rollout: Rollout,
     pub(super) suspects: CrashSuspects,
-    /// The teams of earlier sheets that the present one does not name.
-    removed_teams: BTreeSet<Name>,
-    /// The teams of the present sheet.
-    teams: BTreeSet<Name>,
+    /// The teams that any sheet of this process named. One that the present sheet does not name was removed.
+    pub(super) known_teams: BTreeSet<Name>,
     pub(super) is_draining: bool,
     is_data_centre_out: bool,
     has_requested_exit: bool,
@@ -129,8 +127,7 @@
             ),
             rollout: Rollout::new(options.rollout),
             suspects: CrashSuspects::default(),
-            teams: BTreeSet::new(),
-            removed_teams: BTreeSet::new(),
+            known_teams: BTreeSet::new(),
             is_draining: false,
             is_data_centre_out: false,
             has_requested_exit: false,
@@ -423,7 +420,7 @@
         let is_out = placement.is_some_and(|placement| !sheet.is_in_service(placement.data_centre));
         self.is_data_centre_out = is_out;
         self.set_limits(elapsed, sheet);
-        self.set_teams(elapsed, sheet, effects);
+        self.refuse_removed_teams(elapsed, sheet, effects);
         if was_out && !is_out {
             // The target's caches went stale while it was out, so it starts like a new one.
             self.admission.enter_cold_start(elapsed);
@@ -439,22 +436,20 @@
 
     /// Refuses the queued requests of teams that the sheet does not name any more. A team that no earlier sheet
     /// of this process named may stand in a later one that the entry has.
-    fn set_teams(&mut self, elapsed: Duration, sheet: &Sheet, effects: &mut Vec<Effect>) {
-        let teams: BTreeSet<Name> = sheet.teams.keys().cloned().collect();
-        let known = std::mem::replace(&mut self.teams, teams);
-        self.removed_teams.extend(known);
-        let current = &self.teams;
-        self.removed_teams.retain(|team| !current.contains(team));
-        for queued in self.admission.remove_teams(&self.removed_teams) {
+    fn refuse_removed_teams(
+        &mut self,
+        elapsed: Duration,
+        sheet: &Sheet,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.known_teams.extend(sheet.teams.keys().cloned());
+        let known = &self.known_teams;
+        let is_removed = |team: &Name| known.contains(team) && !sheet.teams.contains_key(team);
+        for queued in self.admission.remove_teams(is_removed) {
             self.refuse_queued_request(elapsed, &queued, Refusal::TeamRemoved, effects);
         }
     }
 
-    /// Whether a sheet has taken a team away since this process started.
-    pub(super) fn is_team_removed(&self, team: &Name) -> bool {
-        self.removed_teams.contains(team)
-    }
-
     fn set_limits(&mut self, elapsed: Duration, sheet: &Sheet) {
         let Some(workload) = &self.workload else {
             return;
--- a/components/control/tests/access.rs
+++ b/components/control/tests/access.rs
@@ -418,11 +418,9 @@
     let sent = forwarded(token, &effects);
     assert_eq!(sent.is_some(), moment == Moment::Connecting, "{effects:?}");
     let effects = process.read_last(shape, arrival);
-    if expected == Denied && moment != Moment::Connecting {
-        // It is rejected at once, not only when its target has capacity or has replied.
-        return check(expected, token, &effects);
-    }
-    if rejected(token, &effects).is_some() {
+    // A request that nobody has is rejected at once, not only when its target has capacity or has replied.
+    let must_be_rejected = expected == Denied && moment != Moment::Connecting;
+    if must_be_rejected || rejected(token, &effects).is_some() {
         return check(expected, token, &effects);
     }
     let effects = match (moment, sent) {
@@ -454,7 +452,7 @@
             Arrival::First,
             Arrival::BeforeDrill,
         ] {
-            // A process that starts does not know that there was a list, see the test below.
+            // A process that starts does not know that there was a list: to it, there was none from the start.
             let has_lost_list = shape.list.is_none() && shape.before[0].is_some();
             if has_lost_list && arrival == Arrival::First {
                 continue;
--- a/components/utils/src/present.rs
+++ b/components/utils/src/present.rs
@@ -6,7 +6,8 @@
 };
 
 /// Deserializes a field that is there, for `deserialize_with` beside `default`. A null, which serde reads as a
-/// missing field, is an error: where a missing field lifts a restriction, a forgotten value must not.
+/// missing field, is left to the value's own type: where a missing field lifts a restriction, a forgotten value
+/// must not. Most types reject a null; YAML reads one as text, so who takes a text has to check it.
 ///
 /// # Errors
 ///
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -343,12 +343,8 @@
     }
     let mut response = Vec::new();
     loop {
-        if let Some((status, body, keeps_open)) = parse_response(&response) {
-            return Exchange {
-                result: RequestResult::Response(status, body),
-                signed_by: signer(&response),
-                keeps_open,
-            };
+        if let Some(exchange) = parse_response(&response) {
+            return exchange;
         }
         tokio::time::sleep(reading_pause).await;
         match tcp.read_buf(&mut response).await {
@@ -359,8 +355,8 @@
     }
 }
 
-/// The status and the body of a complete response, and whether the connection stays open after it.
-fn parse_response(response: &[u8]) -> Option<(u16, String, bool)> {
+/// The exchange that ends with this response, if the response is complete.
+fn parse_response(response: &[u8]) -> Option<Exchange> {
     let end = find(response, b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&response[..end]).to_lowercase();
     let body = &response[end..];
@@ -374,17 +370,17 @@
         let length: usize = length.map_or(Some(0), |length| length.parse().ok())?;
         body.len() >= length
     };
+    if !is_complete {
+        return None;
+    }
+    let mut headers = head.lines().filter_map(|line| line.split_once(": "));
+    let signature = headers.find(|(name, _)| *name == SIGNATURE);
     let body = String::from_utf8_lossy(body).into_owned();
-    is_complete.then_some((status, body, keeps_open))
-}
-
-/// The target that signed the head of a response.
-fn signer(response: &[u8]) -> Option<String> {
-    let end = find(response, b"\r\n\r\n")?;
-    let head = String::from_utf8_lossy(&response[..end]).to_lowercase();
-    let lines = head.lines().filter_map(|line| line.split_once(": "));
-    let mut signatures = lines.filter(|(name, _)| *name == SIGNATURE);
-    Some(signatures.next()?.1.to_owned())
+    Some(Exchange {
+        result: RequestResult::Response(status, body),
+        signed_by: signature.map(|(_, target)| target.to_owned()),
+        keeps_open,
+    })
 }
 
 fn find(data: &[u8], pattern: &[u8]) -> Option<usize> {
